--- /dev/null
+++ b/src/jayswitch/clock.py
@@ -0,0 +1,42 @@
+"""Time in milliseconds."""
+
+from __future__ import annotations
+
+import time
+
+import eventlet
+from eventlet import hubs
+
+MS_PER_S = 1000.0
+
+
+class Clock:
+    """Reads and waits in milliseconds on the time line of the event loop."""
+
+    __slots__ = ()
+
+    def now_ms(self) -> float:
+        """Returns monotonic time in milliseconds; it has no fixed origin."""
+        return hubs.get_hub().clock() * MS_PER_S
+
+    def wall_ms(self) -> int:
+        """Returns milliseconds since the Unix epoch."""
+        return int(time.time() * MS_PER_S)
+
+    def sleep_ms(self, duration_ms: float) -> None:
+        """Suspends the current task for the given time."""
+        eventlet.sleep(max(0.0, duration_ms) / MS_PER_S)
+
+
+class VirtualClock(Clock):
+    """Derives wall time from the event loop, so that scenarios repeat exactly."""
+
+    __slots__ = ("_epoch_ms",)
+
+    def __init__(self, epoch_ms: int = 1_800_000_000_000) -> None:
+        """Takes the wall time that corresponds to zero on the event loop."""
+        self._epoch_ms = epoch_ms
+
+    def wall_ms(self) -> int:
+        """Returns the epoch plus the virtual time that has passed."""
+        return self._epoch_ms + int(self.now_ms())
--- /dev/null
+++ b/src/jayswitch/config/log.py
@@ -0,0 +1,191 @@
+"""The ordered log of changes in the store, with snapshots that bound its length."""
+
+from __future__ import annotations
+
+import logging
+import uuid
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from jayswitch.config.changes import apply_entry
+from jayswitch.config.codec import (
+    decode_entry,
+    decode_state,
+    encode_entry,
+    encode_state,
+)
+from jayswitch.config.exceptions import LogUnavailable
+from jayswitch.config.state import Entry
+from jayswitch.exceptions import JayswitchError
+from jayswitch.store.exceptions import StoreError, StoreUnavailable
+from jayswitch.store.interface import MAX_VALUE_BYTES
+
+if TYPE_CHECKING:
+    from jayswitch.clock import Clock
+    from jayswitch.config.replica import ConfigReplica
+    from jayswitch.config.state import AnyChange
+    from jayswitch.store.interface import Store
+
+LOG_PREFIX = "log/"
+SNAPSHOT_KEY = "snapshot"
+SNAPSHOT_EVERY_ENTRIES = 200
+ENTRIES_BEHIND_SNAPSHOT = 400
+READ_PAGE = 256
+APPEND_ATTEMPTS = 40
+APPEND_RETRY_MS = 50
+CONFIRM_ATTEMPTS = 6
+CONFIRM_RETRY_MS = 250
+
+logger = logging.getLogger(__name__)
+
+
+def log_key(index: int) -> str:
+    """Returns the key of an entry; keys sort in the order of their indexes."""
+    return f"{LOG_PREFIX}{index:012d}"
+
+
+class ConfigLog:
+    """Reads and appends entries; appending is a compare-and-swap on the next key."""
+
+    def __init__(self, store: Store, replica: ConfigReplica, clock: Clock) -> None:
+        """Takes the store and the replica that entries read are applied to."""
+        self._store = store
+        self._replica = replica
+        self._clock = clock
+
+    def catch_up(self) -> Result[int, StoreError]:
+        """Applies every entry in the store that the replica lacks.
+
+        Returns the version that the replica then has.
+        """
+        while True:
+            before = self._replica.version
+            page = self._store.scan(LOG_PREFIX, log_key(before), READ_PAGE)
+            if isinstance(page, Failure):
+                return page
+            values = page.unwrap()
+            applied = sum(self._replica.offer(value.value) for value in values)
+            if not values:
+                return Success(self._replica.version)
+            if not applied:
+                skipped = self._load_snapshot(before)
+                if not isinstance(skipped, Success) or self._replica.version == before:
+                    return skipped
+
+    def _load_snapshot(self, before: int) -> Result[int, StoreError]:
+        found = self._store.get(SNAPSHOT_KEY)
+        if isinstance(found, Failure):
+            return found
+        stored = found.unwrap()
+        if stored is not None:
+            self._replica.offer_snapshot(stored.value)
+        return Success(self._replica.version)
+
+    def append(self, change: AnyChange, author: str) -> Result[Entry, JayswitchError]:
+        """Adds a change after checking it against the newest version.
+
+        A lost answer is resolved by reading the entry back. Success means that
+        the change is in the log; a LogUnavailable failure that this is not known.
+        """
+        change_id = uuid.uuid4().hex
+        last: JayswitchError | None = None
+        unsure = False
+        for _ in range(APPEND_ATTEMPTS):
+            caught_up = self.catch_up()
+            if isinstance(caught_up, Failure):
+                return Failure(LogUnavailable(change_id, str(caught_up.failure())))
+            entry = self._next_entry(change, change_id, author)
+            allowed = apply_entry(self._replica.state, entry)
+            if isinstance(allowed, Failure):
+                return self._not_allowed(change_id, allowed.failure(), unsure)
+            key = log_key(entry.index)
+            match self._store.put(key, encode_entry(entry), 0):
+                case Success(_):
+                    return self._accepted(entry)
+                case Failure(error):
+                    last = error
+                    unsure = unsure or isinstance(error, StoreUnavailable)
+                    resolved = self._resolve(entry, error)
+                    if resolved is not None:
+                        return resolved
+            self._clock.sleep_ms(APPEND_RETRY_MS)
+        return Failure(LogUnavailable(change_id, str(last)))
+
+    def _not_allowed(
+        self, change_id: str, error: JayswitchError, unsure: bool
+    ) -> Result[Entry, JayswitchError]:
+        """Refuses a change, unless an earlier write of it may still take effect."""
+        if unsure:
+            return Failure(LogUnavailable(change_id, str(error)))
+        return Failure(error)
+
+    def _next_entry(self, change: AnyChange, change_id: str, author: str) -> Entry:
+        return Entry(
+            index=self._replica.version + 1,
+            change_id=change_id,
+            author=author,
+            at_ms=self._clock.wall_ms(),
+            change=change,
+        )
+
+    def _accepted(self, entry: Entry) -> Result[Entry, JayswitchError]:
+        self._replica.offer(encode_entry(entry))
+        return Success(entry)
+
+    def _resolve(
+        self, entry: Entry, error: StoreError
+    ) -> Result[Entry, JayswitchError] | None:
+        """Finds out whether an unconfirmed or refused write took effect.
+
+        A refused one may be a repetition of a write whose answer was lost. Returns
+        None when the change is not in the log, so that it may be tried again: a
+        write that is still under way can only take the same key.
+        """
+        for _ in range(CONFIRM_ATTEMPTS):
+            match self._store.get(log_key(entry.index)):
+                case Success(None):
+                    return None
+                case Success(stored):
+                    found = decode_entry(stored.value)
+                    mine = found.map(lambda other: other.change_id == entry.change_id)
+                    return self._accepted(entry) if mine.value_or(False) else None
+                case Failure():
+                    self._clock.sleep_ms(CONFIRM_RETRY_MS)
+        return Failure(LogUnavailable(entry.change_id, str(error)))
+
+    def save_snapshot(self) -> Result[int, StoreError]:
+        """Stores the replica's state and deletes entries far behind it.
+
+        Returns the number of entries deleted.
+        """
+        state = self._replica.state
+        data = encode_state(state)
+        if len(data) > MAX_VALUE_BYTES:
+            logger.error("snapshot exceeds the store's limit", extra={"b": len(data)})
+            return Success(0)
+        match self._store.get(SNAPSHOT_KEY):
+            case Success(stored):
+                revision = stored.revision if stored is not None else 0
+                if stored is not None and self._is_newer(stored.value, state.version):
+                    return Success(0)
+            case Failure(error):
+                return Failure(error)
+        match self._store.put(SNAPSHOT_KEY, data, revision):
+            case Failure(error):
+                return Failure(error)
+        return self._delete_entries(state.version - ENTRIES_BEHIND_SNAPSHOT)
+
+    def _is_newer(self, data: bytes, version: int) -> bool:
+        stored = decode_state(data).map(lambda state: state.version >= version)
+        return stored.value_or(True)
+
+    def _delete_entries(self, up_to: int) -> Result[int, StoreError]:
+        match self._store.scan(LOG_PREFIX, "", SNAPSHOT_EVERY_ENTRIES * 2):
+            case Success(values):
+                old = [value for value in values if value.key <= log_key(up_to)]
+            case Failure(error):
+                return Failure(error)
+        for value in old:
+            self._store.delete(value.key, value.revision)
+        return Success(len(old))
--- /dev/null
+++ b/src/jayswitch/console/client.py
@@ -0,0 +1,87 @@
+"""The tool's connection to the administration API of a node."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import urllib3
+from returns.result import Failure, Result, Success
+
+from jayswitch.console.exceptions import ApiError, NodeUnreachable
+
+TIMEOUT_S = 30.0
+STATUS_ASK_RELAY = 421
+
+
+class AdminClient:
+    """Calls the first of several nodes that answers; follows them to a relay."""
+
+    def __init__(self, addresses: list[str], token: str, author: str) -> None:
+        """Takes the administration addresses, the operator's token and name."""
+        self._addresses = [address.rstrip("/") for address in addresses]
+        self._headers = {
+            "Authorization": f"Bearer {token}",
+            "X-Jayswitch-Author": author,
+        }
+        self._http = urllib3.PoolManager(retries=False)
+
+    def get(self, path: str) -> Result[Any, ApiError | NodeUnreachable]:
+        """Returns what the API answers to a GET."""
+        return self.request("GET", path)
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        expected_version: int = -1,
+    ) -> Result[Any, ApiError | NodeUnreachable]:
+        """Returns the decoded answer, or why there is none.
+
+        Only reads are tried on a second node: a change may have been accepted by
+        the first one although no answer came.
+        """
+        headers = dict(self._headers)
+        if expected_version >= 0:
+            headers["X-Jayswitch-Expected-Version"] = str(expected_version)
+        last: Result[Any, ApiError | NodeUnreachable] = Failure(
+            NodeUnreachable("none", "no address was given")
+        )
+        addresses = list(self._addresses)
+        for address in addresses:
+            last = self._request_one(address, method, path, body, headers)
+            match last:
+                case Failure(ApiError(http_status=status) as error):
+                    if status != STATUS_ASK_RELAY:
+                        return last
+                    addresses.extend(a for a in error.relays if a not in addresses)
+                case Failure(NodeUnreachable()) if method == "GET":
+                    continue
+                case _:
+                    return last
+        return last
+
+    def _request_one(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> Result[Any, ApiError | NodeUnreachable]:
+        try:
+            response = self._http.request(
+                method,
+                f"{address}/v1/{path}",
+                body=body or None,
+                headers=headers,
+                timeout=TIMEOUT_S,
+                retries=False,
+            )
+            answer = msgspec.json.decode(response.data)
+        except (urllib3.exceptions.HTTPError, OSError, msgspec.DecodeError) as error:
+            return Failure(NodeUnreachable(address, str(error)))
+        if response.status != 200:
+            return Failure(ApiError(response.status, answer))
+        return Success(answer)
--- /dev/null
+++ b/src/jayswitch/console/commands/data_centres.py
@@ -0,0 +1,51 @@
+"""Commands on data centres."""
+
+from __future__ import annotations
+
+from jayswitch.console.commands.command import EXIT_OK, Command
+from jayswitch.console.output import print_json, print_table
+
+
+class DataCentresList(Command):
+    """Lists the data centres."""
+
+    words = ("data-centres", "list")
+    summary = "list the data centres and whether they are in service"
+    example = "jayswitchctl data-centres list"
+
+    def run(self, *arguments: str) -> int:
+        """Prints a row for each data centre."""
+        found = self.client.get("data-centres").unwrap()
+        if self.options.as_json:
+            print_json(found)
+            return EXIT_OK
+        rows = [[item["data_centre"], item["state"]] for item in found]
+        print_table(["data centre", "state"], rows, "no data centre is known")
+        return EXIT_OK
+
+
+class DataCentresOut(Command):
+    """Takes a data centre out of service."""
+
+    words = ("data-centres", "out")
+    arguments = ("name",)
+    summary = "give a data centre no new work; calls in flight finish"
+    example = "jayswitchctl data-centres out bunbury"
+    state = "out"
+
+    def run(self, *arguments: str) -> int:
+        """Marks the data centre."""
+        path = f"data-centres/{arguments[0]}/{self.state}"
+        expected = self.options.expected_version
+        answer = self.client.request("POST", path, b"", expected).unwrap()
+        print(f"{arguments[0]} is {self.state} from version {answer['version']} on")
+        return EXIT_OK
+
+
+class DataCentresIn(DataCentresOut):
+    """Takes a data centre back into service."""
+
+    words = ("data-centres", "in")
+    summary = "take a data centre back; its upstreams are warmed up gradually"
+    example = "jayswitchctl data-centres in bunbury"
+    state = "in"
--- /dev/null
+++ b/src/jayswitch/console/commands/moves.py
@@ -0,0 +1,105 @@
+"""Commands on moves from one version of a service to another."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from jayswitch.console.commands.command import EXIT_OK, EXIT_REVERSED, Command
+from jayswitch.console.exceptions import UsageError
+from jayswitch.console.output import local_time, print_json, print_table
+
+POLL_S = 0.5
+DEFAULT_WAIT_S = 3600.0
+
+
+def status_of(move: dict[str, Any]) -> str:
+    """Returns whether a move is under way, done or reversed."""
+    if not move["ended_ms"]:
+        return "under way"
+    return "done" if move["done"] else "reversed"
+
+
+class MovesList(Command):
+    """Lists the moves."""
+
+    words = ("moves", "list")
+    summary = "list the moves under way and the latest ones that ended"
+    example = "jayswitchctl moves list"
+
+    def run(self, *arguments: str) -> int:
+        """Prints a row for each move."""
+        moves = self.client.get("moves").unwrap()
+        if self.options.as_json:
+            print_json(moves)
+            return EXIT_OK
+        rows = []
+        for move in moves:
+            change = f"{move['from_version']} -> {move['to_version']}"
+            deadline = local_time(move["deadline_ms"])
+            share = f"{move['percent']}%"
+            status = status_of(move)
+            rows.append([move["id"], change, share, deadline, status, move["reason"]])
+        columns = ["move", "versions", "share", "deadline", "status", "evidence"]
+        print_table(columns, rows, "there are no moves")
+        return EXIT_OK
+
+
+class MovesStatus(Command):
+    """Shows one move."""
+
+    words = ("moves", "status")
+    arguments = ("id",)
+    summary = "show a move with its evidence"
+    example = "jayswitchctl moves status everyday.herdview.12"
+
+    def run(self, *arguments: str) -> int:
+        """Prints every field of the move."""
+        move = self.client.get(f"moves/{arguments[0]}").unwrap()
+        if self.options.as_json:
+            print_json(move)
+            return EXIT_OK
+        rows = [["status", status_of(move)]]
+        for key, value in move.items():
+            rows.append([key, local_time(value) if key.endswith("_ms") else value])
+        print_table(["field", "value"], rows, "")
+        return EXIT_OK
+
+
+class MovesWait(Command):
+    """Waits for the end of a move."""
+
+    words = ("moves", "wait")
+    arguments = ("id",)
+    summary = "wait until a move is done (exit code 0) or reversed (3)"
+    example = "jayswitchctl moves wait everyday.herdview.12 --timeout_s=600"
+
+    def run(self, *arguments: str) -> int:
+        """Prints how the move ended."""
+        until = time.monotonic() + (self.options.timeout_s or DEFAULT_WAIT_S)
+        while time.monotonic() < until:
+            move = self.client.get(f"moves/{arguments[0]}").unwrap()
+            if move["ended_ms"]:
+                print(f"{move['id']} {status_of(move)}: {move['reason']}")
+                return EXIT_OK if move["done"] else EXIT_REVERSED
+            time.sleep(POLL_S)
+        raise UsageError(
+            f"move {arguments[0]} had not ended in time",
+            "wait longer with --timeout_s, or look at 'jayswitchctl moves status'",
+        )
+
+
+class MovesAbort(Command):
+    """Takes a version back."""
+
+    words = ("moves", "abort")
+    arguments = ("id",)
+    summary = "take the new version back"
+    example = "jayswitchctl moves abort everyday.herdview.12"
+
+    def run(self, *arguments: str) -> int:
+        """Ends the move; the profile names the old version again."""
+        path = f"moves/{arguments[0]}/abort"
+        answer = self.client.request("POST", path).unwrap()
+        print(f"{arguments[0]} taken back in version {answer['version']}")
+        return EXIT_OK
--- /dev/null
+++ b/src/jayswitch/embedded/deployments.py
@@ -0,0 +1,83 @@
+"""The two deployments that the embedded mode and the bench are modelled on."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class ServiceShape(msgspec.Struct, frozen=True):
+    """A service, its upstreams, and the shape of one of them.
+
+    The prefixes are of a route that only reads and of one that writes.
+    """
+
+    name: str
+    upstreams: int
+    slots: int
+    connections: int
+    read_prefix: str
+    write_prefix: str
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """Data centres of one region and the services in them."""
+
+    name: str
+    region: str
+    data_centres: tuple[str, ...]
+    services: tuple[ServiceShape, ...]
+
+    def data_centre_of(self, number: int) -> str:
+        """Returns the data centre of the upstream with a running number."""
+        return self.data_centres[number % len(self.data_centres)]
+
+    def profile(self, name: str, version: str, move_within_ms: int) -> dict:
+        """Returns a profile with a read and a write route for each service."""
+        routes: list[dict[str, str | int]] = []
+        for service in self.services:
+            routes.append(
+                {
+                    "name": f"{service.name}-read",
+                    "prefix": service.read_prefix,
+                    "service": service.name,
+                    "priority": "high",
+                }
+            )
+            routes.append(
+                {
+                    "name": f"{service.name}-write",
+                    "prefix": service.write_prefix,
+                    "service": service.name,
+                    "timeout_ms": 3000,
+                }
+            )
+        targets = [
+            {
+                "service": service.name,
+                "version": version if index == 0 else "v1",
+                "move_within_ms": move_within_ms,
+            }
+            for index, service in enumerate(self.services)
+        ]
+        return {"name": name, "routes": routes, "targets": targets}
+
+
+PADDOCKLINE = Deployment(
+    name="paddockline",
+    region="swwa",
+    data_centres=("bunbury", "busselton", "harvey"),
+    services=(
+        ServiceShape("herdview", 8, 20, 120, "/herd", "/treatments"),
+        ServiceShape("robotdesk", 3, 20, 120, "/identity", "/alarms"),
+    ),
+)
+GCTIA = Deployment(
+    name="gctia",
+    region="gulf-south",
+    data_centres=("baton-rouge", "lake-charles", "corpus-christi"),
+    services=(
+        ServiceShape("tank-ledger", 7, 6, 110, "/levels", "/transfers"),
+        ServiceShape("ticket-records", 3, 6, 110, "/archives", "/tickets"),
+    ),
+)
+DEPLOYMENTS = {deployment.name: deployment for deployment in (PADDOCKLINE, GCTIA)}
--- /dev/null
+++ b/src/jayswitch/gate/gate.py
@@ -0,0 +1,373 @@
+"""The gate beside one upstream: it alone decides which calls the upstream runs."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+from typing import TYPE_CHECKING, TypeAlias
+
+import eventlet
+from eventlet.event import Event
+from greenlet import GreenletExit
+from returns.result import Failure, Success
+
+from jayswitch.clock import MS_PER_S
+from jayswitch.gate.admission import Admission
+from jayswitch.gate.exceptions import (
+    UpstreamBroke,
+    UpstreamFailure,
+    UpstreamNotReached,
+    UpstreamShed,
+)
+from jayswitch.gate.ledger import AnswerCache, Fate, KeyedAnswer, RequestLedger
+from jayswitch.gate.limiter import Limiter
+from jayswitch.messages.generated import Answer, Call, Cancel, Chunk, Refusal, Unknown
+
+if TYPE_CHECKING:
+    from jayswitch.clock import Clock
+    from jayswitch.gate.upstream import (
+        Announcement,
+        UpstreamAnswer,
+        UpstreamClient,
+    )
+
+LONGEST_WAIT_MS = 150.0
+FULL_RETRY_AFTER_MS = 50
+LEAVING_RETRY_AFTER_MS = 1000
+SERVICE_TIME_WEIGHT = 0.1
+CHUNK_WINDOW = 8
+CHUNK_IDLE_TIMEOUT_MS = 30_000.0
+ANNOUNCEMENT_TTL_MS = 3500.0
+STATUS_SERVER_ERROR = 500
+
+Reply: TypeAlias = Answer | Chunk | Refusal | Unknown
+Send = Callable[[Reply], None]
+OutcomeListener = Callable[[Call, bool, float | None], None]
+
+logger = logging.getLogger(__name__)
+
+
+class Stream:
+    """The later chunks of one answer and how many may be sent."""
+
+    __slots__ = ("allowed", "changed", "cancelled")
+
+    def __init__(self) -> None:
+        """Allows the first window."""
+        self.allowed = CHUNK_WINDOW
+        self.cancelled = False
+        self.changed = Event()
+
+    def wake(self) -> None:
+        """Wakes the sending task after a change."""
+        changed, self.changed = self.changed, Event()
+        changed.send(None)
+
+
+class Gate:
+    """Admits calls to the upstream within its limit, each request at most once."""
+
+    def __init__(self, client: UpstreamClient, warm_up_ms: float, clock: Clock) -> None:
+        """Starts without an upstream; the upstream announces itself."""
+        self.announcement: Announcement | None = None
+        self.announced_since_ms = 0
+        self.out_of_service = False
+        self.draining = False
+        self.counts: Counter[str] = Counter()
+        self.ledger = RequestLedger(clock)
+        self.limiter = Limiter(1, warm_up_ms, clock)
+        self.admission = Admission(lambda: self.limiter.limit)
+        self.on_outcome: OutcomeListener = lambda call, failed, latency_ms: None
+        self._answers = AnswerCache(clock)
+        self._client = client
+        self._warm_up_ms = warm_up_ms
+        self._clock = clock
+        self._heard_ms = float("-inf")
+        self._service_ms = 0.0
+        self._stream_by_id: dict[str, Stream] = {}
+        self._task_by_id: dict[str, eventlet.greenthread.GreenThread] = {}
+
+    # The upstream's own state
+
+    def announce(self, announcement: Announcement) -> bool:
+        """Takes an announcement; tells whether it says anything new."""
+        previous = self.announcement
+        self._heard_ms = self._clock.now_ms()
+        if announcement == previous:
+            return False
+        self.announcement = announcement
+        if previous is None or _identity(previous) != _identity(announcement):
+            self.announced_since_ms = self._clock.wall_ms()
+            self.limiter = Limiter(announcement.slots, self._warm_up_ms, self._clock)
+        return True
+
+    def expire_announcement(self) -> bool:
+        """Drops an upstream that is silent; tells whether it did."""
+        silent_ms = self._clock.now_ms() - self._heard_ms
+        if self.announcement is None or silent_ms <= ANNOUNCEMENT_TTL_MS:
+            return False
+        self.announcement = None
+        self.counts["upstream_silences"] += 1
+        return True
+
+    def set_out_of_service(self, out: bool) -> None:
+        """Follows the data centre; coming back into service starts a new ramp."""
+        if self.out_of_service and not out:
+            self.limiter.start_cold()
+        self.out_of_service = out
+
+    @property
+    def accepts(self) -> bool:
+        """Tells whether new calls are admitted at all."""
+        announced = self.announcement is not None and not self.announcement.leaving
+        return announced and not self.out_of_service and not self.draining
+
+    # Calls
+
+    def handle(self, call: Call, send: Send) -> None:
+        """Runs or refuses a call; sends exactly one outcome, then any chunks.
+
+        A message that arrives twice gets no second outcome, unless the first one
+        was a refusal, which is repeated.
+        """
+        fate = self.ledger.fate(call.id)
+        if fate is Fate.REFUSED:
+            self._refuse(call, "refused before", 0, send)
+            return
+        if fate is not None:
+            self.counts["duplicates_dropped"] += 1
+            return
+        if self.ledger.fate(call.request_id) is Fate.HANDED_OVER:
+            send(Unknown(id=call.id, reason="handed over in an earlier attempt"))
+            return
+        reason = self._early_refusal(call)
+        if reason:
+            self._refuse(call, reason, LEAVING_RETRY_AFTER_MS, send)
+            return
+        if call.key:
+            self._handle_keyed(call, send)
+            return
+        self._admit(call, send)
+
+    def cancel(self, message: Cancel, send: Send) -> None:
+        """Stops a call that nobody waits for, and says whether it was run."""
+        fate = self.ledger.fate(message.id)
+        self.counts["cancellations"] += 1
+        if fate is Fate.HANDED_OVER:
+            task = self._task_by_id.get(message.id)
+            if task is not None:
+                task.kill()
+            send(Unknown(id=message.id, reason="cancelled after it was handed over"))
+            return
+        self.ledger.note(message.id, Fate.REFUSED)
+        send(Refusal(id=message.id, reason="cancelled"))
+
+    def credit(self, call_id: str, up_to: int) -> None:
+        """Allows chunks of an answer up to a sequence number."""
+        stream = self._stream_by_id.get(call_id)
+        if stream is not None and up_to > stream.allowed:
+            stream.allowed = up_to
+            stream.wake()
+
+    def _early_refusal(self, call: Call) -> str:
+        announced = self.announcement
+        if announced is None:
+            return "no upstream has announced itself here"
+        if announced.leaving or self.draining:
+            return "leaving"
+        if self.out_of_service:
+            return "data centre out of service"
+        if (announced.service, announced.version) != (call.service, call.version):
+            return "another service or version runs here"
+        return ""
+
+    def _handle_keyed(self, call: Call, send: Send) -> None:
+        item = self._answers.find(call.key)
+        if item is None:
+            self._admit(call, send, self._answers.begin(call.key))
+            return
+        self.counts["keyed_repeats"] += 1
+        with eventlet.Timeout(max(call.remaining_ms, 0) / MS_PER_S, False):
+            item.done.wait()
+        if item.answer is not None:
+            send(_answer_for(call, item.answer))
+        elif self._answers.find(call.key) is None:
+            self._refuse(call, "the first request was not run", 0, send)
+        else:
+            send(Unknown(id=call.id, reason="the first request's outcome is unknown"))
+
+    def _admit(self, call: Call, send: Send, keyed: KeyedAnswer | None = None) -> None:
+        arrived_ms = self._clock.now_ms()
+        self.ledger.note(call.id, Fate.WAITING)
+        wait_ms = min(LONGEST_WAIT_MS, call.remaining_ms - self._service_ms)
+        admitted = self.admission.acquire(call.priority, wait_ms)
+        waited_ms = self._clock.now_ms() - arrived_ms
+        reason = self._late_refusal(call, admitted, waited_ms)
+        if reason:
+            if admitted:
+                self.admission.release(call.priority)
+            if keyed is not None:
+                self._answers.abandon(call.key, keyed)
+            self._refuse(call, reason, FULL_RETRY_AFTER_MS, send)
+            return
+        self._task_by_id[call.id] = eventlet.getcurrent()
+        try:
+            self._run(call, call.remaining_ms - waited_ms, send, keyed)
+        finally:
+            self._task_by_id.pop(call.id, None)
+            self.admission.release(call.priority)
+            if keyed is not None and not keyed.done.ready():
+                self._answers.finish(keyed, None)
+
+    def _late_refusal(self, call: Call, admitted: bool, waited_ms: float) -> str:
+        if self.ledger.fate(call.id) is Fate.REFUSED:
+            return "cancelled"
+        if not admitted:
+            return "full"
+        if call.remaining_ms - waited_ms <= self._service_ms:
+            return "the deadline cannot be met"
+        return self._early_refusal(call)
+
+    def _run(
+        self, call: Call, remaining_ms: float, send: Send, keyed: KeyedAnswer | None
+    ) -> None:
+        announced = self.announcement
+        assert announced is not None
+        self.ledger.note(call.id, Fate.HANDED_OVER)
+        if not call.idempotent:
+            self.ledger.note(call.request_id, Fate.HANDED_OVER)
+        self.counts["handed_over"] += 1
+        warming = self.limiter.is_warming
+        started_ms = self._clock.now_ms()
+        try:
+            result = self._client.run(announced.address, call, remaining_ms)
+        except GreenletExit:
+            self._client.cancel(announced.address, call)
+            self._note_failure(call, UpstreamBroke("cancelled"))
+            raise
+        latency_ms = self._clock.now_ms() - started_ms
+        match result:
+            case Success(answer):
+                self._note_answer(call, answer, latency_ms, warming)
+                self._send_answer(call, answer, send, keyed)
+            case Failure(error):
+                self._note_failure(call, error)
+                self._send_failure(call, error, send, keyed)
+
+    # Outcomes
+
+    def _note_answer(
+        self, call: Call, answer: UpstreamAnswer, latency_ms: float, warming: bool
+    ) -> None:
+        failed = answer.status >= STATUS_SERVER_ERROR
+        self.on_outcome(call, failed, None if warming else latency_ms)
+        if failed:
+            self.counts["upstream_errors"] += 1
+            return
+        self._service_ms += (latency_ms - self._service_ms) * SERVICE_TIME_WEIGHT
+        self.limiter.on_success(call.route, latency_ms, self.admission.in_flight)
+
+    def _note_failure(self, call: Call, error: UpstreamFailure) -> None:
+        self.counts[error.code] += 1
+        self.limiter.on_overload()
+        if isinstance(error, UpstreamBroke):
+            self.on_outcome(call, True, None)
+
+    def _send_failure(
+        self,
+        call: Call,
+        error: UpstreamFailure,
+        send: Send,
+        keyed: KeyedAnswer | None,
+    ) -> None:
+        if isinstance(error, UpstreamShed | UpstreamNotReached):
+            if keyed is not None:
+                self._answers.abandon(call.key, keyed)
+            self._refuse(call, error.code, FULL_RETRY_AFTER_MS, send)
+            return
+        send(Unknown(id=call.id, reason=error.cause))
+
+    def _send_answer(
+        self,
+        call: Call,
+        answer: UpstreamAnswer,
+        send: Send,
+        keyed: KeyedAnswer | None,
+    ) -> None:
+        message = Answer(
+            id=call.id,
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            more=answer.rest is not None,
+            in_flight=self.admission.in_flight - 1,
+            limit=self.limiter.limit,
+        )
+        self.counts["answered"] += 1
+        if keyed is not None:
+            whole = message if answer.rest is None else None
+            self._answers.finish(keyed, whole)
+        if answer.rest is None:
+            send(message)
+            return
+        stream = self._stream_by_id[call.id] = Stream()
+        send(message)
+        try:
+            self._send_chunks(call, answer, stream, send)
+        finally:
+            del self._stream_by_id[call.id]
+
+    def _send_chunks(
+        self, call: Call, answer: UpstreamAnswer, stream: Stream, send: Send
+    ) -> None:
+        assert answer.rest is not None
+        seq = 0
+        try:
+            for data in answer.rest:
+                if not self._wait_for_credit(stream, seq):
+                    raise UpstreamBroke("the entry node stopped reading")
+                send(Chunk(id=call.id, seq=seq, data=data))
+                seq += 1
+        except UpstreamBroke as error:
+            self.counts["answers_cut"] += 1
+            send(Chunk(id=call.id, seq=seq, data=b"", failed=error.cause))
+            return
+        send(Chunk(id=call.id, seq=seq, data=b"", last=True))
+
+    def _wait_for_credit(self, stream: Stream, seq: int) -> bool:
+        until_ms = self._clock.now_ms() + CHUNK_IDLE_TIMEOUT_MS
+        while seq >= stream.allowed and not stream.cancelled:
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                return False
+            with eventlet.Timeout(left_ms / MS_PER_S, False):
+                stream.changed.wait()
+        return not stream.cancelled
+
+    def _refuse(self, call: Call, reason: str, retry_after_ms: int, send: Send) -> None:
+        self.counts["refused"] += 1
+        self.ledger.note(call.id, Fate.REFUSED)
+        refusal = Refusal(
+            id=call.id,
+            reason=reason,
+            retry_after_ms=retry_after_ms,
+            in_flight=self.admission.in_flight,
+            limit=self.limiter.limit,
+        )
+        send(refusal)
+
+
+def _identity(announcement: Announcement) -> tuple[str, str, str, int]:
+    return (
+        announcement.service,
+        announcement.version,
+        announcement.address,
+        announcement.slots,
+    )
+
+
+def _answer_for(call: Call, answer: Answer) -> Answer:
+    return Answer(
+        id=call.id, status=answer.status, headers=answer.headers, body=answer.body
+    )
--- /dev/null
+++ b/src/jayswitch/gate/limiter.py
@@ -0,0 +1,127 @@
+"""How many calls an upstream can bear, learned from their outcomes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from jayswitch.clock import Clock
+
+COLD_SHARE = 0.1
+GROWTH_PER_SUCCESS = 1.0
+OVERLOAD_FACTOR = 0.6
+OVERLOAD_PAUSE_MS = 200.0
+SLOW_RATIO = 3.0
+SLOW_FLOOR_MS = 2.0
+SLOW_SAMPLES = 6
+BASELINE_WEIGHT = 0.02
+BASELINE_MIN_SAMPLES = 30
+
+
+class RouteLatency:
+    """The usual latency of one route and how many slow answers came in a row."""
+
+    __slots__ = ("baseline_ms", "samples", "slow_in_row")
+
+    def __init__(self) -> None:
+        """Starts without a baseline."""
+        self.baseline_ms = 0.0
+        self.samples = 0
+        self.slow_in_row = 0
+
+    def is_slow(self, latency_ms: float) -> bool:
+        """Takes a sample; tells whether a run of slow answers is complete."""
+        known = self.samples >= BASELINE_MIN_SAMPLES
+        bound_ms = max(self.baseline_ms * SLOW_RATIO, SLOW_FLOOR_MS)
+        if known and latency_ms > bound_ms:
+            self.slow_in_row += 1
+            return self.slow_in_row >= SLOW_SAMPLES
+        self.slow_in_row = 0
+        self.samples += 1
+        weight = max(BASELINE_WEIGHT, 1.0 / self.samples)
+        self.baseline_ms += (latency_ms - self.baseline_ms) * weight
+        return False
+
+
+class Limiter:
+    """A concurrency limit that ramps up a cold upstream and backs off at overload.
+
+    The limit grows only with successes, and no faster than the warm-up time
+    allows. Sheds and failures shrink it; a run of slow answers means that the
+    upstream has turned cold, and the ramp starts again.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_latency_by_route",
+        "_limit",
+        "_ramp_from",
+        "_ramp_started_ms",
+        "_shrunk_ms",
+        "_slots",
+        "_warm_up_ms",
+        "cold_starts",
+    )
+
+    def __init__(self, slots: int, warm_up_ms: float, clock: Clock) -> None:
+        """Starts cold; the slots bound the limit."""
+        self.cold_starts = 0
+        self._clock = clock
+        self._slots = max(1, slots)
+        self._warm_up_ms = warm_up_ms
+        self._latency_by_route: dict[str, RouteLatency] = {}
+        self._shrunk_ms = float("-inf")
+        self.start_cold()
+
+    @property
+    def limit(self) -> int:
+        """Returns how many calls may run at once; at least 1."""
+        return max(1, int(min(self._limit, self._ceiling())))
+
+    @property
+    def is_warming(self) -> bool:
+        """Tells whether the warm-up time since the last cold start still runs."""
+        return self._ceiling() < self._slots
+
+    @property
+    def is_ramping(self) -> bool:
+        """Tells whether the limit is still below the slots."""
+        return self.limit < self._slots
+
+    def start_cold(self) -> None:
+        """Restarts the ramp from the least load."""
+        self.cold_starts += 1
+        self._limit = max(1.0, COLD_SHARE * self._slots)
+        self._ramp_from = self._limit
+        self._ramp_started_ms = self._clock.now_ms()
+
+    def on_success(self, route: str, latency_ms: float, in_flight: int) -> None:
+        """Learns from a complete answer; in_flight includes the call itself."""
+        latency = self._latency_by_route.setdefault(route, RouteLatency())
+        if latency.is_slow(latency_ms):
+            latency.slow_in_row = 0
+            if not self.is_ramping:
+                self.start_cold()
+            else:
+                self.on_overload()
+            return
+        if 2 * in_flight >= self._limit:
+            grown = self._limit + GROWTH_PER_SUCCESS / self._limit
+            self._limit = min(grown, self._ceiling())
+
+    def on_overload(self) -> None:
+        """Shrinks the limit after a shed, a failure or a timeout."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._shrunk_ms < OVERLOAD_PAUSE_MS:
+            return
+        self._shrunk_ms = now_ms
+        self._limit = max(1.0, min(self._limit, self.limit) * OVERLOAD_FACTOR)
+        self._ramp_from = self._limit
+        self._ramp_started_ms = now_ms
+
+    def _ceiling(self) -> float:
+        if self._warm_up_ms <= 0:
+            return float(self._slots)
+        elapsed_ms = self._clock.now_ms() - self._ramp_started_ms
+        progress = min(1.0, elapsed_ms / self._warm_up_ms)
+        return self._ramp_from + (self._slots - self._ramp_from) * progress
--- /dev/null
+++ b/src/jayswitch/http/caller_app.py
@@ -0,0 +1,174 @@
+"""The HTTP interface towards callers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from returns.result import Failure, Success
+
+from jayswitch.clock import MS_PER_S
+from jayswitch.exceptions import JayswitchError
+from jayswitch.http.headers import (
+    DEPTH_HEADER,
+    IDEMPOTENCY_KEY_HEADER,
+    OUTCOME_ANSWERED,
+    OUTCOME_HEADER,
+    OUTCOME_NOT_RUN,
+    OUTCOME_UNKNOWN,
+    REQUEST_ID_HEADER,
+    TIMEOUT_HEADER,
+    UPSTREAM_HEADER,
+    from_caller,
+)
+from jayswitch.http.reasons import status_line
+from jayswitch.messages.generated import Header
+from jayswitch.routing.exceptions import CallFailure
+from jayswitch.routing.router import CallerAnswer, CallerRequest
+
+if TYPE_CHECKING:
+    from jayswitch.routing.router import Router
+
+StartResponse = Callable[..., Any]
+
+
+class BadRequest(JayswitchError):
+    """A caller's request cannot be passed on."""
+
+    code = "bad-request"
+    status = 400
+
+
+class BodyTooLarge(JayswitchError):
+    """A caller's request body exceeds the limit."""
+
+    code = "body-too-large"
+    status = 413
+
+    def __init__(self, limit: int) -> None:
+        """Takes the limit in bytes."""
+        super().__init__(
+            f"the request body is larger than {limit} bytes",
+            "send it in parts, or raise max_body_bytes in the node's settings",
+        )
+
+
+class ErrorBody(msgspec.Struct):
+    """What a caller gets in place of an answer."""
+
+    error: str
+    cause: str
+    remedy: str
+
+
+class CallerApplication:
+    """Turns HTTP requests into calls and outcomes into HTTP answers."""
+
+    def __init__(self, router: Router, max_body_bytes: int) -> None:
+        """Takes the node's router."""
+        self.draining = False
+        self._router = router
+        self._max_body_bytes = max_body_bytes
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serves one request."""
+        try:
+            request = self._read_request(environ)
+        except JayswitchError as error:
+            return self._answer_error(error, OUTCOME_NOT_RUN, [], start_response)
+        match self._router.call(request):
+            case Success(answer):
+                return self._answer(answer, start_response)
+            case Failure(error):
+                return self._answer_failure(error, start_response)
+        raise AssertionError("a result is a success or a failure")
+
+    def _read_request(self, environ: dict[str, Any]) -> CallerRequest:
+        path = environ["RAW_PATH_INFO"]
+        if environ.get("QUERY_STRING"):
+            path = f"{path}?{environ['QUERY_STRING']}"
+        headers = [
+            Header(name=name, value=value)
+            for name, value in environ["headers_raw"]
+            if from_caller(name)
+        ]
+        return CallerRequest(
+            method=environ["REQUEST_METHOD"],
+            path=path,
+            headers=headers,
+            body=self._read_body(environ),
+            timeout_ms=_number(environ, TIMEOUT_HEADER),
+            depth=int(_number(environ, DEPTH_HEADER)),
+            key=environ.get(_variable(IDEMPOTENCY_KEY_HEADER), ""),
+        )
+
+    def _read_body(self, environ: dict[str, Any]) -> bytes:
+        length = environ.get("CONTENT_LENGTH")
+        if length is None:
+            if "HTTP_TRANSFER_ENCODING" not in environ:
+                return b""
+            body = environ["wsgi.input"].read(self._max_body_bytes + 1)
+            if len(body) > self._max_body_bytes:
+                raise BodyTooLarge(self._max_body_bytes)
+            return body
+        if not length.isdigit():
+            raise BadRequest("Content-Length is not a number", "correct the header")
+        if int(length) > self._max_body_bytes:
+            raise BodyTooLarge(self._max_body_bytes)
+        body = environ["wsgi.input"].read(int(length))
+        if len(body) != int(length):
+            raise BadRequest("the request body ended early", "send the request again")
+        return body
+
+    def _answer(
+        self, answer: CallerAnswer, start_response: StartResponse
+    ) -> Iterator[bytes]:
+        headers = [(header.name, header.value) for header in answer.headers]
+        headers.append((REQUEST_ID_HEADER, answer.request_id))
+        headers.append((UPSTREAM_HEADER, answer.upstream))
+        headers.append((OUTCOME_HEADER, OUTCOME_ANSWERED))
+        self._add_connection(headers)
+        start_response(status_line(answer.status), headers)
+        return answer.body
+
+    def _answer_failure(
+        self, error: CallFailure, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        outcome = OUTCOME_NOT_RUN if error.not_run else OUTCOME_UNKNOWN
+        headers = []
+        if error.retry_after_ms:
+            seconds = max(1, round(error.retry_after_ms / MS_PER_S))
+            headers.append(("Retry-After", str(seconds)))
+        return self._answer_error(error, outcome, headers, start_response)
+
+    def _answer_error(
+        self,
+        error: JayswitchError,
+        outcome: str,
+        headers: list[tuple[str, str]],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        body = msgspec.json.encode(ErrorBody(error.code, error.cause, error.remedy))
+        headers.append(("Content-Type", "application/json"))
+        headers.append((OUTCOME_HEADER, outcome))
+        self._add_connection(headers)
+        start_response(status_line(error.status), headers)
+        return [body]
+
+    def _add_connection(self, headers: list[tuple[str, str]]) -> None:
+        if self.draining:
+            headers.append(("Connection", "close"))
+
+
+def _variable(header: str) -> str:
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
+def _number(environ: dict[str, Any], header: str) -> float:
+    text = environ.get(_variable(header), "0")
+    if not text.isdigit():
+        raise BadRequest(f"{header} is not a whole number", "correct the header")
+    return float(text)
--- /dev/null
+++ b/src/jayswitch/http/upstream_client.py
@@ -0,0 +1,158 @@
+"""Hands calls to the local upstream over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+import eventlet
+import urllib3
+from returns.result import Failure, Result, Success
+
+from jayswitch.clock import MS_PER_S
+from jayswitch.gate.exceptions import (
+    UpstreamBroke,
+    UpstreamFailure,
+    UpstreamNotReached,
+    UpstreamShed,
+)
+from jayswitch.gate.upstream import UpstreamAnswer
+from jayswitch.http.headers import (
+    DEPTH_HEADER,
+    REQUEST_ID_HEADER,
+    SHED_HEADER,
+    SHED_NOT_RUN,
+    TIMEOUT_HEADER,
+    end_to_end,
+)
+from jayswitch.messages.generated import Header
+
+if TYPE_CHECKING:
+    from jayswitch.messages.generated import Call
+
+CONNECT_TIMEOUT_MS = 500.0
+CANCEL_TIMEOUT_MS = 200.0
+CHUNK_BYTES = 64 * 1024
+FIRST_PART_BYTES = 256 * 1024
+POOL_CONNECTIONS = 128
+
+_NOT_SENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+
+
+class HttpUpstreamClient:
+    """Keeps connections to the upstream open; never repeats a request."""
+
+    def __init__(self) -> None:
+        """Connects when the first call comes."""
+        self._pool_by_address: dict[str, urllib3.HTTPConnectionPool] = {}
+
+    def run(
+        self, address: str, call: Call, remaining_ms: float
+    ) -> Result[UpstreamAnswer, UpstreamFailure]:
+        """Hands the call over once and waits for the head of the answer."""
+        deadline = eventlet.Timeout(remaining_ms / MS_PER_S)
+        try:
+            return self._exchange(address, call, remaining_ms)
+        except _NOT_SENT as error:
+            return Failure(UpstreamNotReached(address, str(error)))
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return Failure(UpstreamBroke(str(error)))
+        except eventlet.Timeout as timeout:
+            if timeout is not deadline:
+                raise
+            self.cancel(address, call)
+            return Failure(UpstreamBroke("its time ran out"))
+        finally:
+            deadline.cancel()
+
+    def cancel(self, address: str, call: Call) -> None:
+        """Tells the upstream, in a task of its own, that nobody waits any more."""
+        eventlet.spawn_n(self._cancel, address, call.request_id)
+
+    def _exchange(
+        self, address: str, call: Call, remaining_ms: float
+    ) -> Result[UpstreamAnswer, UpstreamFailure]:
+        headers = {header.name: header.value for header in call.headers}
+        headers[REQUEST_ID_HEADER] = call.request_id
+        headers[TIMEOUT_HEADER] = str(int(remaining_ms))
+        headers[DEPTH_HEADER] = str(call.depth + 1)
+        response = self._pool(address).urlopen(
+            call.method,
+            call.path,
+            body=call.body or None,
+            headers=headers,
+            retries=False,
+            redirect=False,
+            assert_same_host=False,
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_MS / MS_PER_S),
+            preload_content=False,
+            decode_content=False,
+        )
+        try:
+            return self._read(response)
+        except BaseException:
+            response.close()
+            raise
+
+    def _read(
+        self, response: urllib3.BaseHTTPResponse
+    ) -> Result[UpstreamAnswer, UpstreamFailure]:
+        length = response.headers.get("Content-Length")
+        fits = length is not None and int(length) <= FIRST_PART_BYTES
+        body = response.read(None if fits else FIRST_PART_BYTES)
+        if response.headers.get(SHED_HEADER) == SHED_NOT_RUN:
+            response.release_conn()
+            return Failure(UpstreamShed())
+        headers = [
+            Header(name=name, value=value)
+            for name, value in response.headers.items()
+            if end_to_end(name)
+        ]
+        rest = None
+        if fits or len(body) < FIRST_PART_BYTES:
+            response.release_conn()
+        else:
+            rest = _read_rest(response)
+        return Success(UpstreamAnswer(response.status, headers, body, rest))
+
+    def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            self._pool_by_address.clear()
+            pool = urllib3.connectionpool.connection_from_url(
+                address, maxsize=POOL_CONNECTIONS, block=False
+            )
+            self._pool_by_address[address] = pool
+        return pool
+
+    def _cancel(self, address: str, request_id: str) -> None:
+        try:
+            self._pool(address).urlopen(
+                "DELETE",
+                f"/requests/{request_id}",
+                retries=False,
+                timeout=CANCEL_TIMEOUT_MS / MS_PER_S,
+            )
+        except (urllib3.exceptions.HTTPError, OSError):
+            return
+
+
+def _read_rest(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    whole = False
+    try:
+        while True:
+            data = response.read(CHUNK_BYTES)
+            if not data:
+                break
+            yield data
+        whole = True
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        raise UpstreamBroke(str(error)) from error
+    finally:
+        if whole:
+            response.release_conn()
+        else:
+            response.close()
--- /dev/null
+++ b/src/jayswitch/membership/link.py
@@ -0,0 +1,113 @@
+"""One link of the distribution tree and what its two ends know of each other."""
+
+from __future__ import annotations
+
+import uuid
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from eventlet.event import Event
+
+from jayswitch.messages.generated import SubtreeStatus
+
+if TYPE_CHECKING:
+    from jayswitch.clock import Clock
+    from jayswitch.messages.generated import Sync
+
+EVERYTHING = "*"
+NO_INTEREST = "-"
+
+
+class LinkRole(Enum):
+    """What the node at the other end is to this one."""
+
+    PARENT = "parent"
+    CHILD = "child"
+    PEER = "peer"
+
+
+class Link:
+    """State of one link; sequence numbers refer to the two record tables."""
+
+    __slots__ = (
+        "acked_seq",
+        "address",
+        "claim_slot",
+        "wants_resend",
+        "closed",
+        "data_centre",
+        "heard_ms",
+        "hops",
+        "interest",
+        "interest_sent",
+        "nudged",
+        "peer",
+        "peer_session",
+        "peer_version",
+        "received_seq",
+        "role",
+        "sent_ms",
+        "sent_seq",
+        "sent_version",
+        "session",
+        "settled",
+        "subtree",
+    )
+
+    def __init__(
+        self, peer: str, address: str, role: LinkRole, data_centre: str, clock: Clock
+    ) -> None:
+        """Starts a session in which nothing has been sent or received."""
+        self.peer = peer
+        self.address = address
+        self.role = role
+        self.data_centre = data_centre
+        self.session = uuid.uuid4().hex[:12]
+        self.peer_session = ""
+        self.heard_ms = clock.now_ms()
+        self.received_seq = 0
+        self.acked_seq = 0
+        self.sent_seq = 0
+        self.sent_ms = clock.now_ms()
+        self.sent_version = 0
+        self.peer_version = 0
+        self.interest: frozenset[str] = frozenset()
+        self.interest_sent: frozenset[str] | None = None
+        self.settled: frozenset[str] = frozenset()
+        self.subtree = SubtreeStatus(nodes=0, lowest_version=0)
+        self.hops = 0
+        self.claim_slot = -1
+        self.wants_resend = False
+        self.closed = False
+        self.nudged = Event()
+
+    def nudge(self) -> None:
+        """Wakes the link's task before its next heartbeat."""
+        if not self.nudged.ready():
+            self.nudged.send(None)
+
+    def resend_all(self) -> None:
+        """Sends the peer every record again, for example for a new interest."""
+        self.acked_seq = 0
+        self.sent_seq = 0
+
+    def rewind(self) -> None:
+        """Sends again what the peer has not acknowledged."""
+        self.sent_seq = self.acked_seq
+        self.sent_version = self.peer_version
+
+    def note_heard(self, sync: Sync, now_ms: float) -> bool:
+        """Takes over the counters of a message; tells whether its session is new."""
+        self.heard_ms = now_ms
+        is_new = sync.session != self.peer_session
+        if is_new:
+            self.peer_session = sync.session
+            self.received_seq = 0
+            self.interest_sent = None
+        if sync.peer_session == self.session:
+            self.acked_seq = max(self.acked_seq, min(sync.ack, self.sent_seq))
+        self.peer_version = sync.config_version
+        self.sent_version = max(self.sent_version, self.peer_version)
+        self.hops = sync.hops
+        self.subtree = sync.subtree
+        return is_new
--- /dev/null
+++ b/src/jayswitch/membership/member.py
@@ -0,0 +1,71 @@
+"""What a node tells the others of itself and of the upstream beside it."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+from jayswitch.messages.generated import Record
+from jayswitch.models import Model
+
+KIND_MEMBER = "member"
+KIND_MARK = "mark"
+KIND_OUTCOMES = "outcomes"
+KIND_STATUS = "status"
+
+UpstreamState = Literal["none", "up", "leaving"]
+
+
+class Member(Model):
+    """A node, its addresses and the upstream that has announced itself to it.
+
+    The slots are the calls that the upstream can run at once.
+    """
+
+    node: str
+    data_centre: str
+    region: str
+    data_address: str
+    control_address: str
+    admin_address: str
+    service: str = ""
+    version: str = ""
+    state: UpstreamState = "none"
+    slots: int = 0
+    since_ms: int = 0
+
+
+class DataCentreStatus(Model):
+    """Configuration versions in force below one relay."""
+
+    node: str
+    data_centre: str
+    nodes: int
+    lowest_version: int
+    lagging: list[str] = msgspec.field(default_factory=list)
+
+
+_member_decoder = msgspec.msgpack.Decoder(Member)
+_status_decoder = msgspec.msgpack.Decoder(DataCentreStatus)
+
+
+def member_key(node: str) -> str:
+    """Returns the key of a node's member record."""
+    return f"{KIND_MEMBER}/{node}"
+
+
+def decode_member(record: Record) -> Member | None:
+    """Returns the member in a record; None if this release cannot read it."""
+    try:
+        return _member_decoder.decode(record.payload)
+    except msgspec.DecodeError:
+        return None
+
+
+def decode_status(record: Record) -> DataCentreStatus | None:
+    """Returns the status in a record; None if this release cannot read it."""
+    try:
+        return _status_decoder.decode(record.payload)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/src/jayswitch/membership/tree.py
@@ -0,0 +1,505 @@
+"""The distribution tree: configuration flows down, membership both ways."""
+
+from __future__ import annotations
+
+import logging
+import random
+import uuid
+from collections import Counter
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+import eventlet
+from eventlet.event import Event
+
+from jayswitch.clock import MS_PER_S
+from jayswitch.membership.link import EVERYTHING, NO_INTEREST, Link, LinkRole
+from jayswitch.membership.member import KIND_MARK, KIND_MEMBER
+from jayswitch.messages.generated import Join, JoinReply, SubtreeStatus, Sync
+
+if TYPE_CHECKING:
+    from jayswitch.clock import Clock
+    from jayswitch.config.replica import ConfigReplica
+    from jayswitch.membership.records import HeldRecord, RecordTable
+    from jayswitch.messages.codec import AnyMessage
+    from jayswitch.messages.generated import Record
+    from jayswitch.transport.interface import Transport
+
+COALESCE_MS = 15.0
+MISSED_HEARTBEATS = 3.5
+RESEND_HEARTBEATS = 2.0
+ORPHAN_HEARTBEATS = 5.0
+PAUSE_HEARTBEATS = 2.0
+REJOIN_HEARTBEATS = 10.0
+RECORDS_PER_MESSAGE = 400
+JOIN_TIMEOUT_MS = 1000.0
+JOIN_REDIRECTS = 12
+MAX_HOPS = 16
+LAGGING_NAMES = 8
+SEND_TIMEOUT_MS = 300.0
+REDIRECT_CHOICES = 3
+
+logger = logging.getLogger(__name__)
+
+
+class Tree:
+    """The links of one node and the messages that travel on them."""
+
+    def __init__(
+        self,
+        node: str,
+        data_centre: str,
+        transport: Transport,
+        clock: Clock,
+        replica: ConfigReplica,
+        table: RecordTable,
+        interval_ms: float,
+        fan_out: int,
+        rng: random.Random,
+    ) -> None:
+        """Takes the node's own parts; the tree starts with start()."""
+        self.is_relay = False
+        self.links_by_peer: dict[str, Link] = {}
+        self.counts: Counter[str] = Counter()
+        self.on_claim_request: Callable[[int], None] = lambda slot: None
+        self._node = node
+        self._data_centre = data_centre
+        self._transport = transport
+        self._clock = clock
+        self._replica = replica
+        self._table = table
+        self._interval_ms = interval_ms
+        self._fan_out = fan_out
+        self._random = rng
+        self._own_interest: frozenset[str] = frozenset()
+        self._join_attempt = ""
+        self._join_reply: Event = Event()
+        self._stopped = False
+        self._parent_lost_ms = float("-inf")
+        self._last_hops = MAX_HOPS
+        replica.on_change(lambda state: self.nudge())
+        table.on_change(lambda record: self.nudge())
+
+    @property
+    def parent(self) -> Link | None:
+        """Returns the link to the parent, if the node has one."""
+        for link in self.links_by_peer.values():
+            if link.role is LinkRole.PARENT:
+                return link
+        return None
+
+    @property
+    def children(self) -> list[Link]:
+        """Returns the links to the children."""
+        links = self.links_by_peer.values()
+        return [link for link in links if link.role is LinkRole.CHILD]
+
+    @property
+    def hops(self) -> int:
+        """Returns the distance to the nearest relay; 0 for a relay.
+
+        A node that has just lost its parent keeps its distance for some heartbeats,
+        so that the nodes below it stay while it looks for another.
+        """
+        if self.is_relay:
+            return 0
+        parent = self.parent
+        if parent is not None:
+            return parent.hops + 1
+        lost_for_ms = self._clock.now_ms() - self._parent_lost_ms
+        if lost_for_ms < REJOIN_HEARTBEATS * self._interval_ms:
+            return self._last_hops
+        return MAX_HOPS
+
+    @property
+    def interest(self) -> frozenset[str]:
+        """Returns the services that this node or one below it routes to."""
+        union = set(self._own_interest)
+        for link in self.children:
+            union |= link.interest
+        return frozenset(union)
+
+    def start(self) -> None:
+        """Starts to receive messages and to clean up removals."""
+        self._transport.listen(self.receive)
+        eventlet.spawn(self._clean_up)
+
+    def stop(self) -> None:
+        """Tells every peer that this node leaves, and ends all links."""
+        self._stopped = True
+        for link in list(self.links_by_peer.values()):
+            self._transport.send(link.address, self._farewell(), 0)
+            self.drop_link(link)
+
+    def nudge(self) -> None:
+        """Sends what is new on every link without waiting for the heartbeat."""
+        for link in self.links_by_peer.values():
+            link.nudge()
+
+    def set_own_interest(self, services: Iterable[str]) -> None:
+        """Sets the services that this node itself routes to."""
+        wanted = frozenset(services)
+        if wanted != self._own_interest:
+            self._own_interest = wanted
+            self.nudge()
+
+    def is_settled(self, services: Iterable[str]) -> bool:
+        """Tells whether every known member of the services has arrived."""
+        if self.is_relay:
+            return True
+        parent = self.parent
+        return parent is not None and parent.settled.issuperset(services)
+
+    def subtree(self) -> SubtreeStatus:
+        """Returns the configuration versions in force at and below this node."""
+        own_version = self._replica.version
+        status = SubtreeStatus(nodes=1, lowest_version=own_version)
+        if self._replica.rejection is not None:
+            status.lagging.append(
+                f"{self._node} at {own_version}: {self._replica.rejection}"
+            )
+        for link in self.children:
+            status.nodes += link.subtree.nodes
+            lowest = min(status.lowest_version, link.subtree.lowest_version)
+            status.lowest_version = lowest
+            status.lagging.extend(link.subtree.lagging)
+            if link.peer_version < own_version:
+                status.lagging.append(f"{link.peer} at {link.peer_version}: behind")
+        status.lagging = status.lagging[:LAGGING_NAMES]
+        return status
+
+    # Joining
+
+    def join(self, address: str) -> bool:
+        """Asks a node, and those it redirects to, to become the parent."""
+        for _ in range(JOIN_REDIRECTS):
+            reply = self._ask_to_join(address)
+            if reply is None:
+                return False
+            if reply.accepted:
+                self.add_link(reply.node, address, LinkRole.PARENT, self._data_centre)
+                self._table.republish_own()
+                return True
+            if not reply.redirect:
+                return False
+            address = self._random.choice(reply.redirect)
+        return False
+
+    def _ask_to_join(self, address: str) -> JoinReply | None:
+        self._join_attempt = uuid.uuid4().hex[:12]
+        self._join_reply = Event()
+        request = Join(
+            node=self._node,
+            data_centre=self._data_centre,
+            reply_to=self._transport.address,
+            attempt=self._join_attempt,
+        )
+        if not self._transport.send(address, request, SEND_TIMEOUT_MS):
+            return None
+        with eventlet.Timeout(JOIN_TIMEOUT_MS / MS_PER_S, False):
+            return self._join_reply.wait()
+        return None
+
+    # Links
+
+    def add_link(
+        self, peer: str, address: str, role: LinkRole, data_centre: str
+    ) -> Link:
+        """Starts a link, in place of one to the same peer."""
+        previous = self.links_by_peer.get(peer)
+        if previous is not None:
+            self.drop_link(previous)
+        link = Link(peer, address, role, data_centre, self._clock)
+        self.links_by_peer[peer] = link
+        self.counts["links_started"] += 1
+        logger.info("link started", extra={"peer": peer, "role": role.value})
+        eventlet.spawn(self._run_link, link)
+        return link
+
+    def drop_link(self, link: Link) -> None:
+        """Ends a link; its records are removed unless they come back in time."""
+        if link.closed:
+            return
+        if link.role is LinkRole.PARENT:
+            self._last_hops = self.hops
+            self._parent_lost_ms = self._clock.now_ms()
+        link.closed = True
+        link.nudge()
+        if self.links_by_peer.get(link.peer) is link:
+            del self.links_by_peer[link.peer]
+        self.counts["links_lost"] += 1
+        logger.info("link ended", extra={"peer": link.peer, "role": link.role.value})
+        self._transport.forget(link.address)
+        if not self._stopped:
+            self._table.orphan(link.peer)
+            eventlet.spawn(self._remove_orphans_later, link)
+
+    def _remove_orphans_later(self, link: Link) -> None:
+        for other in self.links_by_peer.values():
+            other.wants_resend = other.role is LinkRole.PEER
+        self._clock.sleep_ms(ORPHAN_HEARTBEATS * self._interval_ms)
+        if link.role is not LinkRole.PARENT:
+            removed = self._table.remove_orphans(lambda held: held.source == link.peer)
+            self.counts["records_removed"] += removed
+
+    def _run_link(self, link: Link) -> None:
+        while not link.closed and not self._stopped:
+            self._send_sync(link)
+            before_ms = self._clock.now_ms()
+            self._wait_for_heartbeat(link)
+            self._judge_silence(link, self._clock.now_ms() - before_ms)
+
+    def _wait_for_heartbeat(self, link: Link) -> None:
+        jitter = self._random.uniform(0.9, 1.1)
+        with eventlet.Timeout(self._interval_ms * jitter / MS_PER_S, False):
+            link.nudged.wait()
+        if link.nudged.ready():
+            self._clock.sleep_ms(COALESCE_MS)
+            link.nudged = Event()
+
+    def _judge_silence(self, link: Link, waited_ms: float) -> None:
+        now_ms = self._clock.now_ms()
+        if waited_ms > PAUSE_HEARTBEATS * self._interval_ms:
+            # This process was paused, so the peer's silence proves nothing.
+            link.heard_ms = now_ms
+            self.counts["pauses"] += 1
+        silent_ms = now_ms - link.heard_ms
+        if silent_ms > MISSED_HEARTBEATS * self._interval_ms:
+            if link.role is LinkRole.PEER:
+                self._table.orphan(link.peer)
+                return
+            self.drop_link(link)
+
+    def _clean_up(self) -> None:
+        while not self._stopped:
+            self._clock.sleep_ms(10 * self._interval_ms)
+            self._table.purge_gone()
+            if not self.is_relay:
+                interest = self.interest
+                self._table.forget(lambda held: self._is_unwanted(held, interest))
+
+    def _is_unwanted(self, held: HeldRecord, interest: frozenset[str]) -> bool:
+        if held.record.kind == KIND_MARK or held.record.service in interest:
+            return False
+        source = self.links_by_peer.get(held.source)
+        return source is None or source.role is not LinkRole.CHILD
+
+    # Sending
+
+    def _send_sync(self, link: Link) -> None:
+        now_ms = self._clock.now_ms()
+        unacked = link.acked_seq < link.sent_seq
+        behind = link.peer_version < link.sent_version
+        if now_ms - link.sent_ms > RESEND_HEARTBEATS * self._interval_ms:
+            if unacked or behind:
+                link.rewind()
+                self.counts["resends"] += 1
+            link.sent_ms = now_ms
+        sync = self._compose(link)
+        if not self._transport.send(link.address, sync, SEND_TIMEOUT_MS):
+            self.counts["syncs_unsent"] += 1
+            return
+        if sync.seq > link.sent_seq or sync.entries or sync.snapshot:
+            link.sent_ms = now_ms
+        link.sent_seq = max(link.sent_seq, sync.seq)
+        link.sent_version = max(link.sent_version, link.peer_version)
+        if sync.snapshot:
+            link.sent_version = self._replica.version
+        link.sent_version += len(sync.entries)
+        link.claim_slot = -1
+        link.wants_resend = False
+        self.counts["syncs_sent"] += 1
+        if not sync.complete or link.sent_version < self._replica.version:
+            link.nudge()
+
+    def _compose(self, link: Link) -> Sync:
+        records, reached = self._records_for(link)
+        complete = reached >= self._table.seq
+        sync = Sync(
+            node=self._node,
+            reply_to=self._transport.address,
+            session=link.session,
+            peer_session=link.peer_session,
+            after=link.sent_seq,
+            seq=reached,
+            ack=link.received_seq,
+            config_version=self._replica.version,
+            hops=self.hops,
+            complete=complete,
+            records=records,
+            subtree=self.subtree(),
+            snapshot=b"",
+            claim_slot=link.claim_slot,
+            resend=link.wants_resend,
+        )
+        if link.role is LinkRole.CHILD and complete:
+            sync.settled = self._settled_for(link)
+        if link.role is LinkRole.PARENT:
+            self._state_interest(link, sync)
+        self._add_configuration(link, sync)
+        return sync
+
+    def _records_for(self, link: Link) -> tuple[list[Record], int]:
+        records: list[Record] = []
+        for held in self._table.changed_since(link.sent_seq):
+            if len(records) >= RECORDS_PER_MESSAGE:
+                return records, held.seq - 1
+            if self._goes_to(link, held):
+                records.append(held.record)
+        return records, self._table.seq
+
+    def _goes_to(self, link: Link, held: HeldRecord) -> bool:
+        record = held.record
+        if held.source == link.peer:
+            return False
+        if record.kind == KIND_MARK or link.role is LinkRole.PEER:
+            return True
+        if link.role is LinkRole.CHILD:
+            wanted = record.service in link.interest
+            return record.kind == KIND_MEMBER and wanted
+        source_link = self.links_by_peer.get(held.source)
+        below = source_link is not None and source_link.role is LinkRole.CHILD
+        return not held.source or below
+
+    def _settled_for(self, link: Link) -> list[str]:
+        if self.is_relay:
+            return sorted(link.interest)
+        parent = self.parent
+        if parent is None:
+            return []
+        return sorted(link.interest & parent.settled)
+
+    def _state_interest(self, link: Link, sync: Sync) -> None:
+        interest = self.interest
+        if interest != link.interest_sent:
+            sync.interest = sorted(interest) or [NO_INTEREST]
+            link.interest_sent = interest
+
+    def _add_configuration(self, link: Link, sync: Sync) -> None:
+        known = max(link.peer_version, link.sent_version)
+        if not link.peer_session or known >= self._replica.version:
+            return
+        sync.entries = self._replica.entries_after(known)
+        if not sync.entries:
+            sync.snapshot = self._replica.snapshot()
+            self.counts["snapshots_sent"] += 1
+
+    def _farewell(self) -> Sync:
+        return Sync(
+            node=self._node,
+            reply_to=self._transport.address,
+            session="",
+            peer_session="",
+            after=0,
+            seq=0,
+            ack=0,
+            config_version=self._replica.version,
+            subtree=SubtreeStatus(nodes=0, lowest_version=0),
+            snapshot=b"",
+            bye=True,
+        )
+
+    # Receiving
+
+    @singledispatchmethod
+    def receive(self, message: AnyMessage) -> None:
+        """Handles a message from the control inbox."""
+        self.counts["unexpected_messages"] += 1
+
+    @receive.register
+    def _(self, message: Join) -> None:
+        accepted = self._may_accept(message.node)
+        reply = JoinReply(node=self._node, accepted=accepted, attempt=message.attempt)
+        if accepted:
+            self.add_link(
+                message.node, message.reply_to, LinkRole.CHILD, message.data_centre
+            )
+        elif self.hops < MAX_HOPS:
+            children = [link for link in self.children if link.peer != message.node]
+            self._random.shuffle(children)
+            children.sort(key=lambda link: link.subtree.nodes)
+            reply.redirect = [link.address for link in children[:REDIRECT_CHOICES]]
+        eventlet.spawn(self._transport.send, message.reply_to, reply, SEND_TIMEOUT_MS)
+
+    @receive.register
+    def _(self, message: JoinReply) -> None:
+        if message.attempt == self._join_attempt and not self._join_reply.ready():
+            self._join_reply.send(message)
+
+    @receive.register
+    def _(self, message: Sync) -> None:
+        link = self.links_by_peer.get(message.node)
+        if link is None:
+            if not message.bye:
+                eventlet.spawn(
+                    self._transport.send, message.reply_to, self._farewell(), 100.0
+                )
+            return
+        if message.bye:
+            self._receive_farewell(link)
+            return
+        self._receive_sync(link, message)
+
+    def _may_accept(self, node: str) -> bool:
+        if self._stopped or node == self._node or self.hops >= MAX_HOPS:
+            return False
+        is_child = any(link.peer == node for link in self.children)
+        return is_child or len(self.children) < self._fan_out
+
+    def _receive_farewell(self, link: Link) -> None:
+        if link.role is LinkRole.PEER:
+            # A peer that has not yet heard of this relay; the link stays.
+            return
+        self.drop_link(link)
+
+    def _receive_sync(self, link: Link, sync: Sync) -> None:
+        known_session = link.peer_session
+        if link.note_heard(sync, self._clock.now_ms()):
+            link.nudge()
+            if known_session:
+                self._table.orphan(link.peer)
+        if sync.resend:
+            link.resend_all()
+            link.nudge()
+        if sync.interest:
+            self._receive_interest(link, sync)
+        for record in sync.records:
+            self._table.merge(record, link.peer)
+        if sync.after <= link.received_seq:
+            link.received_seq = max(link.received_seq, sync.seq)
+            if sync.complete:
+                self._finish_transfer(link, sync)
+        self._receive_configuration(sync)
+        if sync.claim_slot >= 0:
+            self.on_claim_request(sync.claim_slot)
+        if link.role is LinkRole.PARENT and sync.hops >= MAX_HOPS:
+            self.drop_link(link)
+
+    def _finish_transfer(self, link: Link, sync: Sync) -> None:
+        """Removes what the peer no longer has, once it has sent everything."""
+        self._table.remove_orphans(lambda held: held.source == link.peer, link.peer)
+        if link.role is not LinkRole.PARENT:
+            return
+        settled = frozenset(sync.settled)
+        self._table.remove_orphans(
+            lambda held: held.record.service in settled
+            and held.source not in self.links_by_peer,
+            link.peer,
+        )
+        if settled != link.settled:
+            link.settled = settled
+            self.nudge()
+
+    def _receive_interest(self, link: Link, sync: Sync) -> None:
+        interest = frozenset(sync.interest) - {NO_INTEREST, EVERYTHING}
+        if not interest <= link.interest:
+            link.resend_all()
+        link.interest = interest
+        self.nudge()
+
+    def _receive_configuration(self, sync: Sync) -> None:
+        if sync.snapshot:
+            self._replica.offer_snapshot(sync.snapshot)
+        for data in sync.entries:
+            self._replica.offer(data)
--- /dev/null
+++ b/src/jayswitch/node/node.py
@@ -0,0 +1,309 @@
+"""One node: its parts, what flows between them, and its planned stop."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+import eventlet
+import msgspec
+
+from jayswitch.membership.member import (
+    KIND_MEMBER,
+    KIND_OUTCOMES,
+    KIND_STATUS,
+    DataCentreStatus,
+    Member,
+    decode_member,
+    member_key,
+)
+from jayswitch.messages.generated import (
+    Answer,
+    Call,
+    Cancel,
+    Chunk,
+    Credit,
+    Refusal,
+    Unknown,
+)
+from jayswitch.rollout.outcomes import OutcomeKey
+from jayswitch.routing.table import RoutingTable
+
+if TYPE_CHECKING:
+    from jayswitch.config.state import ConfigState
+    from jayswitch.gate.gate import Reply, Send
+    from jayswitch.gate.upstream import Announcement
+    from jayswitch.messages.codec import AnyMessage
+    from jayswitch.messages.generated import Record
+    from jayswitch.node.parts import NodeParts
+
+UPKEEP_MS = 250.0
+REVIEW_MS = 500.0
+OUTCOMES_MS = 1000.0
+STATUS_MS = 3000.0
+SETTLE_TIMEOUT_MS = 2000.0
+SETTLE_POLL_MS = 20.0
+REPLY_TIMEOUT_MS = 2000.0
+DRAIN_POLL_MS = 20.0
+
+logger = logging.getLogger(__name__)
+
+
+class Node:
+    """The process beside one upstream: entry, gate, and its place in the tree."""
+
+    def __init__(self, parts: NodeParts) -> None:
+        """Takes the parts that the factory has made and connects them."""
+        self.parts = parts
+        self.name = parts.settings.vm
+        self._member = self._describe()
+        self._settling: ConfigState | None = None
+        self._stopped = False
+        self._draining = False
+        parts.replica.on_change(self._on_config)
+        parts.table.on_change(self._on_record)
+        parts.gate.on_outcome = self._on_gate_outcome
+        parts.router.on_outcome = self._on_router_outcome
+        parts.router.is_marked_bad = parts.watcher.is_marked_bad
+
+    def start(self) -> None:
+        """Starts every task of the node."""
+        self._publish_member()
+        self.parts.data.listen(self.receive)
+        self.parts.tree.start()
+        self.parts.relay.start()
+        self.parts.driver.start()
+        for task, period_ms in (
+            (self._keep_up, UPKEEP_MS),
+            (self._review_moves, REVIEW_MS),
+            (self._publish_outcomes, OUTCOMES_MS),
+            (self._publish_status, STATUS_MS),
+        ):
+            eventlet.spawn(self._repeat, task, period_ms)
+
+    def drain(self) -> bool:
+        """Stops taking new work and waits for work in flight; False on timeout.
+
+        The caller keeps accepting requests for the grace period, so that callers
+        have time to learn of it; they are routed to other upstreams.
+        """
+        clock = self.parts.clock
+        settings = self.parts.settings
+        self._draining = True
+        self.parts.gate.draining = True
+        self._publish_member()
+        self.parts.driver.stop()
+        self.parts.relay.stop()
+        clock.sleep_ms(settings.drain_grace_ms)
+        until_ms = clock.now_ms() + settings.drain_timeout_ms
+        while self.requests_in_flight:
+            if clock.now_ms() >= until_ms:
+                return False
+            clock.sleep_ms(DRAIN_POLL_MS)
+        return True
+
+    def stop(self) -> None:
+        """Ends every task and closes every connection."""
+        self._stopped = True
+        self.parts.driver.stop()
+        self.parts.relay.stop()
+        self.parts.tree.stop()
+        self.parts.control.close()
+        self.parts.data.close()
+
+    @property
+    def requests_in_flight(self) -> int:
+        """Returns the requests that callers or other nodes wait for here."""
+        admission = self.parts.gate.admission
+        return self.parts.router.in_flight + admission.in_flight + admission.waiting
+
+    def announce(self, announcement: Announcement) -> None:
+        """Takes an announcement of the local upstream."""
+        if self.parts.gate.announce(announcement):
+            logger.info("upstream announced", extra={"upstream": repr(announcement)})
+            self._publish_member()
+
+    # Messages on the data port
+
+    @singledispatchmethod
+    def receive(self, message: AnyMessage) -> None:
+        """Handles a message from the data inbox."""
+        self.parts.router.counts["unexpected_messages"] += 1
+
+    @receive.register
+    def _(self, message: Call) -> None:
+        eventlet.spawn_n(
+            self.parts.gate.handle, message, self._sender(message.reply_to)
+        )
+
+    @receive.register(Answer)
+    @receive.register(Refusal)
+    @receive.register(Unknown)
+    @receive.register(Chunk)
+    def _(self, message: Reply) -> None:
+        self.parts.router.receive(message)
+
+    @receive.register
+    def _(self, message: Cancel) -> None:
+        send = self._sender(message.reply_to)
+        eventlet.spawn_n(self.parts.gate.cancel, message, send)
+
+    @receive.register
+    def _(self, message: Credit) -> None:
+        self.parts.gate.credit(message.id, message.up_to)
+
+    def _sender(self, address: str) -> Send:
+        def send(message: Reply) -> None:
+            if not self.parts.data.send(address, message, REPLY_TIMEOUT_MS):
+                self.parts.gate.counts["replies_unsent"] += 1
+
+        return send
+
+    # Configuration
+
+    def _on_config(self, state: ConfigState) -> None:
+        self.parts.gate.set_out_of_service(
+            state.is_out(self.parts.settings.data_centre)
+        )
+        self._update_interest(state)
+        first = self._settling is None
+        self._settling = state
+        if first:
+            eventlet.spawn(self._switch_when_settled)
+
+    def _update_interest(self, state: ConfigState) -> None:
+        services = set(self._required_services(state))
+        if self._member.service:
+            services.add(self._member.service)
+        self.parts.tree.set_own_interest(services)
+
+    def _required_services(self, state: ConfigState) -> list[str]:
+        profile = state.profile_of(self._member.service)
+        return [t.service for t in profile.targets] if profile is not None else []
+
+    def _switch_when_settled(self) -> None:
+        """Routes by a new version once the upstreams it depends on are known."""
+        clock = self.parts.clock
+        until_ms = clock.now_ms() + SETTLE_TIMEOUT_MS
+        while self._settling is not None and not self._stopped:
+            state = self._settling
+            required = self._required_services(state)
+            late = clock.now_ms() >= until_ms
+            if late or self.parts.tree.is_settled(required):
+                self.parts.router.counts["settle_timeouts"] += int(late)
+                self._switch(state)
+                self._settling = None
+                return
+            clock.sleep_ms(SETTLE_POLL_MS)
+
+    def _switch(self, state: ConfigState) -> None:
+        profile = state.profile_of(self._member.service)
+        self.parts.router.table = RoutingTable(state, profile)
+
+    # Membership
+
+    def _describe(self) -> Member:
+        settings = self.parts.settings
+        member = Member(
+            node=settings.vm,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            data_address=self.parts.data.address,
+            control_address=self.parts.control.address,
+            admin_address=f"http://{settings.bind_ip}:{settings.admin_port}",
+        )
+        gate = self.parts.gate
+        announced = gate.announcement
+        if announced is not None:
+            member.service = announced.service
+            member.version = announced.version
+            member.slots = announced.slots
+            member.since_ms = gate.announced_since_ms
+            leaving = announced.leaving or gate.draining
+            member.state = "leaving" if leaving else "up"
+        return member
+
+    def _publish_member(self) -> None:
+        previous = self._member
+        self._member = self._describe()
+        payload = msgspec.msgpack.encode(self._member)
+        key = member_key(self.name)
+        self.parts.table.publish(key, KIND_MEMBER, payload, self._member.service)
+        if previous.service != self._member.service:
+            self._on_config(self.parts.replica.state)
+
+    def _on_record(self, record: Record) -> None:
+        if record.kind != KIND_MEMBER:
+            return
+        member = decode_member(record)
+        if member is None:
+            return
+        if record.gone:
+            self.parts.directory.remove(member.node)
+            self.parts.balancer.forget(member.node)
+        else:
+            self.parts.directory.put(member)
+
+    # Periodic tasks
+
+    def _repeat(self, task: Callable[[], None], period_ms: float) -> None:
+        while not self._stopped:
+            self.parts.clock.sleep_ms(period_ms)
+            try:
+                task()
+            except Exception:
+                logger.exception("periodic task failed")
+
+    def _keep_up(self) -> None:
+        if self.parts.gate.expire_announcement():
+            logger.warning("upstream fell silent")
+            self._publish_member()
+        self.parts.gate.admission.hand_out()
+
+    def _review_moves(self) -> None:
+        self.parts.watcher.review(self.parts.replica.state)
+
+    def _publish_outcomes(self) -> None:
+        moving = {
+            move.service
+            for move in self.parts.replica.state.active_moves()
+            if move.service == self._member.service
+        }
+        if not moving:
+            return
+        payload = self.parts.gate_outcomes.encode(moving)
+        key = f"{KIND_OUTCOMES}/{self.name}"
+        held = self.parts.table.get(key)
+        if held is None or held.payload != payload:
+            self.parts.table.publish(key, KIND_OUTCOMES, payload, self._member.service)
+
+    def _publish_status(self) -> None:
+        if not self.parts.tree.is_relay:
+            return
+        subtree = self.parts.tree.subtree()
+        status = DataCentreStatus(
+            node=self.name,
+            data_centre=self.parts.settings.data_centre,
+            nodes=subtree.nodes,
+            lowest_version=subtree.lowest_version,
+            lagging=subtree.lagging,
+        )
+        payload = msgspec.msgpack.encode(status)
+        key = f"{KIND_STATUS}/{self.name}"
+        held = self.parts.table.get(key)
+        if held is None or held.payload != payload:
+            self.parts.table.publish(key, KIND_STATUS, payload)
+
+    # Outcomes
+
+    def _on_gate_outcome(
+        self, call: Call, failed: bool, latency_ms: float | None
+    ) -> None:
+        key = OutcomeKey(call.profile, call.service, call.version, call.route)
+        self.parts.gate_outcomes.record(key, failed, latency_ms)
+
+    def _on_router_outcome(self, call: Call, failed: bool) -> None:
+        key = OutcomeKey(call.profile, call.service, call.version, call.route)
+        self.parts.entry_outcomes.record(key, failed, None)
--- /dev/null
+++ b/src/jayswitch/node/process.py
@@ -0,0 +1,57 @@
+"""A node with its HTTP servers: what runs beside one upstream."""
+
+from __future__ import annotations
+
+import logging
+
+from jayswitch.http.admin_app import AdminApplication
+from jayswitch.http.caller_app import CallerApplication
+from jayswitch.http.server import HttpServer
+from jayswitch.node.factory import NodeFactory
+from jayswitch.node.node import Node
+from jayswitch.settings.generated import NodeSettings
+from jayswitch.store.interface import Store
+
+logger = logging.getLogger(__name__)
+
+
+class NodeProcess:
+    """Serves callers and operators for one node."""
+
+    def __init__(self, node: Node, settings: NodeSettings) -> None:
+        """Binds every port at once, so that a taken one fails at start-up."""
+        self.node = node
+        self._caller_app = CallerApplication(node.parts.router, settings.max_body_bytes)
+        self.callers = HttpServer(
+            settings.bind_ip, settings.caller_port, self._caller_app
+        )
+        self.admin = HttpServer(
+            settings.bind_ip, settings.admin_port, AdminApplication(node)
+        )
+
+    @classmethod
+    def from_settings(
+        cls, settings: NodeSettings, store: Store | None = None
+    ) -> NodeProcess:
+        """Returns the process for the settings, not yet started."""
+        node = NodeFactory.from_settings(settings, store).make()
+        return cls(node, settings)
+
+    def start(self) -> None:
+        """Starts the node and its servers."""
+        self.node.start()
+        self.admin.start()
+        self.callers.start()
+        logger.info("started", extra={"callers": self.callers.address})
+
+    def stop(self) -> bool:
+        """Stops without cutting a request; False if some were still in flight."""
+        logger.info("draining")
+        self._caller_app.draining = True
+        drained = self.node.drain()
+        self.callers.stop()
+        drained = self.node.drain() and drained
+        self.admin.stop()
+        self.node.stop()
+        logger.info("stopped", extra={"drained": drained})
+        return drained
--- /dev/null
+++ b/src/jayswitch/rollout/driver.py
@@ -0,0 +1,246 @@
+"""Drives moves from trial to done or reversed; one node at a time, under a lease."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import eventlet
+from returns.result import Failure, Success
+
+from jayswitch.config.exceptions import StaleDriver
+from jayswitch.config.generated import DriverTaken, MoveEnded, MoveStepped
+from jayswitch.config.log import SNAPSHOT_EVERY_ENTRIES
+from jayswitch.store.exceptions import LeaseExpired
+
+if TYPE_CHECKING:
+    import random
+
+    from jayswitch.clock import Clock
+    from jayswitch.config.log import ConfigLog
+    from jayswitch.config.replica import ConfigReplica
+    from jayswitch.config.state import Move
+    from jayswitch.rollout.judge import MoveJudge
+    from jayswitch.rollout.watcher import MoveWatcher
+    from jayswitch.store.interface import Store
+
+DRIVER_KEY = "driver"
+DRIVER_LEASE_TTL_MS = 5000
+APPLY_MS = 2500.0
+TICK_MS = 400.0
+STEP_PERCENTS = (25, 50, 90)
+HOLD_SHARE = 0.1
+TRIAL_HOLD_SHARE = 0.15
+HOLD_MIN_MS = 300.0
+HOLD_MAX_MS = 600_000.0
+LAST_STEP_SHARE = 0.98
+
+logger = logging.getLogger(__name__)
+
+
+def next_percent(move: Move) -> int | None:
+    """Returns the share after the present one; None if only the end is left."""
+    if move.percent == 0:
+        return move.trial_percent
+    for percent in STEP_PERCENTS:
+        if percent > move.percent:
+            return percent
+    return None
+
+
+def hold_ms(move: Move) -> float:
+    """Returns how long the present share has to be held at least."""
+    window_ms = move.deadline_ms - move.started_ms
+    on_trial = move.percent <= move.trial_percent
+    share = TRIAL_HOLD_SHARE if on_trial else HOLD_SHARE
+    return min(HOLD_MAX_MS, max(HOLD_MIN_MS, window_ms * share))
+
+
+def decide(
+    move: Move,
+    judge: MoveJudge | None,
+    bad_evidence: str,
+    has_upstream: bool,
+    epoch: int,
+    now_ms: int,
+) -> MoveStepped | MoveEnded | None:
+    """Returns the next change of a move, or None while it has to wait."""
+
+    def end(done: bool, reason: str) -> MoveEnded:
+        return MoveEnded(
+            move=move.id, epoch=epoch, done=done, reason=reason, at_ms=now_ms
+        )
+
+    if bad_evidence:
+        return end(False, bad_evidence)
+    missing = judge.missing_proof() if judge is not None else "nothing seen yet"
+    window_ms = move.deadline_ms - move.started_ms
+    if now_ms >= move.started_ms + window_ms * LAST_STEP_SHARE:
+        return end(False, _reason_at_deadline(move, has_upstream, missing))
+    if move.percent == 0:
+        if not has_upstream:
+            return None
+        return MoveStepped(
+            move=move.id, epoch=epoch, percent=move.trial_percent, at_ms=now_ms
+        )
+    if now_ms - move.stepped_ms < hold_ms(move) or missing:
+        return None
+    percent = next_percent(move)
+    if percent is None:
+        assert judge is not None
+        return end(True, f"proved at each share; {judge.step_calls} calls at the last")
+    return MoveStepped(move=move.id, epoch=epoch, percent=percent, at_ms=now_ms)
+
+
+def _reason_at_deadline(move: Move, has_upstream: bool, missing: str) -> str:
+    if not has_upstream:
+        return f"no upstream runs version {move.to_version}"
+    if missing:
+        return f"not proved at {move.percent}% by its deadline: {missing}"
+    return f"reached {move.percent}% by its deadline, not all calls"
+
+
+class MoveDriver:
+    """Holds the driver lease where it can, and then drives every move.
+
+    Safety rests on the log: taking over is an entry with the next epoch, and steps
+    of an earlier epoch are refused. The lease only keeps candidates from taking
+    over from each other.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        store: Store,
+        log: ConfigLog,
+        replica: ConfigReplica,
+        watcher: MoveWatcher,
+        is_candidate: Callable[[], bool],
+        has_upstream: Callable[[str, str], bool],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Takes what tells whether this node may drive and which versions run."""
+        self.epoch = 0
+        self._lease = ""
+        self._node = node
+        self._store = store
+        self._log = log
+        self._replica = replica
+        self._watcher = watcher
+        self._is_candidate = is_candidate
+        self._has_upstream = has_upstream
+        self._clock = clock
+        self._random = rng
+        self._stopped = False
+        self._renewed_ms = 0.0
+        self._snapshot_version = 0
+
+    @property
+    def is_driving(self) -> bool:
+        """Tells whether this node took over last, as far as it knows."""
+        return bool(self.epoch) and self.epoch == self._replica.state.driver_epoch
+
+    def start(self) -> None:
+        """Starts the task that applies for the lease and drives."""
+        eventlet.spawn(self._run)
+
+    def stop(self) -> None:
+        """Gives the lease back."""
+        self._stopped = True
+        if self._lease:
+            self._store.revoke(self._lease)
+
+    def _run(self) -> None:
+        while not self._stopped:
+            if not self._is_candidate():
+                self._clock.sleep_ms(APPLY_MS)
+            elif not self._lease:
+                self._apply()
+                self._clock.sleep_ms(self._random.uniform(APPLY_MS / 2, APPLY_MS))
+            else:
+                self._renew()
+                if self._lease and self.is_driving:
+                    self._drive()
+                self._clock.sleep_ms(TICK_MS)
+
+    def _apply(self) -> None:
+        match self._store.get(DRIVER_KEY):
+            case Success(None):
+                pass
+            case _:
+                return
+        match self._store.grant_lease(DRIVER_LEASE_TTL_MS):
+            case Success(lease):
+                pass
+            case _:
+                return
+        held = self._store.put(DRIVER_KEY, self._node.encode(), 0, lease)
+        if isinstance(held, Failure):
+            self._store.revoke(lease)
+            return
+        self._lease = lease
+        self._renewed_ms = self._clock.now_ms()
+        self._take_over()
+
+    def _take_over(self) -> None:
+        # The epoch follows the log's newest one, which append() has read.
+        self._log.catch_up()
+        epoch = self._replica.state.driver_epoch + 1
+        match self._log.append(DriverTaken(node=self._node, epoch=epoch), self._node):
+            case Success(_):
+                self.epoch = epoch
+                logger.info("driving moves", extra={"epoch": epoch})
+            case Failure(error):
+                logger.warning("not driving", extra={"reason": str(error)})
+                self._give_up()
+
+    def _renew(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._renewed_ms < DRIVER_LEASE_TTL_MS / 3:
+            return
+        match self._store.keep_alive(self._lease):
+            case Success(_):
+                self._renewed_ms = now_ms
+            case Failure(LeaseExpired()):
+                self._give_up()
+
+    def _give_up(self) -> None:
+        lease, self._lease = self._lease, ""
+        self.epoch = 0
+        self._store.revoke(lease)
+
+    def _drive(self) -> None:
+        for move in self._replica.state.active_moves():
+            judge = self._watcher.reported_judge_by_move.get(move.id)
+            mark = self._watcher.mark(move.id)
+            change = decide(
+                move,
+                judge,
+                mark.evidence if mark is not None else "",
+                self._has_upstream(move.service, move.to_version),
+                self.epoch,
+                self._clock.wall_ms(),
+            )
+            if change is not None and not self._write(change):
+                return
+        self._save_snapshot()
+
+    def _write(self, change: MoveStepped | MoveEnded) -> bool:
+        match self._log.append(change, f"driver {self._node}"):
+            case Success(_):
+                logger.info("move changed", extra={"change": repr(change)})
+                return True
+            case Failure(StaleDriver()):
+                self._give_up()
+            case Failure(error):
+                logger.debug("move not changed", extra={"reason": str(error)})
+        return False
+
+    def _save_snapshot(self) -> None:
+        version = self._replica.version
+        if version - self._snapshot_version < SNAPSHOT_EVERY_ENTRIES:
+            return
+        if isinstance(self._log.save_snapshot(), Success):
+            self._snapshot_version = version
--- /dev/null
+++ b/src/jayswitch/rollout/judge.py
@@ -0,0 +1,171 @@
+"""Compares a new version with the old one at the same time, route by route."""
+
+from __future__ import annotations
+
+import math
+
+from jayswitch.rollout.outcomes import LATENCY_BUCKETS, RouteOutcomes
+
+BAD_EVIDENCE = 6.9
+ERROR_RATE_FLOOR = 0.005
+ERROR_RATE_FACTOR = 3.0
+ERROR_RATE_STEP = 0.03
+SLOW_RATE_FLOOR = 0.05
+SLOW_RATE_FACTOR = 3.0
+SLOW_RATE_STEP = 0.20
+RATE_CEILING = 0.95
+SLOW_QUANTILE = 0.95
+SLOW_EXTRA_BUCKETS = 1
+MIN_OLD_LATENCIES = 20
+PRIOR_CALLS = 5.0
+PROOF_CALLS = 40
+PROOF_ROUTE_CALLS = 5
+BUSY_ROUTE_CALLS = 20
+HISTORY_DECAY = 0.98
+
+
+class RateEvidence:
+    """A cumulative-sum test of a rate against the same rate of the old version.
+
+    The sum grows while the new version's rate looks raised, and falls back to
+    zero while it does not, so that a version that turns bad late is found as soon
+    as one that is bad from the start.
+    """
+
+    __slots__ = ("_factor", "_floor", "_old_calls", "_old_hits", "_step", "score")
+
+    def __init__(self, floor: float, factor: float, step: float) -> None:
+        """Takes the lowest rate assumed and what counts as raised."""
+        self.score = 0.0
+        self._floor = floor
+        self._factor = factor
+        self._step = step
+        self._old_calls = 0.0
+        self._old_hits = 0.0
+
+    def observe(
+        self, old_hits: int, old_calls: int, new_hits: int, new_calls: int
+    ) -> None:
+        """Takes the counts of one interval from both versions."""
+        usual = self._usual_rate()
+        present = (old_hits + PRIOR_CALLS * usual) / (old_calls + PRIOR_CALLS)
+        self._old_hits = self._old_hits * HISTORY_DECAY + old_hits
+        self._old_calls = self._old_calls * HISTORY_DECAY + old_calls
+        rate = min(RATE_CEILING, max(usual, present))
+        raised = min(RATE_CEILING, max(rate * self._factor, rate + self._step))
+        if raised <= rate:
+            return
+        gain = new_hits * math.log(raised / rate)
+        loss = (new_calls - new_hits) * math.log((1 - raised) / (1 - rate))
+        self.score = max(0.0, self.score + gain + loss)
+
+    def _usual_rate(self) -> float:
+        if not self._old_calls:
+            return self._floor
+        return max(self._floor, self._old_hits / self._old_calls)
+
+
+class RouteJudge:
+    """Evidence on errors and latency of one route."""
+
+    __slots__ = ("errors", "new_calls", "old_calls", "slow", "_old")
+
+    def __init__(self) -> None:
+        """Starts without evidence."""
+        self.errors = RateEvidence(ERROR_RATE_FLOOR, ERROR_RATE_FACTOR, ERROR_RATE_STEP)
+        self.slow = RateEvidence(SLOW_RATE_FLOOR, SLOW_RATE_FACTOR, SLOW_RATE_STEP)
+        self.new_calls = 0
+        self.old_calls = 0
+        self._old = RouteOutcomes()
+
+    def observe(self, old: RouteOutcomes, new: RouteOutcomes) -> None:
+        """Takes what both versions did in one interval."""
+        self.old_calls += old.calls
+        self.new_calls += new.calls
+        self.errors.observe(old.errors, old.calls, new.errors, new.calls)
+        self._old.add(old)
+        bound = self._slow_bucket()
+        if bound is None:
+            return
+        old_slow, old_timed = _slower_than(old, bound)
+        new_slow, new_timed = _slower_than(new, bound)
+        self.slow.observe(old_slow, old_timed, new_slow, new_timed)
+
+    def fault(self) -> str:
+        """Returns what is wrong with the new version; empty for nothing."""
+        if self.errors.score >= BAD_EVIDENCE:
+            return f"more errors than the old version (score {self.errors.score:.1f})"
+        if self.slow.score >= BAD_EVIDENCE:
+            return f"slower than the old version (score {self.slow.score:.1f})"
+        return ""
+
+    def _slow_bucket(self) -> int | None:
+        counts = self._old.latency_counts
+        total = sum(counts.values())
+        if total < MIN_OLD_LATENCIES:
+            return None
+        seen = 0
+        for bucket in range(LATENCY_BUCKETS):
+            seen += counts.get(bucket, 0)
+            if seen >= total * SLOW_QUANTILE:
+                return bucket + SLOW_EXTRA_BUCKETS
+        return None
+
+
+def _slower_than(outcomes: RouteOutcomes, bound: int) -> tuple[int, int]:
+    counts = outcomes.latency_counts
+    slow = sum(count for bucket, count in counts.items() if bucket > bound)
+    return slow, sum(counts.values())
+
+
+class MoveJudge:
+    """Evidence on one move over all routes."""
+
+    __slots__ = ("by_route", "_percent", "_step_calls", "_step_calls_by_route")
+
+    def __init__(self) -> None:
+        """Starts without evidence."""
+        self.by_route: dict[str, RouteJudge] = {}
+        self._percent = 0
+        self._step_calls = 0
+        self._step_calls_by_route: dict[str, int] = {}
+
+    @property
+    def step_calls(self) -> int:
+        """Returns the new version's calls since the share last changed."""
+        return self._step_calls
+
+    def observe(self, route: str, old: RouteOutcomes, new: RouteOutcomes) -> None:
+        """Takes what both versions did on a route in one interval."""
+        judge = self.by_route.setdefault(route, RouteJudge())
+        judge.observe(old, new)
+        self._step_calls += new.calls
+        earlier = self._step_calls_by_route.get(route, 0)
+        self._step_calls_by_route[route] = earlier + new.calls
+
+    def set_percent(self, percent: int) -> None:
+        """Counts the proof anew where the share has changed."""
+        if percent == self._percent:
+            return
+        self._percent = percent
+        self._step_calls = 0
+        self._step_calls_by_route.clear()
+
+    def fault(self) -> str:
+        """Returns what is wrong on which route; empty for nothing."""
+        for route, judge in sorted(self.by_route.items()):
+            fault = judge.fault()
+            if fault:
+                return f"route {route!r}: {fault} after {judge.new_calls} calls"
+        return ""
+
+    def missing_proof(self) -> str:
+        """Returns what still has to be seen at this share; empty for nothing."""
+        if self._step_calls < PROOF_CALLS:
+            return f"{self._step_calls} of {PROOF_CALLS} calls seen"
+        for route, judge in sorted(self.by_route.items()):
+            seen = self._step_calls_by_route.get(route, 0)
+            busy = judge.old_calls >= BUSY_ROUTE_CALLS
+            if busy and seen < PROOF_ROUTE_CALLS:
+                return f"route {route!r}: {seen} of {PROOF_ROUTE_CALLS} calls seen"
+        return ""
--- /dev/null
+++ b/src/jayswitch/rollout/watcher.py
@@ -0,0 +1,182 @@
+"""Judges the moves under way from outcomes and marks bad versions."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from jayswitch.membership.member import KIND_MARK, KIND_OUTCOMES
+from jayswitch.models import Model
+from jayswitch.rollout.judge import MoveJudge
+from jayswitch.rollout.outcomes import (
+    KeyedOutcomes,
+    OutcomeKey,
+    RouteOutcomes,
+    decode_outcomes,
+)
+
+if TYPE_CHECKING:
+    from jayswitch.config.state import ConfigState, Move
+    from jayswitch.membership.records import RecordTable
+    from jayswitch.rollout.outcomes import OutcomeCounter
+
+LOCAL = "local"
+
+logger = logging.getLogger(__name__)
+
+
+class Mark(Model):
+    """A version found bad within a move; a mark is never taken back."""
+
+    move: str
+    node: str
+    evidence: str
+
+
+def mark_key(move_id: str) -> str:
+    """Returns the key of a move's mark."""
+    return f"{KIND_MARK}/{move_id}"
+
+
+class OutcomeDeltas:
+    """Turns cumulative counts of many observers into counts per interval."""
+
+    def __init__(self) -> None:
+        """Starts without a base.
+
+        What an observer has counted before it is first seen may be of an earlier
+        move, so its first counts are only a base for later ones.
+        """
+        self._base_by_key_by_observer: dict[str, dict[OutcomeKey, RouteOutcomes]] = {}
+
+    def take(self, observer: str, rows: list[KeyedOutcomes]) -> list[KeyedOutcomes]:
+        """Returns what the observer has counted since it was last asked."""
+        base_by_key = self._base_by_key_by_observer.get(observer)
+        self._base_by_key_by_observer[observer] = {
+            row.key: row.outcomes.copy() for row in rows
+        }
+        if base_by_key is None:
+            return []
+        nothing = RouteOutcomes()
+        return [
+            KeyedOutcomes(
+                key=row.key,
+                outcomes=row.outcomes.since(base_by_key.get(row.key, nothing)),
+            )
+            for row in rows
+        ]
+
+    def forget_except(self, observers: set[str]) -> None:
+        """Drops the bases of observers that are gone."""
+        for observer in set(self._base_by_key_by_observer) - observers:
+            del self._base_by_key_by_observer[observer]
+
+
+class MoveWatcher:
+    """Judges each move twice: on this node's own calls and on all gates' reports.
+
+    The two are never added up, because a call is counted by both its entry node
+    and its gate.
+    """
+
+    def __init__(
+        self, node: str, table: RecordTable, own_outcomes: OutcomeCounter
+    ) -> None:
+        """Takes the outcomes of the calls that entered at this node."""
+        self.reported_judge_by_move: dict[str, MoveJudge] = {}
+        self._local_judge_by_move: dict[str, MoveJudge] = {}
+        self._node = node
+        self._table = table
+        self._own_outcomes = own_outcomes
+        self._local_deltas = OutcomeDeltas()
+        self._reported_deltas = OutcomeDeltas()
+
+    def is_marked_bad(self, move_id: str) -> bool:
+        """Tells whether any node has found the move's new version bad."""
+        return self._table.get(mark_key(move_id)) is not None
+
+    def mark(self, move_id: str) -> Mark | None:
+        """Returns the mark of a move, if it has one."""
+        record = self._table.get(mark_key(move_id))
+        if record is None:
+            return None
+        return msgspec.msgpack.decode(record.payload, type=Mark)
+
+    def review(self, config: ConfigState) -> None:
+        """Takes the outcomes since the last review and marks what is bad."""
+        moves = config.active_moves()
+        own_rows = [
+            KeyedOutcomes(key=key, outcomes=outcomes)
+            for key, outcomes in self._own_outcomes.by_key.items()
+        ]
+        self._judge(
+            moves, {LOCAL: own_rows}, self._local_deltas, self._local_judge_by_move
+        )
+        if moves:
+            self._judge(
+                moves,
+                self._reported_rows(),
+                self._reported_deltas,
+                self.reported_judge_by_move,
+            )
+        self._forget_ended(moves)
+
+    def _reported_rows(self) -> dict[str, list[KeyedOutcomes]]:
+        return {
+            f"{record.origin}/{record.incarnation}": decode_outcomes(record.payload)
+            for record in self._table.by_kind(KIND_OUTCOMES)
+        }
+
+    def _judge(
+        self,
+        moves: list[Move],
+        rows_by_observer: dict[str, list[KeyedOutcomes]],
+        deltas: OutcomeDeltas,
+        judge_by_move: dict[str, MoveJudge],
+    ) -> None:
+        by_key: dict[OutcomeKey, RouteOutcomes] = {}
+        for observer, rows in rows_by_observer.items():
+            for row in deltas.take(observer, rows):
+                by_key.setdefault(row.key, RouteOutcomes()).add(row.outcomes)
+        deltas.forget_except(set(rows_by_observer))
+        for move in moves:
+            judge = judge_by_move.get(move.id)
+            if judge is None:
+                # Outcomes from before the move began are no evidence for it.
+                judge_by_move[move.id] = MoveJudge()
+                continue
+            judge.set_percent(move.percent)
+            self._observe(move, judge, by_key)
+            fault = judge.fault()
+            if fault and not self.is_marked_bad(move.id):
+                self._mark_bad(move, fault)
+
+    def _observe(
+        self, move: Move, judge: MoveJudge, by_key: dict[OutcomeKey, RouteOutcomes]
+    ) -> None:
+        routes = {
+            key.route
+            for key in by_key
+            if key.profile == move.profile and key.service == move.service
+        }
+        for route in sorted(routes):
+            old_key = OutcomeKey(move.profile, move.service, move.from_version, route)
+            new_key = OutcomeKey(move.profile, move.service, move.to_version, route)
+            old = by_key.get(old_key, RouteOutcomes())
+            new = by_key.get(new_key, RouteOutcomes())
+            judge.observe(route, old, new)
+
+    def _mark_bad(self, move: Move, fault: str) -> None:
+        evidence = f"{move.service} {move.to_version}: {fault}"
+        mark = Mark(move=move.id, node=self._node, evidence=evidence)
+        logger.warning("version marked bad", extra={"evidence": evidence})
+        payload = msgspec.msgpack.encode(mark)
+        self._table.publish(mark_key(move.id), KIND_MARK, payload, move.service)
+
+    def _forget_ended(self, moves: list[Move]) -> None:
+        active = {move.id for move in moves}
+        for judges in (self._local_judge_by_move, self.reported_judge_by_move):
+            for move_id in set(judges) - active:
+                del judges[move_id]
--- /dev/null
+++ b/src/jayswitch/routing/balancer.py
@@ -0,0 +1,143 @@
+"""Chooses an upstream: the nearest data centre with room, then two at random."""
+
+from __future__ import annotations
+
+import random
+from functools import partial
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from jayswitch.clock import Clock
+    from jayswitch.membership.member import Member
+
+REPORT_KEPT_MS = 2000.0
+FAILURE_PENALTY_MS = 1000.0
+SATURATED = 1.0
+
+
+class UpstreamLoad:
+    """What this node knows at first hand of one upstream's load."""
+
+    __slots__ = (
+        "limit",
+        "outstanding",
+        "penalty_until_ms",
+        "reported_in_flight",
+        "reported_ms",
+    )
+
+    def __init__(self) -> None:
+        """Starts without a report."""
+        self.outstanding = 0
+        self.limit = 0
+        self.reported_in_flight = 0
+        self.reported_ms = float("-inf")
+        self.penalty_until_ms = float("-inf")
+
+
+class Balancer:
+    """Loads by upstream node, and the choice among candidates."""
+
+    def __init__(
+        self, data_centre: str, region: str, clock: Clock, rng: random.Random
+    ) -> None:
+        """Takes where this node stands."""
+        self.load_by_node: dict[str, UpstreamLoad] = {}
+        self._data_centre = data_centre
+        self._region = region
+        self._clock = clock
+        self._random = rng
+
+    def choose(
+        self, candidates: list[Member], excluded: Collection[str], key: str = ""
+    ) -> Member | None:
+        """Returns the upstream for one attempt; None if every one is excluded.
+
+        With an idempotency key the choice depends on the key alone, so that a
+        repetition meets the gate that knows the first request.
+        """
+        open_members = [m for m in candidates if m.node not in excluded]
+        if not open_members:
+            return None
+        if key:
+            return max(open_members, key=partial(_rendezvous_weight, key))
+        tiers = self._tiers(open_members)
+        for tier in tiers:
+            best = self._better_of_two(tier)
+            if self.score(best) < SATURATED:
+                return best
+        return min((self._better_of_two(tier) for tier in tiers), key=self.score)
+
+    def score(self, member: Member) -> float:
+        """Returns the share of its limit that an upstream seems to use."""
+        load = self._load(member.node)
+        now_ms = self._clock.now_ms()
+        if now_ms < load.penalty_until_ms:
+            return SATURATED + (load.penalty_until_ms - now_ms)
+        in_flight = load.outstanding
+        limit = member.slots
+        if now_ms - load.reported_ms < REPORT_KEPT_MS:
+            in_flight = max(in_flight, load.reported_in_flight)
+            limit = load.limit
+        return in_flight / max(1, limit)
+
+    def start(self, node: str) -> None:
+        """Counts a call handed to an upstream's gate."""
+        self._load(node).outstanding += 1
+
+    def finish(self, node: str) -> None:
+        """Counts the end of a call."""
+        load = self._load(node)
+        load.outstanding = max(0, load.outstanding - 1)
+
+    def report(self, node: str, in_flight: int, limit: int) -> None:
+        """Takes the load that a gate states in its answer."""
+        load = self._load(node)
+        load.reported_in_flight = in_flight
+        load.limit = limit
+        load.reported_ms = self._clock.now_ms()
+
+    def penalize(self, node: str, duration_ms: float = FAILURE_PENALTY_MS) -> None:
+        """Avoids an upstream for a while, where there is another."""
+        self._load(node).penalty_until_ms = self._clock.now_ms() + duration_ms
+
+    def forget(self, node: str) -> None:
+        """Drops an upstream that is gone."""
+        self.load_by_node.pop(node, None)
+
+    def _load(self, node: str) -> UpstreamLoad:
+        load = self.load_by_node.get(node)
+        if load is None:
+            load = self.load_by_node[node] = UpstreamLoad()
+        return load
+
+    def _tiers(self, members: list[Member]) -> list[list[Member]]:
+        near, region, far = [], [], []
+        for member in members:
+            if member.data_centre == self._data_centre:
+                near.append(member)
+            elif member.region == self._region:
+                region.append(member)
+            else:
+                far.append(member)
+        return [tier for tier in (near, region, far) if tier]
+
+    def _better_of_two(self, members: list[Member]) -> Member:
+        first = self._random.choice(members)
+        if len(members) == 1:
+            return first
+        second = self._random.choice(members)
+        return first if self.score(first) <= self.score(second) else second
+
+
+def _rendezvous_weight(key: str, member: Member) -> bytes:
+    return blake2b(f"{key}\0{member.node}".encode(), digest_size=8).digest()
+
+
+def point_of_key(key: str) -> float:
+    """Returns a point between 0 and 100 that depends on the key alone."""
+    digest = blake2b(key.encode(), digest_size=4).digest()
+    return int.from_bytes(digest) / 2**32 * 100
--- /dev/null
+++ b/src/jayswitch/routing/retry.py
@@ -0,0 +1,33 @@
+"""A budget that keeps retries to a share of the calls."""
+
+from __future__ import annotations
+
+BUDGET_BURST = 10.0
+BUDGET_START = 3.0
+PERCENT = 100.0
+
+
+class RetryBudget:
+    """Calls deposit a fraction of a token; a retry costs a whole one."""
+
+    __slots__ = ("_tokens",)
+
+    def __init__(self) -> None:
+        """Starts with a few tokens, so that rare calls can be retried."""
+        self._tokens = BUDGET_START
+
+    def deposit(self, percent: int) -> None:
+        """Counts one call that allows the given share of retries."""
+        self._tokens = min(BUDGET_BURST, self._tokens + percent / PERCENT)
+
+    @property
+    def has_token(self) -> bool:
+        """Tells whether a retry would be allowed."""
+        return self._tokens >= 1.0
+
+    def take(self) -> bool:
+        """Takes a token for a retry; False if none is left."""
+        if not self.has_token:
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/src/jayswitch/settings/loader.py
@@ -0,0 +1,45 @@
+"""Reads a node's settings from YAML."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+import yaml
+from returns.result import Failure, Result, Success
+
+from jayswitch.settings.exceptions import InvalidSettings
+from jayswitch.settings.generated import NodeSettings
+
+
+def load_settings(path: str) -> Result[NodeSettings, InvalidSettings]:
+    """Returns the settings in a file, or the first fault in it."""
+    try:
+        document = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        return Failure(InvalidSettings(path, f"cannot be read: {error.strerror}"))
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        return Failure(InvalidSettings(path, f"is not YAML: {error}"))
+    try:
+        settings = msgspec.convert(document, NodeSettings)
+    except msgspec.ValidationError as error:
+        return Failure(InvalidSettings(path, str(error)))
+    return _check_ports(path, settings)
+
+
+def _check_ports(
+    path: str, settings: NodeSettings
+) -> Result[NodeSettings, InvalidSettings]:
+    port_by_key = {
+        "caller_port": settings.caller_port,
+        "admin_port": settings.admin_port,
+        "data_port": settings.data_port,
+        "control_port": settings.control_port,
+    }
+    key_by_port: dict[int, str] = {}
+    for key, port in port_by_key.items():
+        if port in key_by_port:
+            reason = f"{key} and {key_by_port[port]} are both {port}"
+            return Failure(InvalidSettings(path, reason))
+        key_by_port[port] = key
+    return Success(settings)
--- /dev/null
+++ b/src/jayswitch/standins/control_app.py
@@ -0,0 +1,59 @@
+"""Control of a stand-in upstream from outside: behaviour, leaving and counters."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from jayswitch.standins.upstream import StandInUpstream, UpstreamBehaviour
+
+if TYPE_CHECKING:
+    from jayswitch.standins.announcer import Announcer
+
+PREFIX = "/standin/"
+
+
+class UpstreamReport(msgspec.Struct):
+    """What the stand-in has counted."""
+
+    counts: dict[str, int]
+    highest_in_flight: int
+    repeated_ids: list[str]
+
+
+class ControlledUpstream:
+    """Serves the upstream, and its controls below /standin/."""
+
+    def __init__(self, upstream: StandInUpstream) -> None:
+        """Takes the upstream; the announcer is set where there is one."""
+        self.announcer: Announcer | None = None
+        self._upstream = upstream
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable
+    ) -> Iterable[bytes]:
+        """Serves one request."""
+        path = environ["PATH_INFO"]
+        if not path.startswith(PREFIX):
+            return self._upstream(environ, start_response)
+        body = environ["wsgi.input"].read()
+        answer = self._control(path.removeprefix(PREFIX), body)
+        start_response("200 OK", [("Content-Type", "application/json")])
+        return [msgspec.json.encode(answer)]
+
+    def _control(self, action: str, body: bytes) -> Any:
+        upstream = self._upstream
+        if action == "behaviour":
+            upstream.behaviour = msgspec.json.decode(body, type=UpstreamBehaviour)
+        elif action == "chill":
+            upstream.chill()
+        elif action == "leave" and self.announcer is not None:
+            self.announcer.leave()
+        elif action == "runs":
+            return dict(upstream.runs_by_id)
+        repeated = [key for key, runs in upstream.runs_by_id.items() if runs > 1]
+        return UpstreamReport(
+            dict(upstream.counts), upstream.highest_in_flight, repeated[:100]
+        )
--- /dev/null
+++ b/src/jayswitch/standins/memory_store.py
@@ -0,0 +1,259 @@
+"""In-memory stand-in for the platform's key-value service, with faults."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from typing import TYPE_CHECKING, Any
+
+import eventlet
+from eventlet.event import Event
+from returns.result import Failure, Result, Success
+from sortedcontainers import SortedDict
+
+from jayswitch.clock import MS_PER_S
+from jayswitch.store.exceptions import (
+    CasConflict,
+    LeaseExpired,
+    StoreError,
+    StoreThrottled,
+    StoreUnavailable,
+)
+from jayswitch.store.interface import StoredValue, WatchBatch, WatchEvent
+
+if TYPE_CHECKING:
+    from jayswitch.clock import Clock
+
+EVENT_HISTORY = 10_000
+DOWN_ANSWER_MS = 50
+
+
+class StoreFaults:
+    """Faults that the stand-in shows on request."""
+
+    __slots__ = ("down", "slow_ms", "lose_answers", "reads_per_s", "writes_per_s")
+
+    def __init__(self) -> None:
+        """Starts without faults."""
+        self.down = False
+        self.slow_ms = 0.0
+        self.lose_answers = 0.0
+        self.reads_per_s = 2000
+        self.writes_per_s = 500
+
+
+class _Lease:
+    __slots__ = ("ttl_ms", "expires_ms", "keys")
+
+    def __init__(self, ttl_ms: int, expires_ms: float) -> None:
+        self.ttl_ms = ttl_ms
+        self.expires_ms = expires_ms
+        self.keys: set[str] = set()
+
+
+class _Rate:
+    """A token bucket that holds one second's worth of calls."""
+
+    __slots__ = ("tokens", "refilled_ms")
+
+    def __init__(self) -> None:
+        self.tokens = 0.0
+        self.refilled_ms = float("-inf")
+
+    def take(self, now_ms: float, per_s: int) -> bool:
+        elapsed_s = (now_ms - self.refilled_ms) / MS_PER_S
+        self.tokens = min(float(per_s), self.tokens + elapsed_s * per_s)
+        self.refilled_ms = now_ms
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class MemoryStore:
+    """Compare-and-swap, leases and watches in one process's memory."""
+
+    def __init__(self, clock: Clock, seed: int = 1) -> None:
+        """Takes the clock that leases lapse by and the seed of lost answers."""
+        self.faults = StoreFaults()
+        self.calls_by_kind: Counter[str] = Counter()
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._values_by_key: SortedDict = SortedDict()
+        self._leases_by_id: dict[str, _Lease] = {}
+        self._events: deque[WatchEvent] = deque(maxlen=EVENT_HISTORY)
+        self._revision = 0
+        self._lease_serial = 0
+        self._changed = Event()
+        self._reads = _Rate()
+        self._writes = _Rate()
+
+    def get(self, key: str) -> Result[StoredValue | None, StoreError]:
+        """Returns the key's value, or None where there is none."""
+        refused = self._admit("get", self._reads)
+        if refused is not None:
+            return Failure(refused)
+        return self._answer(self._values_by_key.get(key))
+
+    def scan(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> Result[list[StoredValue], StoreError]:
+        """Returns the values below a prefix, ordered by key, after the given key."""
+        refused = self._admit("scan", self._reads)
+        if refused is not None:
+            return Failure(refused)
+        found: list[StoredValue] = []
+        for key in self._values_by_key.irange(max(prefix, after)):
+            if not key.startswith(prefix) or len(found) >= limit:
+                break
+            if key > after:
+                found.append(self._values_by_key[key])
+        return self._answer(found)
+
+    def put(
+        self, key: str, value: bytes, expected_revision: int, lease: str = ""
+    ) -> Result[int, StoreError]:
+        """Writes if the key has the expected revision (0: if it does not exist)."""
+        refused = self._admit("put", self._writes)
+        if refused is not None:
+            return Failure(refused)
+        if lease and lease not in self._leases_by_id:
+            return Failure(LeaseExpired(lease))
+        if self._revision_of(key) != expected_revision:
+            return Failure(CasConflict(key))
+        self._revision += 1
+        self._values_by_key[key] = StoredValue(key, value, self._revision, lease)
+        if lease:
+            self._leases_by_id[lease].keys.add(key)
+        self._publish(WatchEvent(key, value, self._revision))
+        return self._answer(self._revision, write=True)
+
+    def delete(self, key: str, expected_revision: int) -> Result[None, StoreError]:
+        """Deletes the key if it has the expected revision."""
+        refused = self._admit("delete", self._writes)
+        if refused is not None:
+            return Failure(refused)
+        if self._revision_of(key) != expected_revision:
+            return Failure(CasConflict(key))
+        self._remove(key)
+        return self._answer(None, write=True)
+
+    def grant_lease(self, ttl_ms: int) -> Result[str, StoreError]:
+        """Returns the id of a new lease."""
+        refused = self._admit("grant_lease", self._writes)
+        if refused is not None:
+            return Failure(refused)
+        self._lease_serial += 1
+        lease = f"lease-{self._lease_serial}"
+        expires_ms = self._clock.now_ms() + ttl_ms
+        self._leases_by_id[lease] = _Lease(ttl_ms, expires_ms)
+        return self._answer(lease, write=True)
+
+    def keep_alive(self, lease: str) -> Result[None, StoreError]:
+        """Extends the lease by its time to live."""
+        refused = self._admit("keep_alive", self._writes)
+        if refused is not None:
+            return Failure(refused)
+        held = self._leases_by_id.get(lease)
+        if held is None:
+            return Failure(LeaseExpired(lease))
+        held.expires_ms = self._clock.now_ms() + held.ttl_ms
+        return self._answer(None, write=True)
+
+    def revoke(self, lease: str) -> Result[None, StoreError]:
+        """Ends the lease and deletes its keys."""
+        refused = self._admit("revoke", self._writes)
+        if refused is not None:
+            return Failure(refused)
+        self.expire_lease(lease)
+        return self._answer(None, write=True)
+
+    def watch(
+        self, prefix: str, after_revision: int, timeout_ms: int
+    ) -> Result[WatchBatch, StoreError]:
+        """Waits for changes below the prefix after the revision."""
+        refused = self._admit("watch", self._reads)
+        if refused is not None:
+            return Failure(refused)
+        if after_revision < 0:
+            return Success(WatchBatch(self._revision, []))
+        until_ms = self._clock.now_ms() + timeout_ms
+        while True:
+            if self.faults.down:
+                return Failure(StoreUnavailable("the service is down"))
+            batch = self._batch_after(prefix, after_revision)
+            left_ms = until_ms - self._clock.now_ms()
+            if batch.events or batch.compacted or left_ms <= 0:
+                return Success(batch)
+            with eventlet.Timeout(min(left_ms, MS_PER_S) / MS_PER_S, False):
+                self._changed.wait()
+            self._lapse_leases()
+
+    def expire_lease(self, lease: str) -> None:
+        """Ends a lease at once, as if its time had run out."""
+        held = self._leases_by_id.pop(lease, None)
+        if held is None:
+            return
+        for key in sorted(held.keys):
+            if key in self._values_by_key and self._values_by_key[key].lease == lease:
+                self._remove(key)
+
+    def lease_of(self, key: str) -> str:
+        """Returns the lease that a key is bound to; empty for none."""
+        value = self._values_by_key.get(key)
+        return value.lease if value is not None else ""
+
+    def _admit(self, kind: str, rate: _Rate) -> StoreError | None:
+        self.calls_by_kind[kind] += 1
+        if self.faults.slow_ms:
+            self._clock.sleep_ms(self.faults.slow_ms)
+        if self.faults.down:
+            self._clock.sleep_ms(DOWN_ANSWER_MS)
+            return StoreUnavailable("the service is down")
+        self._lapse_leases()
+        is_write = rate is self._writes
+        per_s = self.faults.writes_per_s if is_write else self.faults.reads_per_s
+        if not rate.take(self._clock.now_ms(), per_s):
+            self.calls_by_kind["throttled"] += 1
+            return StoreThrottled()
+        return None
+
+    def _answer(self, value: Any, write: bool = False) -> Result[Any, StoreError]:
+        lost = self.faults.lose_answers
+        if write and lost and self._random.random() < lost:
+            return Failure(StoreUnavailable("the answer was lost"))
+        return Success(value)
+
+    def _revision_of(self, key: str) -> int:
+        value = self._values_by_key.get(key)
+        return value.revision if value is not None else 0
+
+    def _remove(self, key: str) -> None:
+        del self._values_by_key[key]
+        self._revision += 1
+        self._publish(WatchEvent(key, None, self._revision))
+
+    def _publish(self, event: WatchEvent) -> None:
+        self._events.append(event)
+        changed, self._changed = self._changed, Event()
+        changed.send(None)
+
+    def _lapse_leases(self) -> None:
+        now_ms = self._clock.now_ms()
+        lapsed = [
+            lease
+            for lease, held in self._leases_by_id.items()
+            if held.expires_ms <= now_ms
+        ]
+        for lease in lapsed:
+            self.expire_lease(lease)
+
+    def _batch_after(self, prefix: str, after_revision: int) -> WatchBatch:
+        if self._events and self._events[0].revision > after_revision + 1:
+            return WatchBatch(self._revision, [], compacted=True)
+        events = [
+            event
+            for event in self._events
+            if event.revision > after_revision and event.key.startswith(prefix)
+        ]
+        return WatchBatch(self._revision, events)
--- /dev/null
+++ b/src/jayswitch/standins/upstream.py
@@ -0,0 +1,175 @@
+"""Stand-in for an upstream: slots, cold start, shedding, faults and counters."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from jayswitch.http.headers import REQUEST_ID_HEADER, SHED_HEADER, SHED_NOT_RUN
+from jayswitch.http.reasons import status_line
+
+if TYPE_CHECKING:
+    from jayswitch.clock import Clock
+
+REQUEST_ID_VARIABLE = "HTTP_" + REQUEST_ID_HEADER.upper().replace("-", "_")
+TIMEOUT_VARIABLE = "HTTP_X_REQUEST_TIMEOUT_MS"
+BODY_PART = b"." * 65_536
+COLD_SLOTS_SHARE = 0.2
+COLD_SLOWDOWN = 3.0
+FALL_MS = 2000.0
+
+
+class UpstreamBehaviour(msgspec.Struct, kw_only=True):
+    """How the stand-in behaves; may be changed while it runs.
+
+    Fractions lie between 0 and 1. A cold upstream bears a fifth of its slots and
+    falls over beyond that; the time to warm up is counted from start or chill.
+    """
+
+    slots: int = 20
+    connections: int = 120
+    latency_ms: float = 1.0
+    body_bytes: int = 200
+    warm_up_ms: float = 0.0
+    error_fraction: float = 0.0
+    error_route: str = ""
+    error_above_in_flight: int = 0
+    cut_fraction: float = 0.0
+    hang_fraction: float = 0.0
+    lying_health: bool = False
+
+
+class StandInUpstream:
+    """A WSGI application that counts what it ran, by request id."""
+
+    def __init__(
+        self, name: str, version: str, behaviour: UpstreamBehaviour, clock: Clock
+    ) -> None:
+        """Starts cold if the behaviour has a warm-up time."""
+        self.behaviour = behaviour
+        self.runs_by_id: Counter[str] = Counter()
+        self.counts: Counter[str] = Counter()
+        self.in_flight = 0
+        self.highest_in_flight = 0
+        self._name = name
+        self._version = version
+        self._clock = clock
+        self._random = random.Random(f"{name}-{version}")
+        self._started_ms = clock.now_ms()
+        self._fallen_until_ms = float("-inf")
+        self._cancelled: set[str] = set()
+
+    def chill(self) -> None:
+        """Turns cold again without warning."""
+        self._started_ms = self._clock.now_ms()
+
+    @property
+    def is_cold(self) -> bool:
+        """Tells whether the warm-up time still runs."""
+        return self._clock.now_ms() - self._started_ms < self.behaviour.warm_up_ms
+
+    def bearable(self) -> int:
+        """Returns how many requests it can run at once now."""
+        slots = self.behaviour.slots
+        if not self.is_cold:
+            return slots
+        warmed_ms = self._clock.now_ms() - self._started_ms
+        warmth = warmed_ms / self.behaviour.warm_up_ms
+        share = COLD_SLOTS_SHARE + (1 - COLD_SLOTS_SHARE) * warmth
+        return max(1, int(slots * share))
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable
+    ) -> Iterable[bytes]:
+        """Serves one request."""
+        path = environ["PATH_INFO"]
+        method = environ["REQUEST_METHOD"]
+        if method == "DELETE" and path.startswith("/requests/"):
+            self._cancelled.add(path.rpartition("/")[2])
+            self.counts["cancelled"] += 1
+            start_response("200 OK", [])
+            return [b""]
+        if path == "/health":
+            start_response("200 OK", [])
+            return [b"ok" if self.behaviour.lying_health or not self.is_cold else b"no"]
+        environ["wsgi.input"].read()
+        return self._serve(environ, path, start_response)
+
+    def _serve(
+        self, environ: dict[str, Any], path: str, start_response: Callable
+    ) -> Iterable[bytes]:
+        request_id = environ.get(REQUEST_ID_VARIABLE, "")
+        if self._sheds():
+            self.counts["shed"] += 1
+            start_response(status_line(503), [(SHED_HEADER, SHED_NOT_RUN)])
+            return [b"shed"]
+        self.runs_by_id[request_id] += 1
+        self.counts["runs"] += 1
+        self.in_flight += 1
+        self.highest_in_flight = max(self.highest_in_flight, self.in_flight)
+        if self.in_flight > self.bearable():
+            self.counts["overloads"] += 1
+            self._fallen_until_ms = self._clock.now_ms() + FALL_MS
+        try:
+            self._work(environ, path)
+            status = self._status(path)
+        finally:
+            self.in_flight -= 1
+        return self._answer(status, request_id, start_response)
+
+    def _sheds(self) -> bool:
+        return not self.is_cold and self.in_flight >= self.behaviour.slots
+
+    def _work(self, environ: dict[str, Any], path: str) -> None:
+        latency_ms = self.behaviour.latency_ms
+        if self.is_cold:
+            latency_ms *= COLD_SLOWDOWN
+        if self._random.random() < self.behaviour.hang_fraction:
+            latency_ms = float(environ.get(TIMEOUT_VARIABLE, "1000")) * 2
+        self._clock.sleep_ms(latency_ms)
+
+    def _status(self, path: str) -> int:
+        if self._clock.now_ms() < self._fallen_until_ms:
+            return 500
+        behaviour = self.behaviour
+        applies = path.startswith(behaviour.error_route)
+        loaded = self.in_flight > behaviour.error_above_in_flight
+        failed = self._random.random() < behaviour.error_fraction
+        return 500 if applies and loaded and failed else 200
+
+    def _answer(
+        self, status: int, request_id: str, start_response: Callable
+    ) -> Iterable[bytes]:
+        self.counts[f"status_{status}"] += 1
+        size = self.behaviour.body_bytes
+        head = f"{self._name} {self._version} {request_id}\n".encode()
+        size = max(size, len(head))
+        headers = [
+            ("Content-Type", "text/plain"),
+            ("Content-Length", str(size)),
+            ("X-Version", self._version),
+        ]
+        start_response(status_line(status), headers)
+        if self._random.random() < self.behaviour.cut_fraction:
+            return self._cut_body(head)
+        return self._body(head, size)
+
+    def _body(self, head: bytes, size: int) -> Iterator[bytes]:
+        left = size - len(head)
+        if left <= len(BODY_PART):
+            yield head + BODY_PART[:left]
+            return
+        yield head
+        while left > 0:
+            part = BODY_PART[: min(left, len(BODY_PART))]
+            left -= len(part)
+            yield part
+
+    def _cut_body(self, head: bytes) -> Iterator[bytes]:
+        self.counts["cut"] += 1
+        yield head
+        raise ConnectionAbortedError("cut on request")
--- /dev/null
+++ b/src/jayswitch/store/http.py
@@ -0,0 +1,139 @@
+"""Store adapter over HTTP and JSON."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+import urllib3
+from returns.result import Failure, Result, Success
+
+from jayswitch.clock import MS_PER_S
+from jayswitch.store.exceptions import (
+    CasConflict,
+    LeaseExpired,
+    StoreError,
+    StoreThrottled,
+    StoreUnavailable,
+)
+from jayswitch.store.interface import StoredValue, WatchBatch
+from jayswitch.store.wire import (
+    ErrorBody,
+    LeaseBody,
+    PutBody,
+    RevisionBody,
+    ScanBody,
+)
+
+CALL_TIMEOUT_MS = 2000
+WATCH_MARGIN_MS = 2000
+CONNECTIONS = 4
+
+T = TypeVar("T")
+
+
+class HttpStore:
+    """The platform's key-value service behind its HTTP interface."""
+
+    def __init__(self, base_url: str) -> None:
+        """Takes the service's base URL; connects on the first call."""
+        self._base_url = base_url.rstrip("/")
+        self._pool = urllib3.PoolManager(maxsize=CONNECTIONS, retries=False)
+        self.calls = 0
+
+    def get(self, key: str) -> Result[StoredValue | None, StoreError]:
+        """Returns the key's value, or None where there is none."""
+        result = self._call("GET", f"/kv/{quote(key)}", StoredValue | None)
+        return result
+
+    def scan(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> Result[list[StoredValue], StoreError]:
+        """Returns the values below a prefix, ordered by key, after the given key."""
+        query = urlencode({"prefix": prefix, "after": after, "limit": limit})
+        return self._call("GET", f"/scan?{query}", ScanBody).map(
+            lambda body: body.values
+        )
+
+    def put(
+        self, key: str, value: bytes, expected_revision: int, lease: str = ""
+    ) -> Result[int, StoreError]:
+        """Writes if the key has the expected revision (0: if it does not exist)."""
+        body = PutBody(value, expected_revision, lease)
+        return self._call("PUT", f"/kv/{quote(key)}", RevisionBody, body).map(
+            lambda answer: answer.revision
+        )
+
+    def delete(self, key: str, expected_revision: int) -> Result[None, StoreError]:
+        """Deletes the key if it has the expected revision."""
+        query = urlencode({"expected_revision": expected_revision})
+        return self._call("DELETE", f"/kv/{quote(key)}?{query}", type(None))
+
+    def grant_lease(self, ttl_ms: int) -> Result[str, StoreError]:
+        """Returns the id of a new lease."""
+        body = LeaseBody(ttl_ms=ttl_ms)
+        return self._call("POST", "/leases", LeaseBody, body).map(
+            lambda answer: answer.lease
+        )
+
+    def keep_alive(self, lease: str) -> Result[None, StoreError]:
+        """Extends the lease by its time to live."""
+        return self._call("POST", f"/leases/{quote(lease)}", type(None))
+
+    def revoke(self, lease: str) -> Result[None, StoreError]:
+        """Ends the lease and deletes its keys."""
+        return self._call("DELETE", f"/leases/{quote(lease)}", type(None))
+
+    def watch(
+        self, prefix: str, after_revision: int, timeout_ms: int
+    ) -> Result[WatchBatch, StoreError]:
+        """Waits for changes below the prefix after the revision."""
+        query = urlencode(
+            {"prefix": prefix, "after": after_revision, "timeout_ms": timeout_ms}
+        )
+        wait_ms = timeout_ms + WATCH_MARGIN_MS
+        return self._call("GET", f"/watch?{query}", WatchBatch, timeout_ms=wait_ms)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        answer_type: Any,
+        body: msgspec.Struct | None = None,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> Result[Any, StoreError]:
+        self.calls += 1
+        data = None if body is None else msgspec.json.encode(body)
+        try:
+            response = self._pool.request(
+                method,
+                self._base_url + path,
+                body=data,
+                timeout=timeout_ms / MS_PER_S,
+                retries=False,
+            )
+            return self._parse(response, path, answer_type)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return Failure(StoreUnavailable(str(error)))
+        except msgspec.MsgspecError as error:
+            return Failure(StoreUnavailable(f"unreadable answer: {error}"))
+
+    def _parse(
+        self, response: urllib3.BaseHTTPResponse, path: str, answer_type: Any
+    ) -> Result[Any, StoreError]:
+        if response.status == 200:
+            return Success(msgspec.json.decode(response.data, type=answer_type))
+        error = msgspec.json.decode(response.data, type=ErrorBody)
+        return Failure(error_from_body(error, path))
+
+
+def error_from_body(error: ErrorBody, path: str) -> StoreError:
+    """Returns the typed error for the service's error code."""
+    if error.code == CasConflict.code:
+        return CasConflict(error.detail or path)
+    if error.code == LeaseExpired.code:
+        return LeaseExpired(error.detail)
+    if error.code == StoreThrottled.code:
+        return StoreThrottled()
+    return StoreUnavailable(error.detail or error.code)
--- /dev/null
+++ b/src/jayswitch/store/interface.py
@@ -0,0 +1,80 @@
+"""What jayswitch needs from the platform's key-value service."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+from returns.result import Result
+
+from jayswitch.store.exceptions import StoreError
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+class StoredValue(msgspec.Struct, frozen=True):
+    """One key; the revision grows with every write in the store."""
+
+    key: str
+    value: bytes
+    revision: int
+    lease: str = ""
+
+
+class WatchEvent(msgspec.Struct, frozen=True):
+    """A change of a watched key; value is None for a deletion."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class WatchBatch(msgspec.Struct, frozen=True):
+    """Changes after a revision; compacted asks the watcher to read anew."""
+
+    revision: int
+    events: list[WatchEvent]
+    compacted: bool = False
+
+
+class Store(Protocol):
+    """Compare-and-swap, leases and watches; each method is one call.
+
+    A StoreUnavailable failure of a write leaves open whether it took effect.
+    """
+
+    def get(self, key: str) -> Result[StoredValue | None, StoreError]:
+        """Returns the key's value, or None where there is none."""
+
+    def scan(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> Result[list[StoredValue], StoreError]:
+        """Returns the values below a prefix, ordered by key, after the given key."""
+
+    def put(
+        self, key: str, value: bytes, expected_revision: int, lease: str = ""
+    ) -> Result[int, StoreError]:
+        """Writes if the key has the expected revision (0: if it does not exist).
+
+        Returns the new revision.
+        """
+
+    def delete(self, key: str, expected_revision: int) -> Result[None, StoreError]:
+        """Deletes the key if it has the expected revision."""
+
+    def grant_lease(self, ttl_ms: int) -> Result[str, StoreError]:
+        """Returns the id of a new lease."""
+
+    def keep_alive(self, lease: str) -> Result[None, StoreError]:
+        """Extends the lease by its time to live."""
+
+    def revoke(self, lease: str) -> Result[None, StoreError]:
+        """Ends the lease and deletes its keys."""
+
+    def watch(
+        self, prefix: str, after_revision: int, timeout_ms: int
+    ) -> Result[WatchBatch, StoreError]:
+        """Waits for changes below the prefix after the revision.
+
+        A negative revision returns the newest one at once, without changes.
+        """
