--- a/src/jayswitch/gate/gate.py
+++ b/src/jayswitch/gate/gate.py
@@ -22,6 +22,16 @@
 )
 from jayswitch.gate.ledger import AnswerCache, Fate, KeyedAnswer, RequestLedger
 from jayswitch.gate.limiter import Limiter
+from jayswitch.gate.reasons import (
+    REASON_CANCELLED,
+    REASON_DEADLINE,
+    REASON_FULL,
+    REASON_LEAVING,
+    REASON_NO_UPSTREAM,
+    REASON_OTHER_VERSION,
+    REASON_OUT,
+    REASON_REFUSED_BEFORE,
+)
 from jayswitch.messages.generated import Answer, Call, Cancel, Chunk, Refusal, Unknown
 
 if TYPE_CHECKING:
@@ -133,7 +143,7 @@
         """
         fate = self.ledger.fate(call.id)
         if fate is Fate.REFUSED:
-            self._refuse(call, "refused before", 0, send)
+            self._refuse(call, REASON_REFUSED_BEFORE, 0, send)
             return
         if fate is not None:
             self.counts["duplicates_dropped"] += 1
@@ -161,7 +171,7 @@
             send(Unknown(id=message.id, reason="cancelled after it was handed over"))
             return
         self.ledger.note(message.id, Fate.REFUSED)
-        send(Refusal(id=message.id, reason="cancelled"))
+        send(Refusal(id=message.id, reason=REASON_CANCELLED))
 
     def credit(self, call_id: str, up_to: int) -> None:
         """Allows chunks of an answer up to a sequence number."""
@@ -173,13 +183,13 @@
     def _early_refusal(self, call: Call) -> str:
         announced = self.announcement
         if announced is None:
-            return "no upstream has announced itself here"
+            return REASON_NO_UPSTREAM
         if announced.leaving or self.draining:
-            return "leaving"
+            return REASON_LEAVING
         if self.out_of_service:
-            return "data centre out of service"
+            return REASON_OUT
         if (announced.service, announced.version) != (call.service, call.version):
-            return "another service or version runs here"
+            return REASON_OTHER_VERSION
         return ""
 
     def _handle_keyed(self, call: Call, send: Send) -> None:
@@ -222,11 +232,11 @@
 
     def _late_refusal(self, call: Call, admitted: bool, waited_ms: float) -> str:
         if self.ledger.fate(call.id) is Fate.REFUSED:
-            return "cancelled"
+            return REASON_CANCELLED
         if not admitted:
-            return "full"
+            return REASON_FULL
         if call.remaining_ms - waited_ms <= self._service_ms:
-            return "the deadline cannot be met"
+            return REASON_DEADLINE
         return self._early_refusal(call)
 
     def _run(
@@ -262,6 +272,7 @@
     ) -> None:
         failed = answer.status >= STATUS_SERVER_ERROR
         self.on_outcome(call, failed, None if warming else latency_ms)
+        self.limiter.on_status(failed)
         if failed:
             self.counts["upstream_errors"] += 1
             return
--- a/src/jayswitch/gate/limiter.py
+++ b/src/jayswitch/gate/limiter.py
@@ -11,7 +11,9 @@
 GROWTH_PER_SUCCESS = 1.0
 OVERLOAD_FACTOR = 0.6
 OVERLOAD_PAUSE_MS = 200.0
-SLOW_RATIO = 3.0
+ERROR_WEIGHT = 0.1
+ERROR_SHARE = 0.3
+SLOW_RATIO = 2.0
 SLOW_FLOOR_MS = 2.0
 SLOW_SAMPLES = 6
 BASELINE_WEIGHT = 0.02
@@ -53,6 +55,7 @@
 
     __slots__ = (
         "_clock",
+        "_error_share",
         "_latency_by_route",
         "_limit",
         "_ramp_from",
@@ -71,6 +74,7 @@
         self._warm_up_ms = warm_up_ms
         self._latency_by_route: dict[str, RouteLatency] = {}
         self._shrunk_ms = float("-inf")
+        self._error_share = 0.0
         self.start_cold()
 
     @property
@@ -109,6 +113,12 @@
             grown = self._limit + GROWTH_PER_SUCCESS / self._limit
             self._limit = min(grown, self._ceiling())
 
+    def on_status(self, failed: bool) -> None:
+        """Learns from a status; an upstream that mostly fails gets less work."""
+        self._error_share += (float(failed) - self._error_share) * ERROR_WEIGHT
+        if failed and self._error_share > ERROR_SHARE:
+            self.on_overload()
+
     def on_overload(self) -> None:
         """Shrinks the limit after a shed, a failure or a timeout."""
         now_ms = self._clock.now_ms()
--- /dev/null
+++ b/src/jayswitch/gate/reasons.py
@@ -0,0 +1,15 @@
+"""Reasons that a gate gives for refusing a call."""
+
+from __future__ import annotations
+
+REASON_FULL = "full"
+REASON_DEADLINE = "the deadline cannot be met"
+REASON_SHED = "upstream-shed"
+REASON_LEAVING = "leaving"
+REASON_OUT = "data centre out of service"
+REASON_NO_UPSTREAM = "no upstream has announced itself here"
+REASON_OTHER_VERSION = "another service or version runs here"
+REASON_REFUSED_BEFORE = "refused before"
+REASON_CANCELLED = "cancelled"
+
+REASONS_OF_LOAD = frozenset((REASON_FULL, REASON_DEADLINE, REASON_SHED))
--- a/src/jayswitch/membership/records.py
+++ b/src/jayswitch/membership/records.py
@@ -22,7 +22,7 @@
 class HeldRecord:
     """A record with the link it came from and its place in the change log."""
 
-    __slots__ = ("record", "source", "seq", "changed_ms", "orphaned")
+    __slots__ = ("changed_ms", "orphaned_ms", "record", "seq", "source")
 
     def __init__(
         self, record: Record, source: str, seq: int, changed_ms: float
@@ -32,7 +32,12 @@
         self.source = source
         self.seq = seq
         self.changed_ms = changed_ms
-        self.orphaned = False
+        self.orphaned_ms: float | None = None
+
+    @property
+    def orphaned(self) -> bool:
+        """Tells whether the link that the record came from has been lost."""
+        return self.orphaned_ms is not None
 
 
 def version_of(record: Record) -> tuple[int, int, bool]:
@@ -99,7 +104,7 @@
             return True
         if held.orphaned and version_of(record) == version_of(held.record):
             held.source = source
-            held.orphaned = False
+            held.orphaned_ms = None
         return False
 
     def remove(self, key: str, source: str = SELF) -> None:
@@ -110,9 +115,11 @@
 
     def orphan(self, source: str) -> None:
         """Notes that the link which records came from has been lost."""
+        now_ms = self._clock.now_ms()
         for held in self._held_by_key.values():
-            if held.source == source and held.record.kind != KIND_MARK:
-                held.orphaned = True
+            known = held.orphaned or held.record.kind == KIND_MARK
+            if held.source == source and not known:
+                held.orphaned_ms = now_ms
 
     def remove_orphans(
         self, wanted: Callable[[HeldRecord], bool], source: str = SELF
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -275,10 +275,25 @@
         while not self._stopped:
             self._clock.sleep_ms(10 * self._interval_ms)
             self._table.purge_gone()
-            if not self.is_relay:
+            if self.is_relay:
+                self._remove_old_orphans()
+            else:
                 interest = self.interest
                 self._table.forget(lambda held: self._is_unwanted(held, interest))
 
+    def _remove_old_orphans(self) -> None:
+        """Removes what no relay or child has brought again for some heartbeats.
+
+        A silent peer keeps its link, and its records stay: it may be cut off.
+        """
+        before_ms = self._clock.now_ms() - REJOIN_HEARTBEATS * self._interval_ms
+        removed = self._table.remove_orphans(
+            lambda held: held.source not in self.links_by_peer
+            and held.orphaned_ms is not None
+            and held.orphaned_ms < before_ms
+        )
+        self.counts["records_removed"] += removed
+
     def _is_unwanted(self, held: HeldRecord, interest: frozenset[str]) -> bool:
         if held.record.kind == KIND_MARK or held.record.service in interest:
             return False
--- a/src/jayswitch/node/node.py
+++ b/src/jayswitch/node/node.py
@@ -263,7 +263,8 @@
         self.parts.gate.admission.hand_out()
 
     def _review_moves(self) -> None:
-        self.parts.watcher.review(self.parts.replica.state)
+        is_relay = self.parts.tree.is_relay
+        self.parts.watcher.review(self.parts.replica.state, is_relay)
 
     def _publish_outcomes(self) -> None:
         moving = {
--- a/src/jayswitch/rollout/judge.py
+++ b/src/jayswitch/rollout/judge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 
 from jayswitch.rollout.outcomes import LATENCY_BUCKETS, RouteOutcomes
 
@@ -17,11 +18,13 @@
 SLOW_QUANTILE = 0.95
 SLOW_EXTRA_BUCKETS = 1
 MIN_OLD_LATENCIES = 20
-PRIOR_CALLS = 5.0
+PRIOR_CALLS = 1.0
+MIN_OLD_CALLS = 3.0
 PROOF_CALLS = 40
 PROOF_ROUTE_CALLS = 5
 BUSY_ROUTE_CALLS = 20
 HISTORY_DECAY = 0.98
+RECENT_DECAY = 0.8
 
 
 class RateEvidence:
@@ -32,33 +35,71 @@
     as one that is bad from the start.
     """
 
-    __slots__ = ("_factor", "_floor", "_old_calls", "_old_hits", "_step", "score")
-
-    def __init__(self, floor: float, factor: float, step: float) -> None:
-        """Takes the lowest rate assumed and what counts as raised."""
+    __slots__ = (
+        "_factor",
+        "_floor",
+        "_old_calls",
+        "_old_hits",
+        "_rates",
+        "_recent_calls",
+        "_recent_hits",
+        "_step",
+        "_waiting",
+        "score",
+    )
+
+    def __init__(self, floor: float, factor: float, step: float, delay: int) -> None:
+        """Takes the lowest rate assumed, what counts as raised, and the delay.
+
+        The new version's counts wait for that many intervals, because reports of
+        one moment come from many gates at different times; they are then held
+        against the old version's highest rate meanwhile.
+        """
+        self._waiting: deque[tuple[int, int]] = deque([(0, 0)] * delay)
+        self._rates: deque[float] = deque(maxlen=delay + 1)
         self.score = 0.0
         self._floor = floor
         self._factor = factor
         self._step = step
         self._old_calls = 0.0
         self._old_hits = 0.0
+        self._recent_calls = 0.0
+        self._recent_hits = 0.0
 
     def observe(
         self, old_hits: int, old_calls: int, new_hits: int, new_calls: int
     ) -> None:
         """Takes the counts of one interval from both versions."""
         usual = self._usual_rate()
-        present = (old_hits + PRIOR_CALLS * usual) / (old_calls + PRIOR_CALLS)
+        rate = min(RATE_CEILING, max(usual, self._present(usual, old_hits, old_calls)))
         self._old_hits = self._old_hits * HISTORY_DECAY + old_hits
         self._old_calls = self._old_calls * HISTORY_DECAY + old_calls
-        rate = min(RATE_CEILING, max(usual, present))
+        self._rates.append(rate)
+        self._waiting.append((new_hits, new_calls))
+        hits, calls = self._waiting.popleft()
+        if self._recent_calls >= MIN_OLD_CALLS:
+            self._weigh(max(self._rates), hits, calls)
+
+    def _weigh(self, rate: float, hits: int, calls: int) -> None:
         raised = min(RATE_CEILING, max(rate * self._factor, rate + self._step))
         if raised <= rate:
             return
-        gain = new_hits * math.log(raised / rate)
-        loss = (new_calls - new_hits) * math.log((1 - raised) / (1 - rate))
+        gain = hits * math.log(raised / rate)
+        loss = (calls - hits) * math.log((1 - raised) / (1 - rate))
         self.score = max(0.0, self.score + gain + loss)
 
+    def _present(self, usual: float, old_hits: int, old_calls: int) -> float:
+        """Returns an upper estimate of the old version's rate just now.
+
+        The fewer calls it had, the higher the estimate, so that an outage which
+        both versions share is not held against the new one.
+        """
+        self._recent_hits = self._recent_hits * RECENT_DECAY + old_hits
+        self._recent_calls = self._recent_calls * RECENT_DECAY + old_calls
+        calls = self._recent_calls + PRIOR_CALLS
+        rate = (self._recent_hits + PRIOR_CALLS * usual) / calls
+        return rate + math.sqrt(rate * (1 - rate) / calls)
+
     def _usual_rate(self) -> float:
         if not self._old_calls:
             return self._floor
@@ -70,10 +111,14 @@
 
     __slots__ = ("errors", "new_calls", "old_calls", "slow", "_old")
 
-    def __init__(self) -> None:
-        """Starts without evidence."""
-        self.errors = RateEvidence(ERROR_RATE_FLOOR, ERROR_RATE_FACTOR, ERROR_RATE_STEP)
-        self.slow = RateEvidence(SLOW_RATE_FLOOR, SLOW_RATE_FACTOR, SLOW_RATE_STEP)
+    def __init__(self, delay: int) -> None:
+        """Starts without evidence; the delay is in intervals."""
+        self.errors = RateEvidence(
+            ERROR_RATE_FLOOR, ERROR_RATE_FACTOR, ERROR_RATE_STEP, delay
+        )
+        self.slow = RateEvidence(
+            SLOW_RATE_FLOOR, SLOW_RATE_FACTOR, SLOW_RATE_STEP, delay
+        )
         self.new_calls = 0
         self.old_calls = 0
         self._old = RouteOutcomes()
@@ -121,10 +166,17 @@
 class MoveJudge:
     """Evidence on one move over all routes."""
 
-    __slots__ = ("by_route", "_percent", "_step_calls", "_step_calls_by_route")
-
-    def __init__(self) -> None:
-        """Starts without evidence."""
+    __slots__ = (
+        "_delay",
+        "_percent",
+        "_step_calls",
+        "_step_calls_by_route",
+        "by_route",
+    )
+
+    def __init__(self, delay: int) -> None:
+        """Starts without evidence; the delay is in intervals."""
+        self._delay = delay
         self.by_route: dict[str, RouteJudge] = {}
         self._percent = 0
         self._step_calls = 0
@@ -137,7 +189,7 @@
 
     def observe(self, route: str, old: RouteOutcomes, new: RouteOutcomes) -> None:
         """Takes what both versions did on a route in one interval."""
-        judge = self.by_route.setdefault(route, RouteJudge())
+        judge = self.by_route.setdefault(route, RouteJudge(self._delay))
         judge.observe(old, new)
         self._step_calls += new.calls
         earlier = self._step_calls_by_route.get(route, 0)
--- a/src/jayswitch/rollout/watcher.py
+++ b/src/jayswitch/rollout/watcher.py
@@ -23,6 +23,8 @@
     from jayswitch.rollout.outcomes import OutcomeCounter
 
 LOCAL = "local"
+LOCAL_DELAY_INTERVALS = 1
+REPORTED_DELAY_INTERVALS = 5
 
 logger = logging.getLogger(__name__)
 
@@ -104,22 +106,31 @@
             return None
         return msgspec.msgpack.decode(record.payload, type=Mark)
 
-    def review(self, config: ConfigState) -> None:
-        """Takes the outcomes since the last review and marks what is bad."""
+    def review(self, config: ConfigState, has_all_reports: bool) -> None:
+        """Takes the outcomes since the last review and marks what is bad.
+
+        The gates' reports are judged only where all of them arrive; elsewhere one
+        version's may be missing.
+        """
         moves = config.active_moves()
         own_rows = [
             KeyedOutcomes(key=key, outcomes=outcomes)
             for key, outcomes in self._own_outcomes.by_key.items()
         ]
         self._judge(
-            moves, {LOCAL: own_rows}, self._local_deltas, self._local_judge_by_move
+            moves,
+            {LOCAL: own_rows},
+            self._local_deltas,
+            self._local_judge_by_move,
+            LOCAL_DELAY_INTERVALS,
         )
-        if moves:
+        if moves and has_all_reports:
             self._judge(
                 moves,
                 self._reported_rows(),
                 self._reported_deltas,
                 self.reported_judge_by_move,
+                REPORTED_DELAY_INTERVALS,
             )
         self._forget_ended(moves)
 
@@ -135,6 +146,7 @@
         rows_by_observer: dict[str, list[KeyedOutcomes]],
         deltas: OutcomeDeltas,
         judge_by_move: dict[str, MoveJudge],
+        delay: int,
     ) -> None:
         by_key: dict[OutcomeKey, RouteOutcomes] = {}
         for observer, rows in rows_by_observer.items():
@@ -145,7 +157,7 @@
             judge = judge_by_move.get(move.id)
             if judge is None:
                 # Outcomes from before the move began are no evidence for it.
-                judge_by_move[move.id] = MoveJudge()
+                judge_by_move[move.id] = MoveJudge(delay)
                 continue
             judge.set_percent(move.percent)
             self._observe(move, judge, by_key)
--- a/src/jayswitch/routing/balancer.py
+++ b/src/jayswitch/routing/balancer.py
@@ -15,6 +15,7 @@
 
 REPORT_KEPT_MS = 2000.0
 FAILURE_PENALTY_MS = 1000.0
+MAX_DOUBLINGS = 5
 SATURATED = 1.0
 
 
@@ -22,6 +23,7 @@
     """What this node knows at first hand of one upstream's load."""
 
     __slots__ = (
+        "failures_in_row",
         "limit",
         "outstanding",
         "penalty_until_ms",
@@ -31,6 +33,7 @@
 
     def __init__(self) -> None:
         """Starts without a report."""
+        self.failures_in_row = 0
         self.outstanding = 0
         self.limit = 0
         self.reported_in_flight = 0
@@ -65,9 +68,11 @@
         if key:
             return max(open_members, key=partial(_rendezvous_weight, key))
         tiers = self._tiers(open_members)
+        now_ms = self._clock.now_ms()
         for tier in tiers:
-            best = self._better_of_two(tier)
-            if self.score(best) < SATURATED:
+            sound = [m for m in tier if not self._is_penalized(m, now_ms)]
+            best = self._better_of_two(sound) if sound else tier[0]
+            if sound and self.score(best) < SATURATED:
                 return best
         return min((self._better_of_two(tier) for tier in tiers), key=self.score)
 
@@ -99,15 +104,26 @@
         load.reported_in_flight = in_flight
         load.limit = limit
         load.reported_ms = self._clock.now_ms()
+        load.failures_in_row = 0
 
-    def penalize(self, node: str, duration_ms: float = FAILURE_PENALTY_MS) -> None:
+    def penalize(self, node: str, duration_ms: float) -> None:
         """Avoids an upstream for a while, where there is another."""
         self._load(node).penalty_until_ms = self._clock.now_ms() + duration_ms
 
+    def suspect(self, node: str) -> None:
+        """Avoids an upstream that gave no answer, longer each time in a row."""
+        load = self._load(node)
+        load.failures_in_row += 1
+        doublings = min(load.failures_in_row, MAX_DOUBLINGS) - 1
+        self.penalize(node, FAILURE_PENALTY_MS * 2**doublings)
+
     def forget(self, node: str) -> None:
         """Drops an upstream that is gone."""
         self.load_by_node.pop(node, None)
 
+    def _is_penalized(self, member: Member, now_ms: float) -> bool:
+        return now_ms < self._load(member.node).penalty_until_ms
+
     def _load(self, node: str) -> UpstreamLoad:
         load = self.load_by_node.get(node)
         if load is None:
--- a/src/jayswitch/routing/router.py
+++ b/src/jayswitch/routing/router.py
@@ -13,6 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from jayswitch.clock import MS_PER_S
+from jayswitch.gate.reasons import REASONS_OF_LOAD
 from jayswitch.messages.generated import (
     Answer,
     Call,
@@ -50,6 +51,8 @@
 CREDIT_WINDOW = 8
 NO_UPSTREAM_RETRY_MS = 1000
 SHARE_OF_TIME_BEFORE_RETRY = 0.5
+FREE_ATTEMPTS = 3
+REASON_UNREACHABLE = "its node could not be reached"
 
 Outcome: TypeAlias = Answer | Refusal | Unknown
 OutcomeListener = Callable[[Call, bool], None]
@@ -290,10 +293,11 @@
         if isinstance(outcome, Unknown):
             nested = attempts.request.depth > 0
             return attempts.idempotent and not nested and attempts.budget.take()
-        # The first refusal by a gate that is leaving costs nothing, because the
-        # router would not have asked it had the news arrived in time.
-        stale = outcome.reason != "full" and attempts.number == 1
-        return stale or attempts.budget.take()
+        # A gate that is gone or leaving costs nothing at first, because the router
+        # would not have asked it had the news arrived in time.
+        stale = outcome.reason not in REASONS_OF_LOAD
+        free = stale and attempts.number <= FREE_ATTEMPTS
+        return free or attempts.budget.take()
 
     # One attempt
 
@@ -322,8 +326,8 @@
         else:
             connect_ms = min(CONNECT_TIMEOUT_MS, call.remaining_ms)
             if not self._transport.send(member.data_address, call, connect_ms):
-                self._balancer.penalize(member.node)
-                return Refusal(id=call.id, reason="its node could not be reached")
+                self._balancer.suspect(member.node)
+                return Refusal(id=call.id, reason=REASON_UNREACHABLE)
         early_ms = call.remaining_ms * SHARE_OF_TIME_BEFORE_RETRY
         outcome = self._await(replies, early_ms)
         if outcome is None and not self._gives_up_early(attempts):
@@ -353,7 +357,7 @@
         outcome = self._await(replies, CANCEL_WAIT_MS)
         if outcome is not None:
             return outcome
-        self._balancer.penalize(member.node)
+        self._balancer.suspect(member.node)
         return Unknown(id=call.id, reason="no answer came in time")
 
     def _learn(self, member: Member, outcome: Outcome, call: Call) -> None:
@@ -364,7 +368,8 @@
         if isinstance(outcome, Refusal):
             if outcome.limit:
                 self._balancer.report(member.node, outcome.in_flight, outcome.limit)
-            self._balancer.penalize(member.node, outcome.retry_after_ms)
+            if outcome.reason != REASON_UNREACHABLE:
+                self._balancer.penalize(member.node, outcome.retry_after_ms)
             return
         self.on_outcome(call, failed)
 
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,48 @@
+"""Shared set-up: sockets are cooperative, and every test has its own virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from hypothesis import HealthCheck, settings
+
+from jayswitch import runtime
+
+runtime.prepare()
+
+from tests.harness.mesh import Mesh  # noqa: E402
+from tests.harness.virtual_hub import use_virtual_time  # noqa: E402
+
+SLOW_IS_FINE = [HealthCheck.too_slow, HealthCheck.filter_too_much]
+settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    max_examples=40,
+    stateful_step_count=25,
+    suppress_health_check=SLOW_IS_FINE,
+    database=None,
+)
+settings.register_profile(
+    "explore",
+    deadline=None,
+    max_examples=2000,
+    stateful_step_count=60,
+    suppress_health_check=SLOW_IS_FINE,
+)
+settings.load_profile("ci")
+
+
+@pytest.fixture(autouse=True)
+def virtual_time() -> Iterator[None]:
+    """Gives each test a new virtual hub."""
+    use_virtual_time()
+    yield
+    use_virtual_time()
+
+
+@pytest.fixture
+def mesh() -> Mesh:
+    """Returns an empty mesh."""
+    return Mesh()
--- /dev/null
+++ b/tests/harness/oracle.py
@@ -0,0 +1,90 @@
+"""Checks invariants on what callers were told and what upstreams counted."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from jayswitch.node.node import Node
+from tests.harness.upstreams import RunLog
+
+
+class CallRecord:
+    """What one caller asked and learned."""
+
+    __slots__ = (
+        "body",
+        "latency_ms",
+        "method",
+        "outcome",
+        "path",
+        "reason",
+        "started_ms",
+        "status",
+        "upstream",
+    )
+
+    def __init__(self, path: str, method: str, started_ms: float) -> None:
+        """Starts without an outcome."""
+        self.path = path
+        self.method = method
+        self.started_ms = started_ms
+        self.outcome = "open"
+        self.status = 0
+        self.body = b""
+        self.reason = ""
+        self.upstream = ""
+        self.latency_ms = 0.0
+
+
+class Oracle:
+    """Holds the records of a scenario and raises where an invariant is broken."""
+
+    def __init__(self, runs: RunLog) -> None:
+        """Takes the upstreams' own counts."""
+        self.calls: list[CallRecord] = []
+        self.backward_steps: list[str] = []
+        self.in_force_ms: dict[int, dict[str, float]] = {}
+        self.accepted_ms_by_version: dict[int, float] = {}
+        self._runs = runs
+
+    def watch(self, node: Node) -> None:
+        """Notes each version that a node takes, and each step backwards."""
+        seen = {"version": 0}
+
+        def note(state: object) -> None:
+            version = state.version
+            if version < seen["version"]:
+                self.backward_steps.append(f"{node.name} to {version}")
+            seen["version"] = version
+            now_ms = node.parts.clock.now_ms()
+            self.in_force_ms.setdefault(version, {}).setdefault(node.name, now_ms)
+
+        node.parts.replica.on_change(note)
+
+    def note_accepted(self, version: int, now_ms: float) -> None:
+        """Notes when an operator was told that a change is accepted."""
+        self.accepted_ms_by_version[version] = now_ms
+
+    def outcomes(self, since_ms: float = 0.0) -> Counter[str]:
+        """Returns the callers' outcomes by kind."""
+        return Counter(
+            call.outcome for call in self.calls if call.started_ms >= since_ms
+        )
+
+    def check(self) -> None:
+        """Checks every invariant that must hold at any time."""
+        self.check_calls()
+        assert not self.backward_steps, self.backward_steps
+
+    def check_calls(self) -> None:
+        """Checks truth, wholeness and at-most-once on every call."""
+        for call in self.calls:
+            runs = self._runs.runs_by_path[call.path]
+            told = f"{call.method} {call.path}: {call.outcome} ({call.reason})"
+            if call.method == "POST":
+                assert runs <= 1, f"{told}, run {runs} times"
+            if call.outcome == "not-run":
+                assert runs == 0, f"{told}, run {runs} times"
+            if call.outcome == "answered":
+                assert runs >= 1, f"{told}, never run"
+                assert call.path.encode() in call.body, f"{told}: {call.body[:80]!r}"
--- /dev/null
+++ b/tests/harness/store.py
@@ -0,0 +1,49 @@
+"""A node's own view of the shared store: it can be cut off or paused alone."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from returns.result import Failure
+
+from jayswitch.clock import Clock
+from jayswitch.standins.memory_store import MemoryStore
+from jayswitch.store.exceptions import StoreUnavailable
+
+CALLS = (
+    "get",
+    "scan",
+    "put",
+    "delete",
+    "grant_lease",
+    "keep_alive",
+    "revoke",
+    "watch",
+)
+
+
+class NodeStore:
+    """Passes calls on to the shared store unless the node is dead or cut off."""
+
+    def __init__(self, shared: MemoryStore, clock: Clock) -> None:
+        """Takes the store that all nodes share."""
+        self.reachable = True
+        self.paused = False
+        self._shared = shared
+        self._clock = clock
+
+    def __getattr__(self, name: str) -> Any:
+        """Returns a guarded call of the shared store."""
+        if name not in CALLS:
+            raise AttributeError(name)
+
+        def call(*arguments: Any) -> Any:
+            while self.paused:
+                self._clock.sleep_ms(50)
+            if not self.reachable:
+                self._clock.sleep_ms(50)
+                return Failure(StoreUnavailable("cut off"))
+            self._clock.sleep_ms(1.0)
+            return getattr(self._shared, name)(*arguments)
+
+        return call
--- /dev/null
+++ b/tests/harness/virtual_hub.py
@@ -0,0 +1,33 @@
+"""An event hub whose time jumps to the next timer when nothing is ready."""
+
+from __future__ import annotations
+
+from eventlet import hubs
+from eventlet.hubs.hub import BaseHub
+
+
+class VirtualHub(BaseHub):
+    """Runs hours in milliseconds, with the same order of events each time."""
+
+    def __init__(self, clock: object = None) -> None:
+        """Starts at zero; the clock argument is ignored."""
+        self.virtual_s = 0.0
+        super().__init__(lambda: self.virtual_s)
+
+    @staticmethod
+    def is_available() -> bool:
+        """Tells eventlet that the hub can be used anywhere."""
+        return True
+
+    def wait(self, seconds: float | None = None) -> None:
+        """Lets the time pass at once."""
+        self.virtual_s += max(0.0, seconds or 0.0)
+
+    def add(self, *arguments: object) -> object:
+        """Refuses descriptors: a scenario must not touch a real socket."""
+        raise RuntimeError("a scenario waits for a real descriptor")
+
+
+def use_virtual_time() -> None:
+    """Replaces the event hub of this thread by a new virtual one."""
+    hubs.use_hub(VirtualHub)
