Keep a child's link from its first moment

Cause: the parent's first heartbeat could overtake its reply to the join; the child, which knew no link yet, answered with a farewell, and the parent dropped it. On real sockets every plain node lost its parent about five times a second. Ruled out: lost messages (no loss was set) and silence (links were ms old). Change: the child speaks first on a new link.

--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures a mesh of real processes on loopback addresses."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,82 @@
+"""Runs the bench and writes build/bench/latest.json and a plot beside it."""
+
+from __future__ import annotations
+
+from jayswitch import runtime
+
+runtime.prepare()
+
+import json  # noqa: E402
+import platform  # noqa: E402
+import subprocess  # noqa: E402
+import time  # noqa: E402
+from collections.abc import Callable  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+from absl import app, flags  # noqa: E402
+
+from bench import measures  # noqa: E402
+from bench.report import plot, print_comparison, print_report  # noqa: E402
+from bench.rig import Rig  # noqa: E402
+from jayswitch.embedded.deployments import DEPLOYMENTS, Deployment  # noqa: E402
+
+FLAGS = flags.FLAGS
+
+flags.DEFINE_list("deployments", sorted(DEPLOYMENTS), "Deployments to measure.")
+flags.DEFINE_list("only", [], "Measures to take; all if empty.")
+flags.DEFINE_string("output", "build/bench/latest.json", "File for the figures.")
+flags.DEFINE_string("compare", "", "Earlier file of figures to compare with.")
+
+MEASURES: dict[str, Callable[[Rig], dict]] = {
+    "convergence": measures.measure_convergence,
+    "control": measures.measure_control,
+    "latency": measures.measure_latency,
+    "data_centre": measures.measure_data_centre,
+    "moves": measures.measure_moves,
+}
+
+
+def measure(deployment: Deployment) -> dict:
+    """Returns the figures of one deployment."""
+    rig = Rig(deployment)
+    figures: dict = {}
+    try:
+        rig.start()
+        for name, take in MEASURES.items():
+            if not FLAGS.only or name in FLAGS.only:
+                figures[name] = take(rig)
+    finally:
+        figures["unclean_exits"] = rig.stop()
+    return figures
+
+
+def revision() -> str:
+    """Returns the revision that is measured."""
+    command = ["git", "describe", "--always", "--dirty"]
+    return subprocess.run(command, capture_output=True, text=True).stdout.strip()
+
+
+def main(argv: list[str]) -> int:
+    """Returns 0 if every figure could be taken."""
+    started = time.monotonic()
+    report: dict = {
+        "revision": revision(),
+        "python": platform.python_version(),
+        "deployments": {},
+    }
+    for name in FLAGS.deployments:
+        report["deployments"][name] = measure(DEPLOYMENTS[name])
+    report["seconds"] = time.monotonic() - started
+    path = Path(FLAGS.output)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(report, indent=2))
+    print_report(report)
+    plot(report, path.with_suffix(".png"))
+    if FLAGS.compare:
+        print_comparison(json.loads(Path(FLAGS.compare).read_text()), report)
+    print(f"\nwritten to {path} in {report['seconds']:.0f} s")
+    return 0
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,232 @@
+"""The brief's measures, and the cost of a call and of control."""
+
+from __future__ import annotations
+
+import statistics
+import time
+
+import eventlet
+import psutil
+
+from bench.rig import Rig, Vm
+from bench.traffic import LoadResult, Traffic
+
+POLL_S = 0.02
+CHANGES = 10
+CHANGE_TIMEOUT_S = 20.0
+CALLS_PER_S_PER_NODE = 70.0
+LATENCY_SECONDS = 10.0
+IDLE_SECONDS = 10.0
+MOVE_WITHIN_MS = 24_000
+MOVE_RATE = 150.0
+DATA_CENTRE_RATE = 150.0
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Returns the value below which the given share lies."""
+    ordered = sorted(values)
+    index = min(len(ordered) - 1, int(len(ordered) * share))
+    return ordered[index]
+
+
+def cpu_seconds(processes: list[psutil.Process]) -> float:
+    """Returns the processor time that the processes have used."""
+    times = [process.cpu_times() for process in processes]
+    return sum(t.user + t.system for t in times)
+
+
+def measure_convergence(rig: Rig) -> dict:
+    """Applies changes and times until each node routes by them."""
+    times_s: list[float] = []
+    for number in range(CHANGES):
+        started = time.monotonic()
+        version = rig.apply_profile("v1", 60_000 + number)
+        pool = eventlet.GreenPool()
+        waits = pool.imap(lambda vm: _wait_for_version(rig, vm, version), rig.vms)
+        times_s += [reached - started for reached in waits]
+    return {
+        "changes": CHANGES,
+        "nodes": len(rig.vms),
+        "p50_ms": percentile(times_s, 0.5) * 1000,
+        "p99_ms": percentile(times_s, 0.99) * 1000,
+        "max_ms": max(times_s) * 1000,
+    }
+
+
+def _wait_for_version(rig: Rig, vm: Vm, version: int) -> float:
+    until = time.monotonic() + CHANGE_TIMEOUT_S
+    while time.monotonic() < until:
+        if rig.dump(vm)["routing_version"] >= version:
+            return time.monotonic()
+        eventlet.sleep(POLL_S)
+    raise RuntimeError(f"{vm.name} did not reach version {version}")
+
+
+def measure_control(rig: Rig, changes_per_s: float = 0.25) -> dict:
+    """Measures control's cost at the target's rate of changes, without calls."""
+    processes = rig.processes()
+    bytes_before = _control_bytes(rig)
+    calls_before = rig.store_calls()
+    cpu_before = cpu_seconds(processes)
+    started = time.monotonic()
+    number = 0
+    while time.monotonic() - started < IDLE_SECONDS:
+        rig.apply_profile("v1", 70_000 + number)
+        number += 1
+        time.sleep(1 / changes_per_s)
+    seconds = time.monotonic() - started
+    cpu_after = cpu_seconds(processes)
+    sent = [after - before for before, after in zip(bytes_before, _control_bytes(rig))]
+    calls = rig.store_calls()
+    memory = [process.memory_info().rss / 1e6 for process in processes]
+    return {
+        "changes_per_s": number / seconds,
+        "bytes_per_node_s": statistics.mean(sent) / seconds,
+        "bytes_per_node_s_max": max(sent) / seconds,
+        "cpu_percent_per_node": 100 * (cpu_after - cpu_before) / seconds / len(sent),
+        "memory_mb_mean": statistics.mean(memory),
+        "memory_mb_max": max(memory),
+        "store_calls_per_s": {
+            kind: (calls[kind] - calls_before.get(kind, 0)) / seconds
+            for kind in sorted(calls)
+        },
+    }
+
+
+def _control_bytes(rig: Rig) -> list[int]:
+    return [rig.dump(vm)["control_bytes_sent"] for vm in rig.vms]
+
+
+def measure_latency(rig: Rig, rate_per_node: float = CALLS_PER_S_PER_NODE) -> dict:
+    """Compares calls through two nodes with direct ones at the same time."""
+    nodes = [vm for vm in rig.vms if vm.service]
+    rate = rate_per_node * len(nodes)
+    processes = rig.processes(nodes)
+    cpu_before = cpu_seconds(processes)
+    through = Traffic(rig, rate, LATENCY_SECONDS)
+    direct = Traffic(rig, rate / 10, LATENCY_SECONDS, direct=True)
+    result = through.result()
+    cpu = cpu_seconds(processes) - cpu_before
+    baseline = direct.result()
+    return {
+        "rate_per_node": rate_per_node,
+        "calls": result.calls,
+        "outcomes": dict(result.outcomes),
+        "wrong": result.wrong_count,
+        "direct_p50_ms": baseline.percentile_ms(50),
+        "direct_p99_ms": baseline.percentile_ms(99),
+        "through_p50_ms": result.percentile_ms(50),
+        "through_p99_ms": result.percentile_ms(99),
+        "added_p50_ms": result.percentile_ms(50) - baseline.percentile_ms(50),
+        "added_p99_ms": result.percentile_ms(99) - baseline.percentile_ms(99),
+        "cpu_ms_per_call": 1000 * cpu / max(1, result.calls),
+    }
+
+
+def measure_data_centre(rig: Rig) -> dict:
+    """Takes a data centre out and in while calls go on."""
+    data_centre = rig.deployment.data_centres[0]
+    inside = [vm for vm in rig.vms if vm.data_centre == data_centre and vm.service]
+    traffic = Traffic(rig, DATA_CENTRE_RATE, 16.0)
+    time.sleep(4)
+    rig.api("POST", f"data-centres/{data_centre}/out")
+    took_out = time.monotonic()
+    time.sleep(2)
+    runs_before = _runs(rig, inside)
+    time.sleep(3)
+    late_runs = _runs(rig, inside) - runs_before
+    rig.api("POST", f"data-centres/{data_centre}/in")
+    result = traffic.result()
+    return {
+        "calls": result.calls,
+        "outcomes": dict(result.outcomes),
+        "success_share": result.success_share(),
+        "p99_ms": result.percentile_ms(99),
+        "longest_gap_ms": result.longest_gap_s() * 1000,
+        "runs_inside_2_to_5_s_after": late_runs,
+        "seconds_out": time.monotonic() - took_out,
+        "wrong": result.wrong_count,
+    }
+
+
+def _runs(rig: Rig, vms: list[Vm]) -> int:
+    reports = [rig.control_upstream(vm, "report") for vm in vms]
+    return sum(report["counts"].get("runs", 0) for report in reports)
+
+
+def measure_moves(rig: Rig) -> dict:
+    """Moves the first service to a bad version and then to a good one."""
+    service = rig.deployment.services[0]
+    bad = [rig.add_upstream(service, "v2", error_fraction=0.5) for _ in range(2)]
+    good = [rig.add_upstream(service, "v3") for _ in range(4)]
+    rig.wait_for(lambda: _know(rig, bad + good), "the new versions")
+    return {"bad": _measure_bad(rig), "good": _measure_good(rig)}
+
+
+def _know(rig: Rig, vms: list[Vm]) -> bool:
+    names = {vm.name for vm in vms}
+    known = {m["node"] for m in rig.dump(rig.vms[0])["upstreams"] if m["state"] == "up"}
+    return names <= known
+
+
+def _measure_bad(rig: Rig) -> dict:
+    traffic = Traffic(rig, MOVE_RATE, 14.0, write_share=0.5)
+    time.sleep(2)
+    rig.apply_profile("v2", MOVE_WITHIN_MS)
+    result = traffic.result()
+    move = _wait_for_end(rig)
+    failed = [at for at in result.failed_s]
+    first = min(failed, default=0.0)
+    last = max(failed, default=0.0)
+    return {
+        "reversed": not move["done"],
+        "reason": move["reason"],
+        "share_of_calls": len(failed) * 2 / result.calls,
+        "errors_seen": len(failed),
+        "seconds_from_first_to_last_error": last - first,
+        "outcomes": dict(result.outcomes),
+    }
+
+
+def _measure_good(rig: Rig) -> dict:
+    traffic = Traffic(rig, MOVE_RATE, MOVE_WITHIN_MS / 1000 + 4, write_share=0.5)
+    time.sleep(2)
+    rig.apply_profile("v3", MOVE_WITHIN_MS)
+    result = traffic.result()
+    move = _wait_for_end(rig)
+    last = [version for _, version in result.version_s[-50:]]
+    return {
+        "done": move["done"],
+        "reason": move["reason"],
+        "share_of_window": (move["ended_ms"] - move["started_ms"]) / MOVE_WITHIN_MS,
+        "success_share": result.success_share(),
+        "new_version_among_last_50": last.count("v3"),
+        "outcomes": dict(result.outcomes),
+    }
+
+
+def _wait_for_end(rig: Rig) -> dict:
+    until = time.monotonic() + MOVE_WITHIN_MS / 1000 + 10
+    while time.monotonic() < until:
+        moves = rig.api("GET", "moves")
+        newest = max(moves, key=lambda move: move["started_ms"])  # type: ignore
+        if newest["ended_ms"]:
+            return newest
+        time.sleep(0.2)
+    raise RuntimeError("the move did not end")
+
+
+def measure_kill(rig: Rig) -> dict:
+    """Kills a daemon that relays and one that does not, while calls go on."""
+    traffic = Traffic(rig, DATA_CENTRE_RATE, 12.0, write_share=0.5)
+    time.sleep(3)
+    victim = next(vm for vm in reversed(rig.vms) if vm.service and vm.version == "v1")
+    assert victim.daemon is not None
+    victim.daemon.kill()
+    result: LoadResult = traffic.result()
+    return {
+        "calls": result.calls,
+        "outcomes": dict(result.outcomes),
+        "success_share": result.success_share(),
+        "longest_gap_ms": result.longest_gap_s() * 1000,
+    }
--- /dev/null
+++ b/bench/rig.py
@@ -0,0 +1,251 @@
+"""Starts and stops the processes of a deployment, each VM on its own address."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import psutil
+import urllib3
+import yaml
+
+from jayswitch.embedded.deployments import Deployment, ServiceShape
+
+ADMIN_TOKEN = "bench-operator"
+UPSTREAM_TOKEN = "bench-upstream"
+STORE_IP = "127.30.255.1"
+STORE_PORT = 7000
+UPSTREAM_PORT = 8080
+CALLER_PORT = 7100
+ADMIN_PORT = 7101
+PROFILE = "everyday"
+READY_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 30.0
+DETACHED_HOPS = 16
+
+
+class Vm:
+    """One VM: a daemon and, unless it is a plain node, its upstream."""
+
+    def __init__(self, name: str, ip: str, data_centre: str) -> None:
+        """Takes the VM's name and address; processes are added when started."""
+        self.name = name
+        self.ip = ip
+        self.data_centre = data_centre
+        self.service = ""
+        self.version = ""
+        self.daemon: subprocess.Popen | None = None
+        self.upstream: subprocess.Popen | None = None
+
+    @property
+    def callers(self) -> str:
+        """Returns the address that callers use."""
+        return f"http://{self.ip}:{CALLER_PORT}"
+
+    @property
+    def admin(self) -> str:
+        """Returns the administration address."""
+        return f"http://{self.ip}:{ADMIN_PORT}"
+
+    @property
+    def direct(self) -> str:
+        """Returns the upstream's own address."""
+        return f"http://{self.ip}:{UPSTREAM_PORT}"
+
+
+class Rig:
+    """All processes of one deployment; stop() ends every one of them."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        """Takes the deployment; start() starts it."""
+        self.deployment = deployment
+        self.vms: list[Vm] = []
+        self._folder = Path(tempfile.mkdtemp(prefix="jayswitch-bench-"))
+        self._store: subprocess.Popen | None = None
+        self._http = urllib3.PoolManager(maxsize=4, retries=False)
+
+    def start(self, extra_nodes: int = 0) -> None:
+        """Starts the store, the nodes and upstreams, and configures them."""
+        self.start_store()
+        for service in self.deployment.services:
+            for _ in range(service.upstreams):
+                self.add_upstream(service, "v1")
+        for _ in range(extra_nodes):
+            self.add_node()
+        self.wait_for(lambda: self._is_up(self.vms[0]), "the first node")
+        self.configure()
+        self.wait_for(self.is_settled, "every node")
+
+    def start_store(self) -> None:
+        """Starts the stand-in of the platform's key-value service."""
+        self._store = self._spawn(
+            "store",
+            "jayswitch.standins.main",
+            ["store", f"--ip={STORE_IP}", f"--port={STORE_PORT}"],
+        )
+
+    def add_node(self) -> Vm:
+        """Starts a daemon without an upstream."""
+        number = len(self.vms)
+        ip = f"127.30.{number // 250}.{number % 250 + 1}"
+        vm = Vm(f"vm-{number}", ip, self.deployment.data_centre_of(number))
+        settings = {
+            "vm": vm.name,
+            "data_centre": vm.data_centre,
+            "region": self.deployment.region,
+            "bind_ip": ip,
+            "store": f"http://{STORE_IP}:{STORE_PORT}",
+            "admin_token": ADMIN_TOKEN,
+            "upstream_token": UPSTREAM_TOKEN,
+            "warm_up_ms": 2000,
+            "log_level": "warning",
+        }
+        path = self._folder / f"{vm.name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        vm.daemon = self._spawn(
+            vm.name, "jayswitch.console.daemon", [f"--settings={path}"]
+        )
+        self.vms.append(vm)
+        return vm
+
+    def add_upstream(
+        self, service: ServiceShape, version: str, **behaviour: object
+    ) -> Vm:
+        """Starts a daemon and an upstream beside it."""
+        vm = self.add_node()
+        vm.service, vm.version = service.name, version
+        values = {
+            "slots": service.slots,
+            "connections": service.connections,
+            "latency_ms": 1.0,
+            **behaviour,
+        }
+        vm.upstream = self._spawn(
+            f"{vm.name}-upstream",
+            "jayswitch.standins.main",
+            [
+                "upstream",
+                f"--ip={vm.ip}",
+                f"--port={UPSTREAM_PORT}",
+                f"--name={vm.name}",
+                f"--service={service.name}",
+                f"--version={version}",
+                f"--admin_address={vm.admin}",
+                f"--upstream_token={UPSTREAM_TOKEN}",
+                f"--behaviour={json.dumps(values)}",
+            ],
+        )
+        return vm
+
+    def configure(self) -> None:
+        """Declares the services and applies the deployment's profile."""
+        for service in self.deployment.services:
+            self.api("PUT", f"services/{service.name}")
+        self.apply_profile("v1", 60_000)
+        for service in self.deployment.services:
+            self.api("PUT", f"services/{service.name}", PROFILE.encode())
+
+    def apply_profile(self, version: str, move_within_ms: int) -> int:
+        """Applies the profile with a version of the first service."""
+        document = self.deployment.profile(PROFILE, version, move_within_ms)
+        body = json.dumps(document).encode()
+        return self.api("PUT", f"profiles/{PROFILE}", body)["version"]
+
+    def api(
+        self, method: str, path: str, body: bytes = b"", vm: Vm | None = None
+    ) -> object:
+        """Calls the administration API of a node; raises on a refusal."""
+        address = (vm or self.vms[0]).admin
+        response = self._http.request(
+            method,
+            f"{address}/v1/{path}",
+            body=body or None,
+            headers={"Authorization": f"Bearer {ADMIN_TOKEN}"},
+            timeout=10.0,
+            retries=False,
+        )
+        answer = json.loads(response.data)
+        if response.status != 200:
+            raise RuntimeError(f"{method} {path}: {answer}")
+        return answer
+
+    def dump(self, vm: Vm) -> dict:
+        """Returns a node's dump."""
+        return self.api("GET", "dump", vm=vm)  # type: ignore[return-value]
+
+    def control_upstream(self, vm: Vm, action: str, body: bytes = b"") -> dict:
+        """Calls a control of a stand-in upstream."""
+        response = self._http.request(
+            "POST", f"{vm.direct}/standin/{action}", body=body or None, timeout=5.0
+        )
+        return json.loads(response.data)
+
+    def store_calls(self) -> dict[str, int]:
+        """Returns the calls that the store has counted, by kind."""
+        url = f"http://{STORE_IP}:{STORE_PORT}/calls"
+        return json.loads(self._http.request("GET", url, timeout=5.0).data)
+
+    def is_settled(self) -> bool:
+        """Tells whether every node routes by the newest version to every upstream."""
+        newest = self.dump(self.vms[0])["config_version"]
+        up = {vm.name for vm in self.vms if vm.upstream is not None}
+        for vm in self.vms:
+            dump = self.dump(vm)
+            if dump["routing_version"] != newest:
+                return False
+            known = {m["node"] for m in dump["upstreams"] if m["state"] == "up"}
+            if vm.service and not up <= known:
+                return False
+        return True
+
+    def wait_for(self, condition: object, what: str) -> None:
+        """Waits until a condition holds; raises after a minute."""
+        until = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < until:
+            try:
+                if condition():  # type: ignore[operator]
+                    return
+            except (urllib3.exceptions.HTTPError, OSError, RuntimeError):
+                pass
+            time.sleep(0.2)
+        raise RuntimeError(f"{what} was not ready in {READY_TIMEOUT_S:.0f} s")
+
+    def processes(self, vms: list[Vm] | None = None) -> list[psutil.Process]:
+        """Returns the daemons' processes."""
+        chosen = self.vms if vms is None else vms
+        return [psutil.Process(vm.daemon.pid) for vm in chosen if vm.daemon]
+
+    def stop(self) -> int:
+        """Stops every process that this rig started; returns unclean exits."""
+        started = [vm.daemon for vm in self.vms if vm.daemon]
+        for process in started:
+            process.terminate()
+        codes = [self._wait(process) for process in started]
+        others = [vm.upstream for vm in self.vms if vm.upstream]
+        if self._store is not None:
+            others.append(self._store)
+        for process in others:
+            process.terminate()
+        for process in others:
+            self._wait(process)
+        return sum(1 for code in codes if code != 0)
+
+    def _spawn(self, name: str, module: str, arguments: list[str]) -> subprocess.Popen:
+        log = open(self._folder / f"{name}.log", "wb")
+        return subprocess.Popen(
+            [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
+        )
+
+    def _wait(self, process: subprocess.Popen) -> int:
+        try:
+            return process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def _is_up(self, vm: Vm) -> bool:
+        return self.dump(vm)["hops"] < DETACHED_HOPS
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -245,7 +245,10 @@
 
     def _run_link(self, link: Link) -> None:
         while not link.closed and not self._stopped:
-            self._send_sync(link)
+            # A child answers the parent's first message only once it knows that it
+            # has been accepted, so the child speaks first.
+            if link.role is not LinkRole.CHILD or link.peer_session:
+                self._send_sync(link)
             before_ms = self._clock.now_ms()
             self._wait_for_heartbeat(link)
             self._judge_silence(link, self._clock.now_ms() - before_ms)
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -448,6 +448,15 @@
     assert mesh.nodes_by_name[name].standin.counts["overloads"] <= count
 
 
+@then("no link of the tree was lost")
+def no_link_lost(mesh: Mesh) -> None:
+    lost = {
+        node.settings.vm: node.node.parts.tree.counts["links_lost"]
+        for node in mesh.live_nodes()
+    }
+    assert not any(lost.values()), lost
+
+
 @then("exactly one operator won")
 def one_winner(context: Context) -> None:
     winners = [r for r in context.results if not isinstance(r, JayswitchError)]
--- a/tests/scenarios/features/configuration.feature
+++ b/tests/scenarios/features/configuration.feature
@@ -76,3 +76,9 @@
     Then 99 percent of the calls since the mark were answered
     And every live node runs the newest version
     And every invariant holds
+
+  Scenario: Nodes that have joined stay where they are
+    Given 20 upstreams of "robotdesk" over "bunbury, busselton, harvey"
+    Then no link of the tree was lost
+    And every live node runs the newest version
+    And every invariant holds
