Measure real processes, and leave later shares of a move enough time

Cause: with little traffic the trial waits for evidence; the fixed holds after it then ended a good move at 96.5% of its window, close to being taken back. Change: shares that follow divide the time left until 85% of the window. A bench with real daemons and stand-ins: convergence, control, latency beside a direct call and a plain proxy, data centre moves, good and bad versions.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -30,6 +30,7 @@
 MEASURES: dict[str, Callable[[Rig], dict]] = {
     "convergence": measures.measure_convergence,
     "control": measures.measure_control,
+    "sequential": measures.measure_sequential,
     "latency": measures.measure_latency,
     "data_centre": measures.measure_data_centre,
     "moves": measures.measure_moves,
--- a/bench/load.py
+++ b/bench/load.py
@@ -89,16 +89,17 @@
             self.wrong.append(f"{method} {address}: {error}")
             return
         self.histogram.record_value(int((time.monotonic() - due) * US_PER_S))
-        self._note(response)
+        self._note(response, prefix)
 
-    def _note(self, response: urllib3.BaseHTTPResponse) -> None:
+    def _note(self, response: urllib3.BaseHTTPResponse, prefix: str) -> None:
         outcome = response.headers.get("X-Jayswitch-Outcome", "direct")
         self.outcomes[f"{outcome}-{response.status}"] += 1
         now = time.time()
         if response.status == 200:
             self.answered_s.append(now)
-            version = response.headers.get("X-Version", "")
-            self.version_s.append((now, version))
+            if prefix in self._plan["paths"][0]:
+                version = response.headers.get("X-Version", "")
+                self.version_s.append((now, version))
         else:
             self.failed_s.append(now)
         request_id = response.headers.get("X-Request-Id", "")
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -7,6 +7,7 @@
 
 import eventlet
 import psutil
+import urllib3
 
 from bench.rig import Rig, Vm
 from bench.traffic import LoadResult, Traffic
@@ -19,6 +20,7 @@
 IDLE_SECONDS = 10.0
 MOVE_WITHIN_MS = 24_000
 MOVE_RATE = 150.0
+SEQUENTIAL_CALLS = 600
 DATA_CENTRE_RATE = 150.0
 
 
@@ -123,6 +125,41 @@
     }
 
 
+def measure_sequential(rig: Rig) -> dict:
+    """Times calls one after the other: through nodes, plain proxy, and direct.
+
+    The plain proxy is eventlet's WSGI server and urllib3 with nothing between
+    them: what the users' libraries cost for a single hop.
+    """
+    vm = rig.vms[0]
+    path = f"{rig.deployment.services[0].read_prefix}/1"
+    proxy = rig.start_plain_proxy(vm)
+    rig.wait_for(lambda: time_calls(proxy, path, 1), "the plain proxy")
+    direct = time_calls(vm.direct, path, SEQUENTIAL_CALLS)
+    plain = time_calls(proxy, path, SEQUENTIAL_CALLS)
+    through = time_calls(vm.callers, path, SEQUENTIAL_CALLS)
+    figures: dict = {}
+    for name, times in (("plain_proxy", plain), ("through", through)):
+        for share in (0.5, 0.99):
+            added = percentile(times, share) - percentile(direct, share)
+            figures[f"{name}_added_p{share * 100:.0f}_ms"] = added
+    figures["direct_p50_ms"] = percentile(direct, 0.5)
+    return figures
+
+
+def time_calls(address: str, path: str, count: int) -> list[float]:
+    """Returns the latencies of calls over one connection, in milliseconds."""
+    pool = urllib3.connectionpool.connection_from_url(address, retries=False)
+    times_ms = []
+    for _ in range(count):
+        started = time.perf_counter()
+        response = pool.request("GET", path, timeout=5.0)
+        times_ms.append((time.perf_counter() - started) * 1000)
+        if response.status != 200:
+            raise RuntimeError(f"{address}{path}: status {response.status}")
+    return times_ms
+
+
 def measure_data_centre(rig: Rig) -> dict:
     """Takes a data centre out and in while calls go on."""
     data_centre = rig.deployment.data_centres[0]
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -20,6 +20,7 @@
 STORE_IP = "127.30.255.1"
 STORE_PORT = 7000
 UPSTREAM_PORT = 8080
+PLAIN_PROXY_PORT = 8090
 CALLER_PORT = 7100
 ADMIN_PORT = 7101
 PROFILE = "everyday"
@@ -66,6 +67,7 @@
         self.vms: list[Vm] = []
         self._folder = Path(tempfile.mkdtemp(prefix="jayswitch-bench-"))
         self._store: subprocess.Popen | None = None
+        self._plain_proxy: subprocess.Popen | None = None
         self._http = urllib3.PoolManager(maxsize=4, retries=False)
 
     def start(self, extra_nodes: int = 0) -> None:
@@ -141,6 +143,12 @@
         )
         return vm
 
+    def start_plain_proxy(self, vm: Vm) -> str:
+        """Starts the plain proxy to a VM's upstream; returns its address."""
+        arguments = [vm.ip, str(PLAIN_PROXY_PORT), vm.direct]
+        self._plain_proxy = self._spawn("proxy", "bench.plain_proxy", arguments)
+        return f"http://{vm.ip}:{PLAIN_PROXY_PORT}"
+
     def configure(self) -> None:
         """Declares the services and applies the deployment's profile."""
         for service in self.deployment.services:
@@ -226,8 +234,7 @@
             process.terminate()
         codes = [self._wait(process) for process in started]
         others = [vm.upstream for vm in self.vms if vm.upstream]
-        if self._store is not None:
-            others.append(self._store)
+        others += [p for p in (self._store, self._plain_proxy) if p is not None]
         for process in others:
             process.terminate()
         for process in others:
--- a/src/jayswitch/rollout/driver.py
+++ b/src/jayswitch/rollout/driver.py
@@ -34,6 +34,7 @@
 TRIAL_HOLD_SHARE = 0.3
 HOLD_MIN_MS = 300.0
 HOLD_MAX_MS = 600_000.0
+LAST_HOLD_SHARE = 0.85
 LAST_STEP_SHARE = 0.98
 
 logger = logging.getLogger(__name__)
@@ -50,11 +51,18 @@
 
 
 def hold_ms(move: Move) -> float:
-    """Returns how long the present share has to be held at least."""
+    """Returns how long the present share has to be held at least.
+
+    A share that had to wait for evidence leaves less time to the later ones; they
+    then divide what is left before the deadline.
+    """
     window_ms = move.deadline_ms - move.started_ms
     on_trial = move.percent <= move.trial_percent
-    share = TRIAL_HOLD_SHARE if on_trial else HOLD_SHARE
-    return min(HOLD_MAX_MS, max(HOLD_MIN_MS, window_ms * share))
+    planned_ms = window_ms * (TRIAL_HOLD_SHARE if on_trial else HOLD_SHARE)
+    steps_left = 1 + sum(percent > move.percent for percent in STEP_PERCENTS)
+    last_ms = move.started_ms + window_ms * LAST_HOLD_SHARE
+    left_ms = (last_ms - move.stepped_ms) / steps_left
+    return min(HOLD_MAX_MS, max(HOLD_MIN_MS, min(planned_ms, left_ms)))
 
 
 def decide(
