Send reports on moves to the driver alone, and shrink what relays hold

Change: relays pass reports only towards the driver, which judges them; where it is silent or unknown they go to all and each relay judges. Reports every 2 s. Relays send entries to each other only where one lags. Messages travel as arrays. A node decodes only members of services it routes to; lists decode on demand.

--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,222 @@
+"""Measures how cost grows with size; writes build/bench/slopes.json.
+
+Figures that grow with the fleet are taken from daemons on this machine; those that
+grow with what a node knows are taken from the node's own tables in this process.
+"""
+
+from __future__ import annotations
+
+from jayswitch import runtime
+
+runtime.prepare()
+
+import gc  # noqa: E402
+import json  # noqa: E402
+import time  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+import msgspec  # noqa: E402
+import psutil  # noqa: E402
+from absl import app, flags  # noqa: E402
+
+from bench import measures  # noqa: E402
+from bench.rig import Rig  # noqa: E402
+from jayswitch.clock import Clock  # noqa: E402
+from jayswitch.config.changes import apply_entry  # noqa: E402
+from jayswitch.config.codec import encode_entry, encode_state  # noqa: E402
+from jayswitch.config.generated import ProfileSet, ServiceSet  # noqa: E402
+from jayswitch.config.replica import ConfigReplica  # noqa: E402
+from jayswitch.config.state import ConfigState, Entry  # noqa: E402
+from jayswitch.embedded.deployments import PADDOCKLINE  # noqa: E402
+from jayswitch.membership.member import (  # noqa: E402
+    KIND_MEMBER,
+    Member,
+    decode_member,
+)
+from jayswitch.membership.records import RecordTable  # noqa: E402
+from jayswitch.messages.generated import Record  # noqa: E402
+from jayswitch.profiles.generated import Profile  # noqa: E402
+from jayswitch.routing.table import UpstreamDirectory  # noqa: E402
+
+FLAGS = flags.FLAGS
+
+flags.DEFINE_list("nodes", ["12", "60", "150"], "Fleet sizes to measure.")
+flags.DEFINE_string("slopes", "build/bench/slopes.json", "File for the slopes.")
+
+MEMBERS = 12_000
+SERVICES = 590
+CHANGES = 50
+ROUTED_SERVICES = 6
+
+
+def resident_bytes() -> int:
+    """Returns this process's resident memory after a collection."""
+    gc.collect()
+    return psutil.Process().memory_info().rss
+
+
+def member_record(number: int) -> Record:
+    """Returns a member record as a node publishes it."""
+    member = Member(
+        node=f"vm-{number}",
+        data_centre=f"data-centre-{number % 12}",
+        region=f"region-{number % 6}",
+        data_address=f"tcp://10.1.{number // 250}.{number % 250}:7102",
+        control_address=f"tcp://10.1.{number // 250}.{number % 250}:7103",
+        admin_address=f"http://10.1.{number // 250}.{number % 250}:7101",
+        service=f"service-{number % SERVICES}",
+        version="v1",
+        state="up",
+        slots=20,
+    )
+    return Record(
+        key=f"member/vm-{number}",
+        kind=KIND_MEMBER,
+        origin=f"vm-{number}",
+        incarnation=1_800_000_000_000,
+        counter=1,
+        service=member.service,
+        payload=msgspec.msgpack.encode(member),
+    )
+
+
+def measure_members() -> dict:
+    """Measures what a member costs a node that knows it."""
+    data = [msgspec.msgpack.encode(member_record(n)) for n in range(MEMBERS)]
+    table, directory = RecordTable("me", Clock()), UpstreamDirectory()
+    before = resident_bytes()
+    started = time.process_time()
+    for number, item in enumerate(data):
+        record = msgspec.msgpack.decode(item, type=Record)
+        table.merge(record, "peer")
+        if number % SERVICES >= ROUTED_SERVICES:
+            continue
+        member = decode_member(record)
+        assert member is not None
+        directory.put(member)
+    seconds = time.process_time() - started
+    return {
+        "bytes_per_member": (resident_bytes() - before) / MEMBERS,
+        "cpu_us_per_member": 1e6 * seconds / MEMBERS,
+        "wire_bytes_per_member": sum(map(len, data)) / MEMBERS,
+    }
+
+
+def measure_configuration() -> dict:
+    """Measures what the whole configuration and one change cost a node."""
+    state = ConfigState()
+    replica = ConfigReplica()
+
+    def add(change: object) -> bytes:
+        nonlocal state
+        entry = Entry(
+            index=state.version + 1,
+            change_id="0" * 32,
+            author="operator",
+            at_ms=1_800_000_000_000,
+            change=change,
+        )
+        state = apply_entry(state, entry).unwrap()
+        return encode_entry(entry)
+
+    entries = [add(ServiceSet(service=f"service-{n}")) for n in range(SERVICES)]
+    for number in range(SERVICES):
+        entries.append(add(ProfileSet(profile=profile_for(number, "v1"))))
+    before = resident_bytes()
+    for data in entries:
+        replica.offer(data)
+    grown = resident_bytes() - before
+    changes = [add(ProfileSet(profile=profile_for(0, "v1"))) for _ in range(CHANGES)]
+    started = time.process_time()
+    for data in changes:
+        replica.offer(data)
+    seconds = time.process_time() - started
+    return {
+        "bytes_per_service": grown / SERVICES,
+        "snapshot_bytes": len(encode_state(state)),
+        "entry_bytes": sum(map(len, changes)) / CHANGES,
+        "cpu_ms_per_change": 1000 * seconds / CHANGES,
+    }
+
+
+def profile_for(number: int, version: str) -> Profile:
+    """Returns a profile with five targets and two routes to each."""
+    targets = [f"service-{(number + step) % SERVICES}" for step in range(5)]
+    document = {
+        "name": f"profile-{number}",
+        "routes": [
+            {
+                "name": f"{target}-{kind}",
+                "prefix": f"/{target}/{kind}",
+                "service": target,
+            }
+            for target in targets
+            for kind in ("read", "write")
+        ],
+        "targets": [{"service": target, "version": version} for target in targets],
+    }
+    return msgspec.convert(document, Profile)
+
+
+def measure_fleet(nodes: int) -> dict:
+    """Measures a fleet of daemons, most of them without an upstream."""
+    rig = Rig(PADDOCKLINE)
+    try:
+        rig.start(extra_nodes=nodes - 11)
+        return {
+            "nodes": nodes,
+            "hops_max": max(rig.dump(vm)["hops"] for vm in rig.vms),
+            "convergence": measures.measure_convergence(rig),
+            "control": measures.measure_control(rig),
+            "roles": measure_roles(rig),
+        }
+    finally:
+        rig.stop()
+
+
+def measure_roles(rig: Rig) -> dict:
+    """Measures control bytes and processor time of relays and plain nodes."""
+    dumps = [rig.dump(vm) for vm in rig.vms]
+    processes = rig.processes()
+    cpu = [sum(process.cpu_times()[:2]) for process in processes]
+    started = time.monotonic()
+    time.sleep(10)
+    seconds = time.monotonic() - started
+    spent = [sum(p.cpu_times()[:2]) - c for p, c in zip(processes, cpu)]
+    after = [rig.dump(vm)["control_bytes_sent"] for vm in rig.vms]
+    figures: dict = {}
+    for role, is_relay in (("relay", True), ("plain", False)):
+        rows = [n for n, dump in enumerate(dumps) if dump["is_relay"] is is_relay]
+        if not rows:
+            continue
+        sent = [after[n] - dumps[n]["control_bytes_sent"] for n in rows]
+        links = sum(len(dumps[n]["links"]) for n in rows) / len(rows)
+        memory = [processes[n].memory_info().rss / 1e6 for n in rows]
+        figures[role] = {
+            "nodes": len(rows),
+            "links": links,
+            "idle_bytes_per_s": sum(sent) / len(rows) / seconds,
+            "idle_cpu_percent": 100 * sum(spent[n] for n in rows) / len(rows) / seconds,
+            "memory_mb": sum(memory) / len(memory),
+        }
+    return figures
+
+
+def main(argv: list[str]) -> int:
+    """Takes every slope."""
+    slopes: dict = {
+        "members": measure_members(),
+        "configuration": measure_configuration(),
+        "fleets": [],
+    }
+    path = Path(FLAGS.slopes)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    for nodes in FLAGS.nodes:
+        slopes["fleets"].append(measure_fleet(int(nodes)))
+        path.write_text(json.dumps(slopes, indent=2))
+    print(json.dumps(slopes, indent=2))
+    return 0
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/src/jayswitch/http/admin_app.py
+++ b/src/jayswitch/http/admin_app.py
@@ -146,8 +146,7 @@
 
     def _data_centres(self) -> list[Any]:
         state = self._node.parts.replica.state
-        members = self._node.parts.directory.by_node.values()
-        names = {member.data_centre for member in members}
+        names = {member.data_centre for member in self._node.members()}
         names |= set(state.data_centres_by_name)
         return [
             {"data_centre": name, "state": "out" if state.is_out(name) else "in"}
@@ -159,7 +158,7 @@
         if not parts.tree.is_relay:
             relays = [relay.admin_address for relay in parts.relay.relays]
             return Failure(AskRelay(relays))
-        members = sorted(parts.directory.by_node.values(), key=lambda m: m.node)
+        members = self._node.members()
         if kind == "upstreams":
             return Success([member for member in members if member.service])
         records = parts.table.by_kind(KIND_STATUS)
--- a/src/jayswitch/membership/link.py
+++ b/src/jayswitch/membership/link.py
@@ -32,6 +32,7 @@
     __slots__ = (
         "acked_seq",
         "address",
+        "behind_since_ms",
         "claim_slot",
         "wants_resend",
         "closed",
@@ -70,6 +71,7 @@
         self.sent_seq = 0
         self.sent_ms = clock.now_ms()
         self.sent_version = 0
+        self.behind_since_ms: float | None = None
         self.peer_version = 0
         self.interest: frozenset[str] = frozenset()
         self.interest_sent: frozenset[str] | None = None
@@ -106,6 +108,8 @@
             self.interest_sent = None
         if sync.peer_session == self.session:
             self.acked_seq = max(self.acked_seq, min(sync.ack, self.sent_seq))
+        if sync.config_version > self.peer_version:
+            self.behind_since_ms = None
         self.peer_version = sync.config_version
         self.sent_version = max(self.sent_version, self.peer_version)
         self.hops = sync.hops
--- a/src/jayswitch/membership/records.py
+++ b/src/jayswitch/membership/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING
 
@@ -200,6 +201,9 @@
 
     def _store(self, record: Record, source: str) -> None:
         self.seq += 1
+        # Many records share these strings.
+        record.kind = sys.intern(record.kind)
+        record.service = sys.intern(record.service)
         now_ms = self._clock.now_ms()
         # Inserted anew, so that the dictionary stays in the order of changes.
         self._held_by_key.pop(record.key, None)
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -15,7 +15,7 @@
 
 from jayswitch.clock import MS_PER_S
 from jayswitch.membership.link import EVERYTHING, NO_INTEREST, Link, LinkRole
-from jayswitch.membership.member import KIND_MARK, KIND_MEMBER
+from jayswitch.membership.member import KIND_MARK, KIND_MEMBER, KIND_OUTCOMES
 from jayswitch.messages.generated import Join, JoinReply, SubtreeStatus, Sync
 
 if TYPE_CHECKING:
@@ -32,6 +32,7 @@
 ORPHAN_HEARTBEATS = 5.0
 PAUSE_HEARTBEATS = 2.0
 REJOIN_HEARTBEATS = 10.0
+LAGGING_HEARTBEATS = 1.5
 RECORDS_PER_MESSAGE = 400
 JOIN_TIMEOUT_MS = 1000.0
 JOIN_REDIRECTS = 12
@@ -60,6 +61,7 @@
     ) -> None:
         """Takes the node's own parts; the tree starts with start()."""
         self.is_relay = False
+        self.judge = ""
         self.links_by_peer: dict[str, Link] = {}
         self.counts: Counter[str] = Counter()
         self.on_claim_request: Callable[[int], None] = lambda slot: None
@@ -328,7 +330,8 @@
         link.claim_slot = -1
         link.wants_resend = False
         self.counts["syncs_sent"] += 1
-        if not sync.complete or link.sent_version < self._replica.version:
+        behind = link.sent_version < self._replica.version
+        if not sync.complete or (behind and link.role is not LinkRole.PEER):
             link.nudge()
 
     def _compose(self, link: Link) -> Sync:
@@ -371,6 +374,8 @@
         record = held.record
         if held.source == link.peer:
             return False
+        if record.kind == KIND_OUTCOMES and link.role is LinkRole.PEER:
+            return self._leads_to_judge(link)
         if record.kind == KIND_MARK or link.role is LinkRole.PEER:
             return True
         if link.role is LinkRole.CHILD:
@@ -380,6 +385,30 @@
         below = source_link is not None and source_link.role is LinkRole.CHILD
         return not held.source or below
 
+    def _leads_to_judge(self, link: Link) -> bool:
+        """Tells whether outcomes go out on a link between relays.
+
+        They go to the judge, or to siblings, one of which is linked to it. Where
+        the judge is silent or unknown they go to every relay, and each may judge.
+        """
+        if self.judge == self._node:
+            return False
+        if self.is_judge_lost():
+            return True
+        if self.judge in self.links_by_peer:
+            return link.peer == self.judge
+        return link.data_centre == self._data_centre
+
+    def is_judge_lost(self) -> bool:
+        """Tells whether no judge is known, or the link to it is silent."""
+        if not self.judge:
+            return True
+        link = self.links_by_peer.get(self.judge)
+        if link is None:
+            return False
+        silent_ms = self._clock.now_ms() - link.heard_ms
+        return silent_ms > MISSED_HEARTBEATS * self._interval_ms
+
     def _settled_for(self, link: Link) -> list[str]:
         if self.is_relay:
             return sorted(link.interest)
@@ -398,11 +427,21 @@
         known = max(link.peer_version, link.sent_version)
         if not link.peer_session or known >= self._replica.version:
             return
+        if link.role is LinkRole.PEER and not self._is_lagging(link):
+            # Relays read the log themselves.
+            return
         sync.entries = self._replica.entries_after(known)
         if not sync.entries:
             sync.snapshot = self._replica.snapshot()
             self.counts["snapshots_sent"] += 1
 
+    def _is_lagging(self, link: Link) -> bool:
+        """Tells whether a peer has been behind for longer than reading takes."""
+        now_ms = self._clock.now_ms()
+        if link.behind_since_ms is None:
+            link.behind_since_ms = now_ms
+        return now_ms - link.behind_since_ms > LAGGING_HEARTBEATS * self._interval_ms
+
     def _farewell(self) -> Sync:
         return Sync(
             node=self._node,
--- a/src/jayswitch/models.py
+++ b/src/jayswitch/models.py
@@ -16,8 +16,9 @@
     """
 
 
-class Message(msgspec.Struct, kw_only=True, tag=True, omit_defaults=True):
-    """A message between nodes; its type name travels with it.
+class Message(msgspec.Struct, kw_only=True, tag=True, array_like=True):
+    """A message between nodes, sent as an array that its type name heads.
 
-    Unknown fields are ignored, so that nodes of two releases can talk.
+    Fields at the end that this release does not know are ignored, so that nodes of
+    two releases can talk; new fields are added at the end, with a default.
     """
--- a/src/jayswitch/node/dump.py
+++ b/src/jayswitch/node/dump.py
@@ -128,7 +128,7 @@
         tree_counts=dict(parts.tree.counts),
         requests_in_flight=node.requests_in_flight,
         records=len(parts.table),
-        upstreams=sorted(parts.directory.by_node.values(), key=lambda m: m.node),
+        upstreams=[member for member in node.members() if member.service],
         moves=moves,
         marks=[mark for mark in marks if mark is not None],
     )
--- a/src/jayswitch/node/factory.py
+++ b/src/jayswitch/node/factory.py
@@ -147,7 +147,6 @@
             replica=parts.replica,
             watcher=parts.watcher,
             is_candidate=lambda: parts.tree.is_relay,
-            has_upstream=parts.directory.has_version,
             clock=self._clock,
             rng=self._random,
         )
--- a/src/jayswitch/node/node.py
+++ b/src/jayswitch/node/node.py
@@ -41,7 +41,7 @@
 
 UPKEEP_MS = 250.0
 REVIEW_MS = 500.0
-OUTCOMES_MS = 1000.0
+OUTCOMES_MS = 2000.0
 STATUS_MS = 3000.0
 SETTLE_TIMEOUT_MS = 2000.0
 SETTLE_POLL_MS = 20.0
@@ -60,12 +60,14 @@
         self.name = parts.settings.vm
         self._member = self._describe()
         self._settling: ConfigState | None = None
+        self._routed: set[str] = set()
         self._stopped = False
         parts.replica.on_change(self._on_config)
         parts.table.on_change(self._on_record)
         parts.gate.on_outcome = self._on_gate_outcome
         parts.router.on_outcome = self._on_router_outcome
         parts.router.is_marked_bad = parts.watcher.is_marked_bad
+        parts.driver.has_upstream = self._has_version
 
     def start(self) -> None:
         """Starts every task of the node."""
@@ -121,6 +123,23 @@
         admission = self.parts.gate.admission
         return self.parts.router.in_flight + admission.in_flight + admission.waiting
 
+    def members(self, service: str = "") -> list[Member]:
+        """Returns every member known, or those of one service, by name."""
+        records = [
+            record
+            for record in self.parts.table.by_kind(KIND_MEMBER)
+            if service in ("", record.service)
+        ]
+        members = [decode_member(record) for record in records]
+        known = [member for member in members if member is not None]
+        return sorted(known, key=lambda member: member.node)
+
+    def _has_version(self, service: str, version: str) -> bool:
+        return any(
+            member.version == version and member.state == "up"
+            for member in self.members(service)
+        )
+
     def announce(self, announcement: Announcement) -> None:
         """Takes an announcement of the local upstream."""
         if self.parts.gate.announce(announcement):
@@ -180,6 +199,18 @@
         if self._member.service:
             services.add(self._member.service)
         self.parts.tree.set_own_interest(services)
+        if services != self._routed:
+            self._routed = services
+            self._refill_directory()
+
+    def _refill_directory(self) -> None:
+        """Decodes the members of the services that this node routes to, no others."""
+        directory = self.parts.directory
+        for name, member in list(directory.by_node.items()):
+            if member.service not in self._routed:
+                directory.remove(name)
+        for record in self.parts.table.by_kind(KIND_MEMBER):
+            self._on_record(record)
 
     def _required_services(self, state: ConfigState) -> list[str]:
         profile = state.profile_of(self._member.service)
@@ -237,7 +268,7 @@
             self._on_config(self.parts.replica.state)
 
     def _on_record(self, record: Record) -> None:
-        if record.kind != KIND_MEMBER:
+        if record.kind != KIND_MEMBER or record.service not in self._routed:
             return
         member = decode_member(record)
         if member is None:
@@ -265,8 +296,16 @@
         self.parts.gate.admission.hand_out()
 
     def _review_moves(self) -> None:
-        is_relay = self.parts.tree.is_relay
-        self.parts.watcher.review(self.parts.replica.state, is_relay)
+        tree = self.parts.tree
+        tree.judge = self._find_judge()
+        judges = tree.judge == self.name or tree.is_judge_lost()
+        self.parts.watcher.review(self.parts.replica.state, tree.is_relay and judges)
+
+    def _find_judge(self) -> str:
+        """Returns the driver, which judges the gates' reports, if it still relays."""
+        driver = self.parts.replica.state.driver_node
+        relays = {slot.node for slot in self.parts.relay.relays}
+        return driver if driver in relays else ""
 
     def _publish_outcomes(self) -> None:
         moving = {
--- a/src/jayswitch/rollout/driver.py
+++ b/src/jayswitch/rollout/driver.py
@@ -69,7 +69,7 @@
     move: Move,
     judge: MoveJudge | None,
     bad_evidence: str,
-    has_upstream: bool,
+    has_upstream: Callable[[], bool],
     epoch: int,
     now_ms: int,
 ) -> MoveStepped | MoveEnded | None:
@@ -85,9 +85,9 @@
     missing = judge.missing_proof() if judge is not None else "nothing seen yet"
     window_ms = move.deadline_ms - move.started_ms
     if now_ms >= move.started_ms + window_ms * LAST_STEP_SHARE:
-        return end(False, _reason_at_deadline(move, has_upstream, missing))
+        return end(False, _reason_at_deadline(move, has_upstream(), missing))
     if move.percent == 0:
-        if not has_upstream:
+        if not has_upstream():
             return None
         return MoveStepped(
             move=move.id, epoch=epoch, percent=move.trial_percent, at_ms=now_ms
@@ -125,12 +125,12 @@
         replica: ConfigReplica,
         watcher: MoveWatcher,
         is_candidate: Callable[[], bool],
-        has_upstream: Callable[[str, str], bool],
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Takes what tells whether this node may drive and which versions run."""
+        """Takes what tells whether this node may drive."""
         self.epoch = 0
+        self.has_upstream: Callable[[str, str], bool] = lambda service, version: False
         self._lease = ""
         self._node = node
         self._store = store
@@ -138,7 +138,6 @@
         self._replica = replica
         self._watcher = watcher
         self._is_candidate = is_candidate
-        self._has_upstream = has_upstream
         self._clock = clock
         self._random = rng
         self._stopped = False
@@ -227,7 +226,7 @@
                 move,
                 judge,
                 mark.evidence if mark is not None else "",
-                self._has_upstream(move.service, move.to_version),
+                lambda: self.has_upstream(move.service, move.to_version),
                 self.epoch,
                 self._clock.wall_ms(),
             )
--- a/tests/rollout/test_judge.py
+++ b/tests/rollout/test_judge.py
@@ -104,16 +104,16 @@
         return Move(**values)
 
     def test_waits_for_an_upstream(self) -> None:
-        assert decide(self.move(), None, "", False, 1, 1000) is None
+        assert decide(self.move(), None, "", lambda: False, 1, 1000) is None
 
     def test_starts_with_the_trial_share(self) -> None:
-        step = decide(self.move(), None, "", True, 1, 1000)
+        step = decide(self.move(), None, "", lambda: True, 1, 1000)
         assert step.percent == 5
 
     def test_bad_version_is_taken_back_at_once(self) -> None:
-        ended = decide(self.move(percent=50), None, "slower", True, 1, 1000)
+        ended = decide(self.move(percent=50), None, "slower", lambda: True, 1, 1000)
         assert not ended.done and ended.reason == "slower"
 
     def test_unproved_version_is_taken_back_at_the_deadline(self) -> None:
-        ended = decide(self.move(percent=5), MoveJudge(1), "", True, 1, 98_500)
+        ended = decide(self.move(percent=5), MoveJudge(1), "", lambda: True, 1, 98_500)
         assert not ended.done and "calls seen" in ended.reason
--- a/tests/scenarios/features/moves.feature
+++ b/tests/scenarios/features/moves.feature
@@ -63,6 +63,19 @@
     Then the move is reversed
     And every invariant holds
 
+  Scenario: A bad version is taken back with the store down and the driver dead
+    When 4 upstreams of a failing version "v2" start
+    And the operator moves to "v2" within 90 seconds
+    And 3 seconds pass
+    And the store is down
+    And the driver is killed
+    And 40 seconds pass
+    Then version "v2" began no work in the last 15 seconds
+    When the store is up again
+    And 30 seconds pass
+    Then the move is reversed
+    And every invariant holds
+
   Scenario: An outage of everything is no fault of the new version
     When 4 upstreams of a good version "v2" start
     And the operator moves to "v2" within 120 seconds
