Split the large modules, and answer a trial's refused calls by the proved version

A node without configuration answered 404. Before: with the fallback taken out, the new test fails (calls not run). Conclusion: a trial costs callers no refusal.

--- a/src/jayswitch/http/caller_app.py
+++ b/src/jayswitch/http/caller_app.py
@@ -10,6 +10,7 @@
 
 from jayswitch.clock import MS_PER_S
 from jayswitch.exceptions import JayswitchError
+from jayswitch.http.exceptions import BadRequest, BodyTooLarge
 from jayswitch.http.headers import (
     DEPTH_HEADER,
     IDEMPOTENCY_KEY_HEADER,
@@ -25,7 +26,7 @@
 from jayswitch.http.reasons import status_line
 from jayswitch.messages.generated import Header
 from jayswitch.routing.exceptions import CallFailure
-from jayswitch.routing.router import AnswerCut, CallerAnswer, CallerRequest
+from jayswitch.routing.request import AnswerCut, CallerAnswer, CallerRequest
 
 if TYPE_CHECKING:
     from jayswitch.routing.router import Router
@@ -35,27 +36,6 @@
 BODYLESS_STATUSES = (204, 304)
 
 
-class BadRequest(JayswitchError):
-    """A caller's request cannot be passed on."""
-
-    code = "bad-request"
-    status = 400
-
-
-class BodyTooLarge(JayswitchError):
-    """A caller's request body exceeds the limit."""
-
-    code = "body-too-large"
-    status = 413
-
-    def __init__(self, limit: int) -> None:
-        """Takes the limit in bytes."""
-        super().__init__(
-            f"the request body is larger than {limit} bytes",
-            "send it in parts, or raise max_body_bytes in the node's settings",
-        )
-
-
 class ErrorBody(msgspec.Struct):
     """What a caller gets in place of an answer."""
 
--- a/src/jayswitch/http/exceptions.py
+++ b/src/jayswitch/http/exceptions.py
@@ -1,4 +1,4 @@
-"""Errors of the administration API."""
+"""Errors of the HTTP interfaces."""
 
 from __future__ import annotations
 
@@ -59,3 +59,24 @@
             f"the announcement cannot be used: {reason}",
             "send service, version, address, slots and connections",
         )
+
+
+class BadRequest(JayswitchError):
+    """A caller's request cannot be passed on."""
+
+    code = "bad-request"
+    status = 400
+
+
+class BodyTooLarge(JayswitchError):
+    """A caller's request body exceeds the limit."""
+
+    code = "body-too-large"
+    status = 413
+
+    def __init__(self, limit: int) -> None:
+        """Takes the limit in bytes."""
+        super().__init__(
+            f"the request body is larger than {limit} bytes",
+            "send it in parts, or raise max_body_bytes in the node's settings",
+        )
--- /dev/null
+++ b/src/jayswitch/membership/composer.py
@@ -0,0 +1,153 @@
+"""What a node sends on a link of the distribution tree."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jayswitch.membership.link import NO_INTEREST, Link, LinkRole
+from jayswitch.membership.member import KIND_MARK, KIND_MEMBER, KIND_OUTCOMES
+from jayswitch.messages.generated import SubtreeStatus, Sync
+
+if TYPE_CHECKING:
+    from jayswitch.membership.records import HeldRecord
+    from jayswitch.membership.tree import Tree
+    from jayswitch.messages.generated import Record
+
+MISSED_HEARTBEATS = 3.5
+LAGGING_HEARTBEATS = 1.5
+RECORDS_PER_MESSAGE = 400
+
+
+class SyncComposer:
+    """Chooses the records, entries and interests that a peer still needs."""
+
+    def __init__(self, tree: Tree) -> None:
+        """Takes the tree whose links it writes for."""
+        self._tree = tree
+
+    def compose(self, link: Link) -> Sync:
+        """Returns the next message for a link."""
+        records, reached = self._records_for(link)
+        complete = reached >= self._tree.table.seq
+        sync = Sync(
+            node=self._tree.node,
+            reply_to=self._tree.address,
+            session=link.session,
+            peer_session=link.peer_session,
+            after=link.sent_seq,
+            seq=reached,
+            ack=link.received_seq,
+            config_version=self._tree.replica.version,
+            hops=self._tree.hops,
+            complete=complete,
+            records=records,
+            subtree=self._tree.subtree(),
+            snapshot=b"",
+            claim_slot=link.claim_slot,
+            resend=link.wants_resend,
+        )
+        if link.role is LinkRole.CHILD and complete:
+            sync.settled = self._settled_for(link)
+        if link.role is LinkRole.PARENT:
+            self._state_interest(link, sync)
+        self._add_configuration(link, sync)
+        return sync
+
+    def _records_for(self, link: Link) -> tuple[list[Record], int]:
+        records: list[Record] = []
+        for held in self._tree.table.changed_since(link.sent_seq):
+            if len(records) >= RECORDS_PER_MESSAGE:
+                return records, held.seq - 1
+            if self._goes_to(link, held):
+                records.append(held.record)
+        return records, self._tree.table.seq
+
+    def _goes_to(self, link: Link, held: HeldRecord) -> bool:
+        record = held.record
+        if held.source == link.peer:
+            return False
+        if record.kind == KIND_OUTCOMES and link.role is LinkRole.PEER:
+            return self._leads_to_judge(link)
+        if record.kind == KIND_MARK or link.role is LinkRole.PEER:
+            return True
+        if link.role is LinkRole.CHILD:
+            wanted = record.service in link.interest
+            return record.kind == KIND_MEMBER and wanted
+        source_link = self._tree.links_by_peer.get(held.source)
+        below = source_link is not None and source_link.role is LinkRole.CHILD
+        return not held.source or below
+
+    def _leads_to_judge(self, link: Link) -> bool:
+        """Tells whether outcomes go out on a link between relays.
+
+        They go to the judge, or to siblings, one of which is linked to it. Where
+        the judge is silent or unknown they go to every relay, and each may judge.
+        """
+        if self._tree.judge == self._tree.node:
+            return False
+        if self.is_judge_lost():
+            return True
+        if self._tree.judge in self._tree.links_by_peer:
+            return link.peer == self._tree.judge
+        return link.data_centre == self._tree.data_centre
+
+    def is_judge_lost(self) -> bool:
+        """Tells whether no judge is known, or the link to it is silent."""
+        if not self._tree.judge:
+            return True
+        link = self._tree.links_by_peer.get(self._tree.judge)
+        if link is None:
+            return False
+        silent_ms = self._tree.clock.now_ms() - link.heard_ms
+        return silent_ms > MISSED_HEARTBEATS * self._tree.interval_ms
+
+    def _settled_for(self, link: Link) -> list[str]:
+        if self._tree.is_relay:
+            return sorted(link.interest)
+        parent = self._tree.parent
+        if parent is None:
+            return []
+        return sorted(link.interest & parent.settled)
+
+    def _state_interest(self, link: Link, sync: Sync) -> None:
+        interest = self._tree.interest
+        if interest != link.interest_sent:
+            sync.interest = sorted(interest) or [NO_INTEREST]
+            link.interest_sent = interest
+
+    def _add_configuration(self, link: Link, sync: Sync) -> None:
+        known = max(link.peer_version, link.sent_version)
+        if not link.peer_session or known >= self._tree.replica.version:
+            return
+        if link.role is LinkRole.PEER and not self._is_lagging(link):
+            # Relays read the log themselves.
+            return
+        sync.entries = self._tree.replica.entries_after(known)
+        if not sync.entries:
+            sync.snapshot = self._tree.replica.snapshot()
+            self._tree.counts["snapshots_sent"] += 1
+
+    def _is_lagging(self, link: Link) -> bool:
+        """Tells whether a peer has been behind for longer than reading takes."""
+        now_ms = self._tree.clock.now_ms()
+        if link.behind_since_ms is None:
+            link.behind_since_ms = now_ms
+        return (
+            now_ms - link.behind_since_ms > LAGGING_HEARTBEATS * self._tree.interval_ms
+        )
+
+    def farewell(self) -> Sync:
+        """Returns the message that ends a link."""
+        return Sync(
+            node=self._tree.node,
+            reply_to=self._tree.address,
+            session="",
+            peer_session="",
+            after=0,
+            seq=0,
+            ack=0,
+            config_version=self._tree.replica.version,
+            subtree=SubtreeStatus(nodes=0, lowest_version=0),
+            snapshot=b"",
+            bye=True,
+        )
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -14,8 +14,9 @@
 from eventlet.event import Event
 
 from jayswitch.clock import MS_PER_S
+from jayswitch.membership.composer import MISSED_HEARTBEATS, SyncComposer
 from jayswitch.membership.link import EVERYTHING, NO_INTEREST, Link, LinkRole
-from jayswitch.membership.member import KIND_MARK, KIND_MEMBER, KIND_OUTCOMES
+from jayswitch.membership.member import KIND_MARK
 from jayswitch.messages.generated import Join, JoinReply, SubtreeStatus, Sync
 
 if TYPE_CHECKING:
@@ -23,17 +24,13 @@
     from jayswitch.config.replica import ConfigReplica
     from jayswitch.membership.records import HeldRecord, RecordTable
     from jayswitch.messages.codec import AnyMessage
-    from jayswitch.messages.generated import Record
     from jayswitch.transport.interface import Transport
 
 COALESCE_MS = 15.0
-MISSED_HEARTBEATS = 3.5
 RESEND_HEARTBEATS = 2.0
 ORPHAN_HEARTBEATS = 5.0
 PAUSE_HEARTBEATS = 2.0
 REJOIN_HEARTBEATS = 10.0
-LAGGING_HEARTBEATS = 1.5
-RECORDS_PER_MESSAGE = 400
 JOIN_TIMEOUT_MS = 1000.0
 JOIN_REDIRECTS = 12
 MAX_HOPS = 16
@@ -65,24 +62,30 @@
         self.links_by_peer: dict[str, Link] = {}
         self.counts: Counter[str] = Counter()
         self.on_claim_request: Callable[[int], None] = lambda slot: None
-        self._node = node
-        self._data_centre = data_centre
+        self.node = node
+        self.data_centre = data_centre
         self._transport = transport
-        self._clock = clock
-        self._replica = replica
-        self._table = table
-        self._interval_ms = interval_ms
+        self.clock = clock
+        self.replica = replica
+        self.table = table
+        self.interval_ms = interval_ms
         self._fan_out = fan_out
         self._random = rng
         self._own_interest: frozenset[str] = frozenset()
         self._join_attempt = ""
         self._join_reply: Event = Event()
+        self._composer = SyncComposer(self)
         self._stopped = False
         self._parent_lost_ms = float("-inf")
         self._last_hops = MAX_HOPS
         replica.on_change(lambda state: self.nudge())
         table.on_change(lambda record: self.nudge())
 
+    @property
+    def address(self) -> str:
+        """Returns the address of this node's control inbox."""
+        return self._transport.address
+
     @property
     def parent(self) -> Link | None:
         """Returns the link to the parent, if the node has one."""
@@ -109,8 +112,8 @@
         parent = self.parent
         if parent is not None:
             return parent.hops + 1
-        lost_for_ms = self._clock.now_ms() - self._parent_lost_ms
-        if lost_for_ms < REJOIN_HEARTBEATS * self._interval_ms:
+        lost_for_ms = self.clock.now_ms() - self._parent_lost_ms
+        if lost_for_ms < REJOIN_HEARTBEATS * self.interval_ms:
             return self._last_hops
         return MAX_HOPS
 
@@ -131,9 +134,13 @@
         """Tells every peer that this node leaves, and ends all links."""
         self._stopped = True
         for link in list(self.links_by_peer.values()):
-            self._transport.send(link.address, self._farewell(), 0)
+            self._transport.send(link.address, self._composer.farewell(), 0)
             self.drop_link(link)
 
+    def is_judge_lost(self) -> bool:
+        """Tells whether no judge of moves is known, or the link to it is silent."""
+        return self._composer.is_judge_lost()
+
     def nudge(self) -> None:
         """Sends what is new on every link without waiting for the heartbeat."""
         for link in self.links_by_peer.values():
@@ -155,11 +162,11 @@
 
     def subtree(self) -> SubtreeStatus:
         """Returns the configuration versions in force at and below this node."""
-        own_version = self._replica.version
+        own_version = self.replica.version
         status = SubtreeStatus(nodes=1, lowest_version=own_version)
-        if self._replica.rejection is not None:
+        if self.replica.rejection is not None:
             status.lagging.append(
-                f"{self._node} at {own_version}: {self._replica.rejection}"
+                f"{self.node} at {own_version}: {self.replica.rejection}"
             )
         for link in self.children:
             status.nodes += link.subtree.nodes
@@ -180,8 +187,8 @@
             if reply is None:
                 return False
             if reply.accepted:
-                self.add_link(reply.node, address, LinkRole.PARENT, self._data_centre)
-                self._table.republish_own()
+                self.add_link(reply.node, address, LinkRole.PARENT, self.data_centre)
+                self.table.republish_own()
                 return True
             if not reply.redirect:
                 return False
@@ -192,8 +199,8 @@
         self._join_attempt = uuid.uuid4().hex[:12]
         self._join_reply = Event()
         request = Join(
-            node=self._node,
-            data_centre=self._data_centre,
+            node=self.node,
+            data_centre=self.data_centre,
             reply_to=self._transport.address,
             attempt=self._join_attempt,
         )
@@ -212,7 +219,7 @@
         previous = self.links_by_peer.get(peer)
         if previous is not None:
             self.drop_link(previous)
-        link = Link(peer, address, role, data_centre, self._clock)
+        link = Link(peer, address, role, data_centre, self.clock)
         self.links_by_peer[peer] = link
         self.counts["links_started"] += 1
         logger.info("link started", extra={"peer": peer, "role": role.value})
@@ -225,7 +232,7 @@
             return
         if link.role is LinkRole.PARENT:
             self._last_hops = self.hops
-            self._parent_lost_ms = self._clock.now_ms()
+            self._parent_lost_ms = self.clock.now_ms()
         link.closed = True
         link.nudge()
         if self.links_by_peer.get(link.peer) is link:
@@ -234,15 +241,15 @@
         logger.info("link ended", extra={"peer": link.peer, "role": link.role.value})
         self._transport.forget(link.address)
         if not self._stopped:
-            self._table.orphan(link.peer)
+            self.table.orphan(link.peer)
             eventlet.spawn(self._remove_orphans_later, link)
 
     def _remove_orphans_later(self, link: Link) -> None:
         for other in self.links_by_peer.values():
             other.wants_resend = other.role is LinkRole.PEER
-        self._clock.sleep_ms(ORPHAN_HEARTBEATS * self._interval_ms)
+        self.clock.sleep_ms(ORPHAN_HEARTBEATS * self.interval_ms)
         if link.role is not LinkRole.PARENT:
-            removed = self._table.remove_orphans(lambda held: held.source == link.peer)
+            removed = self.table.remove_orphans(lambda held: held.source == link.peer)
             self.counts["records_removed"] += removed
 
     def _run_link(self, link: Link) -> None:
@@ -251,48 +258,48 @@
             # has been accepted, so the child speaks first.
             if link.role is not LinkRole.CHILD or link.peer_session:
                 self._send_sync(link)
-            before_ms = self._clock.now_ms()
+            before_ms = self.clock.now_ms()
             self._wait_for_heartbeat(link)
-            self._judge_silence(link, self._clock.now_ms() - before_ms)
+            self._judge_silence(link, self.clock.now_ms() - before_ms)
 
     def _wait_for_heartbeat(self, link: Link) -> None:
         jitter = self._random.uniform(0.9, 1.1)
-        with eventlet.Timeout(self._interval_ms * jitter / MS_PER_S, False):
+        with eventlet.Timeout(self.interval_ms * jitter / MS_PER_S, False):
             link.nudged.wait()
         if link.nudged.ready():
-            self._clock.sleep_ms(COALESCE_MS)
+            self.clock.sleep_ms(COALESCE_MS)
             link.nudged = Event()
 
     def _judge_silence(self, link: Link, waited_ms: float) -> None:
-        now_ms = self._clock.now_ms()
-        if waited_ms > PAUSE_HEARTBEATS * self._interval_ms:
+        now_ms = self.clock.now_ms()
+        if waited_ms > PAUSE_HEARTBEATS * self.interval_ms:
             # This process was paused, so the peer's silence proves nothing.
             link.heard_ms = now_ms
             self.counts["pauses"] += 1
         silent_ms = now_ms - link.heard_ms
-        if silent_ms > MISSED_HEARTBEATS * self._interval_ms:
+        if silent_ms > MISSED_HEARTBEATS * self.interval_ms:
             if link.role is LinkRole.PEER:
-                self._table.orphan(link.peer)
+                self.table.orphan(link.peer)
                 return
             self.drop_link(link)
 
     def _clean_up(self) -> None:
         while not self._stopped:
-            self._clock.sleep_ms(10 * self._interval_ms)
-            self._table.purge_gone()
+            self.clock.sleep_ms(10 * self.interval_ms)
+            self.table.purge_gone()
             if self.is_relay:
                 self._remove_old_orphans()
             else:
                 interest = self.interest
-                self._table.forget(lambda held: self._is_unwanted(held, interest))
+                self.table.forget(lambda held: self._is_unwanted(held, interest))
 
     def _remove_old_orphans(self) -> None:
         """Removes what no relay or child has brought again for some heartbeats.
 
         A silent peer keeps its link, and its records stay: it may be cut off.
         """
-        before_ms = self._clock.now_ms() - REJOIN_HEARTBEATS * self._interval_ms
-        removed = self._table.remove_orphans(
+        before_ms = self.clock.now_ms() - REJOIN_HEARTBEATS * self.interval_ms
+        removed = self.table.remove_orphans(
             lambda held: held.source not in self.links_by_peer
             and held.orphaned_ms is not None
             and held.orphaned_ms < before_ms
@@ -308,15 +315,15 @@
     # Sending
 
     def _send_sync(self, link: Link) -> None:
-        now_ms = self._clock.now_ms()
+        now_ms = self.clock.now_ms()
         unacked = link.acked_seq < link.sent_seq
         behind = link.peer_version < link.sent_version
-        if now_ms - link.sent_ms > RESEND_HEARTBEATS * self._interval_ms:
+        if now_ms - link.sent_ms > RESEND_HEARTBEATS * self.interval_ms:
             if unacked or behind:
                 link.rewind()
                 self.counts["resends"] += 1
             link.sent_ms = now_ms
-        sync = self._compose(link)
+        sync = self._composer.compose(link)
         if not self._transport.send(link.address, sync, SEND_TIMEOUT_MS):
             self.counts["syncs_unsent"] += 1
             return
@@ -325,138 +332,15 @@
         link.sent_seq = max(link.sent_seq, sync.seq)
         link.sent_version = max(link.sent_version, link.peer_version)
         if sync.snapshot:
-            link.sent_version = self._replica.version
+            link.sent_version = self.replica.version
         link.sent_version += len(sync.entries)
         link.claim_slot = -1
         link.wants_resend = False
         self.counts["syncs_sent"] += 1
-        behind = link.sent_version < self._replica.version
+        behind = link.sent_version < self.replica.version
         if not sync.complete or (behind and link.role is not LinkRole.PEER):
             link.nudge()
 
-    def _compose(self, link: Link) -> Sync:
-        records, reached = self._records_for(link)
-        complete = reached >= self._table.seq
-        sync = Sync(
-            node=self._node,
-            reply_to=self._transport.address,
-            session=link.session,
-            peer_session=link.peer_session,
-            after=link.sent_seq,
-            seq=reached,
-            ack=link.received_seq,
-            config_version=self._replica.version,
-            hops=self.hops,
-            complete=complete,
-            records=records,
-            subtree=self.subtree(),
-            snapshot=b"",
-            claim_slot=link.claim_slot,
-            resend=link.wants_resend,
-        )
-        if link.role is LinkRole.CHILD and complete:
-            sync.settled = self._settled_for(link)
-        if link.role is LinkRole.PARENT:
-            self._state_interest(link, sync)
-        self._add_configuration(link, sync)
-        return sync
-
-    def _records_for(self, link: Link) -> tuple[list[Record], int]:
-        records: list[Record] = []
-        for held in self._table.changed_since(link.sent_seq):
-            if len(records) >= RECORDS_PER_MESSAGE:
-                return records, held.seq - 1
-            if self._goes_to(link, held):
-                records.append(held.record)
-        return records, self._table.seq
-
-    def _goes_to(self, link: Link, held: HeldRecord) -> bool:
-        record = held.record
-        if held.source == link.peer:
-            return False
-        if record.kind == KIND_OUTCOMES and link.role is LinkRole.PEER:
-            return self._leads_to_judge(link)
-        if record.kind == KIND_MARK or link.role is LinkRole.PEER:
-            return True
-        if link.role is LinkRole.CHILD:
-            wanted = record.service in link.interest
-            return record.kind == KIND_MEMBER and wanted
-        source_link = self.links_by_peer.get(held.source)
-        below = source_link is not None and source_link.role is LinkRole.CHILD
-        return not held.source or below
-
-    def _leads_to_judge(self, link: Link) -> bool:
-        """Tells whether outcomes go out on a link between relays.
-
-        They go to the judge, or to siblings, one of which is linked to it. Where
-        the judge is silent or unknown they go to every relay, and each may judge.
-        """
-        if self.judge == self._node:
-            return False
-        if self.is_judge_lost():
-            return True
-        if self.judge in self.links_by_peer:
-            return link.peer == self.judge
-        return link.data_centre == self._data_centre
-
-    def is_judge_lost(self) -> bool:
-        """Tells whether no judge is known, or the link to it is silent."""
-        if not self.judge:
-            return True
-        link = self.links_by_peer.get(self.judge)
-        if link is None:
-            return False
-        silent_ms = self._clock.now_ms() - link.heard_ms
-        return silent_ms > MISSED_HEARTBEATS * self._interval_ms
-
-    def _settled_for(self, link: Link) -> list[str]:
-        if self.is_relay:
-            return sorted(link.interest)
-        parent = self.parent
-        if parent is None:
-            return []
-        return sorted(link.interest & parent.settled)
-
-    def _state_interest(self, link: Link, sync: Sync) -> None:
-        interest = self.interest
-        if interest != link.interest_sent:
-            sync.interest = sorted(interest) or [NO_INTEREST]
-            link.interest_sent = interest
-
-    def _add_configuration(self, link: Link, sync: Sync) -> None:
-        known = max(link.peer_version, link.sent_version)
-        if not link.peer_session or known >= self._replica.version:
-            return
-        if link.role is LinkRole.PEER and not self._is_lagging(link):
-            # Relays read the log themselves.
-            return
-        sync.entries = self._replica.entries_after(known)
-        if not sync.entries:
-            sync.snapshot = self._replica.snapshot()
-            self.counts["snapshots_sent"] += 1
-
-    def _is_lagging(self, link: Link) -> bool:
-        """Tells whether a peer has been behind for longer than reading takes."""
-        now_ms = self._clock.now_ms()
-        if link.behind_since_ms is None:
-            link.behind_since_ms = now_ms
-        return now_ms - link.behind_since_ms > LAGGING_HEARTBEATS * self._interval_ms
-
-    def _farewell(self) -> Sync:
-        return Sync(
-            node=self._node,
-            reply_to=self._transport.address,
-            session="",
-            peer_session="",
-            after=0,
-            seq=0,
-            ack=0,
-            config_version=self._replica.version,
-            subtree=SubtreeStatus(nodes=0, lowest_version=0),
-            snapshot=b"",
-            bye=True,
-        )
-
     # Receiving
 
     @singledispatchmethod
@@ -467,7 +351,7 @@
     @receive.register
     def _(self, message: Join) -> None:
         accepted = self._may_accept(message.node)
-        reply = JoinReply(node=self._node, accepted=accepted, attempt=message.attempt)
+        reply = JoinReply(node=self.node, accepted=accepted, attempt=message.attempt)
         if accepted:
             self.add_link(
                 message.node, message.reply_to, LinkRole.CHILD, message.data_centre
@@ -490,7 +374,10 @@
         if link is None:
             if not message.bye:
                 eventlet.spawn(
-                    self._transport.send, message.reply_to, self._farewell(), 100.0
+                    self._transport.send,
+                    message.reply_to,
+                    self._composer.farewell(),
+                    100.0,
                 )
             return
         if message.bye:
@@ -499,7 +386,7 @@
         self._receive_sync(link, message)
 
     def _may_accept(self, node: str) -> bool:
-        if self._stopped or node == self._node or self.hops >= MAX_HOPS:
+        if self._stopped or node == self.node or self.hops >= MAX_HOPS:
             return False
         is_child = any(link.peer == node for link in self.children)
         return is_child or len(self.children) < self._fan_out
@@ -512,17 +399,17 @@
 
     def _receive_sync(self, link: Link, sync: Sync) -> None:
         known_session = link.peer_session
-        if link.note_heard(sync, self._clock.now_ms()):
+        if link.note_heard(sync, self.clock.now_ms()):
             link.nudge()
             if known_session:
-                self._table.orphan(link.peer)
+                self.table.orphan(link.peer)
         if sync.resend:
             link.resend_all()
             link.nudge()
         if sync.interest:
             self._receive_interest(link, sync)
         for record in sync.records:
-            self._table.merge(record, link.peer)
+            self.table.merge(record, link.peer)
         if sync.after <= link.received_seq:
             link.received_seq = max(link.received_seq, sync.seq)
             if sync.complete:
@@ -535,11 +422,11 @@
 
     def _finish_transfer(self, link: Link, sync: Sync) -> None:
         """Removes what the peer no longer has, once it has sent everything."""
-        self._table.remove_orphans(lambda held: held.source == link.peer, link.peer)
+        self.table.remove_orphans(lambda held: held.source == link.peer, link.peer)
         if link.role is not LinkRole.PARENT:
             return
         settled = frozenset(sync.settled)
-        self._table.remove_orphans(
+        self.table.remove_orphans(
             lambda held: held.record.service in settled
             and held.source not in self.links_by_peer,
             link.peer,
@@ -557,6 +444,6 @@
 
     def _receive_configuration(self, sync: Sync) -> None:
         if sync.snapshot:
-            self._replica.offer_snapshot(sync.snapshot)
+            self.replica.offer_snapshot(sync.snapshot)
         for data in sync.entries:
-            self._replica.offer(data)
+            self.replica.offer(data)
--- a/src/jayswitch/routing/router.py
+++ b/src/jayswitch/routing/router.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import uuid
 from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, TypeAlias
@@ -20,7 +19,6 @@
     Cancel,
     Chunk,
     Credit,
-    Header,
     Refusal,
     Unknown,
 )
@@ -32,14 +30,24 @@
     NotRun,
     OutcomeUnknown,
 )
+from jayswitch.routing.request import (
+    AnswerCut,
+    Attempts,
+    CallerAnswer,
+    CallerRequest,
+)
 from jayswitch.routing.retry import RetryBudget
-from jayswitch.routing.table import RoutingTable, UpstreamDirectory, random_point
+from jayswitch.routing.table import (
+    RoutingTable,
+    UpstreamDirectory,
+    VersionSplit,
+    random_point,
+)
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
     from jayswitch.gate.gate import Gate, Reply
     from jayswitch.membership.member import Member
-    from jayswitch.profiles.generated import Route
     from jayswitch.transport.interface import Transport
 
 MAX_ATTEMPTS = 4
@@ -49,146 +57,16 @@
 CHUNK_TIMEOUT_MS = 30_000.0
 CREDIT_EVERY_CHUNKS = 4
 CREDIT_WINDOW = 8
-NO_UPSTREAM_RETRY_MS = 1000
 SHARE_OF_TIME_BEFORE_RETRY = 0.5
 FREE_ATTEMPTS = 3
+STARTING_RETRY_MS = 1000
+REASON_STARTING = "this node has not received the configuration yet"
 REASON_UNREACHABLE = "its node could not be reached"
 
 Outcome: TypeAlias = Answer | Refusal | Unknown
 OutcomeListener = Callable[[Call, bool], None]
 
 
-class CallerRequest:
-    """A request as it came from a caller; the timeout is 0 if none was given."""
-
-    __slots__ = ("body", "depth", "headers", "key", "method", "path", "timeout_ms")
-
-    def __init__(
-        self,
-        method: str,
-        path: str,
-        headers: list[Header],
-        body: bytes,
-        timeout_ms: float = 0,
-        depth: int = 0,
-        key: str = "",
-    ) -> None:
-        """Takes the path with its query string."""
-        self.method = method
-        self.path = path
-        self.headers = headers
-        self.body = body
-        self.timeout_ms = timeout_ms
-        self.depth = depth
-        self.key = key
-
-
-class CallerAnswer:
-    """A complete head and an iterator over the body, which may fail when read."""
-
-    __slots__ = ("body", "headers", "request_id", "status", "upstream")
-
-    def __init__(
-        self,
-        request_id: str,
-        upstream: str,
-        status: int,
-        headers: list[Header],
-        body: Iterator[bytes],
-    ) -> None:
-        """Takes what the upstream answered and the name of its node."""
-        self.request_id = request_id
-        self.upstream = upstream
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-
-class AnswerCut(Exception):
-    """The body of an answer ended early; the caller must not take it for whole."""
-
-
-class Attempts:
-    """What has been tried for one request."""
-
-    __slots__ = (
-        "budget",
-        "call_id",
-        "deadline_ms",
-        "excluded",
-        "last_reason",
-        "may_have_run",
-        "number",
-        "profile",
-        "request",
-        "request_id",
-        "retry_after_ms",
-        "route",
-        "version",
-    )
-
-    def __init__(
-        self,
-        request: CallerRequest,
-        profile: str,
-        route: Route,
-        version: str,
-        deadline_ms: float,
-        budget: RetryBudget,
-    ) -> None:
-        """Starts before the first attempt."""
-        self.profile = profile
-        self.budget = budget
-        self.may_have_run = False
-        self.request = request
-        self.request_id = uuid.uuid4().hex
-        self.route = route
-        self.version = version
-        self.deadline_ms = deadline_ms
-        self.number = 0
-        self.call_id = ""
-        self.excluded: set[str] = set()
-        self.last_reason = f"no upstream of {route.service} {version} is available"
-        self.retry_after_ms = NO_UPSTREAM_RETRY_MS
-
-    @property
-    def idempotent(self) -> bool:
-        """Tells whether the route allows the method to run more than once."""
-        return self.request.method in self.route.idempotent_methods
-
-    def note(self, node: str, outcome: Refusal | Unknown) -> None:
-        """Takes over what an attempt without an answer has shown."""
-        self.excluded.add(node)
-        self.last_reason = outcome.reason
-        if isinstance(outcome, Refusal):
-            self.retry_after_ms = max(1, outcome.retry_after_ms)
-        else:
-            self.may_have_run = True
-
-    def next_call(self, reply_to: str, remaining_ms: float) -> Call:
-        """Returns the message of the next attempt."""
-        self.number += 1
-        self.call_id = f"{self.request_id}.{self.number}"
-        return Call(
-            id=self.call_id,
-            request_id=self.request_id,
-            reply_to=reply_to,
-            profile=self.profile,
-            service=self.route.service,
-            version=self.version,
-            route=self.route.name,
-            method=self.request.method,
-            path=self.request.path,
-            headers=self.request.headers,
-            body=self.request.body,
-            remaining_ms=remaining_ms,
-            depth=self.request.depth,
-            idempotent=self.idempotent,
-            priority=self.route.priority,
-            key=self.request.key,
-        )
-
-
 class Router:
     """Routes callers' requests to gates and tells callers only what is known."""
 
@@ -237,6 +115,8 @@
     def _call(self, request: CallerRequest) -> Result[CallerAnswer, CallFailure]:
         table = self.table
         route = table.route_for(request.path)
+        if route is None and not table.config.version:
+            return Failure(NotRun(REASON_STARTING, STARTING_RETRY_MS))
         if route is None:
             return Failure(NoRoute(request.path, table.profile_name))
         if request.depth > MAX_DEPTH:
@@ -244,17 +124,25 @@
         timeout_ms = float(route.timeout_ms)
         if request.timeout_ms > 0:
             timeout_ms = min(timeout_ms, request.timeout_ms)
-        version = self._choose_version(table, route.service, request.key)
+        split = table.split_for(route.service, self._clock.wall_ms())
+        version = self._choose_version(table, split, route.service, request.key)
         deadline_ms = self._clock.now_ms() + timeout_ms
         budget = self._budget_by_service.setdefault(route.service, RetryBudget())
         budget.deposit(table.retry_percent(route.service))
         attempts = Attempts(
-            request, table.profile_name, route, version, deadline_ms, budget
+            request,
+            table.profile_name,
+            route,
+            version,
+            split.proved_version,
+            deadline_ms,
+            budget,
         )
         return self._attempt(attempts)
 
-    def _choose_version(self, table: RoutingTable, service: str, key: str) -> str:
-        split = table.split_for(service, self._clock.wall_ms())
+    def _choose_version(
+        self, table: RoutingTable, split: VersionSplit, service: str, key: str
+    ) -> str:
         point = point_of_key(key) if key else random_point(self._random)
         version = split.choose(point)
         if version == split.proved_version or split.move is None:
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -14,6 +14,7 @@
 from jayswitch.routing.balancer import Balancer
 from jayswitch.routing.retry import RetryBudget
 from jayswitch.routing.table import RoutingTable, UpstreamDirectory
+from tests.harness.mesh import Mesh
 
 WALL_MS = 1_800_000_000_000
 
@@ -80,6 +81,39 @@
         assert {split.choose(point) for point in range(100)} == {"v1"}
 
 
+class TestNodeWithoutConfiguration:
+    """A node that has just started says so, and that nothing was run."""
+
+    def test_call_is_refused_with_a_time_to_come_back(self, mesh: Mesh) -> None:
+        mesh.store.faults.down = True
+        node = mesh.add("a", "x", "herdview")
+        record = mesh.call(node, "/herdview/read")
+        assert record.outcome == "not-run"
+        assert "has not received the configuration" in record.reason
+
+
+class TestRefusalByANewVersion:
+    """Its calls go to the proved version; callers do not pay for the trial."""
+
+    def test_every_call_is_answered(self, mesh: Mesh) -> None:
+        for number in range(2):
+            mesh.add(f"old-{number}", "x", "herdview")
+        mesh.wait(6)
+        mesh.configure(["herdview"])
+        new = mesh.add("new", "x", "herdview", "v2")
+        mesh.wait(8)
+        mesh.set_profile({"herdview": "v2"})
+        mesh.wait(3)
+        new.node.parts.gate.set_out_of_service(True)
+        entry = mesh.nodes_by_name["old-0"]
+        outcomes = Counter(
+            mesh.call(entry, "/herdview/write", "POST").outcome for _ in range(300)
+        )
+        assert new.node.parts.gate.counts["refused"] > 0
+        assert outcomes == {"answered": 300}
+        mesh.oracle.check()
+
+
 class TestDirectory:
     """Upstreams that must get no new work are not offered."""
 
--- a/tests/scenarios/features/moves.feature
+++ b/tests/scenarios/features/moves.feature
@@ -11,6 +11,7 @@
     Then the move is done
     And the move ended by its deadline
     And version "v2" does all work in the last 3 seconds
+    And 100 percent of the calls since the mark were answered
     And every invariant holds
 
   Scenario Outline: A bad version is taken back
@@ -128,6 +129,7 @@
     And the store is down
     And 45 seconds pass
     Then version "v2" began no work in the last 10 seconds
+    And 100 percent of the calls since the mark were answered
     When the store is up again
     And 15 seconds pass
     Then the move is reversed
--- a/tests/scenarios/test_controls.py
+++ b/tests/scenarios/test_controls.py
@@ -16,7 +16,8 @@
 from jayswitch.gate.limiter import Limiter
 from jayswitch.node.node import Node
 from jayswitch.rollout.watcher import MoveWatcher
-from jayswitch.routing.router import Attempts, Router
+from jayswitch.routing.request import Attempts
+from jayswitch.routing.router import Router
 from jayswitch.routing.table import RoutingTable, UpstreamDirectory, VersionSplit
 from jayswitch.standins.upstream import UpstreamBehaviour
 from tests.harness.mesh import Mesh
