Send again what is unconfirmed, counted from the oldest message

Cause: each new entry put off sending the lost one again, so a node that missed one change stayed behind while changes went on; found by the negative control for resends, whose scenario failed with the mechanism in place. Ruled out: lost parents (the links of the nodes behind were up). Change: the wait for confirmation is counted from the oldest unconfirmed message, and is 0.9 of a heartbeat instead of 2.

--- a/src/jayswitch/membership/link.py
+++ b/src/jayswitch/membership/link.py
@@ -47,7 +47,7 @@
         "peer_version",
         "received_seq",
         "role",
-        "sent_ms",
+        "unconfirmed_since_ms",
         "sent_seq",
         "sent_version",
         "session",
@@ -69,7 +69,7 @@
         self.received_seq = 0
         self.acked_seq = 0
         self.sent_seq = 0
-        self.sent_ms = clock.now_ms()
+        self.unconfirmed_since_ms: float | None = None
         self.sent_version = 0
         self.behind_since_ms: float | None = None
         self.peer_version = 0
@@ -93,8 +93,31 @@
         self.acked_seq = 0
         self.sent_seq = 0
 
+    def note_sent(self, now_ms: float) -> None:
+        """Starts to wait for confirmation, unless it already waits for an earlier one.
+
+        The wait is counted from the oldest message, so that new ones cannot put off
+        sending it again.
+        """
+        if not self._is_unconfirmed():
+            self.unconfirmed_since_ms = None
+        elif self.unconfirmed_since_ms is None:
+            self.unconfirmed_since_ms = now_ms
+
+    def is_overdue(self, now_ms: float, after_ms: float) -> bool:
+        """Tells whether the peer has left something unconfirmed for too long."""
+        if not self._is_unconfirmed() or self.unconfirmed_since_ms is None:
+            self.unconfirmed_since_ms = None
+            return False
+        return now_ms - self.unconfirmed_since_ms > after_ms
+
+    def _is_unconfirmed(self) -> bool:
+        unacked = self.acked_seq < self.sent_seq
+        return unacked or self.peer_version < self.sent_version
+
     def rewind(self) -> None:
         """Sends again what the peer has not acknowledged."""
+        self.unconfirmed_since_ms = None
         self.sent_seq = self.acked_seq
         self.sent_version = self.peer_version
 
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -27,7 +27,7 @@
     from jayswitch.transport.interface import Transport
 
 COALESCE_MS = 15.0
-RESEND_HEARTBEATS = 2.0
+RESEND_HEARTBEATS = 0.9
 ORPHAN_HEARTBEATS = 5.0
 PAUSE_HEARTBEATS = 2.0
 REJOIN_HEARTBEATS = 10.0
@@ -316,24 +316,19 @@
 
     def _send_sync(self, link: Link) -> None:
         now_ms = self.clock.now_ms()
-        unacked = link.acked_seq < link.sent_seq
-        behind = link.peer_version < link.sent_version
-        if now_ms - link.sent_ms > RESEND_HEARTBEATS * self.interval_ms:
-            if unacked or behind:
-                link.rewind()
-                self.counts["resends"] += 1
-            link.sent_ms = now_ms
+        if link.is_overdue(now_ms, RESEND_HEARTBEATS * self.interval_ms):
+            link.rewind()
+            self.counts["resends"] += 1
         sync = self._composer.compose(link)
         if not self._transport.send(link.address, sync, SEND_TIMEOUT_MS):
             self.counts["syncs_unsent"] += 1
             return
-        if sync.seq > link.sent_seq or sync.entries or sync.snapshot:
-            link.sent_ms = now_ms
         link.sent_seq = max(link.sent_seq, sync.seq)
         link.sent_version = max(link.sent_version, link.peer_version)
         if sync.snapshot:
             link.sent_version = self.replica.version
         link.sent_version += len(sync.entries)
+        link.note_sent(now_ms)
         link.claim_slot = -1
         link.wants_resend = False
         self.counts["syncs_sent"] += 1
--- a/tests/scenarios/test_controls.py
+++ b/tests/scenarios/test_controls.py
@@ -8,12 +8,15 @@
 from collections.abc import Callable
 
 import eventlet
+import msgspec
 import pytest
 
 from jayswitch.config.replica import ConfigReplica
 from jayswitch.gate.gate import Gate
 from jayswitch.gate.ledger import RequestLedger
 from jayswitch.gate.limiter import Limiter
+from jayswitch.gate.upstream import Announcement
+from jayswitch.membership.link import Link
 from jayswitch.node.node import Node
 from jayswitch.rollout.watcher import MoveWatcher
 from jayswitch.routing.request import Attempts
@@ -162,6 +165,31 @@
     finish(mesh)
 
 
+def upstream_leaves(mesh: Mesh) -> None:
+    """An upstream leaves, and must then begin no work."""
+    build(mesh)
+    mesh.nodes_by_name["herdview-2"].leaving = True
+    mesh.wait(4)
+    since_ms = mesh.clock.now_ms()
+    mesh.wait(8)
+    finish(mesh)
+    assert mesh.runs.count(since_ms, node="herdview-2") == 0
+
+
+def lossy_changes(mesh: Mesh) -> None:
+    """Changes must be in force everywhere although messages are lost."""
+    build(mesh, count=18, rate=10)
+    mesh.network.loss = 0.4
+    for _ in range(5):
+        mesh.mark_data_centre("harvey", False)
+        mesh.wait(2)
+    mesh.wait(6)
+    versions = {n.node.parts.replica.version for n in mesh.live_nodes()}
+    mesh.network.loss = 0.0
+    finish(mesh)
+    assert len(versions) == 1, versions
+
+
 def forget_requests(patch: pytest.MonkeyPatch) -> None:
     """The gate remembers no request."""
     patch.setattr(RequestLedger, "fate", lambda self, request_id: None)
@@ -245,6 +273,21 @@
     patch.setattr(Router, "receive", receive)
 
 
+def ignore_leaving(patch: pytest.MonkeyPatch) -> None:
+    """The node does not heed that its upstream leaves."""
+    original = Node.announce
+
+    def announce(self: Node, announcement: Announcement) -> None:
+        original(self, msgspec.structs.replace(announcement, leaving=False))
+
+    patch.setattr(Node, "announce", announce)
+
+
+def never_send_again(patch: pytest.MonkeyPatch) -> None:
+    """Links take whatever they have sent for received."""
+    patch.setattr(Link, "rewind", lambda self: None)
+
+
 CONTROLS: list[tuple[Patch, Scenario]] = [
     (forget_requests, repeated_messages),
     (retry_everything, lost_answers),
@@ -257,6 +300,8 @@
     (ignore_deadlines, store_down_past_deadline),
     (no_drain, planned_stop),
     (take_any_snapshot, snapshot_of_the_past),
+    (ignore_leaving, upstream_leaves),
+    (never_send_again, lossy_changes),
 ]
 SCENARIOS = sorted(
     {s for _, s in CONTROLS} | {crossed_cancellations}, key=lambda s: s.__name__
