--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -82,16 +82,18 @@
         roles = self.largest["roles"]
         self.plain = roles["plain"]
         self.relay = roles["relay"]
-        self.link_bytes = max(
-            role["idle_bytes_per_s"] / role["links"] for role in roles.values()
-        )
-        self.link_cpu = max(
-            role["idle_cpu_percent"] / role["links"] for role in roles.values()
-        )
+        self.base_bytes, self.link_bytes = self.line("idle_bytes_per_s")
+        self.base_cpu, self.link_cpu = self.line("idle_cpu_percent")
         self.changes_per_s = CHANGES_PER_DAY / SECONDS_PER_DAY
         self.per_centre = NODES / DATA_CENTRES
         self.upstreams_per_service = NODES / SERVICES
 
+    def line(self, figure: str) -> tuple[float, float]:
+        """Returns base and slope against links, from the two roles measured."""
+        links = self.relay["links"] - self.plain["links"]
+        slope = (self.relay[figure] - self.plain[figure]) / links
+        return self.plain[figure] - slope * self.plain["links"], slope
+
     def depth(self) -> int:
         """Returns the levels below the relays of one data centre."""
         level, reached, width = 0, 0, RELAY_SLOTS
@@ -118,12 +120,12 @@
         entries = self.changes_per_s * self.configuration["entry_bytes"] * children
         churn = (2 * REPLACED_PER_DAY + FAILED_PER_DAY) / SECONDS_PER_DAY
         records = churn * 3 * self.members["wire_bytes_per_member"] * links
-        return links * self.link_bytes + entries + records
+        return self.base_bytes + links * self.link_bytes + entries + records
 
     def control_cpu(self, links: int) -> float:
         """Returns processor time for control in percent of a core."""
         changes = self.changes_per_s * self.configuration["cpu_ms_per_change"] / 10
-        return links * self.link_cpu + changes
+        return self.base_cpu + links * self.link_cpu + changes
 
     def outcomes_rate(self) -> float:
         """Returns the gates' reports a second in the whole fleet."""
@@ -145,7 +147,7 @@
     roles = [
         ("plain, leaf", c.members_known(0), 1, 0),
         ("plain, inner", c.members_known(below_first), FAN_OUT + 1, FAN_OUT),
-        ("relay", NODES, relay_links, relay_links),
+        ("relay", NODES, relay_links, FAN_OUT),
     ]
     rows = [
         "| role | members held | links | bytes/s | of 9 KB/s | core % | of 2.7%"
@@ -289,12 +291,13 @@
         f"- one change: {configuration['entry_bytes']:.0f} B,"
         f" {configuration['cpu_ms_per_change']:.2f} ms to apply",
         f"- one gate's report on a move: {outcomes_bytes()} B",
-        f"- one idle link, the dearer role: {c.link_bytes:.0f} B/s,"
-        f" {c.link_cpu:.3f}% of a core",
+        f"- one idle link: {c.link_bytes:.0f} B/s and {c.link_cpu:.3f}% of a core, on"
+        f" top of {c.base_bytes:.0f} B/s and {c.base_cpu:.2f}% (the line through the"
+        " two roles)",
         "",
         "## By role",
         "",
-        "Links x bytes of an idle link, plus changes x entry x children, plus churn x",
+        "Base and links x bytes of an idle link, plus changes x entry x children, plus churn x",
         f"member x links; moves are taken as {MOVES_SHARE:.0%} of the changes, each of"
         f" {MOVE_SECONDS} s.",
         "A relay also sends its data centre's reports on moves, once, towards the"
