Judge errors over all routes as well as on each

Cause: a version that fails on every route was found route by route, each with a part of the evidence. Change: a further test on the sums over all routes, for errors only.

--- a/src/jayswitch/rollout/judge.py
+++ b/src/jayswitch/rollout/judge.py
@@ -172,6 +172,7 @@
     __slots__ = (
         "_bad_evidence",
         "_delay",
+        "_overall",
         "_percent",
         "_step_calls",
         "_step_calls_by_route",
@@ -187,6 +188,9 @@
         self._delay = delay
         self._bad_evidence = bad_evidence
         self.by_route: dict[str, RouteJudge] = {}
+        self._overall = RateEvidence(
+            ERROR_RATE_FLOOR, ERROR_RATE_FACTOR, ERROR_RATE_STEP, delay
+        )
         self._percent = 0
         self._step_calls = 0
         self._step_calls_by_route: dict[str, int] = {}
@@ -206,6 +210,14 @@
         earlier = self._step_calls_by_route.get(route, 0)
         self._step_calls_by_route[route] = earlier + new.calls
 
+    def observe_overall(self, old: RouteOutcomes, new: RouteOutcomes) -> None:
+        """Takes the sums over all routes of one interval.
+
+        Errors on every route show sooner in the sum; latencies are not compared
+        there, because routes differ in them.
+        """
+        self._overall.observe(old.errors, old.calls, new.errors, new.calls)
+
     def set_percent(self, percent: int) -> None:
         """Counts the proof anew where the share has changed."""
         if percent == self._percent:
@@ -220,6 +232,9 @@
             fault = judge.fault()
             if fault:
                 return f"route {route!r}: {fault} after {judge.new_calls} calls"
+        if self._overall.score >= self._bad_evidence:
+            score = self._overall.score
+            return f"all routes: more errors than the old version (score {score:.1f})"
         return ""
 
     def missing_proof(self) -> str:
--- a/src/jayswitch/rollout/watcher.py
+++ b/src/jayswitch/rollout/watcher.py
@@ -177,12 +177,16 @@
             for key in by_key
             if key.profile == move.profile and key.service == move.service
         }
+        all_old, all_new = RouteOutcomes(), RouteOutcomes()
         for route in sorted(routes):
             old_key = OutcomeKey(move.profile, move.service, move.from_version, route)
             new_key = OutcomeKey(move.profile, move.service, move.to_version, route)
             old = by_key.get(old_key, RouteOutcomes())
             new = by_key.get(new_key, RouteOutcomes())
             judge.observe(route, old, new)
+            all_old.add(old)
+            all_new.add(new)
+        judge.observe_overall(all_old, all_new)
 
     def _mark_bad(self, move: Move, fault: str) -> None:
         evidence = f"{move.service} {move.to_version}: {fault}"
--- a/tests/rollout/test_judge.py
+++ b/tests/rollout/test_judge.py
@@ -76,6 +76,19 @@
             judge.observe("write", outcomes(rng, 20, 0, 5), outcomes(rng, 5, 0.9, 5))
         assert judge.fault().startswith("route 'write': more errors")
 
+    def test_errors_on_all_routes_add_up(self) -> None:
+        rng = random.Random(1)
+        judge = MoveJudge(1)
+        for _ in range(3):
+            sums = RouteOutcomes(), RouteOutcomes()
+            for route in ("a", "b", "c", "d"):
+                old, new = outcomes(rng, 20, 0, 5), outcomes(rng, 1, 1.0, 5)
+                judge.observe(route, old, new)
+                sums[0].add(old)
+                sums[1].add(new)
+            judge.observe_overall(*sums)
+        assert judge.fault().startswith("all routes: more errors")
+
     def test_route_without_calls_is_no_proof(self) -> None:
         rng = random.Random(1)
         judge = MoveJudge(1)
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -92,7 +92,7 @@
         """Returns base and slope against links, from the two roles measured."""
         links = self.relay["links"] - self.plain["links"]
         slope = (self.relay[figure] - self.plain[figure]) / links
-        return self.plain[figure] - slope * self.plain["links"], slope
+        return max(0.0, self.plain[figure] - slope * self.plain["links"]), slope
 
     def depth(self) -> int:
         """Returns the levels below the relays of one data centre."""
@@ -297,8 +297,9 @@
         "",
         "## By role",
         "",
-        "Base and links x bytes of an idle link, plus changes x entry x children, plus churn x",
-        f"member x links; moves are taken as {MOVES_SHARE:.0%} of the changes, each of"
+        "Base and links x bytes of an idle link, plus changes x entry x children, plus",
+        "churn x member x links; moves are taken as"
+        f" {MOVES_SHARE:.0%} of the changes, each of"
         f" {MOVE_SECONDS} s.",
         "A relay also sends its data centre's reports on moves, once, towards the"
         " driver.",
