Remove what nothing uses

Cause: a scan for names that occur once. Change: an unused measure, a stand-in's unused accessor and a constant are gone. Conclusion: no behaviour changed.

--- a/bench/measures.py
+++ b/bench/measures.py
@@ -10,7 +10,7 @@
 import urllib3
 
 from bench.rig import Rig, Vm
-from bench.traffic import LoadResult, Traffic
+from bench.traffic import Traffic
 
 POLL_S = 0.02
 CHANGES = 10
@@ -251,19 +251,3 @@
             return newest
         time.sleep(0.2)
     raise RuntimeError("the move did not end")
-
-
-def measure_kill(rig: Rig) -> dict:
-    """Kills a daemon that relays and one that does not, while calls go on."""
-    traffic = Traffic(rig, DATA_CENTRE_RATE, 12.0, write_share=0.5)
-    time.sleep(3)
-    victim = next(vm for vm in reversed(rig.vms) if vm.service and vm.version == "v1")
-    assert victim.daemon is not None
-    victim.daemon.kill()
-    result: LoadResult = traffic.result()
-    return {
-        "calls": result.calls,
-        "outcomes": dict(result.outcomes),
-        "success_share": result.success_share(),
-        "longest_gap_ms": result.longest_gap_s() * 1000,
-    }
--- a/src/jayswitch/membership/relay.py
+++ b/src/jayswitch/membership/relay.py
@@ -30,7 +30,6 @@
 CLAIM_JITTER_MS = 2000.0
 RETRY_MIN_MS = 200.0
 RETRY_MAX_MS = 10_000.0
-REVIEW_MS = 3000.0
 
 logger = logging.getLogger(__name__)
 
--- a/src/jayswitch/standins/memory_store.py
+++ b/src/jayswitch/standins/memory_store.py
@@ -198,11 +198,6 @@
             if key in self._values_by_key and self._values_by_key[key].lease == lease:
                 self._remove(key)
 
-    def lease_of(self, key: str) -> str:
-        """Returns the lease that a key is bound to; empty for none."""
-        value = self._values_by_key.get(key)
-        return value.lease if value is not None else ""
-
     def _admit(self, kind: str, rate: _Rate) -> StoreError | None:
         self.calls_by_kind[kind] += 1
         if self.faults.slow_ms:
