Wake the stand-in store's watchers in order, and complete the upstream stand-in

Ruled out: the hash seed. Change: an event for each watcher. The upstream stand-in ends cancelled work and work past its deadline early, and its health endpoint can lag. Before: different sequences in different processes. After: five processes with five hash seeds end with the same random numbers and the same bytes sent; 214 and 12 tests pass.

--- a/src/jayswitch/standins/memory_store.py
+++ b/src/jayswitch/standins/memory_store.py
@@ -84,7 +84,7 @@
         self._events: deque[WatchEvent] = deque(maxlen=EVENT_HISTORY)
         self._revision = 0
         self._lease_serial = 0
-        self._changed = Event()
+        self._watchers: list[Event] = []
         self._reads = _Rate()
         self._writes = _Rate()
 
@@ -185,8 +185,13 @@
             left_ms = until_ms - self._clock.now_ms()
             if batch.events or batch.compacted or left_ms <= 0:
                 return Success(batch)
+            # An event of its own for each watcher, so that they wake in order.
+            changed = Event()
+            self._watchers.append(changed)
             with eventlet.Timeout(min(left_ms, MS_PER_S) / MS_PER_S, False):
-                self._changed.wait()
+                changed.wait()
+            if changed in self._watchers:
+                self._watchers.remove(changed)
             self._lapse_leases()
 
     def expire_lease(self, lease: str) -> None:
@@ -230,8 +235,9 @@
 
     def _publish(self, event: WatchEvent) -> None:
         self._events.append(event)
-        changed, self._changed = self._changed, Event()
-        changed.send(None)
+        watchers, self._watchers = self._watchers, []
+        for watcher in watchers:
+            watcher.send(None)
 
     def _lapse_leases(self) -> None:
         now_ms = self._clock.now_ms()
--- a/src/jayswitch/standins/upstream.py
+++ b/src/jayswitch/standins/upstream.py
@@ -21,6 +21,7 @@
 COLD_SLOTS_SHARE = 0.2
 COLD_SLOWDOWN = 3.0
 FALL_MS = 2000.0
+CANCEL_POLL_MS = 10.0
 
 
 class UpstreamBehaviour(msgspec.Struct, kw_only=True):
@@ -41,6 +42,7 @@
     cut_fraction: float = 0.0
     hang_fraction: float = 0.0
     lying_health: bool = False
+    health_lag_ms: float = 0.0
 
 
 class StandInUpstream:
@@ -95,7 +97,7 @@
             return [b""]
         if path == "/health":
             start_response("200 OK", [])
-            return [b"ok" if self.behaviour.lying_health or not self.is_cold else b"no"]
+            return [b"ok" if self._seems_healthy() else b"no"]
         environ["wsgi.input"].read()
         return self._serve(environ, path, start_response)
 
@@ -124,13 +126,33 @@
     def _sheds(self) -> bool:
         return not self.is_cold and self.in_flight >= self.behaviour.slots
 
+    def _seems_healthy(self) -> bool:
+        """Tells what the health endpoint says, which may lag or lie."""
+        at_ms = self._clock.now_ms() - self.behaviour.health_lag_ms
+        was_cold = 0 <= at_ms - self._started_ms < self.behaviour.warm_up_ms
+        return self.behaviour.lying_health or not was_cold
+
     def _work(self, environ: dict[str, Any], path: str) -> None:
+        """Takes the request's time; ends early at its cancellation or deadline."""
         latency_ms = self.behaviour.latency_ms
         if self.is_cold:
             latency_ms *= COLD_SLOWDOWN
         if self._random.random() < self.behaviour.hang_fraction:
             latency_ms = float(environ.get(TIMEOUT_VARIABLE, "1000")) * 2
-        self._clock.sleep_ms(latency_ms)
+            self._clock.sleep_ms(latency_ms)
+            return
+        deadline_ms = float(environ.get(TIMEOUT_VARIABLE, "inf"))
+        if latency_ms > deadline_ms:
+            self.counts["past_deadline"] += 1
+        left_ms = min(latency_ms, deadline_ms)
+        request_id = environ.get(REQUEST_ID_VARIABLE, "")
+        while left_ms > 0:
+            if request_id in self._cancelled:
+                self._cancelled.discard(request_id)
+                self.counts["stopped_early"] += 1
+                return
+            self._clock.sleep_ms(min(left_ms, CANCEL_POLL_MS))
+            left_ms -= CANCEL_POLL_MS
 
     def _status(self, path: str) -> int:
         if self._clock.now_ms() < self._fallen_until_ms:
