Say once what is silent, shed and raised

Cause: reading the whole change again. A link's silence was worked out in two modules, a shed's code stood as two literals, and the error test was built from its four constants in two places. Change: Link.is_silent, UpstreamShed.code behind the refusal's reason, and class methods for the two kinds of evidence.

--- a/src/jayswitch/gate/reasons.py
+++ b/src/jayswitch/gate/reasons.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from jayswitch.gate.exceptions import UpstreamShed
+
 REASON_FULL = "full"
 REASON_DEADLINE = "the deadline cannot be met"
-REASON_SHED = "upstream-shed"
+REASON_SHED = UpstreamShed.code
 REASON_LEAVING = "leaving"
 REASON_OUT = "data centre out of service"
 REASON_NO_UPSTREAM = "no upstream has announced itself here"
--- a/src/jayswitch/membership/composer.py
+++ b/src/jayswitch/membership/composer.py
@@ -13,7 +13,6 @@
     from jayswitch.membership.tree import Tree
     from jayswitch.messages.generated import Record
 
-MISSED_HEARTBEATS = 3.5
 LAGGING_HEARTBEATS = 1.5
 RECORDS_PER_MESSAGE = 400
 
@@ -98,8 +97,7 @@
         link = self._tree.links_by_peer.get(self._tree.judge)
         if link is None:
             return False
-        silent_ms = self._tree.clock.now_ms() - link.heard_ms
-        return silent_ms > MISSED_HEARTBEATS * self._tree.interval_ms
+        return link.is_silent(self._tree.clock.now_ms(), self._tree.interval_ms)
 
     def _settled_for(self, link: Link) -> list[str]:
         if self._tree.is_relay:
--- a/src/jayswitch/membership/link.py
+++ b/src/jayswitch/membership/link.py
@@ -16,6 +16,7 @@
 
 EVERYTHING = "*"
 NO_INTEREST = "-"
+MISSED_HEARTBEATS = 3.5
 
 
 class LinkRole(Enum):
@@ -93,6 +94,10 @@
         self.acked_seq = 0
         self.sent_seq = 0
 
+    def is_silent(self, now_ms: float, interval_ms: float) -> bool:
+        """Tells whether the peer has missed so many heartbeats that it seems gone."""
+        return now_ms - self.heard_ms > MISSED_HEARTBEATS * interval_ms
+
     def note_sent(self, now_ms: float) -> None:
         """Starts to wait for confirmation, unless it already waits for an earlier one.
 
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -14,7 +14,7 @@
 from eventlet.event import Event
 
 from jayswitch.clock import MS_PER_S
-from jayswitch.membership.composer import MISSED_HEARTBEATS, SyncComposer
+from jayswitch.membership.composer import SyncComposer
 from jayswitch.membership.link import EVERYTHING, NO_INTEREST, Link, LinkRole
 from jayswitch.membership.member import KIND_MARK
 from jayswitch.messages.generated import Join, JoinReply, SubtreeStatus, Sync
@@ -276,8 +276,7 @@
             # This process was paused, so the peer's silence proves nothing.
             link.heard_ms = now_ms
             self.counts["pauses"] += 1
-        silent_ms = now_ms - link.heard_ms
-        if silent_ms > MISSED_HEARTBEATS * self.interval_ms:
+        if link.is_silent(now_ms, self.interval_ms):
             if link.role is LinkRole.PEER:
                 self.table.orphan(link.peer)
                 return
--- a/src/jayswitch/rollout/judge.py
+++ b/src/jayswitch/rollout/judge.py
@@ -67,6 +67,16 @@
         self._recent_calls = 0.0
         self._recent_hits = 0.0
 
+    @classmethod
+    def for_errors(cls, delay: int) -> RateEvidence:
+        """Returns evidence on the rate of errors."""
+        return cls(ERROR_RATE_FLOOR, ERROR_RATE_FACTOR, ERROR_RATE_STEP, delay)
+
+    @classmethod
+    def for_slow_answers(cls, delay: int) -> RateEvidence:
+        """Returns evidence on the rate of slow answers."""
+        return cls(SLOW_RATE_FLOOR, SLOW_RATE_FACTOR, SLOW_RATE_STEP, delay)
+
     def observe(
         self, old_hits: int, old_calls: int, new_hits: int, new_calls: int
     ) -> None:
@@ -116,12 +126,8 @@
     def __init__(self, delay: int, bad_evidence: float) -> None:
         """Starts without evidence; the delay is in intervals."""
         self._bad_evidence = bad_evidence
-        self.errors = RateEvidence(
-            ERROR_RATE_FLOOR, ERROR_RATE_FACTOR, ERROR_RATE_STEP, delay
-        )
-        self.slow = RateEvidence(
-            SLOW_RATE_FLOOR, SLOW_RATE_FACTOR, SLOW_RATE_STEP, delay
-        )
+        self.errors = RateEvidence.for_errors(delay)
+        self.slow = RateEvidence.for_slow_answers(delay)
         self.new_calls = 0
         self.old_calls = 0
         self._old = RouteOutcomes()
@@ -188,9 +194,7 @@
         self._delay = delay
         self._bad_evidence = bad_evidence
         self.by_route: dict[str, RouteJudge] = {}
-        self._overall = RateEvidence(
-            ERROR_RATE_FLOOR, ERROR_RATE_FACTOR, ERROR_RATE_STEP, delay
-        )
+        self._overall = RateEvidence.for_errors(delay)
         self._percent = 0
         self._step_calls = 0
         self._step_calls_by_route: dict[str, int] = {}
