Stage rollouts and judge them at the gates

Ruled out: judging at one relay; gates see each answer first and need no store. Change: shares grow in stages that any proxy writes under a condition; gates of a version on trial judge its answers against the proved version's usual latency and withdraw it at once; senders learn of it from refusals too.

--- a/src/jayswitch/fleet/records.py
+++ b/src/jayswitch/fleet/records.py
@@ -74,6 +74,12 @@
     state: str
 
 
+class Baseline(msgspec.Struct):
+    """The version of a service that has proved itself."""
+
+    version: str
+
+
 def node_key(vm: str) -> str:
     """Returns the key of a proxy's record."""
     return NODE_PREFIX + vm
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -63,7 +63,7 @@
         self.slots = SlotQueue(1, clock)
         self.service: Service | None = None
         self.out_of_service = False
-        self.stopped_version = ""
+        self.may_run: Callable[[str], bool] = lambda version: True
         self.on_answer: AnswerListener = lambda request, failed, latency_ms: None
         self.rate = rate
         self._address = address
@@ -123,7 +123,7 @@
             return reasons.OTHER_UPSTREAM
         if request.version and current.version != request.version:
             return reasons.OTHER_UPSTREAM
-        if current.version == self.stopped_version:
+        if not self.may_run(current.version):
             return reasons.WITHDRAWN
         if self.out_of_service:
             return reasons.EVACUATED
--- a/src/jayswitch/platform/factory.py
+++ b/src/jayswitch/platform/factory.py
@@ -8,7 +8,7 @@
 from jayswitch.clock import Clock
 from jayswitch.platform.headers import platform_headers
 from jayswitch.platform.heartbeats import HeartbeatApplication
-from jayswitch.platform.operator import OPERATOR_PREFIX, OperatorKeys
+from jayswitch.platform.operator import OPERATOR_PREFIX, OperatorKeys, write_status
 from jayswitch.platform.store import PlatformStore
 from jayswitch.proxy.process import ProxyProcess
 
@@ -26,6 +26,7 @@
         orders,
         OPERATOR_PREFIX,
         OperatorKeys(orders, clock).apply,
+        write_status,
         platform_headers(),
         clock,
     )
--- a/src/jayswitch/platform/operator.py
+++ b/src/jayswitch/platform/operator.py
@@ -196,16 +196,6 @@
     )
 
 
-def status_key(service: str) -> str:
-    """Returns the key under which the operator reads a rollout's state."""
-    return STATUS_PREFIX + service
-
-
-def encode_status(state: str, to_version: str) -> bytes:
-    """Returns a rollout's state as the operator reads it."""
-    return msgspec.json.encode(StatusBody(state, to_version))
-
-
-def decode_status(data: bytes) -> StatusBody:
-    """Returns a stored state; raises MsgspecError if it cannot be read."""
-    return msgspec.json.decode(data, type=StatusBody)
+def write_status(service: str, state: str, to_version: str) -> tuple[str, bytes]:
+    """Returns the key and value under which the operator reads a move's state."""
+    return STATUS_PREFIX + service, msgspec.json.encode(StatusBody(state, to_version))
--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -34,6 +34,7 @@
 # Kept for the way back, so that the answer reaches the caller in time.
 RETURN_MS = 5.0
 STATUS_SERVER_ERROR = 500
+USUAL_WEIGHT = 0.05
 
 logger = logging.getLogger(__name__)
 
@@ -90,6 +91,8 @@
         """Takes the gate on this VM, which is asked without a hop."""
         self.counts: Counter[str] = Counter()
         self.choose_versions: VersionChooser = lambda service, members: members
+        self.on_withdrawn: Callable[[str, str], object] = lambda service, version: None
+        self.is_on_trial: Callable[[str, str], bool] = lambda service, version: False
         self.is_evacuated: Callable[[str], bool] = lambda data_centre: False
         self._vm = vm
         self._gate = gate
@@ -98,12 +101,15 @@
         self._balancer = balancer
         self._budget_terms = budget_terms
         self._budget_by_service: dict[str, WindowBudget] = {}
+        self._usual_ms_by_route: dict[str, float] = {}
         self._clock = clock
         self._random = rng
 
     def run(self, request: ForwardedRequest, route: Route) -> AttemptOutcome:
         """Runs a request; NotRun is returned only if it has run nowhere."""
         request.service = route.choose_service(self._random)
+        request.route = route.name
+        request.usual_ms = self._usual_ms_by_route.get(route.name, 0.0)
         budget = self._budget(request.service)
         budget.note_request()
         progress = _Progress()
@@ -119,6 +125,9 @@
                 self.counts["budget_spent"] += 1
                 break
             outcome = self._try(request, member, progress)
+            if self.is_on_trial(request.service, member.version):
+                # Whatever a version on trial did not answer goes to the proved one.
+                members = self._proved_members(request.service, member.version)
             if isinstance(outcome, Answered):
                 if not self._is_worth_repeating(request, route, progress, outcome):
                     if progress.failed_answer is not None:
@@ -137,6 +146,14 @@
         ]
         return self.choose_versions(service, members)
 
+    def _proved_members(self, service: str, trial_version: str) -> list[Member]:
+        return [
+            member
+            for member in self._directory.members(service)
+            if member.version != trial_version
+            and not self.is_evacuated(member.data_centre)
+        ]
+
     def _budget(self, service: str) -> WindowBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
@@ -162,6 +179,7 @@
         finally:
             self._balancer.finish(member.node)
         self._learn(member, outcome)
+        self._learn_version(request, member, outcome, started_ms)
         self._log(request, member, outcome, started_ms)
         if not isinstance(outcome, NotRun) or outcome.reached_upstream:
             progress.sent += 1
@@ -208,6 +226,25 @@
             else:
                 self._balancer.penalize(member.node, REFUSAL_PENALTY_MS)
 
+    def _learn_version(
+        self,
+        request: ForwardedRequest,
+        member: Member,
+        outcome: AttemptOutcome,
+        started_ms: float,
+    ) -> None:
+        if isinstance(outcome, NotRun):
+            if outcome.reason == reasons.WITHDRAWN:
+                self.on_withdrawn(request.service, member.version)
+            return
+        if not isinstance(outcome, Answered) or outcome.status >= STATUS_SERVER_ERROR:
+            return
+        if not self.is_on_trial(request.service, member.version):
+            elapsed_ms = self._clock.now_ms() - started_ms
+            usual_ms = self._usual_ms_by_route.get(request.route, elapsed_ms)
+            usual_ms += (elapsed_ms - usual_ms) * USUAL_WEIGHT
+            self._usual_ms_by_route[request.route] = usual_ms
+
     def _log(
         self,
         request: ForwardedRequest,
--- a/src/jayswitch/proxy/headers.py
+++ b/src/jayswitch/proxy/headers.py
@@ -17,6 +17,8 @@
 HOP_REASON = "X-Jayswitch-Reason"
 HOP_LOAD = "X-Jayswitch-Load"
 HOP_SENT = "X-Jayswitch-Sent"
+HOP_ROUTE = "X-Jayswitch-Route"
+HOP_USUAL_MS = "X-Jayswitch-Usual-Ms"
 HOP_FROM = "X-Jayswitch-From"
 
 REPEATABLE = "repeatable"
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -19,8 +19,10 @@
     HOP_OUTCOME,
     HOP_RANK,
     HOP_REASON,
+    HOP_ROUTE,
     HOP_SENT,
     HOP_SERVICE,
+    HOP_USUAL_MS,
     HOP_VERSION,
     INTERNAL_PREFIX,
     ONCE,
@@ -62,6 +64,8 @@
         (HOP_KIND, REPEATABLE if request.repeatable else ONCE),
         (HOP_RANK, str(request.rank)),
         (HOP_OBJECTIVE_MS, str(int(request.objective_ms - now_ms))),
+        (HOP_ROUTE, request.route),
+        (HOP_USUAL_MS, str(int(request.usual_ms))),
         (HOP_FROM, request.origin_vm),
         (names.time_left_ms, str(int(request.deadline_ms - now_ms))),
         (names.caller_service, request.caller_service),
@@ -91,6 +95,8 @@
     request.deadline_ms = now_ms + _number(headers, names.time_left_ms)
     request.caller_service = find(headers, names.caller_service) or ""
     request.origin_vm = find(headers, HOP_FROM) or ""
+    request.route = find(headers, HOP_ROUTE) or ""
+    request.usual_ms = _number(headers, HOP_USUAL_MS)
     return request
 
 
--- a/src/jayswitch/proxy/outcome.py
+++ b/src/jayswitch/proxy/outcome.py
@@ -40,8 +40,9 @@
 class ForwardedRequest:
     """A request with the decisions that travel with it.
 
-    deadline_ms and objective_ms are points on the local clock. The body is whole
-    unless it is an iterator, which can be read only once.
+    deadline_ms and objective_ms are points on the local clock; usual_ms is how long
+    the proved version usually takes on this route, 0 where that is not known. The
+    body is whole unless it is an iterator, which can be read only once.
     """
 
     __slots__ = (
@@ -56,9 +57,10 @@
         "rank",
         "repeatable",
         "request_id",
+        "route",
         "service",
         "target",
-        "upstream_id",
+        "usual_ms",
         "version",
     )
 
@@ -80,7 +82,8 @@
         self.body_length = body_length
         self.service = ""
         self.version = ""
-        self.upstream_id = ""
+        self.route = ""
+        self.usual_ms = 0.0
         self.caller_service = ""
         self.origin_vm = ""
         self.repeatable = False
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -34,13 +34,18 @@
 from jayswitch.proxy.outbound import OutboundApplication
 from jayswitch.proxy.protocol import StrictProtocol
 from jayswitch.proxy.sockets import apply_options
+from jayswitch.rollout.coordinator import MoveCoordinator
+from jayswitch.rollout.trial import TrialJudge
+from jayswitch.rollout.versions import VersionRules
 from jayswitch.routing.balancer import Balancer
 from jayswitch.store.follower import PrefixFollower
 
 if TYPE_CHECKING:
     from jayswitch.proxy.generated import ProxySettings
     from jayswitch.proxy.headers import HeaderNames
+    from jayswitch.proxy.outcome import ForwardedRequest
     from jayswitch.proxy.wsgi_request import StartResponse
+    from jayswitch.rollout.coordinator import StatusWriter
     from jayswitch.store.interface import Store, WatchEvent
 
 UPSTREAM_CONNECT_TIMEOUT_MS = 300.0
@@ -50,6 +55,8 @@
 # A heartbeat must be answered within a second.
 ACKNOWLEDGE_MS = 800.0
 UPKEEP_MS = 500.0
+# Counts of a version on trial are published at this interval while they change.
+TRIAL_REPORT_MS = 1500.0
 # Readiness is asked for each second, and two misses end new work.
 LEAVE_MS = 2300.0
 # Kept of the grace period for closing down.
@@ -72,6 +79,7 @@
         orders: Orders,
         operator_prefix: str,
         apply_order: Callable[[WatchEvent], None],
+        status: StatusWriter,
         names: HeaderNames,
         clock: Clock,
     ) -> None:
@@ -86,6 +94,7 @@
         self.directory = Directory(clock)
         self.publisher = RecordPublisher(store, settings.vm, self._describe, clock)
         self._build_forwarding(names)
+        self._build_moves(status)
         self.orders_follower = PrefixFollower(
             store, operator_prefix, apply_order, clock
         )
@@ -137,6 +146,25 @@
             settings.vm, settings.service, self.runner, names, clock
         )
 
+    def _build_moves(self, status: StatusWriter) -> None:
+        self.rules = VersionRules(self._rng)
+        self.trial = TrialJudge()
+        self._trial_published_ms = float("-inf")
+        self.coordinator = MoveCoordinator(
+            self.settings.vm,
+            self._store,
+            self.orders,
+            self.rules,
+            self.directory,
+            status,
+            self._clock,
+        )
+        self.runner.choose_versions = self.rules.choose
+        self.runner.on_withdrawn = self.rules.withdraw
+        self.runner.is_on_trial = self.rules.is_on_trial
+        self.gate.may_run = self._may_run
+        self.gate.on_answer = self._judge
+
     def start(self, heartbeats: Callable[..., Iterable[bytes]]) -> None:
         """Binds every port and starts every task."""
         settings = self.settings
@@ -147,6 +175,7 @@
         self.publisher.start(self._restore)
         self.orders_follower.start()
         self.fleet_follower.start()
+        self.coordinator.start()
         eventlet.spawn(self._keep_up)
         logger.info("started", extra={"first_start": settings.first_start})
 
@@ -199,6 +228,7 @@
             assert current is not None
             if previous is None or not previous.same_incarnation(current):
                 self.gate.restart()
+                self.trial = TrialJudge()
             self.publisher.publish()
         self.gate.resize()
         if heartbeat.upstream.state is UpstreamState.READY:
@@ -245,6 +275,7 @@
             started_ms=self._started_ms,
             upstream=self.local.current,
             draining=self.draining,
+            trial=self.trial.counts if self._is_on_trial() else None,
         )
 
     # The fleet
@@ -252,6 +283,39 @@
     def _apply_shared(self, event: WatchEvent) -> None:
         if event.key.startswith(NODE_PREFIX):
             self.directory.apply(event)
+        else:
+            self.rules.apply(event)
+
+    # Moves
+
+    def _is_on_trial(self) -> bool:
+        current = self.local.current
+        service = self.settings.service
+        return current is not None and self.rules.is_on_trial(service, current.version)
+
+    def _may_run(self, version: str) -> bool:
+        service = self.settings.service
+        return self.rules.may_run(service, version, self.directory.members(service))
+
+    def _judge(
+        self, request: ForwardedRequest, failed: bool, latency_ms: float
+    ) -> None:
+        """Judges the answers of an upstream whose version is on trial."""
+        current = self.local.current
+        if current is None or not self._is_on_trial():
+            return
+        usual_ms = 0.0 if self.rate.is_cold else request.usual_ms
+        self.trial.observe(request.route, failed, latency_ms, usual_ms)
+        service = self.settings.service
+        if self.trial.is_bad and self.rules.withdraw(service, current.version):
+            self.coordinator.roll_back(service, self.trial.reason)
+        self._publish_trial()
+
+    def _publish_trial(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._trial_published_ms >= TRIAL_REPORT_MS:
+            self._trial_published_ms = now_ms
+            self.publisher.publish()
 
     def _apply_orders(self) -> None:
         catalog = self.orders.catalog
--- /dev/null
+++ b/src/jayswitch/rollout/coordinator.py
@@ -0,0 +1,229 @@
+"""Steps the moves of services; any proxy may, and the store takes one of them."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import eventlet
+import msgspec
+from returns.result import Failure, Success
+
+from jayswitch.fleet.records import BASELINE_PREFIX, MOVE_PREFIX, Baseline, Move
+from jayswitch.rollout.stages import (
+    COMPLETED,
+    ROLLED_BACK,
+    RUNNING,
+    MoveView,
+    Step,
+    next_step,
+)
+from jayswitch.store.exceptions import CasConflict
+from jayswitch.store.interface import Write
+
+if TYPE_CHECKING:
+    from jayswitch.catalog.orders import MoveOrder, Orders
+    from jayswitch.clock import Clock
+    from jayswitch.fleet.directory import Directory
+    from jayswitch.rollout.versions import VersionRules
+    from jayswitch.store.interface import Store
+
+REVIEW_MS = 250.0
+# Proxies review in the order of their names, each this much later than the one
+# before, so that the next one steps in when the first cannot reach the store.
+TURN_MS = 600.0
+LONGEST_TURN_MS = 4000.0
+
+# Returns the key and value under which operators read a move's state.
+StatusWriter = Callable[[str, str, str], tuple[str, bytes]]
+
+logger = logging.getLogger(__name__)
+
+
+class MoveCoordinator:
+    """Decides a move's next step from the fleet's records and writes it.
+
+    Each step expects the revision of the one before, so that proxies that race
+    each other take it once.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        store: Store,
+        orders: Orders,
+        rules: VersionRules,
+        directory: Directory,
+        status: StatusWriter,
+        clock: Clock,
+    ) -> None:
+        """Takes what the decisions rest on."""
+        self._vm = vm
+        self._store = store
+        self._orders = orders
+        self._rules = rules
+        self._directory = directory
+        self._status = status
+        self._clock = clock
+        self._due_ms_by_service: dict[str, float] = {}
+        self._stage_ms_by_service: dict[str, tuple[float, float]] = {}
+
+    def start(self) -> None:
+        """Starts the task that reviews moves."""
+        eventlet.spawn(self._run)
+
+    def roll_back(self, service: str, reason: str) -> None:
+        """Ends a running move at once, trying until the store has taken it."""
+        eventlet.spawn_n(self._roll_back, service, reason)
+
+    def _run(self) -> None:
+        while True:
+            self._clock.sleep_ms(REVIEW_MS)
+            try:
+                self._review()
+            except Exception:
+                logger.exception("review of moves failed")
+
+    def _review(self) -> None:
+        for service in self._services_without_baseline():
+            self._after_turn(f"baseline {service}", self._write_baseline, service)
+        for order in list(self._orders.move_by_service.values()):
+            self._review_order(order)
+
+    def _review_order(self, order: MoveOrder) -> None:
+        move = self._rules.move_by_service.get(order.service)
+        if move is None or move.order != order.revision:
+            if move is not None and move.order > order.revision:
+                return
+            step = Step(RUNNING, 0.0)
+        elif move.state != RUNNING:
+            self._due_ms_by_service.pop(order.service, None)
+            return
+        else:
+            step = next_step(self._view(order, move))
+            if step == Step(move.state, move.share):
+                self._due_ms_by_service.pop(order.service, None)
+                return
+        self._after_turn(order.service, self._write_step, order, step)
+
+    def _view(self, order: MoveOrder, move: Move) -> MoveView:
+        now_ms = self._clock.now_ms()
+        share, since_ms = self._stage_ms_by_service.get(order.service, (-1.0, now_ms))
+        if share != move.share:
+            since_ms = now_ms
+            self._stage_ms_by_service[order.service] = (move.share, now_ms)
+        good = 0
+        upstreams = 0
+        for record in self._directory.record_by_vm.values():
+            upstream = record.upstream
+            if upstream is None or upstream.service != order.service:
+                continue
+            if upstream.version == order.to_version:
+                upstreams += 1
+                good += record.trial.good if record.trial is not None else 0
+        return MoveView(
+            share=move.share,
+            elapsed_ms=now_ms - order.heard_ms,
+            stage_ms=now_ms - since_ms,
+            duration_ms=order.duration_ms,
+            good_answers=good,
+            upstreams=upstreams,
+        )
+
+    # Taking turns
+
+    def _after_turn(
+        self, topic: str, action: Callable[..., None], *arguments: object
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        due_ms = self._due_ms_by_service.setdefault(topic, now_ms + self._turn_ms())
+        if now_ms >= due_ms:
+            del self._due_ms_by_service[topic]
+            action(*arguments)
+
+    def _turn_ms(self) -> float:
+        active = sorted(
+            record.vm
+            for record in self._directory.record_by_vm.values()
+            if not record.draining
+        )
+        before = sum(1 for vm in active if vm < self._vm)
+        return min(LONGEST_TURN_MS, before * TURN_MS)
+
+    # Writing
+
+    def _services_without_baseline(self) -> list[str]:
+        services = {
+            record.upstream.service
+            for record in self._directory.record_by_vm.values()
+            if record.upstream is not None
+        }
+        return sorted(services - self._rules.proved_by_service.keys())
+
+    def _write_baseline(self, service: str) -> None:
+        members = self._directory.members(service)
+        version = self._rules.proved(service, members)
+        if not version:
+            return
+        write = Write(BASELINE_PREFIX + service, _encode(Baseline(version)), 0)
+        self._commit([write], "proved version", service)
+
+    def _write_step(self, order: MoveOrder, step: Step) -> None:
+        move = Move(
+            service=order.service,
+            to_version=order.to_version,
+            order=order.revision,
+            share=step.share,
+            state=step.state,
+        )
+        revision = self._rules.move_revision_by_service.get(order.service, 0)
+        self._write_move(move, revision)
+
+    def _write_move(self, move: Move, expected_revision: int) -> bool:
+        key = MOVE_PREFIX + move.service
+        writes = [Write(key, _encode(move), expected_revision)]
+        status_key, status = self._status(move.service, move.state, move.to_version)
+        writes.append(Write(status_key, status))
+        if move.state == COMPLETED:
+            baseline = BASELINE_PREFIX + move.service
+            writes.append(Write(baseline, _encode(Baseline(move.to_version))))
+        topic = f"move {move.state} at {move.share}"
+        return self._commit(writes, topic, move.service)
+
+    def _commit(self, writes: list[Write], topic: str, service: str) -> bool:
+        match self._store.commit(writes):
+            case Success(revision):
+                logger.info(
+                    "step written",
+                    extra={"service": service, "step": topic, "revision": revision},
+                )
+                return True
+            case Failure(CasConflict()):
+                logger.info(
+                    "another proxy was first", extra={"service": service, "step": topic}
+                )
+                return True
+            case Failure(error):
+                logger.warning(
+                    "step not written",
+                    extra={"service": service, "step": topic, "reason": error.cause},
+                )
+        return False
+
+    def _roll_back(self, service: str, reason: str) -> None:
+        logger.warning(
+            "version found bad", extra={"service": service, "reason": reason}
+        )
+        while True:
+            move = self._rules.move_by_service.get(service)
+            if move is None or move.state != RUNNING:
+                return
+            revision = self._rules.move_revision_by_service[service]
+            ended = msgspec.structs.replace(move, state=ROLLED_BACK, share=0.0)
+            self._write_move(ended, revision)
+            self._clock.sleep_ms(REVIEW_MS)
+
+
+def _encode(record: msgspec.Struct) -> bytes:
+    return msgspec.json.encode(record)
--- /dev/null
+++ b/src/jayswitch/rollout/versions.py
@@ -0,0 +1,131 @@
+"""Which versions of a service may get requests, and how a request picks one."""
+
+from __future__ import annotations
+
+import logging
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from jayswitch.fleet.records import BASELINE_PREFIX, MOVE_PREFIX, Baseline, Move
+from jayswitch.rollout.stages import RUNNING
+
+if TYPE_CHECKING:
+    from jayswitch.membership.member import Member
+    from jayswitch.store.interface import WatchEvent
+
+logger = logging.getLogger(__name__)
+
+
+class VersionRules:
+    """The proved version of each service and the moves that are under way."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Starts without knowledge: a service's only version counts as proved."""
+        self.move_by_service: dict[str, Move] = {}
+        self.move_revision_by_service: dict[str, int] = {}
+        self.proved_by_service: dict[str, str] = {}
+        self.baseline_revision_by_service: dict[str, int] = {}
+        self._withdrawn: set[tuple[str, str, int]] = set()
+        self._random = rng
+
+    def apply(self, event: WatchEvent) -> None:
+        """Takes a change of a move or of a proved version."""
+        try:
+            if event.key.startswith(MOVE_PREFIX):
+                self._apply_move(event.key.removeprefix(MOVE_PREFIX), event)
+            elif event.key.startswith(BASELINE_PREFIX):
+                self._apply_baseline(event.key.removeprefix(BASELINE_PREFIX), event)
+        except msgspec.MsgspecError as error:
+            logger.warning(
+                "shared record unreadable",
+                extra={"key": event.key, "reason": str(error)},
+            )
+
+    def withdraw(self, service: str, version: str) -> bool:
+        """Ends a version's share on this proxy; tells whether that is news."""
+        move = self.move_by_service.get(service)
+        if move is None or move.to_version != version or move.state != RUNNING:
+            return False
+        mark = (service, version, move.order)
+        if mark in self._withdrawn:
+            return False
+        self._withdrawn.add(mark)
+        logger.warning(
+            "version withdrawn here", extra={"service": service, "version": version}
+        )
+        return True
+
+    def proved(self, service: str, members: list[Member]) -> str:
+        """Returns the version that gets what a move does not take."""
+        known = self.proved_by_service.get(service)
+        if known is not None or not members:
+            return known or ""
+        return min(members, key=lambda member: member.since_ms).version
+
+    def may_run(self, service: str, version: str, members: list[Member]) -> bool:
+        """Tells whether an upstream of a version takes requests at all."""
+        if version == self.proved(service, members):
+            return True
+        move = self._running_move(service)
+        return move is not None and move.to_version == version and move.share > 0
+
+    def is_on_trial(self, service: str, version: str) -> bool:
+        """Tells whether a version's answers are to be judged."""
+        move = self._running_move(service)
+        return move is not None and move.to_version == version
+
+    def choose(self, service: str, members: list[Member]) -> list[Member]:
+        """Returns the upstreams that one request may go to."""
+        if not members:
+            return members
+        proved = self.proved(service, members)
+        move = self._running_move(service)
+        if move is not None and self._random.random() < move.share:
+            chosen = [m for m in members if m.version == move.to_version]
+            if chosen:
+                return chosen
+        return [member for member in members if member.version == proved]
+
+    def _running_move(self, service: str) -> Move | None:
+        move = self.move_by_service.get(service)
+        if move is None or move.state != RUNNING:
+            return None
+        if (service, move.to_version, move.order) in self._withdrawn:
+            return None
+        return move
+
+    def _apply_move(self, service: str, event: WatchEvent) -> None:
+        if event.value is None:
+            self.move_by_service.pop(service, None)
+            self.move_revision_by_service.pop(service, None)
+            return
+        move = msgspec.json.decode(event.value, type=Move)
+        self.move_by_service[service] = move
+        self.move_revision_by_service[service] = event.revision
+        logger.info(
+            "move changed",
+            extra={
+                "service": service,
+                "to_version": move.to_version,
+                "state": move.state,
+                "share": move.share,
+                "revision": event.revision,
+            },
+        )
+
+    def _apply_baseline(self, service: str, event: WatchEvent) -> None:
+        if event.value is None:
+            return
+        baseline = msgspec.json.decode(event.value, type=Baseline)
+        self.proved_by_service[service] = baseline.version
+        self.baseline_revision_by_service[service] = event.revision
+        logger.info(
+            "proved version",
+            extra={
+                "service": service,
+                "version": baseline.version,
+                "revision": event.revision,
+            },
+        )
--- /dev/null
+++ b/tests/routing/test_window_budget.py
@@ -0,0 +1,47 @@
+"""Tests of the retry budget that the fleet shares."""
+
+from __future__ import annotations
+
+from jayswitch.clock import VirtualClock
+from jayswitch.routing.window_budget import WindowBudget
+
+RATIO = 0.2
+SLACK = 60.0
+WINDOW_S = 10.0
+FLEET = 10
+
+
+class TestWindowBudget:
+    """The sum over all proxies stays within ratio and slack in every window."""
+
+    def test_fleet_without_contact_stays_within_the_bound(self) -> None:
+        clock = VirtualClock()
+        fleet = [WindowBudget(RATIO, SLACK, WINDOW_S, clock) for _ in range(FLEET)]
+        requests: list[float] = []
+        repeats: list[float] = []
+        for number in range(4000):
+            # Most requests come to three of the proxies, as in a burst.
+            proxy = fleet[number % (3 if number % 4 else FLEET)]
+            proxy.note_request()
+            requests.append(clock.now_ms())
+            while proxy.take(FLEET):
+                repeats.append(clock.now_ms())
+            clock.sleep_ms(10)
+        for begin in range(0, 40_000, 500):
+            end = begin + WINDOW_S * 1000
+            within = sum(1 for at in repeats if begin <= at < end)
+            asked = sum(1 for at in requests if begin <= at < end)
+            assert within <= RATIO * asked + SLACK
+
+    def test_few_requests_still_have_some_repeats(self) -> None:
+        budget = WindowBudget(RATIO, SLACK, WINDOW_S, VirtualClock())
+        budget.note_request()
+        assert budget.take(FLEET)
+
+    def test_repeats_are_forgotten_after_the_window(self) -> None:
+        clock = VirtualClock()
+        budget = WindowBudget(RATIO, SLACK, WINDOW_S, clock)
+        while budget.take(FLEET):
+            continue
+        clock.sleep_ms(WINDOW_S * 1000 + 1000)
+        assert budget.take(FLEET)
