See resets, tell others how far the store is known, wait for callers at a stop

Ruled out: the WSGI server's chunking (a raw upstream that resets shows it alone). Change: client sockets raise on a reset; a stopping proxy stays while requests come; lost answers no longer count against a version; watches wait longer, coalesce, and a proxy that hears of a later change reads again. A reason that quotes an upstream's bytes can no longer end its header (found by the new loopback tests).

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 test: $(STAMP)
 	$(VENV)/bin/python -m pytest $(ARGS)
-	$(VENV)/bin/python -m pytest -o addopts= tests/deployment $(ARGS)
+	$(VENV)/bin/python -m pytest -o addopts= tests/deployment tests/loopback $(ARGS)
 
 lint: $(STAMP)
 	$(VENV)/bin/black --check --quiet src tests tools bench
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -33,6 +33,9 @@
 LEAVING_RETRY_MS = 200.0
 HEALTH_TIMEOUT_MS = 300.0
 HEALTH_RETRY_MS = 150.0
+# Part of the rate that a cold upstream bears: half as much again is its bound, and
+# requests that are under way while it turns cold count too.
+COLD_FACTOR = 1.25
 # Less than this is left: the upstream would be stopped before it has answered.
 SHORTEST_RUN_MS = 10.0
 STATUS_MISDIRECTED = 421
@@ -142,14 +145,18 @@
         refusal = self._refusal(request)
         if refusal is not None:
             return self._refuse(request, refusal)
-        per_s = self.service.cold_calls_per_s if self.service is not None else 1.0
-        rest_ms = self.rate.take(per_s)
+        rest_ms = self.rate.take(self._cold_calls_per_s())
         if rest_ms > 0:
             return self._refuse(request, reasons.COLD, rest_ms)
         current = self._local.usable
         assert current is not None
         return self._send(request, current)
 
+    def _cold_calls_per_s(self) -> float:
+        if self.service is None:
+            return 1.0
+        return self.service.cold_calls_per_s * COLD_FACTOR
+
     def _send(self, request: ForwardedRequest, current: Upstream) -> AttemptOutcome:
         self.counts["sent"] += 1
         started_ms = self._clock.now_ms()
@@ -269,8 +276,9 @@
     ) -> OutcomeUnknown:
         latency_ms = self._clock.now_ms() - started_ms
         self.counts["timed_out" if timed_out else "broken"] += 1
-        self.on_answer(request, True, latency_ms)
         if timed_out:
+            # A lost answer says nothing about a version, a late one does.
+            self.on_answer(request, True, latency_ms)
             self._service_ms += (latency_ms - self._service_ms) * SERVICE_TIME_WEIGHT
         logger.warning(
             "upstream gave no whole answer",
--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -158,9 +158,7 @@
         budget = self._budget_by_service.get(service)
         if budget is None:
             terms = self._budget_terms
-            budget = WindowBudget(
-                terms.ratio, terms.slack, terms.window_s, self._clock
-            )
+            budget = WindowBudget(terms.ratio, terms.slack, terms.window_s, self._clock)
             self._budget_by_service[service] = budget
         return budget
 
--- a/src/jayswitch/proxy/headers.py
+++ b/src/jayswitch/proxy/headers.py
@@ -19,6 +19,7 @@
 HOP_SENT = "X-Jayswitch-Sent"
 HOP_ROUTE = "X-Jayswitch-Route"
 HOP_USUAL_MS = "X-Jayswitch-Usual-Ms"
+HOP_KNOWN = "X-Jayswitch-Known"
 HOP_FROM = "X-Jayswitch-From"
 
 REPEATABLE = "repeatable"
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -14,6 +14,7 @@
 from jayswitch.proxy.headers import (
     HOP_FROM,
     HOP_KIND,
+    HOP_KNOWN,
     HOP_LOAD,
     HOP_OBJECTIVE_MS,
     HOP_OUTCOME,
@@ -39,6 +40,7 @@
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
+    from jayswitch.fleet.knowledge import Knowledge
     from jayswitch.proxy.headers import HeaderNames
     from jayswitch.proxy.http_client import Exchange, HttpClient
     from jayswitch.proxy.outcome import AttemptOutcome, Headers
@@ -50,6 +52,7 @@
 UNREACHED_RETRY_MS = 300.0
 # Connections between proxies are kept for long: their servers never end idle ones.
 HOP_IDLE_S = 30
+LONGEST_REASON = 200
 
 
 def hop_headers(
@@ -109,7 +112,7 @@
         headers.append((HOP_OUTCOME, OUTCOME_ANSWERED))
         headers.append(("Keep-Alive", f"timeout={HOP_IDLE_S}"))
         return headers
-    headers.append((HOP_REASON, outcome.reason))
+    headers.append((HOP_REASON, _header_text(outcome.reason)))
     headers.append(("Keep-Alive", f"timeout={HOP_IDLE_S}"))
     if isinstance(outcome, NotRun):
         headers.append((HOP_OUTCOME, OUTCOME_NOT_RUN))
@@ -124,9 +127,16 @@
 class HopClient:
     """Sends requests to the proxies beside other upstreams."""
 
-    def __init__(self, client: HttpClient, names: HeaderNames, clock: Clock) -> None:
+    def __init__(
+        self,
+        client: HttpClient,
+        knowledge: Knowledge,
+        names: HeaderNames,
+        clock: Clock,
+    ) -> None:
         """Takes the client that keeps the connections."""
         self._client = client
+        self._knowledge = knowledge
         self._names = names
         self._clock = clock
 
@@ -140,9 +150,10 @@
                 address,
                 request.method,
                 request.target,
-                hop_headers(request, self._names, self._clock),
+                self._headers(request),
                 request.body or None,
             )
+            self._knowledge.compare(find(exchange.headers, HOP_KNOWN))
             return self._outcome(request, exchange)
         except NotSent:
             return NotRun(reasons.PROXY_UNREACHED, UNREACHED_RETRY_MS)
@@ -155,9 +166,12 @@
         finally:
             timeout.cancel()
 
-    def _outcome(
-        self, request: ForwardedRequest, exchange: Exchange
-    ) -> AttemptOutcome:
+    def _headers(self, request: ForwardedRequest) -> Headers:
+        headers = hop_headers(request, self._names, self._clock)
+        headers.append((HOP_KNOWN, self._knowledge.describe()))
+        return headers
+
+    def _outcome(self, request: ForwardedRequest, exchange: Exchange) -> AttemptOutcome:
         load = LoadReport.from_text(find(exchange.headers, HOP_LOAD))
         outcome = find(exchange.headers, HOP_OUTCOME)
         reason = find(exchange.headers, HOP_REASON) or "no reason was given"
@@ -182,6 +196,12 @@
         return Answered(exchange.status, exchange.headers, exchange.read(), close, load)
 
 
+def _header_text(text: str) -> str:
+    """Returns text that cannot end its header; it may quote an upstream's bytes."""
+    printable = "".join(char if " " <= char <= "~" else " " for char in text)
+    return printable[:LONGEST_REASON].strip()
+
+
 def _without_hop_headers(headers: Headers, names: HeaderNames) -> Headers:
     dropped = names.set_by_proxies()
     return [
--- a/src/jayswitch/proxy/http_client.py
+++ b/src/jayswitch/proxy/http_client.py
@@ -6,7 +6,7 @@
 import socket
 from collections import deque
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -15,7 +15,7 @@
 from jayswitch.clock import MS_PER_S
 from jayswitch.proxy.exceptions import AnswerCut, ExchangeBroken, NotSent
 from jayswitch.proxy.headers import connection_options, find
-from jayswitch.proxy.sockets import socket_options
+from jayswitch.proxy.sockets import ResetAwareSocket, socket_options
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
@@ -63,6 +63,10 @@
 class _Connection(HTTPConnection):
     response_class = _CheckedResponse
 
+    def _new_conn(self) -> Any:
+        plain: Any = super()._new_conn()
+        return ResetAwareSocket(plain.fd)
+
 
 class _Idle:
     __slots__ = ("connection", "until_ms")
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -8,6 +8,7 @@
 from jayswitch.http.reasons import status_line
 from jayswitch.proxy.exceptions import CallerGone, MalformedRequest
 from jayswitch.proxy.hangup import HangupWatch
+from jayswitch.proxy.headers import HOP_KNOWN, find
 from jayswitch.proxy.hop import outcome_headers, request_from_hop
 from jayswitch.proxy.outcome import Answered
 from jayswitch.proxy.protocol import CONNECTION_VARIABLE, TARGET_VARIABLE
@@ -21,6 +22,7 @@
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
+    from jayswitch.fleet.knowledge import Knowledge
     from jayswitch.gate.upstream_gate import UpstreamGate
     from jayswitch.proxy.headers import HeaderNames
     from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
@@ -36,11 +38,18 @@
 class InboundApplication:
     """Passes requests to the gate; every answer says what became of the request."""
 
-    def __init__(self, gate: UpstreamGate, names: HeaderNames, clock: Clock) -> None:
+    def __init__(
+        self,
+        gate: UpstreamGate,
+        knowledge: Knowledge,
+        names: HeaderNames,
+        clock: Clock,
+    ) -> None:
         """Takes the gate in front of the upstream."""
         self.draining = False
         self.in_flight = 0
         self._gate = gate
+        self._knowledge = knowledge
         self._names = names
         self._clock = clock
 
@@ -70,10 +79,12 @@
         return self._tell(outcome, start_response, watch)
 
     def _read(self, environ: dict[str, Any]) -> ForwardedRequest:
+        headers = raw_headers(environ)
+        self._knowledge.compare(find(headers, HOP_KNOWN))
         request = request_from_hop(
             environ["REQUEST_METHOD"],
             environ[TARGET_VARIABLE],
-            raw_headers(environ),
+            headers,
             self._names,
             self._clock,
         )
@@ -88,6 +99,7 @@
         watch: HangupWatch,
     ) -> Iterator[bytes]:
         headers = answer_headers(outcome.headers) + outcome_headers(outcome)
+        headers.append((HOP_KNOWN, self._knowledge.describe()))
         body = send_answer(outcome, environ, headers, start_response)
         try:
             yield from body
@@ -104,7 +116,11 @@
     ) -> Iterable[bytes]:
         watch.stop()
         self.in_flight -= 1
-        headers = [*outcome_headers(outcome), ("Content-Length", "0")]
+        headers = [
+            *outcome_headers(outcome),
+            (HOP_KNOWN, self._knowledge.describe()),
+            ("Content-Length", "0"),
+        ]
         start_response(status_line(STATUS_NOT_ANSWERED), headers)
         return [b""]
 
--- a/src/jayswitch/proxy/outbound.py
+++ b/src/jayswitch/proxy/outbound.py
@@ -70,6 +70,7 @@
         self.in_flight = 0
         self.counts: Counter[str] = Counter()
         self.latency_sum_ms = 0.0
+        self.last_request_ms = float("-inf")
         self._vm = vm
         self._caller_service = caller_service
         self._runner = runner
@@ -82,7 +83,7 @@
     ) -> Iterable[bytes]:
         """Serves one request of a caller."""
         self.in_flight += 1
-        started_ms = self._clock.now_ms()
+        started_ms = self.last_request_ms = self._clock.now_ms()
         if self.draining:
             close_connection(environ)
         watch = HangupWatch(environ[CONNECTION_VARIABLE].connection)
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -14,6 +14,7 @@
 from jayswitch.catalog.orders import Orders
 from jayswitch.clock import Clock
 from jayswitch.fleet.directory import Directory
+from jayswitch.fleet.knowledge import Knowledge
 from jayswitch.fleet.publisher import RecordPublisher
 from jayswitch.fleet.records import (
     NODE_PREFIX,
@@ -62,6 +63,13 @@
 # Kept of the grace period for closing down.
 EXIT_MARGIN_MS = 700.0
 DRAIN_POLL_MS = 50.0
+# Callers that have gone elsewhere send nothing for this long.
+QUIET_MS = 1000.0
+# A configuration has two seconds to be in force; a quarter of a second of that
+# brings the changes of a quick succession with fewer calls.
+ORDERS_COALESCE_MS = 250.0
+# Gates enforce what records say at once, so that others may learn it later.
+FLEET_COALESCE_MS = 150.0
 MS_PER_S = 1000.0
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
@@ -93,14 +101,15 @@
         self._build_gate(names)
         self.directory = Directory(clock)
         self.publisher = RecordPublisher(store, settings.vm, self._describe, clock)
-        self._build_forwarding(names)
-        self._build_moves(status)
         self.orders_follower = PrefixFollower(
-            store, operator_prefix, apply_order, clock
+            store, operator_prefix, apply_order, clock, ORDERS_COALESCE_MS
         )
         self.fleet_follower = PrefixFollower(
-            store, SHARED_PREFIX, self._apply_shared, clock
+            store, SHARED_PREFIX, self._apply_shared, clock, FLEET_COALESCE_MS
         )
+        self.knowledge = Knowledge([self.orders_follower, self.fleet_follower])
+        self._build_forwarding(names)
+        self._build_moves(status)
         orders.on_change(self._apply_orders)
         self._started_ms = clock.wall_ms()
         self._servers: list[HttpServer] = []
@@ -133,7 +142,7 @@
         self.runner = AttemptRunner(
             settings.vm,
             self.gate,
-            HopClient(self.hop_client, names, clock),
+            HopClient(self.hop_client, self.knowledge, names, clock),
             self.directory,
             self.balancer,
             terms,
@@ -141,7 +150,7 @@
             self._rng,
         )
         self.runner.is_evacuated = self.orders.evacuated.__contains__
-        self.inbound = InboundApplication(self.gate, names, clock)
+        self.inbound = InboundApplication(self.gate, self.knowledge, names, clock)
         self.outbound = OutboundApplication(
             settings.vm, settings.service, self.runner, names, clock
         )
@@ -199,7 +208,7 @@
         self.publisher.publish()
         last_ms = started_ms + self.settings.grace_s * MS_PER_S - EXIT_MARGIN_MS
         self._clock.sleep_ms(LEAVE_MS)
-        while self.in_flight and self._clock.now_ms() < last_ms:
+        while self._is_in_use() and self._clock.now_ms() < last_ms:
             self._clock.sleep_ms(DRAIN_POLL_MS)
         for server in self._servers:
             server.stop_accepting()
@@ -210,6 +219,10 @@
         logger.info("stopped", extra={"drained": drained})
         return drained
 
+    def _is_in_use(self) -> bool:
+        quiet_ms = self._clock.now_ms() - self.outbound.last_request_ms
+        return bool(self.in_flight) or quiet_ms < QUIET_MS
+
     @property
     def in_flight(self) -> int:
         """Returns the requests that callers or other proxies wait for."""
--- a/src/jayswitch/proxy/sockets.py
+++ b/src/jayswitch/proxy/sockets.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import errno
 import socket
+from typing import Any
+
+from eventlet.greenio import GreenSocket
 
 # Unacknowledged bytes end a connection after this time: shorter than the least
 # deadline of a caller in either deployment (1000 ms).
@@ -13,7 +17,7 @@
 KEEPALIVE_PROBES = 2
 
 
-def socket_options() -> list[tuple[int, int, int]]:
+def socket_options() -> list[tuple[int, int, int | bytes]]:
     """Returns options as setsockopt takes them."""
     return [
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -29,3 +33,21 @@
     """Sets the options on a connection that was accepted."""
     for level, name, value in socket_options():
         sock.setsockopt(level, name, value)
+
+
+class ResetAwareSocket(GreenSocket):
+    """Raises when the peer resets the connection.
+
+    Eventlet's own sockets report a reset as the end of the stream, which makes an
+    answer without a length look complete.
+    """
+
+    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
+        """Reads into the buffer; returns 0 only at the end of the stream."""
+        return self._recv_loop(self._receive_into, 0, buffer, nbytes, flags)
+
+    def _receive_into(self, buffer: Any, nbytes: int, flags: int) -> int:
+        try:
+            return self.fd.recv_into(buffer, nbytes, flags)
+        except ConnectionResetError as error:
+            raise OSError(errno.ECONNABORTED, "the peer reset it") from error
--- a/src/jayswitch/rollout/versions.py
+++ b/src/jayswitch/rollout/versions.py
@@ -66,7 +66,7 @@
 
     def may_run(self, service: str, version: str, members: list[Member]) -> bool:
         """Tells whether an upstream of a version takes requests at all."""
-        if version == self.proved(service, members):
+        if version == (self.proved(service, members) or version):
             return True
         move = self._running_move(service)
         return move is not None and move.to_version == version and move.share > 0
--- a/src/jayswitch/settings/loader.py
+++ b/src/jayswitch/settings/loader.py
@@ -12,7 +12,6 @@
 from jayswitch.settings.exceptions import InvalidSettings
 from jayswitch.settings.generated import NodeSettings
 
-
 T = TypeVar("T")
 
 
--- a/src/jayswitch/store/follower.py
+++ b/src/jayswitch/store/follower.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 import eventlet
-from returns.result import Failure, Success
+from returns.result import Failure
 
 from jayswitch.store.interface import StoredValue, WatchEvent
 
@@ -16,14 +16,14 @@
     from jayswitch.store.exceptions import StoreError
     from jayswitch.store.interface import Store
 
-# The platform ends a waiting watch after 30 s at most; a shorter one notices
-# a connection that has fallen silent.
-WATCH_WAIT_MS = 8000
-# Events that come close together are read with one call.
-COALESCE_MS = 40.0
+# The platform ends a waiting watch after 30 s at most. Each watch is a call that is
+# paid for; one whose answer was lost is noticed through other proxies.
+WATCH_WAIT_MS = 20_000
 RETRY_MIN_MS = 100.0
-RETRY_MAX_MS = 800.0
+RETRY_MAX_MS = 1000.0
 PAGE_ITEMS = 500
+# A watch that is in order brings a change within this time of its being known.
+CATCH_UP_DELAY_MS = 200.0
 
 logger = logging.getLogger(__name__)
 
@@ -41,16 +41,23 @@
         prefix: str,
         on_change: Callable[[WatchEvent], None],
         clock: Clock,
+        coalesce_ms: float,
     ) -> None:
-        """Takes the listener; it must not block."""
+        """Takes the listener, which must not block.
+
+        After a change, others are waited for so long that one call brings them.
+        """
         self.synced = False
         self.connected = False
         self.revision = 0
+        self.newest_change = 0
         self.read_ms = float("-inf")
         self._store = store
         self._prefix = prefix
         self._on_change = on_change
         self._clock = clock
+        self._coalesce_ms = coalesce_ms
+        self._catching_up = False
         self._revision_by_key: dict[str, int] = {}
         self._retry_ms = RETRY_MIN_MS
         self._stopped = False
@@ -63,6 +70,32 @@
         """Ends the task after its present call."""
         self._stopped = True
 
+    def note_newer(self, revision: int) -> None:
+        """Takes a revision at which another proxy has seen a change.
+
+        If the watch does not bring it soon, the prefix is read anew.
+        """
+        if revision > self.revision and self.synced and not self._catching_up:
+            self._catching_up = True
+            eventlet.spawn_n(self._catch_up, revision)
+
+    def _catch_up(self, revision: int) -> None:
+        try:
+            self._clock.sleep_ms(CATCH_UP_DELAY_MS + self._coalesce_ms)
+            if self.revision >= revision:
+                return
+            logger.warning(
+                "watch has fallen behind another proxy",
+                extra={
+                    "prefix": self._prefix,
+                    "revision": self.revision,
+                    "known_elsewhere": revision,
+                },
+            )
+            self._read_all()
+        finally:
+            self._catching_up = False
+
     def _run(self) -> None:
         needs_read = True
         while not self._stopped:
@@ -95,8 +128,9 @@
         return True
 
     def _take_snapshot(self, found: dict[str, StoredValue], revision: int) -> None:
-        for key in [key for key in self._revision_by_key if key not in found]:
-            self._apply(WatchEvent(key, None, revision))
+        for key, known in list(self._revision_by_key.items()):
+            if key not in found and known <= revision:
+                self._apply(WatchEvent(key, None, revision))
         for value in found.values():
             if value.revision > self._revision_by_key.get(value.key, 0):
                 self._apply(WatchEvent(value.key, value.value, value.revision))
@@ -128,13 +162,14 @@
             self._apply(event)
         self.revision = max(self.revision, batch.revision)
         if batch.events:
-            self._clock.sleep_ms(COALESCE_MS)
+            self._clock.sleep_ms(self._coalesce_ms)
         return False
 
     def _apply(self, event: WatchEvent) -> None:
         # The snapshot may already hold a later change than a replayed event.
         if event.revision < self._revision_by_key.get(event.key, 0):
             return
+        self.newest_change = max(self.newest_change, event.revision)
         if event.value is None:
             self._revision_by_key.pop(event.key, None)
         else:
--- /dev/null
+++ b/tests/harness/loopback.py
@@ -0,0 +1,297 @@
+"""Proxies over real loopback sockets, with stand-ins for the platform and upstreams."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+import msgspec
+from eventlet.greenio import GreenSocket
+
+from jayswitch.catalog.orders import Orders
+from jayswitch.clock import Clock
+from jayswitch.http.server import HttpServer
+from jayswitch.platform.headers import platform_headers
+from jayswitch.platform.heartbeats import HeartbeatApplication
+from jayswitch.platform.operator import OPERATOR_PREFIX, OperatorKeys, write_status
+from jayswitch.platform.store import PlatformStore
+from jayswitch.proxy.generated import ProxySettings
+from jayswitch.proxy.process import ProxyProcess
+from tests.harness.platform_store import PlatformStoreApplication
+
+HOST = "herd.example"
+SERVICE = "herdview"
+RECEIVE_TIMEOUT_S = 10.0
+WAIT_S = 10.0
+
+CONFIG = {
+    "version": "r1",
+    "routes": [
+        {
+            "name": "read",
+            "host": HOST,
+            "prefix": "/read/",
+            "kind": "safe",
+            "timeout_ms": 3000,
+            "slo_ms": 1000,
+            "priority": 1,
+            "max_attempts": 2,
+            "service": SERVICE,
+        },
+        {
+            "name": "book",
+            "host": HOST,
+            "prefix": "/book/",
+            "kind": "unsafe",
+            "timeout_ms": 3000,
+            "slo_ms": 1000,
+            "priority": 1,
+            "max_attempts": 2,
+            "service": SERVICE,
+        },
+    ],
+    "services": [
+        {"name": SERVICE, "health_path": "/health", "warmup_s": 1, "warmup_per_s": 5}
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1 << 20,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+}
+
+Answer = Callable[["RawUpstream", GreenSocket, "Seen"], None]
+
+
+class Seen:
+    """A request as it arrived at an upstream."""
+
+    def __init__(self, head: str, body: bytes) -> None:
+        """Takes the head's lines and the body."""
+        self.request_line, *lines = head.split("\r\n")
+        self.headers = [tuple(line.split(": ", 1)) for line in lines if line]
+        self.body = body
+
+    def header(self, name: str) -> str:
+        """Returns a header's value; empty where there is none."""
+        found = [value for key, value in self.headers if key.lower() == name.lower()]
+        return found[0] if found else ""
+
+
+class RawUpstream:
+    """An upstream that reads requests from its sockets and answers as told."""
+
+    def __init__(self, upstream_id: str) -> None:
+        """Listens on a free port; answers 200 until told otherwise."""
+        self.id = upstream_id
+        self.seen: list[Seen] = []
+        self.closed_early = 0
+        self.answer: Answer = answer_ok
+        self._listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        eventlet.spawn(self._accept)
+
+    def _accept(self) -> None:
+        while True:
+            connection, _ = self._listener.accept()
+            eventlet.spawn(self._serve, connection)
+
+    def _serve(self, connection: GreenSocket) -> None:
+        buffer = b""
+        while True:
+            while b"\r\n\r\n" not in buffer:
+                data = connection.recv(65536)
+                if not data:
+                    return
+                buffer += data
+            head, _, buffer = buffer.partition(b"\r\n\r\n")
+            seen = Seen(head.decode("latin-1"), b"")
+            length = int(seen.header("Content-Length") or 0)
+            while len(buffer) < length:
+                buffer += connection.recv(65536)
+            seen.body, buffer = buffer[:length], buffer[length:]
+            if seen.request_line.startswith("GET /health "):
+                send(connection, f"Instance-Id: {self.id}\r\n")
+                continue
+            self.seen.append(seen)
+            self.answer(self, connection, seen)
+            if connection.fileno() < 0:
+                return
+
+
+def send(connection: GreenSocket, headers: str = "", body: bytes = b"ok") -> None:
+    """Sends a framed answer."""
+    head = f"HTTP/1.1 200 OK\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
+    connection.sendall(head.encode() + body)
+
+
+def answer_ok(upstream: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+    """Answers as a sound upstream does."""
+    send(connection, signed(seen), b"whole body")
+
+
+def signed(seen: Seen) -> str:
+    """Returns the headers by which an answer is known as a request's own."""
+    return f"Request-Id: {seen.header('Request-Id')}\r\nServer-Signature: s\r\n"
+
+
+def free_port() -> int:
+    """Returns a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Loopback:
+    """A store, proxies and upstreams in one process, over real sockets."""
+
+    def __init__(self) -> None:
+        """Starts the store with a configuration in it."""
+        self.store = PlatformStoreApplication(Clock())
+        server = HttpServer("127.0.0.1", 0, self.store)
+        server.start()
+        self.store_address = server.address.removeprefix("http://")
+        self.store.put("op/config", CONFIG)
+        self.proxies: list[ProxyProcess] = []
+
+    def add(
+        self, vm: str, upstream: RawUpstream, version: str = "v1", beat: bool = True
+    ) -> ProxyProcess:
+        """Starts a proxy beside an upstream, which announces itself."""
+        proxy = self.start_proxy(vm, upstream)
+        if beat:
+            assert self.beat(proxy, upstream, version=version) == 200
+        return proxy
+
+    def start_proxy(self, vm: str, upstream: RawUpstream) -> ProxyProcess:
+        """Starts a proxy and waits until it is ready."""
+        settings = ProxySettings(
+            vm=vm,
+            data_centre="bunbury",
+            region="swwa",
+            service=SERVICE,
+            upstream_address=upstream.address,
+            callers_address=f"127.0.0.1:{free_port()}",
+            proxies_address=f"127.0.0.1:{free_port()}",
+            readiness_address=f"127.0.0.1:{free_port()}",
+            heartbeats_address=f"127.0.0.1:{free_port()}",
+            metrics_port=free_port(),
+            store_address=self.store_address,
+            heartbeat_ms=60_000,
+            retry_ratio=0.2,
+            retry_slack=60,
+            retry_window_s=10,
+            drain_ms=2000,
+            grace_s=6,
+            exposure_share=0.1,
+            exposure_slack=50,
+            config_apply_ms=2000,
+            first_start=True,
+        )
+        clock, orders = Clock(), Orders()
+        proxy = ProxyProcess(
+            settings,
+            PlatformStore(self.store_address),
+            orders,
+            OPERATOR_PREFIX,
+            OperatorKeys(orders, clock).apply,
+            write_status,
+            platform_headers(),
+            clock,
+        )
+        proxy.start(HeartbeatApplication(proxy.hear, proxy.leave))
+        wait_until(lambda: proxy.ready)
+        self.proxies.append(proxy)
+        return proxy
+
+    def beat(
+        self, proxy: ProxyProcess, upstream: RawUpstream, seq: int = 1, **changes: Any
+    ) -> int:
+        """Sends a heartbeat; returns the status of its answer."""
+        told = {
+            "service": SERVICE,
+            "address": upstream.address,
+            "zone": "bunbury",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "seq": seq,
+            "warmup_left_ms": 0,
+            "born": 1000,
+        } | changes
+        body = msgspec.json.encode(told)
+        path = f"/rpc?call=instances.heartbeat&of={upstream.id}"
+        head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+        address = proxy.settings.heartbeats_address
+        return exchange(address, head.encode() + body).status
+
+
+class RawAnswer:
+    """An answer as it came over the socket."""
+
+    def __init__(self, data: bytes, ended: bool) -> None:
+        """Takes every byte and whether the connection has ended."""
+        self.data = data
+        self.ended = ended
+        head, _, self.body = data.partition(b"\r\n\r\n")
+        self.head = head.decode("latin-1")
+        self.status = int(self.head.split()[1]) if self.head else 0
+
+
+def request(
+    path: str = "/read/1", method: str = "GET", headers: str = "", body: bytes = b""
+) -> bytes:
+    """Returns a caller's request as bytes."""
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r-1\r\n"
+    return f"{head}Deadline-Ms: 2000\r\n{length}{headers}\r\n".encode() + body
+
+
+def connect(address: str) -> GreenSocket:
+    """Returns a connection."""
+    host, _, port = address.rpartition(":")
+    return eventlet.connect((host, int(port)))
+
+
+def exchange(address: str, data: bytes) -> RawAnswer:
+    """Sends bytes on a new connection and returns one answer."""
+    connection = connect(address)
+    connection.sendall(data)
+    answer = receive(connection)
+    connection.close()
+    return answer
+
+
+def receive(connection: GreenSocket) -> RawAnswer:
+    """Reads until an answer is whole or the connection ends."""
+    connection.settimeout(RECEIVE_TIMEOUT_S)
+    data = b""
+    while not _is_whole(data):
+        try:
+            part = connection.recv(65536)
+        except OSError:
+            part = b""
+        if not part:
+            return RawAnswer(data, True)
+        data += part
+    return RawAnswer(data, False)
+
+
+def wait_until(condition: Callable[[], bool]) -> None:
+    """Waits until a condition holds."""
+    with eventlet.Timeout(WAIT_S):
+        while not condition():
+            eventlet.sleep(0.005)
+
+
+def _is_whole(data: bytes) -> bool:
+    head, separator, body = data.partition(b"\r\n\r\n")
+    if not separator:
+        return False
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return len(body) >= int(line.split(b":")[1])
+    return body.endswith(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/loopback/conftest.py
@@ -0,0 +1,18 @@
+"""Real sockets need real time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from eventlet import hubs
+
+from tests.harness.virtual_hub import use_virtual_time
+
+
+@pytest.fixture(autouse=True, scope="module")
+def virtual_time() -> Iterator[None]:
+    """Replaces the virtual hub by the usual one."""
+    hubs.use_hub()
+    yield
+    use_virtual_time()
--- /dev/null
+++ b/tests/loopback/test_forwarding.py
@@ -0,0 +1,281 @@
+"""Tests of forwarding over real sockets: framing, fidelity, cuts and cancellation."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+import eventlet
+import pytest
+from eventlet.greenio import GreenSocket
+
+from jayswitch.proxy.process import ProxyProcess
+from tests.harness.loopback import (
+    HOST,
+    Loopback,
+    RawUpstream,
+    Seen,
+    connect,
+    exchange,
+    receive,
+    request,
+    send,
+    signed,
+    wait_until,
+)
+
+
+class Pair:
+    """Two proxies; callers use the first, the only upstream is at the second."""
+
+    def __init__(self) -> None:
+        """Starts both."""
+        self.loopback = Loopback()
+        self.upstream = RawUpstream("i-1")
+        self.far = self.loopback.add("vm-far", self.upstream)
+        self.idle = RawUpstream("i-0")
+        self.near = self.loopback.add("vm-near", self.idle, beat=False)
+        wait_until(lambda: bool(self.near.directory.members("herdview")))
+        self.address = self.near.settings.callers_address
+
+
+@pytest.fixture
+def pair() -> Pair:
+    """Returns two proxies that serve."""
+    return Pair()
+
+
+def reset(connection: GreenSocket) -> None:
+    """Ends a connection with a reset."""
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+
+
+class TestFidelity:
+    """What a caller sent is what the upstream gets, and the other way round."""
+
+    @pytest.mark.parametrize(
+        "path", ["/read/a%2fb?q=[1]", "/read/%zz", "/read//x?", "/read/a;b=c?x=%5B"]
+    )
+    def test_target_is_the_same_bytes(self, pair: Pair, path: str) -> None:
+        assert exchange(pair.address, request(path)).status == 200
+        assert pair.upstream.seen[0].request_line == f"GET {path} HTTP/1.1"
+
+    def test_leading_slashes_are_not_merged(self, pair: Pair) -> None:
+        assert exchange(pair.address, request("//read/1")).status == 404
+        assert pair.upstream.seen == []
+
+    def test_nothing_is_added_in_the_callers_name(self, pair: Pair) -> None:
+        exchange(pair.address, request(headers="X-Own: 1\r\n"))
+        names = {name.lower() for name, _ in pair.upstream.seen[0].headers}
+        assert names == {
+            "host",
+            "request-id",
+            "deadline-ms",
+            "x-own",
+            "expected-instance",
+            "caller-service",
+        }
+
+    def test_headers_of_one_connection_are_dropped(self, pair: Pair) -> None:
+        headers = "Connection: close, X-Hop\r\nX-Hop: 1\r\nX-Jayswitch-Kind: once\r\n"
+        exchange(pair.address, request(headers=headers))
+        seen = pair.upstream.seen[0]
+        assert seen.header("X-Hop") == "" and seen.header("X-Jayswitch-Kind") == ""
+
+    def test_caller_service_is_the_machines(self, pair: Pair) -> None:
+        exchange(pair.address, request(headers="Caller-Service: forged\r\n"))
+        values = [
+            value
+            for name, value in pair.upstream.seen[0].headers
+            if name == "Caller-Service"
+        ]
+        assert values == ["herdview"]
+
+    def test_time_left_only_shrinks(self, pair: Pair) -> None:
+        exchange(pair.address, request())
+        assert 1000 < int(pair.upstream.seen[0].header("Deadline-Ms")) <= 2000
+
+    def test_bodies_arrive_whole_with_length_and_in_chunks(self, pair: Pair) -> None:
+        exchange(pair.address, request("/book/1", "POST", body=b"x" * 3000))
+        chunked = "Transfer-Encoding: chunked\r\n"
+        data = request("/book/1", "POST", headers=chunked)
+        exchange(pair.address, data + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+        assert [seen.body for seen in pair.upstream.seen] == [b"x" * 3000, b"abcde"]
+
+    def test_long_body_passes_through(self, pair: Pair) -> None:
+        body = b"y" * (700 * 1024)
+        answer = exchange(pair.address, request("/book/1", "POST", body=body))
+        assert answer.status == 200
+        assert pair.upstream.seen[0].body == body
+
+
+class TestFraming:
+    """A request that two parsers could read differently is never passed on."""
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            "Content-Length: 3\r\nContent-Length: 30\r\n",
+            "Content-Length: +3\r\n",
+            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding : chunked\r\n",
+            "Transfer-Encoding: gzip\r\n",
+            f"Host: {HOST}\r\n",
+            "no colon here\r\nContent-Length: 3\r\n",
+            "X-Folded: a\r\n b\r\n",
+        ],
+    )
+    def test_ambiguous_head_is_rejected(self, pair: Pair, headers: str) -> None:
+        smuggled = b"abc" + request("/read/smuggled")
+        data = request("/book/1", "POST", headers=headers) + smuggled
+        connection = connect(pair.address)
+        connection.sendall(data)
+        answer = receive(connection)
+        assert answer.status == 400
+        assert "Connection: close" in answer.head
+        assert pair.upstream.seen == []
+
+    def test_absolute_target_is_rejected(self, pair: Pair) -> None:
+        assert exchange(pair.address, request(f"http://{HOST}/read/1")).status == 400
+
+    def test_body_that_ends_early_is_not_passed_on(self, pair: Pair) -> None:
+        connection = connect(pair.address)
+        connection.sendall(request("/book/1", "POST", headers="Content-Length: 10\r\n"))
+        connection.sendall(b"abc")
+        connection.shutdown(socket.SHUT_WR)
+        assert receive(connection).status in (0, 400)
+        assert pair.upstream.seen == []
+
+    def test_too_large_bodies_and_heads_are_rejected(self, pair: Pair) -> None:
+        headers = "Content-Length: 99999999\r\n"
+        assert exchange(pair.address, request("/book/1", "POST", headers)).status == 413
+        long = f"X-Long: {'a' * 17000}\r\n"
+        assert exchange(pair.address, request(headers=long)).status == 431
+
+    def test_long_header_within_the_limits_is_served(self, pair: Pair) -> None:
+        long = f"X-Long: {'a' * 12000}\r\n"
+        assert exchange(pair.address, request(headers=long)).status == 200
+
+
+class TestBrokenAnswers:
+    """A caller never takes for whole or for its own what is not."""
+
+    def test_unframed_answer_that_is_reset_is_not_complete(self, pair: Pair) -> None:
+        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+            head = f"HTTP/1.1 200 OK\r\n{signed(seen)}\r\n"
+            connection.sendall(head.encode() + b"x" * 500)
+            eventlet.sleep(0.05)
+            reset(connection)
+
+        pair.upstream.answer = answer
+        got = exchange(pair.address, request("/book/1", "POST"))
+        assert got.ended and not got.data.endswith(b"0\r\n\r\n")
+
+    def test_unframed_answer_that_ends_is_complete(self, pair: Pair) -> None:
+        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+            head = f"HTTP/1.1 200 OK\r\n{signed(seen)}\r\n"
+            connection.sendall(head.encode() + b"whole")
+            connection.close()
+
+        pair.upstream.answer = answer
+        got = exchange(pair.address, request())
+        assert got.status == 200 and got.data.endswith(b"0\r\n\r\n")
+
+    def test_cut_answer_to_a_booking_is_a_failure(self, pair: Pair) -> None:
+        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+            head = f"HTTP/1.1 200 OK\r\n{signed(seen)}Content-Length: 99\r\n\r\n"
+            connection.sendall(head.encode() + b"x" * 50)
+            connection.close()
+
+        pair.upstream.answer = answer
+        assert exchange(pair.address, request("/book/1", "POST")).status == 502
+        assert len(pair.upstream.seen) == 1
+
+    def test_surplus_bytes_reach_nobody(self, pair: Pair) -> None:
+        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+            send(connection, signed(seen), b"first")
+            send(connection, "Request-Id: late\r\nServer-Signature: s\r\n", b"surplus")
+
+        pair.upstream.answer = answer
+        for _ in range(4):
+            got = exchange(pair.address, request())
+            assert (got.status, got.body) == (200, b"first")
+
+    def test_answer_of_another_request_is_not_delivered(self, pair: Pair) -> None:
+        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+            send(connection, "Request-Id: other\r\nServer-Signature: s\r\n")
+
+        pair.upstream.answer = answer
+        assert exchange(pair.address, request("/book/1", "POST")).status == 502
+
+    def test_bytes_that_are_no_answer_are_a_failure(self, pair: Pair) -> None:
+        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+            connection.sendall(b"garbage\r\n\r\n")
+            connection.close()
+
+        pair.upstream.answer = answer
+        assert exchange(pair.address, request("/book/1", "POST")).status == 502
+
+
+class TestTruth:
+    """503 means that the request has not run and will not."""
+
+    def test_rejected_booking_is_refused_with_a_time_to_come_back(
+        self, pair: Pair
+    ) -> None:
+        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+            head = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            connection.sendall(head.encode())
+
+        pair.upstream.answer = answer
+        got = exchange(pair.address, request("/book/1", "POST"))
+        assert got.status == 503 and "Retry-After: 0." in got.head
+
+    def test_booking_without_an_answer_is_not_said_to_be_refused(
+        self, pair: Pair
+    ) -> None:
+        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+            reset(connection)
+
+        pair.upstream.answer = answer
+        assert exchange(pair.address, request("/book/1", "POST")).status == 502
+        assert len(pair.upstream.seen) == 1
+
+    def test_read_without_an_answer_goes_to_another_upstream(self, pair: Pair) -> None:
+        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+            reset(connection)
+
+        pair.upstream.answer = answer
+        assert pair.loopback.beat(pair.near, pair.idle) == 200
+        wait_until(lambda: len(pair.near.directory.members("herdview")) == 2)
+        statuses = [exchange(pair.address, request()).status for _ in range(6)]
+        assert statuses == [200] * 6
+
+    def test_deadline_ends_a_request_with_504(self, pair: Pair) -> None:
+        pair.upstream.answer = lambda *_: eventlet.sleep(5)
+        data = request("/book/1", "POST").replace(b"-Ms: 2000", b"-Ms: 300")
+        assert exchange(pair.address, data).status == 504
+
+
+class TestCancellation:
+    """A caller that leaves frees the upstream."""
+
+    def test_closed_connection_reaches_the_upstream(self, pair: Pair) -> None:
+        ended: list[bool] = []
+
+        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+            ended.append(connection.recv(1) == b"")
+
+        pair.upstream.answer = answer
+        connection = connect(pair.address)
+        connection.sendall(request())
+        wait_until(lambda: len(pair.upstream.seen) == 1)
+        connection.close()
+        wait_until(lambda: ended == [True])
+        wait_until(lambda: _idle(pair.near) and _idle(pair.far))
+
+
+def _idle(proxy: ProxyProcess) -> bool:
+    return proxy.in_flight == 0 and proxy.gate.slots.running == 0
