Keep connections, start sooner, publish less, judge against shared failures

Half of a start's processor time went into a resolver that is not used, and records were published that changed nothing for others. Change: the original socket is held; no resolver, no nng in a proxy, poll instead of epoll, log lines written every 50 ms; the judge takes the proved version's failures into account; unchanged records are not written.

--- a/src/jayswitch/console/proxy_daemon.py
+++ b/src/jayswitch/console/proxy_daemon.py
@@ -4,7 +4,7 @@
 
 from jayswitch import runtime
 
-runtime.prepare()
+runtime.prepare(nng=False)
 
 import logging  # noqa: E402
 import signal  # noqa: E402
@@ -50,7 +50,9 @@
     process = start_proxy(settings, clock, logs)
     runtime.settle_memory()
     stopping.wait()
-    return 0 if process.stop() else EXIT_CUT
+    drained = process.stop()
+    logs.flush()
+    return 0 if drained else EXIT_CUT
 
 
 if __name__ == "__main__":
--- a/src/jayswitch/fleet/publisher.py
+++ b/src/jayswitch/fleet/publisher.py
@@ -38,13 +38,19 @@
     """
 
     def __init__(
-        self, store: Store, vm: str, describe: Callable[[], NodeRecord], clock: Clock
+        self,
+        store: Store,
+        vm: str,
+        describe: Callable[[], NodeRecord],
+        last_state: Callable[[], Upstream | None],
+        clock: Clock,
     ) -> None:
-        """Takes a function that returns the record as it should be stored."""
+        """Takes functions that return what should be stored now."""
         self.restored = False
         self._store = store
         self._vm = vm
         self._describe = describe
+        self._last_upstream = last_state
         self._clock = clock
         self._lease = ""
         self._wanted = 0
@@ -55,6 +61,7 @@
         self._last_revision: int | None = None
         self._stopped = False
         self._last_state = b""
+        self._node_state = b""
 
     def start(self, on_restore: Callable[[Upstream | None], None]) -> None:
         """Reads what an earlier process left, then keeps the record up to date."""
@@ -118,6 +125,8 @@
 
     def _keep(self) -> bool:
         """Writes what has changed, or renews the lease; False if neither worked."""
+        if not self._lease and not self._wanted:
+            return True
         if not self._lease:
             match self._store.grant_lease(LEASE_MS):
                 case Failure(error):
@@ -125,6 +134,7 @@
                     return False
                 case Success(lease):
                     self._lease = lease
+            self._node_state = b""
             self._wanted += 1
         if self._stored < self._wanted:
             return self._write()
@@ -143,31 +153,37 @@
         wanted = self._wanted
         if self._node_revision is None and not self._read_revisions():
             return False
-        record = self._describe()
-        writes = [
-            Write(
-                node_key(self._vm),
-                msgspec.json.encode(record),
-                self._node_revision,
-                self._lease,
-            )
-        ]
-        last = b"" if record.upstream is None else msgspec.json.encode(record.upstream)
+        writes = []
+        node = msgspec.json.encode(self._describe())
+        if node != self._node_state:
+            key = node_key(self._vm)
+            writes.append(Write(key, node, self._node_revision, self._lease))
+        upstream = self._last_upstream()
+        last = b"" if upstream is None else msgspec.json.encode(upstream)
         if last and last != self._last_state:
             key = last_state_key(self._vm)
             writes.append(Write(key, last, self._last_revision))
+        if writes and not self._commit(writes):
+            return False
+        self._node_state = node
+        self._last_state = last
+        self._stored = wanted
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter.send(None)
+        return True
+
+    def _commit(self, writes: list[Write]) -> bool:
         match self._store.commit(writes):
             case Failure(error):
                 return self._note_write_failure(error)
             case Success(revision):
+                pass
+        for write in writes:
+            if write.lease:
                 self._node_revision = revision
-                if len(writes) > 1:
-                    self._last_revision = revision
-                    self._last_state = last
-        self._stored = wanted
-        waiters, self._waiters = self._waiters, []
-        for waiter in waiters:
-            waiter.send(None)
+            else:
+                self._last_revision = revision
         return True
 
     def _note_write_failure(self, error: StoreError) -> bool:
--- a/src/jayswitch/logs.py
+++ b/src/jayswitch/logs.py
@@ -8,8 +8,11 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+import eventlet
 from pythonjsonlogger.json import JsonFormatter
 
+from jayswitch.clock import MS_PER_S
+
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
 
@@ -20,6 +23,8 @@
 REQUEST_LINES_BURST = 800.0
 # Held while the reader of the log is slow; further lines are counted.
 BUFFER_BYTES = 256 * 1024
+# Lines of one moment are written with one call; a killed process loses this much.
+FLUSH_MS = 50.0
 STANDARD_OUTPUT = 1
 
 
@@ -50,6 +55,7 @@
         self._descriptor = descriptor
         self._clock = clock
         self._pending = b""
+        self._flush_planned = False
         self._tokens = REQUEST_LINES_BURST
         self._refilled_ms = clock.now_ms()
 
@@ -62,11 +68,17 @@
         line = (self.format(record) + "\n").encode()
         if len(self._pending) + len(line) > BUFFER_BYTES:
             self.counts["dropped_slow_reader"] += 1
-            self._write()
             return
         self._pending += line
         self.counts["lines"] += 1
         self.counts["bytes"] += len(line)
+        if not self._flush_planned:
+            self._flush_planned = True
+            eventlet.spawn_after(FLUSH_MS / MS_PER_S, self.flush)
+
+    def flush(self) -> None:
+        """Writes what is held, as far as the reader takes it."""
+        self._flush_planned = False
         self._write()
 
     def _write(self) -> None:
@@ -82,7 +94,7 @@
 
     def _take_token(self) -> bool:
         now_ms = self._clock.now_ms()
-        earned = (now_ms - self._refilled_ms) / 1000.0 * REQUEST_LINES_PER_S
+        earned = (now_ms - self._refilled_ms) / MS_PER_S * REQUEST_LINES_PER_S
         self._tokens = min(REQUEST_LINES_BURST, self._tokens + earned)
         self._refilled_ms = now_ms
         if self._tokens < 1:
--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -12,6 +12,7 @@
 from jayswitch.proxy.exceptions import AnswerCut
 from jayswitch.proxy.headers import find
 from jayswitch.proxy.outcome import Answered, NotRun, OutcomeUnknown
+from jayswitch.rollout.trial import Usual
 from jayswitch.routing.window_budget import WindowBudget
 
 if TYPE_CHECKING:
@@ -34,7 +35,6 @@
 # Kept for the way back, so that the answer reaches the caller in time.
 RETURN_MS = 5.0
 STATUS_SERVER_ERROR = 500
-USUAL_WEIGHT = 0.05
 
 logger = logging.getLogger(__name__)
 
@@ -101,7 +101,7 @@
         self._balancer = balancer
         self._budget_terms = budget_terms
         self._budget_by_service: dict[str, WindowBudget] = {}
-        self._usual_ms_by_route: dict[str, float] = {}
+        self._usual_by_route: dict[str, Usual] = {}
         self._clock = clock
         self._random = rng
 
@@ -109,7 +109,7 @@
         """Runs a request; NotRun is returned only if it has run nowhere."""
         request.service = route.choose_service(self._random)
         request.route = route.name
-        request.usual_ms = self._usual_ms_by_route.get(route.name, 0.0)
+        request.usual = self._usual_by_route.get(route.name, Usual())
         budget = self._budget(request.service)
         budget.note_request()
         progress = _Progress()
@@ -237,13 +237,17 @@
             if outcome.reason == reasons.WITHDRAWN:
                 self.on_withdrawn(request.service, member.version)
             return
-        if not isinstance(outcome, Answered) or outcome.status >= STATUS_SERVER_ERROR:
+        if self.is_on_trial(request.service, member.version):
             return
-        if not self.is_on_trial(request.service, member.version):
-            elapsed_ms = self._clock.now_ms() - started_ms
-            usual_ms = self._usual_ms_by_route.get(request.route, elapsed_ms)
-            usual_ms += (elapsed_ms - usual_ms) * USUAL_WEIGHT
-            self._usual_ms_by_route[request.route] = usual_ms
+        if isinstance(outcome, Answered):
+            failed = outcome.status >= STATUS_SERVER_ERROR
+        elif outcome.timed_out:
+            failed = True
+        else:
+            return
+        elapsed_ms = self._clock.now_ms() - started_ms
+        usual = self._usual_by_route.get(request.route, Usual())
+        self._usual_by_route[request.route] = usual.after(failed, elapsed_ms)
 
     def _log(
         self,
--- a/src/jayswitch/proxy/headers.py
+++ b/src/jayswitch/proxy/headers.py
@@ -18,7 +18,7 @@
 HOP_LOAD = "X-Jayswitch-Load"
 HOP_SENT = "X-Jayswitch-Sent"
 HOP_ROUTE = "X-Jayswitch-Route"
-HOP_USUAL_MS = "X-Jayswitch-Usual-Ms"
+HOP_USUAL = "X-Jayswitch-Usual"
 HOP_KNOWN = "X-Jayswitch-Known"
 HOP_FROM = "X-Jayswitch-From"
 
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -23,7 +23,7 @@
     HOP_ROUTE,
     HOP_SENT,
     HOP_SERVICE,
-    HOP_USUAL_MS,
+    HOP_USUAL,
     HOP_VERSION,
     INTERNAL_PREFIX,
     ONCE,
@@ -37,6 +37,7 @@
     NotRun,
     OutcomeUnknown,
 )
+from jayswitch.rollout.trial import Usual
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
@@ -68,7 +69,7 @@
         (HOP_RANK, str(request.rank)),
         (HOP_OBJECTIVE_MS, str(int(request.objective_ms - now_ms))),
         (HOP_ROUTE, request.route),
-        (HOP_USUAL_MS, str(int(request.usual_ms))),
+        (HOP_USUAL, request.usual.encode()),
         (HOP_FROM, request.origin_vm),
         (names.time_left_ms, str(int(request.deadline_ms - now_ms))),
         (names.caller_service, request.caller_service),
@@ -99,7 +100,7 @@
     request.caller_service = find(headers, names.caller_service) or ""
     request.origin_vm = find(headers, HOP_FROM) or ""
     request.route = find(headers, HOP_ROUTE) or ""
-    request.usual_ms = _number(headers, HOP_USUAL_MS)
+    request.usual = Usual.from_text(find(headers, HOP_USUAL))
     return request
 
 
--- a/src/jayswitch/proxy/http_client.py
+++ b/src/jayswitch/proxy/http_client.py
@@ -65,7 +65,7 @@
 
     def _new_conn(self) -> Any:
         plain: Any = super()._new_conn()
-        return ResetAwareSocket(plain.fd)
+        return ResetAwareSocket.from_green(plain)
 
 
 class _Idle:
--- a/src/jayswitch/proxy/outcome.py
+++ b/src/jayswitch/proxy/outcome.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from jayswitch.rollout.trial import Usual
+
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
 
@@ -40,9 +42,8 @@
 class ForwardedRequest:
     """A request with the decisions that travel with it.
 
-    deadline_ms and objective_ms are points on the local clock; usual_ms is how long
-    the proved version usually takes on this route, 0 where that is not known. The
-    body is whole unless it is an iterator, which can be read only once.
+    deadline_ms and objective_ms are points on the local clock. The body is whole
+    unless it is an iterator, which can be read only once.
     """
 
     __slots__ = (
@@ -60,7 +61,7 @@
         "route",
         "service",
         "target",
-        "usual_ms",
+        "usual",
         "version",
     )
 
@@ -83,7 +84,7 @@
         self.service = ""
         self.version = ""
         self.route = ""
-        self.usual_ms = 0.0
+        self.usual = Usual()
         self.caller_service = ""
         self.origin_vm = ""
         self.repeatable = False
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -37,7 +37,7 @@
 from jayswitch.proxy.sockets import apply_options
 from jayswitch.proxy.status import LatencyMetrics, StatusApplication
 from jayswitch.rollout.coordinator import MoveCoordinator
-from jayswitch.rollout.trial import TrialJudge
+from jayswitch.rollout.trial import TrialJudge, Usual
 from jayswitch.rollout.versions import VersionRules
 from jayswitch.routing.balancer import Balancer
 from jayswitch.store.follower import PrefixFollower
@@ -71,7 +71,7 @@
 # brings the changes of a quick succession with fewer calls.
 ORDERS_COALESCE_MS = 250.0
 # Gates enforce what records say at once, so that others may learn it later.
-FLEET_COALESCE_MS = 150.0
+FLEET_COALESCE_MS = 300.0
 MS_PER_S = 1000.0
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
@@ -102,7 +102,9 @@
         self._rng = random.Random(f"{settings.vm} {time.monotonic()}")
         self._build_gate(names)
         self.directory = Directory()
-        self.publisher = RecordPublisher(store, settings.vm, self._describe, clock)
+        self.publisher = RecordPublisher(
+            store, settings.vm, self._describe, self._last_state, clock
+        )
         self.orders_follower = PrefixFollower(
             store, operator_prefix, apply_order, clock, ORDERS_COALESCE_MS
         )
@@ -292,17 +294,27 @@
 
     def _describe(self) -> NodeRecord:
         settings = self.settings
+        current = self.local.current
+        shown = None
+        ready = current is not None and current.state is UpstreamState.READY
+        if current is not None:
+            # Others need to know whether it takes work, not how it ended.
+            state = UpstreamState.READY if ready else UpstreamState.LEAVING
+            shown = msgspec.structs.replace(current, state=state, sequence=0)
         return NodeRecord(
             vm=settings.vm,
             data_centre=settings.data_centre,
             region=settings.region,
             address=settings.proxies_address,
             started_ms=self._started_ms,
-            upstream=self.local.current,
-            draining=self.draining,
+            upstream=shown,
+            draining=self.draining and ready,
             trial=self.trial.counts if self._is_on_trial() else None,
         )
 
+    def _last_state(self) -> Upstream | None:
+        return self.local.current
+
     # The fleet
 
     def _apply_shared(self, event: WatchEvent) -> None:
@@ -330,8 +342,11 @@
         current = self.local.current
         if current is None or not self._is_on_trial():
             return
-        usual_ms = 0.0 if self.rate.is_cold else request.usual_ms
-        self.trial.observe(request.route, failed, latency_ms, usual_ms)
+        usual = request.usual
+        if self.rate.is_cold:
+            # A cold upstream of any version is slow.
+            usual = Usual(0.0, usual.failures)
+        self.trial.observe(request.route, failed, latency_ms, usual)
         service = self.settings.service
         if self.trial.is_bad and self.rules.withdraw(service, current.version):
             self.coordinator.roll_back(service, self.trial.reason)
--- a/src/jayswitch/proxy/sockets.py
+++ b/src/jayswitch/proxy/sockets.py
@@ -42,6 +42,13 @@
     answer without a length look complete.
     """
 
+    @classmethod
+    def from_green(cls, sock: GreenSocket) -> ResetAwareSocket:
+        """Returns the same connection; the given object closes it when collected."""
+        aware = cls(sock.fd)
+        aware.origin = sock
+        return aware
+
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
         """Reads into the buffer; returns 0 only at the end of the stream."""
         return self._recv_loop(self._receive_into, 0, buffer, nbytes, flags)
--- a/src/jayswitch/runtime.py
+++ b/src/jayswitch/runtime.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import gc
+import os
 import warnings
 
-# pynng is imported first: its C threads take Python locks, which must be real.
-import pynng
-
 NNG_THREAD_LIMITS = {
     "NNG_INIT_NUM_TASK_THREADS": 2,
     "NNG_INIT_MAX_TASK_THREADS": 2,
@@ -21,30 +19,46 @@
 GC_THRESHOLD_1 = 20
 GC_THRESHOLD_2 = 50
 
+# Addresses are IP numbers, and importing a resolver is half of a start's time.
+NO_RESOLVER_VARIABLE = "EVENTLET_NO_GREENDNS"
+
 _prepared = False
 
 
-def prepare() -> None:
+def prepare(nng: bool = True) -> None:
     """Limits nng's threads and makes sockets and sleeps cooperative; idempotent.
 
     Locks stay those of the operating system: every task runs in one thread, and
-    nng's threads call back into it.
+    nng's threads call back into it. Processes that send nothing over nng start
+    sooner without it.
     """
     global _prepared
     if _prepared:
         return
-    for name, value in NNG_THREAD_LIMITS.items():
-        parameter = getattr(pynng.lib, name)
-        pynng.lib.nng_init_set_parameter(parameter, value)
+    os.environ.setdefault(NO_RESOLVER_VARIABLE, "yes")
+    if nng:
+        _limit_nng_threads()
     with warnings.catch_warnings():
         warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
         import eventlet
     eventlet.monkey_patch(
         socket=True, select=True, time=True, os=False, thread=False, psycopg=False
     )
+    # Registering with poll takes no system call, and a proxy has few descriptors.
+    eventlet.hubs.use_hub("poll")
     _prepared = True
 
 
+def _limit_nng_threads() -> None:
+    # Imported before sockets are made cooperative: nng's threads take Python locks,
+    # which must be real.
+    import pynng
+
+    for name, value in NNG_THREAD_LIMITS.items():
+        parameter = getattr(pynng.lib, name)
+        pynng.lib.nng_init_set_parameter(parameter, value)
+
+
 def settle_memory() -> None:
     """Exempts start-up objects from garbage collection and makes it rarer."""
     gc.collect()
--- a/tests/loopback/test_forwarding.py
+++ b/tests/loopback/test_forwarding.py
@@ -111,6 +111,16 @@
         assert pair.upstream.seen[0].body == body
 
 
+class TestConnections:
+    """Connections to proxies and upstreams are kept."""
+
+    def test_requests_one_after_another_share_a_connection(self, pair: Pair) -> None:
+        for _ in range(10):
+            assert exchange(pair.address, request()).status == 200
+        assert pair.near.hop_client.opened == 1
+        assert pair.far.upstream_client.opened == 1
+
+
 class TestFraming:
     """A request that two parsers could read differently is never passed on."""
 
