Test followers, publishers, moves and the operator's keys in virtual time

Cause: the parts of the platform path had tests over sockets only. Change: tests with the memory store, with outages, lost answers and races. Found: a proxy that cannot write delayed each step of a move by 0.9 s, so that a move of 12 s was not completed; turns are 300 ms now. The most urgent requests, which others that run already wait for, may wait for a slot until their deadline.

--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -38,6 +38,7 @@
 COLD_FACTOR = 1.25
 # Less than this is left: the upstream would be stopped before it has answered.
 SHORTEST_RUN_MS = 10.0
+MOST_URGENT_RANK = 0
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 
@@ -137,9 +138,16 @@
         return None
 
     def _longest_wait_ms(self, request: ForwardedRequest) -> float:
-        """Returns the wait after which the answer would miss its objective."""
-        slack_ms = request.objective_ms - self._clock.now_ms() - self._service_ms
-        return max(0.0, min(slack_ms, request.left_ms(self._clock)))
+        """Returns the wait after which the answer would miss its objective.
+
+        The most urgent requests wait as long as an answer can still come: others
+        that have run already depend on them.
+        """
+        until_ms = request.objective_ms
+        if request.rank <= MOST_URGENT_RANK:
+            until_ms = request.deadline_ms
+        until_ms = min(until_ms, request.deadline_ms)
+        return max(0.0, until_ms - self._clock.now_ms() - self._service_ms)
 
     def _run_in_slot(self, request: ForwardedRequest) -> AttemptOutcome:
         refusal = self._refusal(request)
--- a/src/jayswitch/rollout/coordinator.py
+++ b/src/jayswitch/rollout/coordinator.py
@@ -32,8 +32,8 @@
 REVIEW_MS = 250.0
 # Proxies review in the order of their names, each this much later than the one
 # before, so that the next one steps in when the first cannot reach the store.
-TURN_MS = 600.0
-LONGEST_TURN_MS = 4000.0
+TURN_MS = 300.0
+LONGEST_TURN_MS = 2000.0
 
 # Returns the key and value under which operators read a move's state.
 StatusWriter = Callable[[str, str, str], tuple[str, bytes]]
--- /dev/null
+++ b/tests/platform/test_operator.py
@@ -0,0 +1,130 @@
+"""Tests of decoding the operator's keys."""
+
+from __future__ import annotations
+
+import msgspec
+
+from jayswitch.catalog.model import RouteKind
+from jayswitch.catalog.orders import Orders
+from jayswitch.clock import VirtualClock
+from jayswitch.platform.operator import OperatorKeys, write_status
+from jayswitch.store.interface import WatchEvent
+
+CONFIG = {
+    "version": "r7",
+    "routes": [
+        {
+            "name": "a",
+            "host": "Herd.example",
+            "prefix": "/a/",
+            "kind": "unsafe",
+            "timeout_ms": 1500,
+            "slo_ms": 600,
+            "priority": 1,
+            "service": "herdview",
+            "max_attempts": 2,
+        },
+        {
+            "name": "b",
+            "host": "herd.example",
+            "prefix": "/a/b/",
+            "kind": "download",
+            "timeout_ms": 1200,
+            "weighted_clusters": [
+                {"service": "herdview", "weight": 90},
+                {"service": "robotdesk", "weight": 10},
+            ],
+        },
+    ],
+    "services": [{"name": "herdview", "warmup_s": 3.0, "warmup_per_s": 8.5}],
+    "limits": {"max_header_bytes": 4096},
+}
+
+
+def _event(key: str, document: object, revision: int = 5) -> WatchEvent:
+    value = document if isinstance(document, bytes) else msgspec.json.encode(document)
+    return WatchEvent(key, value, revision)
+
+
+class Decoded:
+    """Orders and what decodes into them."""
+
+    def __init__(self) -> None:
+        """Starts without orders."""
+        self.orders = Orders()
+        self.keys = OperatorKeys(self.orders, VirtualClock())
+
+
+class TestConfiguration:
+    """A whole configuration is put in force; anything else changes nothing."""
+
+    def test_fields_are_read_in_our_terms(self) -> None:
+        decoded = Decoded()
+        decoded.keys.apply(_event("op/config", CONFIG))
+        catalog = decoded.orders.catalog
+        assert catalog is not None and catalog.version == 7
+        route = catalog.route_for("herd.example", "/a/1")
+        assert route is not None
+        assert route.kind is RouteKind.NON_IDEMPOTENT and not route.kind.repeatable
+        assert (route.objective_ms, route.rank, route.max_attempts) == (600, 1, 2)
+        assert catalog.limits.header_bytes == 4096
+        assert catalog.service_by_name["herdview"].warm_up_ms == 3000
+
+    def test_longest_prefix_of_the_host_wins(self) -> None:
+        decoded = Decoded()
+        decoded.keys.apply(_event("op/config", CONFIG))
+        catalog = decoded.orders.catalog
+        assert catalog is not None
+        found = catalog.route_for("herd.example", "/a/b/1")
+        assert found is not None and found.name == "b"
+        assert catalog.route_for("other.example", "/a/1") is None
+        assert catalog.route_for("herd.example", "/a") is None
+
+    def test_versions_compare_as_numbers_and_never_go_back(self) -> None:
+        decoded = Decoded()
+        for version in ("r9", "r10", "r2"):
+            decoded.keys.apply(_event("op/config", {**CONFIG, "version": version}))
+        catalog = decoded.orders.catalog
+        assert catalog is not None and catalog.version == 10
+
+    def test_what_cannot_be_read_changes_nothing(self) -> None:
+        decoded = Decoded()
+        decoded.keys.apply(_event("op/config", CONFIG))
+        route = CONFIG["routes"][0]  # type: ignore[index]
+        for broken in (
+            b"{",
+            b"\xff\xfe",
+            {**CONFIG, "version": "eight"},
+            {**CONFIG, "version": "r8", "routes": [{**route, "kind": "odd"}]},
+            {**CONFIG, "version": "r8", "routes": [{**route, "timeout_ms": "1"}]},
+        ):
+            decoded.keys.apply(_event("op/config", broken))
+        decoded.keys.apply(WatchEvent("op/config", None, 9))
+        catalog = decoded.orders.catalog
+        assert catalog is not None and catalog.version == 7
+
+
+class TestOrders:
+    """Moves and evacuations come and go."""
+
+    def test_move_is_known_by_its_revision(self) -> None:
+        decoded = Decoded()
+        body = {"service": "herdview", "to_version": "v2", "duration_s": 12}
+        decoded.keys.apply(_event("op/rollout/herdview", body, 31))
+        order = decoded.orders.move_by_service["herdview"]
+        assert (order.to_version, order.duration_ms) == ("v2", 12_000)
+        assert order.revision == 31
+        decoded.keys.apply(WatchEvent("op/rollout/herdview", None, 40))
+        assert decoded.orders.move_by_service == {}
+
+    def test_evacuation_lasts_until_its_key_is_removed(self) -> None:
+        decoded = Decoded()
+        decoded.keys.apply(_event("op/evacuate/bunbury", {}))
+        assert decoded.orders.evacuated == {"bunbury"}
+        decoded.keys.apply(WatchEvent("op/evacuate/bunbury", None, 6))
+        assert decoded.orders.evacuated == set()
+
+    def test_state_is_written_as_operators_read_it(self) -> None:
+        key, value = write_status("herdview", "running", "v2")
+        assert key == "status/rollout/herdview"
+        assert msgspec.json.decode(value) == {"state": "running", "to_version": "v2"}
--- /dev/null
+++ b/tests/store/test_follower.py
@@ -0,0 +1,91 @@
+"""Tests of following a prefix through outages and gaps."""
+
+from __future__ import annotations
+
+from jayswitch.clock import VirtualClock
+from jayswitch.standins.memory_store import MemoryStore
+from jayswitch.store.follower import PrefixFollower
+from jayswitch.store.interface import StoredValue, WatchBatch, WatchEvent, Write
+
+COALESCE_MS = 100.0
+
+
+class Followed:
+    """A store, a follower and what the follower has told."""
+
+    def __init__(self) -> None:
+        """Starts to follow."""
+        self.clock = VirtualClock()
+        self.store = MemoryStore(self.clock)
+        self.values: dict[str, bytes] = {}
+        self.follower = PrefixFollower(
+            self.store, "op/", self._apply, self.clock, COALESCE_MS
+        )
+        self.follower.start()
+        self.clock.sleep_ms(10)
+
+    def _apply(self, event: WatchEvent) -> None:
+        if event.value is None:
+            self.values.pop(event.key, None)
+        else:
+            self.values[event.key] = event.value
+
+    def put(self, key: str, value: bytes) -> None:
+        """Writes a key, whatever its revision."""
+        self.store.commit([Write(key, value)]).unwrap()
+
+
+class TestFollower:
+    """The listener ends up with what the store holds."""
+
+    def test_changes_arrive(self) -> None:
+        followed = Followed()
+        followed.put("op/a", b"1")
+        followed.put("other", b"2")
+        followed.clock.sleep_ms(500)
+        assert followed.values == {"op/a": b"1"}
+
+    def test_changes_during_an_outage_arrive_after_it(self) -> None:
+        followed = Followed()
+        followed.put("op/a", b"1")
+        followed.clock.sleep_ms(500)
+        followed.store.faults.down = True
+        followed.clock.sleep_ms(30_000)
+        assert not followed.follower.connected
+        followed.store.faults.down = False
+        followed.put("op/a", b"2")
+        revision = followed.store.get("op/a").unwrap().revision
+        followed.store.delete("op/a", revision)
+        followed.put("op/b", b"3")
+        followed.clock.sleep_ms(2000)
+        assert followed.values == {"op/b": b"3"}
+
+    def test_lost_history_is_read_anew(self) -> None:
+        followed = Followed()
+        watch = followed.store.watch
+        compacted = WatchBatch(0, [], compacted=True)
+        followed.put("op/a", b"1")
+        followed.clock.sleep_ms(500)
+        followed.store.watch = (  # type: ignore[method-assign]
+            lambda prefix, after, wait: type(watch(prefix, -1, 0))(compacted)
+            if after >= 0
+            else watch(prefix, after, wait)
+        )
+        followed.put("op/a", b"2")
+        followed.clock.sleep_ms(100)
+        followed.store.watch = watch  # type: ignore[method-assign]
+        followed.clock.sleep_ms(2000)
+        assert followed.values == {"op/a": b"2"}
+
+    def test_replayed_event_does_not_undo_a_later_value(self) -> None:
+        followed = Followed()
+        snapshot = {"op/a": StoredValue("op/a", b"new", 9)}
+        followed.follower._take_snapshot(snapshot, 9)
+        followed.follower._apply(WatchEvent("op/a", b"old", 7))
+        assert followed.values == {"op/a": b"new"}
+
+    def test_snapshot_does_not_undo_a_later_event(self) -> None:
+        followed = Followed()
+        followed.follower._apply(WatchEvent("op/a", b"new", 9))
+        followed.follower._take_snapshot({}, 8)
+        assert followed.values == {"op/a": b"new"}
