Lead from a request's id to its cause

Cause: on-call engineers have only logs and metrics. A line about an attempt also hid its own VM behind that of the upstream's.

--- a/src/jayswitch/console/application.py
+++ b/src/jayswitch/console/application.py
@@ -10,7 +10,14 @@
 from returns.primitives.exceptions import UnwrapFailedError
 
 from jayswitch.console.client import AdminClient
-from jayswitch.console.commands import data_centres, fleet, moves, profiles, services
+from jayswitch.console.commands import (
+    data_centres,
+    fleet,
+    moves,
+    profiles,
+    requests,
+    services,
+)
 from jayswitch.console.commands.command import (
     EXIT_OK,
     EXIT_REFUSED,
@@ -60,6 +67,7 @@
     fleet.UpstreamsList,
     fleet.NodeDumpCommand,
     fleet.SettingsCheck,
+    requests.RequestsExplain,
 ]
 COMMAND_BY_WORDS = {command.words: command for command in COMMANDS}
 
--- /dev/null
+++ b/src/jayswitch/console/commands/requests.py
@@ -0,0 +1,119 @@
+"""Commands that read the logs of proxies."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Iterable, Iterator
+from datetime import datetime, timedelta
+from pathlib import Path
+from typing import Any
+
+from jayswitch.console.commands.command import EXIT_OK, EXIT_REFUSED, Command
+from jayswitch.console.exceptions import UsageError
+from jayswitch.console.output import print_json
+
+STANDARD_INPUT = "-"
+# What a proxy believes that may explain a request, besides the lines that name it.
+CONTEXT_MS = 3000
+CONTEXT_MESSAGES = frozenset(
+    (
+        "configuration in force",
+        "data centre out of service",
+        "data centre back in service",
+        "draining",
+        "started",
+        "store lost",
+        "store regained",
+        "upstream suspected",
+        "upstream answers again",
+        "version found bad",
+        "version withdrawn here",
+    )
+)
+_PLACED_FIRST = ("time", "vm", "message", "request_id", "level", "logger")
+
+
+class RequestsExplain(Command):
+    """Tells what happened to one request, from the logs of many proxies."""
+
+    words = ("requests", "explain")
+    arguments = ("id", "log")
+    summary = "tell the story of a request from log files or a folder of them"
+    example = "jayswitchctl requests explain 9c41d07be2a35f68 logs/"
+
+    def run(self, *arguments: str) -> int:
+        """Prints the lines of a request in order, with what its proxies believed."""
+        request_id, source = arguments
+        lines = list(read_lines(open_source(source)))
+        story = gather(request_id, lines)
+        if not story:
+            print(f"no line names {request_id}", file=sys.stderr)
+            return EXIT_REFUSED
+        if self.options.as_json:
+            print_json(story)
+            return EXIT_OK
+        for line in story:
+            print(describe(line))
+        return EXIT_OK
+
+
+def open_source(source: str) -> Iterator[str]:
+    """Yields the lines of standard input, of a file, or of a folder's files."""
+    if source == STANDARD_INPUT:
+        yield from sys.stdin
+        return
+    path = Path(source)
+    if not path.exists():
+        raise UsageError(f"there is no log at {source}", "name a file, a folder or -")
+    files = sorted(path.rglob("*")) if path.is_dir() else [path]
+    for file in files:
+        if file.is_file():
+            with file.open(encoding="utf-8", errors="replace") as stream:
+                yield from stream
+
+
+def read_lines(texts: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Yields the JSON objects in lines; anything before the object is skipped."""
+    for text in texts:
+        begin = text.find("{")
+        if begin < 0:
+            continue
+        try:
+            line = json.loads(text[begin:])
+        except ValueError:
+            continue
+        if isinstance(line, dict) and "message" in line:
+            yield line
+
+
+def gather(request_id: str, lines: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Returns a request's lines and those that show what its proxies believed."""
+    own = [line for line in lines if line.get("request_id") == request_id]
+    if not own:
+        return []
+    begin = _earlier(min(line["time"] for line in own), CONTEXT_MS)
+    end = max(line["time"] for line in own)
+    vms = {line["vm"] for line in own}
+    context = [
+        line
+        for line in lines
+        if line["message"] in CONTEXT_MESSAGES
+        and line["vm"] in vms
+        and begin <= line["time"] <= end
+    ]
+    return sorted(own + context, key=lambda line: line["time"])
+
+
+def describe(line: dict[str, Any]) -> str:
+    """Returns a line as text: time, VM, event and the inputs that decided it."""
+    inputs = ", ".join(
+        f"{name}={value}" for name, value in line.items() if name not in _PLACED_FIRST
+    )
+    return f"{line['time']}  {line['vm']:24} {line['message']}: {inputs}"
+
+
+def _earlier(stamp: str, by_ms: int) -> str:
+    parsed = datetime.strptime(stamp, "%Y-%m-%d %H:%M:%S,%f")
+    earlier = parsed - timedelta(milliseconds=by_ms)
+    return earlier.strftime("%Y-%m-%d %H:%M:%S,%f")[:-3]
--- a/src/jayswitch/fleet/directory.py
+++ b/src/jayswitch/fleet/directory.py
@@ -40,7 +40,7 @@
         try:
             record = msgspec.json.decode(event.value, type=NodeRecord)
         except msgspec.MsgspecError as error:
-            logger.warning("record unreadable", extra={"vm": vm, "reason": str(error)})
+            logger.warning("record unreadable", extra={"proxy": vm, "reason": str(error)})
             return
         self.unlisted.discard(vm)
         self._log_change(vm, record)
@@ -86,20 +86,20 @@
             self._drop(vm, "its lease has lapsed and it was not reached")
         else:
             self.unlisted.add(vm)
-            logger.info("proxy unlisted", extra={"vm": vm})
+            logger.info("proxy unlisted", extra={"proxy": vm})
 
     def _drop(self, vm: str, reason: str) -> None:
         self.unlisted.discard(vm)
         self.record_by_vm.pop(vm, None)
         self._members_by_service = None
-        logger.info("proxy dropped", extra={"vm": vm, "reason": reason})
+        logger.info("proxy dropped", extra={"proxy": vm, "reason": reason})
 
     def _log_change(self, vm: str, record: NodeRecord) -> None:
         upstream = record.upstream
         logger.info(
             "proxy record changed",
             extra={
-                "vm": vm,
+                "proxy": vm,
                 "upstream": upstream.id if upstream else "",
                 "service": upstream.service if upstream else "",
                 "version": upstream.version if upstream else "",
--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -258,7 +258,7 @@
     ) -> None:
         fields = {
             "request_id": request.request_id,
-            "vm": member.node,
+            "to_vm": member.node,
             "service": request.service,
             "version": member.version,
             "elapsed_ms": round(self._clock.now_ms() - started_ms),
