Refuse late callers at a stop instead of cutting them; one header between proxies

Ten headers a hop cost parsing. Ruled out: readiness (it ended at once). Change: from three quarters of the grace period on, what still comes is refused as not run; withdrawing the record may take 250 ms. A hop's decisions and its outcome travel as one JSON header each.

--- a/src/jayswitch/fleet/directory.py
+++ b/src/jayswitch/fleet/directory.py
@@ -40,7 +40,9 @@
         try:
             record = msgspec.json.decode(event.value, type=NodeRecord)
         except msgspec.MsgspecError as error:
-            logger.warning("record unreadable", extra={"proxy": vm, "reason": str(error)})
+            logger.warning(
+                "record unreadable", extra={"proxy": vm, "reason": str(error)}
+            )
             return
         self.unlisted.discard(vm)
         self._log_change(vm, record)
--- a/src/jayswitch/http/server.py
+++ b/src/jayswitch/http/server.py
@@ -107,6 +107,7 @@
             max_size=MAX_CONNECTIONS,
             debug=False,
             minimum_chunk_size=1,
+            capitalize_response_headers=False,
             protocol=self._protocol,
             url_length_limit=LONGEST_REQUEST_LINE,
         )
--- a/src/jayswitch/metrics.py
+++ b/src/jayswitch/metrics.py
@@ -23,8 +23,12 @@
     def collect(self) -> Iterable[Metric]:
         """Returns every metric with its present value."""
         parts = self._node.parts
-        yield counter_family("jayswitch_router", "Calls and outcomes.", parts.router.counts)
-        yield counter_family("jayswitch_gate", "Decisions of the gate.", parts.gate.counts)
+        yield counter_family(
+            "jayswitch_router", "Calls and outcomes.", parts.router.counts
+        )
+        yield counter_family(
+            "jayswitch_gate", "Decisions of the gate.", parts.gate.counts
+        )
         yield counter_family("jayswitch_tree", "Distribution tree.", parts.tree.counts)
         yield from self._gauges()
         sent = CounterMetricFamily(
--- a/src/jayswitch/proxy/headers.py
+++ b/src/jayswitch/proxy/headers.py
@@ -8,22 +8,8 @@
 
 # Only between proxies; a caller's headers of these names are dropped.
 INTERNAL_PREFIX = "x-jayswitch-"
-HOP_SERVICE = "X-Jayswitch-Service"
-HOP_VERSION = "X-Jayswitch-Version"
-HOP_KIND = "X-Jayswitch-Kind"
-HOP_RANK = "X-Jayswitch-Rank"
-HOP_OBJECTIVE_MS = "X-Jayswitch-Objective-Ms"
+HOP_REQUEST = "X-Jayswitch-Request"
 HOP_OUTCOME = "X-Jayswitch-Outcome"
-HOP_REASON = "X-Jayswitch-Reason"
-HOP_LOAD = "X-Jayswitch-Load"
-HOP_SENT = "X-Jayswitch-Sent"
-HOP_ROUTE = "X-Jayswitch-Route"
-HOP_USUAL = "X-Jayswitch-Usual"
-HOP_KNOWN = "X-Jayswitch-Known"
-HOP_FROM = "X-Jayswitch-From"
-
-REPEATABLE = "repeatable"
-ONCE = "once"
 
 
 class HeaderNames(msgspec.Struct, frozen=True):
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -3,31 +3,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import eventlet
+import msgspec
 
 from jayswitch.clock import MS_PER_S
 from jayswitch.http.headers import end_to_end
 from jayswitch.proxy import reasons
-from jayswitch.proxy.exceptions import ExchangeBroken, NotSent
+from jayswitch.proxy.exceptions import ExchangeBroken, MalformedRequest, NotSent
 from jayswitch.proxy.headers import (
-    HOP_FROM,
-    HOP_KIND,
-    HOP_KNOWN,
-    HOP_LOAD,
-    HOP_OBJECTIVE_MS,
     HOP_OUTCOME,
-    HOP_RANK,
-    HOP_REASON,
-    HOP_ROUTE,
-    HOP_SENT,
-    HOP_SERVICE,
-    HOP_USUAL,
-    HOP_VERSION,
+    HOP_REQUEST,
     INTERNAL_PREFIX,
-    ONCE,
-    REPEATABLE,
     find,
 )
 from jayswitch.proxy.outcome import (
@@ -46,43 +35,92 @@
     from jayswitch.proxy.http_client import Exchange, HttpClient
     from jayswitch.proxy.outcome import AttemptOutcome, Headers
 
-OUTCOME_ANSWERED = "answered"
-OUTCOME_NOT_RUN = "not-run"
-OUTCOME_UNKNOWN = "unknown"
-OUTCOME_TIMED_OUT = "timed-out"
 UNREACHED_RETRY_MS = 300.0
 # Connections between proxies are kept for long: their servers never end idle ones.
-HOP_IDLE_S = 30
+HOP_KEEP_ALIVE = ("Keep-Alive", "timeout=30")
 LONGEST_REASON = 200
 
 
+class HopRequest(msgspec.Struct, omit_defaults=True):
+    """The decisions of a sending proxy, as they travel with a request.
+
+    objective_ms is what is left; known is how far the sender has followed the store.
+    """
+
+    service: str
+    version: str
+    route: str
+    sender: str
+    known: str
+    usual: Usual
+    objective_ms: float = 0.0
+    rank: int = 0
+    repeatable: bool = False
+
+
+class HopKind(Enum):
+    """What became of a request at the proxy beside its upstream."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    TIMED_OUT = "timed-out"
+
+
+class HopOutcome(msgspec.Struct, omit_defaults=True):
+    """What a proxy tells a sender beside the upstream's answer."""
+
+    kind: HopKind
+    known: str = ""
+    reason: str = ""
+    retry_after_ms: float = 0.0
+    reached_upstream: bool = False
+    load: LoadReport | None = None
+
+
+_request_decoder = msgspec.json.Decoder(HopRequest)
+_outcome_decoder = msgspec.json.Decoder(HopOutcome)
+
+
 def hop_headers(
-    request: ForwardedRequest, names: HeaderNames, clock: Clock
-) -> list[tuple[str, str]]:
+    request: ForwardedRequest, known: str, names: HeaderNames, clock: Clock
+) -> Headers:
     """Returns a request's headers with its decisions, for another proxy."""
     now_ms = clock.now_ms()
+    hop = HopRequest(
+        service=request.service,
+        version=request.version,
+        route=request.route,
+        sender=request.origin_vm,
+        known=known,
+        usual=request.usual,
+        objective_ms=round(request.objective_ms - now_ms),
+        rank=request.rank,
+        repeatable=request.repeatable,
+    )
     headers = list(request.headers)
-    headers += [
-        (HOP_SERVICE, request.service),
-        (HOP_VERSION, request.version),
-        (HOP_KIND, REPEATABLE if request.repeatable else ONCE),
-        (HOP_RANK, str(request.rank)),
-        (HOP_OBJECTIVE_MS, str(int(request.objective_ms - now_ms))),
-        (HOP_ROUTE, request.route),
-        (HOP_USUAL, request.usual.encode()),
-        (HOP_FROM, request.origin_vm),
-        (names.time_left_ms, str(int(request.deadline_ms - now_ms))),
-        (names.caller_service, request.caller_service),
-    ]
+    headers.append((HOP_REQUEST, _header_text(hop)))
+    headers.append((names.time_left_ms, str(int(request.deadline_ms - now_ms))))
+    headers.append((names.caller_service, request.caller_service))
     if request.body_length is not None:
         headers.append(("Content-Length", str(request.body_length)))
     return headers
 
 
+def read_hop_request(headers: Headers) -> HopRequest:
+    """Returns the decisions in a request's headers; raises MalformedRequest."""
+    text = find(headers, HOP_REQUEST) or ""
+    try:
+        return _request_decoder.decode(text.encode("latin-1"))
+    except msgspec.MsgspecError as error:
+        raise MalformedRequest(f"decisions of the sender: {error}") from error
+
+
 def request_from_hop(
     method: str,
     target: str,
     headers: Headers,
+    hop: HopRequest,
     names: HeaderNames,
     clock: Clock,
 ) -> ForwardedRequest:
@@ -91,38 +129,31 @@
     kept = _without_hop_headers(headers, names)
     request_id = find(headers, names.request_id) or ""
     request = ForwardedRequest(request_id, method, target, kept, b"", None)
-    request.service = find(headers, HOP_SERVICE) or ""
-    request.version = find(headers, HOP_VERSION) or ""
-    request.repeatable = find(headers, HOP_KIND) == REPEATABLE
-    request.rank = _number(headers, HOP_RANK)
-    request.objective_ms = now_ms + _number(headers, HOP_OBJECTIVE_MS)
+    request.service = hop.service
+    request.version = hop.version
+    request.repeatable = hop.repeatable
+    request.rank = hop.rank
+    request.route = hop.route
+    request.usual = hop.usual
+    request.origin_vm = hop.sender
+    request.objective_ms = now_ms + hop.objective_ms
     request.deadline_ms = now_ms + _number(headers, names.time_left_ms)
     request.caller_service = find(headers, names.caller_service) or ""
-    request.origin_vm = find(headers, HOP_FROM) or ""
-    request.route = find(headers, HOP_ROUTE) or ""
-    request.usual = Usual.from_text(find(headers, HOP_USUAL))
     return request
 
 
-def outcome_headers(outcome: AttemptOutcome) -> Headers:
+def outcome_headers(outcome: AttemptOutcome, known: str) -> Headers:
     """Returns what a proxy tells the sender beside the upstream's answer."""
-    headers: Headers = []
-    if outcome.load is not None:
-        headers.append((HOP_LOAD, outcome.load.encode()))
-    if isinstance(outcome, Answered):
-        headers.append((HOP_OUTCOME, OUTCOME_ANSWERED))
-        headers.append(("Keep-Alive", f"timeout={HOP_IDLE_S}"))
-        return headers
-    headers.append((HOP_REASON, _header_text(outcome.reason)))
-    headers.append(("Keep-Alive", f"timeout={HOP_IDLE_S}"))
+    told = HopOutcome(HopKind.ANSWERED, known, load=outcome.load)
     if isinstance(outcome, NotRun):
-        headers.append((HOP_OUTCOME, OUTCOME_NOT_RUN))
-        headers.append((HOP_SENT, str(int(outcome.reached_upstream))))
-        headers.append(("Retry-After", f"{outcome.retry_after_ms / MS_PER_S:.3f}"))
-        return headers
-    unknown = OUTCOME_TIMED_OUT if outcome.timed_out else OUTCOME_UNKNOWN
-    headers.append((HOP_OUTCOME, unknown))
-    return headers
+        told.kind = HopKind.NOT_RUN
+        told.reason = outcome.reason[:LONGEST_REASON]
+        told.retry_after_ms = outcome.retry_after_ms
+        told.reached_upstream = outcome.reached_upstream
+    elif isinstance(outcome, OutcomeUnknown):
+        told.kind = HopKind.TIMED_OUT if outcome.timed_out else HopKind.UNKNOWN
+        told.reason = outcome.reason[:LONGEST_REASON]
+    return [(HOP_OUTCOME, _header_text(told)), HOP_KEEP_ALIVE]
 
 
 class HopClient:
@@ -151,10 +182,11 @@
                 address,
                 request.method,
                 request.target,
-                self._headers(request),
+                hop_headers(
+                    request, self._knowledge.describe(), self._names, self._clock
+                ),
                 request.body or None,
             )
-            self._knowledge.compare(find(exchange.headers, HOP_KNOWN))
             return self._outcome(request, exchange)
         except NotSent:
             return NotRun(reasons.PROXY_UNREACHED, UNREACHED_RETRY_MS)
@@ -167,24 +199,24 @@
         finally:
             timeout.cancel()
 
-    def _headers(self, request: ForwardedRequest) -> Headers:
-        headers = hop_headers(request, self._names, self._clock)
-        headers.append((HOP_KNOWN, self._knowledge.describe()))
-        return headers
-
     def _outcome(self, request: ForwardedRequest, exchange: Exchange) -> AttemptOutcome:
-        load = LoadReport.from_text(find(exchange.headers, HOP_LOAD))
-        outcome = find(exchange.headers, HOP_OUTCOME)
-        reason = find(exchange.headers, HOP_REASON) or "no reason was given"
-        if outcome == OUTCOME_ANSWERED:
-            return self._answer(request, exchange, load)
+        try:
+            text = find(exchange.headers, HOP_OUTCOME) or ""
+            told = _outcome_decoder.decode(text.encode("latin-1"))
+        except msgspec.MsgspecError:
+            exchange.close()
+            return OutcomeUnknown(f"the proxy answered {exchange.status} by itself")
+        self._knowledge.compare(told.known)
+        if told.kind is HopKind.ANSWERED:
+            return self._answer(request, exchange, told.load)
         for _ in exchange.read():
             continue
         exchange.close()
-        if outcome == OUTCOME_NOT_RUN:
-            reached = find(exchange.headers, HOP_SENT) == "1"
-            return NotRun(reason, _retry_after_ms(exchange.headers), reached, load)
-        return OutcomeUnknown(reason, outcome == OUTCOME_TIMED_OUT, load)
+        if told.kind is HopKind.NOT_RUN:
+            return NotRun(
+                told.reason, told.retry_after_ms, told.reached_upstream, told.load
+            )
+        return OutcomeUnknown(told.reason, told.kind is HopKind.TIMED_OUT, told.load)
 
     def _answer(
         self, request: ForwardedRequest, exchange: Exchange, load: LoadReport | None
@@ -197,10 +229,9 @@
         return Answered(exchange.status, exchange.headers, exchange.read(), close, load)
 
 
-def _header_text(text: str) -> str:
-    """Returns text that cannot end its header; it may quote an upstream's bytes."""
-    printable = "".join(char if " " <= char <= "~" else " " for char in text)
-    return printable[:LONGEST_REASON].strip()
+def _header_text(told: HopRequest | HopOutcome) -> str:
+    """Returns JSON, in which no character can end the header."""
+    return msgspec.json.encode(told).decode("latin-1")
 
 
 def _without_hop_headers(headers: Headers, names: HeaderNames) -> Headers:
@@ -217,10 +248,3 @@
 def _number(headers: Headers, name: str) -> int:
     text = find(headers, name) or "0"
     return int(text) if text.lstrip("-").isdigit() else 0
-
-
-def _retry_after_ms(headers: Headers) -> float:
-    try:
-        return float(find(headers, "Retry-After") or 0) * MS_PER_S
-    except ValueError:
-        return UNREACHED_RETRY_MS
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -6,11 +6,15 @@
 from typing import TYPE_CHECKING, Any
 
 from jayswitch.http.reasons import status_line
+from jayswitch.proxy import reasons
 from jayswitch.proxy.exceptions import CallerGone, MalformedRequest
 from jayswitch.proxy.hangup import HangupWatch
-from jayswitch.proxy.headers import HOP_KNOWN, find
-from jayswitch.proxy.hop import outcome_headers, request_from_hop
-from jayswitch.proxy.outcome import Answered
+from jayswitch.proxy.hop import (
+    outcome_headers,
+    read_hop_request,
+    request_from_hop,
+)
+from jayswitch.proxy.outcome import Answered, NotRun
 from jayswitch.proxy.protocol import CONNECTION_VARIABLE, TARGET_VARIABLE
 from jayswitch.proxy.wsgi_request import (
     answer_headers,
@@ -30,6 +34,7 @@
 
 # The sending proxy has checked the caller's limits already.
 MAX_BODY_BYTES = 1 << 40
+STOPPING_RETRY_MS = 200.0
 STATUS_CALLER_GONE = 499
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_ANSWERED = 503
@@ -47,6 +52,7 @@
     ) -> None:
         """Takes the gate in front of the upstream."""
         self.draining = False
+        self.refusing = False
         self.in_flight = 0
         self._gate = gate
         self._knowledge = knowledge
@@ -63,6 +69,10 @@
         watch = HangupWatch(environ[CONNECTION_VARIABLE].connection)
         try:
             request = self._read(environ)
+            if self.refusing:
+                return self._tell(
+                    NotRun(reasons.STOPPING, STOPPING_RETRY_MS), start_response, watch
+                )
             if request.can_be_sent_again:
                 watch.start()
             outcome = self._gate.run(request)
@@ -80,11 +90,13 @@
 
     def _read(self, environ: dict[str, Any]) -> ForwardedRequest:
         headers = raw_headers(environ)
-        self._knowledge.compare(find(headers, HOP_KNOWN))
+        hop = read_hop_request(headers)
+        self._knowledge.compare(hop.known)
         request = request_from_hop(
             environ["REQUEST_METHOD"],
             environ[TARGET_VARIABLE],
             headers,
+            hop,
             self._names,
             self._clock,
         )
@@ -98,8 +110,8 @@
         start_response: StartResponse,
         watch: HangupWatch,
     ) -> Iterator[bytes]:
-        headers = answer_headers(outcome.headers) + outcome_headers(outcome)
-        headers.append((HOP_KNOWN, self._knowledge.describe()))
+        headers = answer_headers(outcome.headers)
+        headers += outcome_headers(outcome, self._knowledge.describe())
         body = send_answer(outcome, environ, headers, start_response)
         try:
             yield from body
@@ -117,8 +129,7 @@
         watch.stop()
         self.in_flight -= 1
         headers = [
-            *outcome_headers(outcome),
-            (HOP_KNOWN, self._knowledge.describe()),
+            *outcome_headers(outcome, self._knowledge.describe()),
             ("Content-Length", "0"),
         ]
         start_response(status_line(STATUS_NOT_ANSWERED), headers)
--- a/src/jayswitch/proxy/outbound.py
+++ b/src/jayswitch/proxy/outbound.py
@@ -67,6 +67,7 @@
         """Takes the service on whose behalf callers on this VM send requests."""
         self.catalog: Catalog | None = None
         self.draining = False
+        self.refusing = False
         self.in_flight = 0
         self.counts: Counter[str] = Counter()
         self.on_answer: Callable[[int, float], None] = lambda status, elapsed_ms: None
@@ -112,11 +113,10 @@
         self, environ: dict[str, Any], watch: HangupWatch, started_ms: float
     ) -> Answered | CallerOutcome:
         catalog = self.catalog
-        if catalog is None:
+        if catalog is None or self.refusing:
             close_connection(environ)
-            return CallerOutcome(
-                STATUS_UNAVAILABLE, reasons.STARTING, STARTING_RETRY_MS
-            )
+            reason = reasons.STOPPING if self.refusing else reasons.STARTING
+            return CallerOutcome(STATUS_UNAVAILABLE, reason, STARTING_RETRY_MS)
         headers = raw_headers(environ)
         self._check_size(headers, catalog)
         target = environ[TARGET_VARIABLE]
--- a/src/jayswitch/proxy/outcome.py
+++ b/src/jayswitch/proxy/outcome.py
@@ -27,17 +27,9 @@
     service_ms: float
 
     def encode(self) -> str:
-        """Returns the report as a header value."""
+        """Returns the report as text for logs."""
         return f"{self.running},{self.waiting},{self.limit},{self.service_ms:.0f}"
 
-    @classmethod
-    def from_text(cls, text: str | None) -> LoadReport | None:
-        """Returns the report in a header value; None if there is none."""
-        parts = (text or "").split(",")
-        if len(parts) != 4 or not all(part.isdigit() for part in parts):
-            return None
-        return cls(int(parts[0]), int(parts[1]), int(parts[2]), float(parts[3]))
-
 
 class ForwardedRequest:
     """A request with the decisions that travel with it.
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -62,9 +62,13 @@
 TRIAL_REPORT_MS = 1500.0
 # Readiness is asked for each second, and two misses end new work.
 LEAVE_MS = 2300.0
+# From this part of the grace period on, callers that still come are refused.
+REFUSE_FROM_PART = 0.75
 # Kept of the grace period for closing down.
-EXIT_MARGIN_MS = 700.0
+EXIT_MARGIN_MS = 350.0
 DRAIN_POLL_MS = 50.0
+# A record that is not withdrawn lapses with its lease.
+WITHDRAW_MS = 250.0
 # Callers that have gone elsewhere send nothing for this long.
 QUIET_MS = 1000.0
 # A configuration has two seconds to be in force; a quarter of a second of that
@@ -215,24 +219,32 @@
     def stop(self) -> bool:
         """Stops without cutting a request; False if some were still in flight."""
         started_ms = self._clock.now_ms()
+        grace_ms = self.settings.grace_s * MS_PER_S
         logger.info("draining", extra={"in_flight": self.in_flight})
         self.draining = True
         self.inbound.draining = True
         self.outbound.draining = True
         self.publisher.publish()
-        last_ms = started_ms + self.settings.grace_s * MS_PER_S - EXIT_MARGIN_MS
         self._clock.sleep_ms(LEAVE_MS)
-        while self._is_in_use() and self._clock.now_ms() < last_ms:
-            self._clock.sleep_ms(DRAIN_POLL_MS)
+        self._wait_while(self._is_in_use, started_ms + grace_ms * REFUSE_FROM_PART)
+        # Whatever still comes would be cut by the end of the process.
+        self.inbound.refusing = True
+        self.outbound.refusing = True
         for server in self._servers:
             server.stop_accepting()
-        while self.in_flight and self._clock.now_ms() < last_ms:
-            self._clock.sleep_ms(DRAIN_POLL_MS)
+        with eventlet.Timeout(WITHDRAW_MS / MS_PER_S, False):
+            self.publisher.withdraw()
+        self._wait_while(
+            lambda: bool(self.in_flight), started_ms + grace_ms - EXIT_MARGIN_MS
+        )
         drained = not self.in_flight
-        self.publisher.withdraw()
         logger.info("stopped", extra={"drained": drained})
         return drained
 
+    def _wait_while(self, condition: Callable[[], bool], until_ms: float) -> None:
+        while condition() and self._clock.now_ms() < until_ms:
+            self._clock.sleep_ms(DRAIN_POLL_MS)
+
     def _is_in_use(self) -> bool:
         quiet_ms = self._clock.now_ms() - self.outbound.last_request_ms
         return bool(self.in_flight) or quiet_ms < QUIET_MS
--- a/src/jayswitch/rollout/trial.py
+++ b/src/jayswitch/rollout/trial.py
@@ -23,7 +23,6 @@
 # Moving averages of the proved version: over about 20 and 10 answers.
 LATENCY_WEIGHT = 0.05
 FAILURES_WEIGHT = 0.1
-PER_MILLE = 1000
 
 
 class Usual(msgspec.Struct, frozen=True):
@@ -43,18 +42,6 @@
         known_ms = self.latency_ms or latency_ms
         return Usual(known_ms + (latency_ms - known_ms) * LATENCY_WEIGHT, failures)
 
-    def encode(self) -> str:
-        """Returns the averages as a header value: milliseconds and per mille."""
-        return f"{self.latency_ms:.0f},{self.failures * PER_MILLE:.0f}"
-
-    @classmethod
-    def from_text(cls, text: str | None) -> Usual:
-        """Returns the averages in a header value; nothing known if there are none."""
-        parts = (text or "").split(",")
-        if len(parts) != 2 or not all(part.isdigit() for part in parts):
-            return cls()
-        return cls(float(parts[0]), int(parts[1]) / PER_MILLE)
-
 
 class TrialJudge:
     """Counts good and bad answers of an upstream and finds a version bad."""
@@ -73,7 +60,9 @@
         """Tells whether the version has been found bad; that is final."""
         return bool(self.reason)
 
-    def observe(self, route: str, failed: bool, latency_ms: float, usual: Usual) -> None:
+    def observe(
+        self, route: str, failed: bool, latency_ms: float, usual: Usual
+    ) -> None:
         """Takes one answer and what the proved version usually does on the route."""
         usual_ms = usual.latency_ms
         bad_share = BAD_SHARE + usual.failures
--- /dev/null
+++ b/tests/loopback/test_stop.py
@@ -0,0 +1,79 @@
+"""Tests of a planned stop over real sockets."""
+
+from __future__ import annotations
+
+import eventlet
+from eventlet.greenio import GreenSocket
+
+from tests.harness.loopback import (
+    Loopback,
+    RawUpstream,
+    Seen,
+    answer_ok,
+    connect,
+    exchange,
+    receive,
+    request,
+    wait_until,
+)
+
+
+class Stopping:
+    """One proxy that is being stopped while callers keep coming."""
+
+    def __init__(self) -> None:
+        """Starts the proxy."""
+        self.loopback, self.upstream = Loopback(), RawUpstream("i-1")
+        self.proxy = self.loopback.add("vm-1", self.upstream)
+        self.address = self.proxy.settings.callers_address
+        wait_until(lambda: exchange(self.address, request()).status == 200)
+
+    def ready(self) -> int:
+        """Returns the status of the readiness check."""
+        head = b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n"
+        return exchange(self.proxy.settings.readiness_address, head).status
+
+
+class TestPlannedStop:
+    """No request that was taken is cut, however long callers keep coming."""
+
+    def test_callers_that_keep_coming_are_never_cut(self) -> None:
+        stopping = Stopping()
+
+        def slowly(up: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+            eventlet.sleep(0.2)
+            answer_ok(up, connection, seen)
+
+        stopping.upstream.answer = slowly
+        stop = eventlet.spawn(stopping.proxy.stop)
+        statuses: list[int] = []
+        cut = 0
+        while not stop.dead:
+            try:
+                connection = connect(stopping.address)
+            except OSError:
+                break
+            connection.sendall(request("/book/1", "POST"))
+            answer = receive(connection)
+            cut += answer.ended and not answer.status
+            statuses.append(answer.status)
+        assert stop.wait() is True
+        assert cut == 0
+        assert statuses[0] == 200
+        assert set(statuses) <= {200, 503}
+
+    def test_readiness_ends_at_once_and_answers_say_close(self) -> None:
+        stopping = Stopping()
+        assert stopping.ready() == 200
+        eventlet.spawn(stopping.proxy.stop)
+        eventlet.sleep(0)
+        assert stopping.ready() == 503
+        answer = exchange(stopping.address, request())
+        assert answer.status == 200 and "Connection: close" in answer.head
+
+    def test_stop_that_nobody_disturbs_is_short_of_the_grace_period(self) -> None:
+        stopping = Stopping()
+        store = stopping.loopback.store
+        assert stopping.proxy.stop() is True
+        wait_until(lambda: store.read("jayswitch/nodes/vm-1") is None)
+        assert store.read("jayswitch-last/vm-1") is not None
--- a/tests/rollout/test_trial.py
+++ b/tests/rollout/test_trial.py
@@ -88,14 +88,7 @@
 
 
 class TestUsual:
-    """Averages travel in a header."""
-
-    def test_encoding_is_read_back(self) -> None:
-        assert Usual.from_text(Usual(160.0, 0.25).encode()) == Usual(160.0, 0.25)
-
-    def test_unreadable_text_says_nothing(self) -> None:
-        for text in (None, "", "1", "a,b", "-1,2"):
-            assert Usual.from_text(text) == Usual()
+    """Averages of what the proved version does."""
 
     def test_failures_do_not_change_the_latency(self) -> None:
         usual = Usual(160.0, 0.0).after(True, 5000.0)
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -67,9 +67,11 @@
         followed.put("op/a", b"1")
         followed.clock.sleep_ms(500)
         followed.store.watch = (  # type: ignore[method-assign]
-            lambda prefix, after, wait: type(watch(prefix, -1, 0))(compacted)
-            if after >= 0
-            else watch(prefix, after, wait)
+            lambda prefix, after, wait: (
+                type(watch(prefix, -1, 0))(compacted)
+                if after >= 0
+                else watch(prefix, after, wait)
+            )
         )
         followed.put("op/a", b"2")
         followed.clock.sleep_ms(100)
