Let calls wait for the starts of a cold upstream, most urgent first

Cause: after the final faults every upstream is cold for 3 s and refused whatever came when its second was spent, whatever its rank. Change: starts of a cold upstream are handed out like slots, by rank; its load report counts what it bears, so that senders see the queue.

--- a/src/jayswitch/gate/slots.py
+++ b/src/jayswitch/gate/slots.py
@@ -1,4 +1,4 @@
-"""Slots of one upstream and the calls that wait for them, most urgent first."""
+"""Starts of calls at one upstream: within its slots, and slowly while it is cold."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
+    from jayswitch.gate.start_rate import StartRate
 
 # Calls that may wait for each slot: beyond it every answer would be late.
 WAITING_PER_SLOT = 4
@@ -27,11 +28,17 @@
 
 
 class SlotQueue:
-    """Counts running calls against a limit and queues others by rank."""
+    """Counts running calls against a limit and queues others by rank.
 
-    def __init__(self, limit: int, clock: Clock) -> None:
-        """Takes the most calls that may run at once."""
+    A cold upstream starts calls no faster than it bears; calls wait for that as
+    they wait for a slot, the most urgent first.
+    """
+
+    def __init__(self, limit: int, rate: StartRate, clock: Clock) -> None:
+        """Takes the most calls that may run at once and the rate of starts."""
         self.limit = limit
+        self.rate = rate
+        self._hand_out_planned = False
         self.running = 0
         self._clock = clock
         self._serial = 0
@@ -44,15 +51,16 @@
 
     def expected_wait_ms(self, rank: int, service_ms: float) -> float:
         """Returns how long a call of a rank would wait for a slot."""
+        ahead = sum(1 for waiter in self._waiting if waiter.order[0] <= rank)
+        if self.rate.is_cold:
+            return self.rate.rest_ms() + ahead * MS_PER_S / max(1.0, self.rate.per_s)
         if self.running < self.limit and not self._waiting:
             return 0.0
-        ahead = sum(1 for waiter in self._waiting if waiter.order[0] <= rank)
         return (ahead + 0.5) * service_ms / max(1, self.limit)
 
     def acquire(self, rank: int, wait_ms: float) -> bool:
         """Takes a slot, waiting for at most the given time; False if none came."""
-        if self.running < self.limit and not self._waiting:
-            self.running += 1
+        if self.running < self.limit and not self._waiting and self._start():
             return True
         if wait_ms <= 0 or len(self._waiting) >= self.limit * WAITING_PER_SLOT:
             return False
@@ -77,11 +85,27 @@
     def hand_out(self) -> None:
         """Grants free slots, also after the limit has grown."""
         while self._waiting and self.running < self.limit:
+            if not self._start():
+                return
             waiter = self._waiting.pop(0)
             waiter.granted = True
-            self.running += 1
             waiter.turn.send(None)
 
+    def _start(self) -> bool:
+        """Takes a slot unless a cold upstream must rest first."""
+        rest_ms = self.rate.take()
+        if rest_ms <= 0:
+            self.running += 1
+            return True
+        if not self._hand_out_planned:
+            self._hand_out_planned = True
+            eventlet.spawn_after(rest_ms / MS_PER_S, self._hand_out_later)
+        return False
+
+    def _hand_out_later(self) -> None:
+        self._hand_out_planned = False
+        self.hand_out()
+
     def _abandon(self, waiter: _Waiter) -> None:
         if waiter.granted:
             self.release()
--- a/src/jayswitch/gate/start_rate.py
+++ b/src/jayswitch/gate/start_rate.py
@@ -10,19 +10,24 @@
 
 # A little over a second, because requests travel for different times.
 WINDOW_MS = 1050.0
+# More than any service's cold rate: what an earlier process may have sent.
+MOST_CALLS_IN_WINDOW = 1000
 
 
 class StartRate:
     """A sliding window over the calls that were handed to one upstream.
 
+    per_s is how many a cold upstream may be started with in a second.
+
     Every call is noted, also while the upstream is warm, so that an upstream that
     turns cold is charged for the calls of the second before.
     """
 
-    __slots__ = ("_clock", "_cold_until_ms", "_started_ms")
+    __slots__ = ("_clock", "_cold_until_ms", "_started_ms", "per_s")
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, per_s: float = 1.0) -> None:
         """Starts warm and without calls."""
+        self.per_s = per_s
         self._clock = clock
         self._cold_until_ms = float("-inf")
         self._started_ms: deque[float] = deque()
@@ -36,22 +41,28 @@
         """Takes how long the upstream says that it stays cold."""
         self._cold_until_ms = self._clock.now_ms() + left_ms
 
-    def take(self, per_s: float) -> float:
+    def take(self) -> float:
         """Notes a call and returns 0, or returns how long a cold upstream must rest.
 
         The result is in milliseconds; a call that must wait is not noted.
         """
+        rest_ms = self.rest_ms()
+        if rest_ms <= 0:
+            self._started_ms.append(self._clock.now_ms())
+        return rest_ms
+
+    def rest_ms(self) -> float:
+        """Returns how long a cold upstream must rest before its next call."""
         now_ms = self._clock.now_ms()
         started = self._started_ms
         while started and started[0] <= now_ms - WINDOW_MS:
             started.popleft()
-        most = max(1, int(per_s))
+        most = max(1, int(self.per_s))
         if self.is_cold and len(started) >= most:
-            return started[-most] + WINDOW_MS - now_ms
-        started.append(now_ms)
+            return max(1.0, started[-most] + WINDOW_MS - now_ms)
         return 0.0
 
-    def reserve_window(self, per_s: float) -> None:
+    def reserve_window(self) -> None:
         """Counts a full second's calls, sent by a process whose memory is lost."""
         now_ms = self._clock.now_ms()
-        self._started_ms.extend([now_ms] * max(1, int(per_s)))
+        self._started_ms.extend([now_ms] * MOST_CALLS_IN_WINDOW)
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -65,8 +65,8 @@
     ) -> None:
         """Takes the upstream's address and what is known of it."""
         self.counts: Counter[str] = Counter()
-        self.slots = SlotQueue(1, clock)
-        self.service: Service | None = None
+        self.slots = SlotQueue(1, rate, clock)
+        self.health_path = "/health"
         self.out_of_service = False
         self.may_run: Callable[[str], bool] = lambda version: True
         self.on_answer: AnswerListener = lambda request, failed, latency_ms: None
@@ -82,11 +82,20 @@
 
     @property
     def load(self) -> LoadReport:
-        """Returns the present load."""
+        """Returns the present load; a cold upstream counts for what it bears."""
+        limit = self.slots.limit
+        if self.rate.is_cold:
+            bears = int(self.rate.per_s * self._service_ms / MS_PER_S)
+            limit = max(1, min(limit, bears))
         return LoadReport(
-            self.slots.running, self.slots.waiting, self.slots.limit, self._service_ms
+            self.slots.running, self.slots.waiting, limit, self._service_ms
         )
 
+    def set_service(self, service: Service) -> None:
+        """Follows what the configuration says of the upstream's service."""
+        self.health_path = service.health_path
+        self.rate.per_s = service.cold_calls_per_s * COLD_FACTOR
+
     def resize(self) -> None:
         """Follows the slots of the present upstream."""
         current = self._local.current
@@ -109,7 +118,8 @@
         wait_ms = self._longest_wait_ms(request)
         expected_ms = self.slots.expected_wait_ms(request.rank, self._service_ms)
         if expected_ms > wait_ms or not self.slots.acquire(request.rank, wait_ms):
-            return self._refuse(request, reasons.FULL, self._service_ms / 2)
+            reason = reasons.COLD if self.rate.is_cold else reasons.FULL
+            return self._refuse(request, reason, self._service_ms / 2)
         try:
             outcome = self._run_in_slot(request)
         except BaseException:
@@ -154,18 +164,10 @@
         refusal = self._refusal(request)
         if refusal is not None:
             return self._refuse(request, refusal)
-        rest_ms = self.rate.take(self._cold_calls_per_s())
-        if rest_ms > 0:
-            return self._refuse(request, reasons.COLD, rest_ms)
         current = self._local.usable
         assert current is not None
         return self._send(request, current)
 
-    def _cold_calls_per_s(self) -> float:
-        if self.service is None:
-            return 1.0
-        return self.service.cold_calls_per_s * COLD_FACTOR
-
     def _send(self, request: ForwardedRequest, current: Upstream) -> AttemptOutcome:
         self.counts["sent"] += 1
         started_ms = self._clock.now_ms()
@@ -368,13 +370,14 @@
         return upstream_id is None or current is None or upstream_id == current.id
 
     def _ask_health(self) -> Exchange | None:
-        path = self.service.health_path if self.service is not None else "/health"
         self.counts["health_checks"] += 1
         exchange = None
         headers = [("Host", self._address)]
         try:
             with eventlet.Timeout(HEALTH_TIMEOUT_MS / MS_PER_S):
-                exchange = self._client.send(self._address, "GET", path, headers, None)
+                exchange = self._client.send(
+                    self._address, "GET", self.health_path, headers, None
+                )
                 self._discard(exchange)
         except (NotSent, ExchangeBroken, eventlet.Timeout) as error:
             logger.info("health check failed", extra={"reason": str(error)})
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -298,7 +298,7 @@
         if upstream is None:
             return
         self.local.restore(upstream)
-        self.rate.reserve_window(MS_PER_S)
+        self.rate.reserve_window()
         logger.info(
             "last state restored",
             extra={"upstream": upstream.id, "state": upstream.state.value},
@@ -385,7 +385,9 @@
         out = self.settings.data_centre in self.orders.evacuated
         self.gate.out_of_service = out
         if catalog is not None:
-            self.gate.service = catalog.service_by_name.get(self.settings.service)
+            service = catalog.service_by_name.get(self.settings.service)
+            if service is not None:
+                self.gate.set_service(service)
 
     # Servers and upkeep
 
--- a/tests/gate/test_start_rate.py
+++ b/tests/gate/test_start_rate.py
@@ -12,16 +12,16 @@
     """A cold upstream gets no more than its calls in any second."""
 
     def test_warm_upstream_is_not_bounded(self) -> None:
-        rate = StartRate(VirtualClock())
-        assert all(rate.take(COLD_CALLS_PER_S) == 0 for _ in range(100))
+        rate = StartRate(VirtualClock(), COLD_CALLS_PER_S)
+        assert all(rate.take() == 0 for _ in range(100))
 
     def test_no_second_holds_more_than_a_cold_upstream_bears(self) -> None:
         clock = VirtualClock()
-        rate = StartRate(clock)
+        rate = StartRate(clock, COLD_CALLS_PER_S)
         rate.set_cold(60_000)
         started: list[float] = []
         for _ in range(1000):
-            if rate.take(COLD_CALLS_PER_S) == 0:
+            if rate.take() == 0:
                 started.append(clock.now_ms())
             clock.sleep_ms(10)
         for begin in started:
@@ -30,18 +30,18 @@
 
     def test_calls_before_the_upstream_turned_cold_count(self) -> None:
         clock = VirtualClock()
-        rate = StartRate(clock)
+        rate = StartRate(clock, COLD_CALLS_PER_S)
         for _ in range(20):
-            rate.take(COLD_CALLS_PER_S)
+            rate.take()
         rate.set_cold(3000)
-        rest_ms = rate.take(COLD_CALLS_PER_S)
+        rest_ms = rate.take()
         assert rest_ms > 0
         clock.sleep_ms(rest_ms)
-        assert rate.take(COLD_CALLS_PER_S) == 0
+        assert rate.take() == 0
 
     def test_calls_of_an_earlier_process_may_still_count(self) -> None:
         clock = VirtualClock()
-        rate = StartRate(clock)
-        rate.reserve_window(COLD_CALLS_PER_S)
+        rate = StartRate(clock, COLD_CALLS_PER_S)
+        rate.reserve_window()
         rate.set_cold(3000)
-        assert rate.take(COLD_CALLS_PER_S) >= 1000
+        assert rate.take() >= 1000
