Prefer the upstream on the caller's own VM; one log line for a plain request

Change: the VM's own upstream is chosen while it is below 0.6 of its limit and not 1.6 times slower than another of its data centre; an attempt has a line of its own only where it says more than the request's; the formatter encodes with msgspec.

--- a/src/jayswitch/logs.py
+++ b/src/jayswitch/logs.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 import eventlet
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 from jayswitch.clock import MS_PER_S
 
@@ -104,7 +104,7 @@
 
 
 def _install(handler: logging.Handler, level: str, vm: str) -> None:
-    formatter = JsonFormatter(
+    formatter = MsgspecFormatter(
         "%(asctime)s %(levelname)s %(name)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
         static_fields={"vm": vm},
--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -178,7 +178,9 @@
             self._balancer.finish(member.node)
         self._learn(member, outcome)
         self._learn_version(request, member, outcome, started_ms)
-        self._log(request, member, outcome, started_ms)
+        request.last_vm = member.node
+        if progress.asked != {member.node} or not _is_plain(outcome):
+            self._log(request, member, outcome, started_ms)
         if not isinstance(outcome, NotRun) or outcome.reached_upstream:
             progress.sent += 1
         return outcome
@@ -215,7 +217,8 @@
     def _learn(self, member: Member, outcome: AttemptOutcome) -> None:
         load = outcome.load
         if load is not None:
-            self._balancer.report(member.node, load.running + load.waiting, load.limit)
+            in_flight = load.running + load.waiting
+            self._balancer.report(member.node, in_flight, load.limit, load.service_ms)
         unreached = isinstance(outcome, NotRun) and (
             outcome.reason == reasons.PROXY_UNREACHED
         )
@@ -334,5 +337,10 @@
         return NotRun(reasons.NO_CANDIDATE, NO_CANDIDATE_RETRY_MS)
 
 
+def _is_plain(outcome: AttemptOutcome) -> bool:
+    """Tells whether the line on the request says all that there is to say."""
+    return isinstance(outcome, Answered) and outcome.status < STATUS_SERVER_ERROR
+
+
 def _nothing() -> None:
     return
--- a/src/jayswitch/proxy/outbound.py
+++ b/src/jayswitch/proxy/outbound.py
@@ -41,6 +41,7 @@
 STATUS_UNAVAILABLE = 503
 STATUS_TIMEOUT = 504
 STARTING_RETRY_MS = 500.0
+REQUEST_VARIABLE = "jayswitch.request"
 
 logger = logging.getLogger(__name__)
 
@@ -145,7 +146,9 @@
         request.origin_vm = self._vm
         if request.can_be_sent_again:
             watch.start()
-        return self._judge(self._runner.run(request, route))
+        outcome = self._judge(self._runner.run(request, route))
+        environ[REQUEST_VARIABLE] = request
+        return outcome
 
     def _check_size(self, headers: list[tuple[str, str]], catalog: Catalog) -> None:
         size = sum(len(name) + len(value) + 4 for name, value in headers)
@@ -220,6 +223,13 @@
             "elapsed_ms": round(elapsed_ms),
             "config": self.catalog.version if self.catalog else 0,
         }
+        request = environ.get(REQUEST_VARIABLE)
+        if request is not None:
+            fields["to_vm"] = request.last_vm
+            fields["service"] = request.service
+            fields["version"] = request.version
+        if isinstance(outcome, Answered) and outcome.load is not None:
+            fields["load"] = outcome.load.encode()
         if isinstance(outcome, CallerOutcome):
             fields["reason"] = outcome.reason
             fields["retry_after_ms"] = round(outcome.retry_after_ms)
--- a/src/jayswitch/proxy/outcome.py
+++ b/src/jayswitch/proxy/outcome.py
@@ -44,6 +44,7 @@
         "caller_service",
         "deadline_ms",
         "headers",
+        "last_vm",
         "method",
         "objective_ms",
         "origin_vm",
@@ -79,6 +80,7 @@
         self.usual = Usual()
         self.caller_service = ""
         self.origin_vm = ""
+        self.last_vm = ""
         self.repeatable = False
         self.rank = 0
         self.deadline_ms = 0.0
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -142,7 +142,7 @@
         settings, clock = self.settings, self._clock
         self.hop_client = HttpClient(clock, HOP_CONNECT_TIMEOUT_MS)
         self.balancer = Balancer(
-            settings.data_centre, settings.region, clock, self._rng
+            settings.data_centre, settings.region, clock, self._rng, settings.vm
         )
         self.directory.is_suspected = self.balancer.is_suspected
         terms = BudgetTerms(
--- a/src/jayswitch/routing/balancer.py
+++ b/src/jayswitch/routing/balancer.py
@@ -1,4 +1,4 @@
-"""Chooses an upstream: the nearest data centre with room, then two at random."""
+"""Chooses an upstream: this VM's, the nearest data centre with room, two at random."""
 
 from __future__ import annotations
 
@@ -17,6 +17,10 @@
 FAILURE_PENALTY_MS = 1000.0
 MAX_DOUBLINGS = 5
 SATURATED = 1.0
+# The upstream on this VM saves a hop. It is preferred up to this load, and unless
+# another one of its data centre is known to be so much faster.
+LOCAL_SCORE = 0.6
+LOCAL_SLOWNESS = 1.6
 
 
 class UpstreamLoad:
@@ -29,6 +33,7 @@
         "penalty_until_ms",
         "reported_in_flight",
         "reported_ms",
+        "service_ms",
     )
 
     def __init__(self) -> None:
@@ -36,6 +41,7 @@
         self.failures_in_row = 0
         self.outstanding = 0
         self.limit = 0
+        self.service_ms = 0.0
         self.reported_in_flight = 0
         self.reported_ms = float("-inf")
         self.penalty_until_ms = float("-inf")
@@ -45,9 +51,15 @@
     """Loads by upstream node, and the choice among candidates."""
 
     def __init__(
-        self, data_centre: str, region: str, clock: Clock, rng: random.Random
+        self,
+        data_centre: str,
+        region: str,
+        clock: Clock,
+        rng: random.Random,
+        local_node: str = "",
     ) -> None:
-        """Takes where this node stands."""
+        """Takes where this node stands and, to prefer its upstream, its name."""
+        self._local_node = local_node
         self.load_by_node: dict[str, UpstreamLoad] = {}
         self._data_centre = data_centre
         self._region = region
@@ -69,6 +81,9 @@
             return max(open_members, key=partial(_rendezvous_weight, key))
         tiers = self._tiers(open_members)
         now_ms = self._clock.now_ms()
+        local = self._local_if_good(tiers[0], now_ms)
+        if local is not None:
+            return local
         for tier in tiers:
             sound = [m for m in tier if not self._is_penalized(m, now_ms)]
             best = self._better_of_two(sound) if sound else tier[0]
@@ -76,6 +91,17 @@
                 return best
         return min((self._better_of_two(tier) for tier in tiers), key=self.score)
 
+    def _local_if_good(self, near: list[Member], now_ms: float) -> Member | None:
+        local = next((m for m in near if m.node == self._local_node), None)
+        if local is None or self._is_penalized(local, now_ms):
+            return None
+        if self.score(local) >= LOCAL_SCORE:
+            return None
+        known = [self._load(m.node).service_ms for m in near]
+        fastest_ms = min((ms for ms in known if ms > 0), default=0.0)
+        slow = self._load(local.node).service_ms > fastest_ms * LOCAL_SLOWNESS
+        return None if fastest_ms > 0 and slow else local
+
     def score(self, member: Member) -> float:
         """Returns the share of its limit that an upstream seems to use."""
         load = self._load(member.node)
@@ -98,9 +124,12 @@
         load = self._load(node)
         load.outstanding = max(0, load.outstanding - 1)
 
-    def report(self, node: str, in_flight: int, limit: int) -> None:
+    def report(
+        self, node: str, in_flight: int, limit: int, service_ms: float = 0.0
+    ) -> None:
         """Takes the load that a gate states in its answer."""
         load = self._load(node)
+        load.service_ms = service_ms
         load.reported_in_flight = in_flight
         load.limit = limit
         load.reported_ms = self._clock.now_ms()
