Bound the rest of an answer by the deadline; repeat at the proved version only

Cause: reading the change: a short answer whose proxy fell silent in the middle was waited for beyond the route's timeout, and what a version on trial left undone could go to a third version. Change: the wait ends with the deadline; repeats go to the proved version. Tests of the runner without a network: truth, bounds, failures. Before: test_silent_rest_of_an_answer_ends_with_the_deadline failed (60 s). After: 13 tests pass.

--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -8,6 +8,9 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+import eventlet
+
+from jayswitch.clock import MS_PER_S
 from jayswitch.proxy import reasons
 from jayswitch.proxy.exceptions import AnswerCut
 from jayswitch.proxy.headers import find
@@ -91,6 +94,7 @@
         """Takes the gate on this VM, which is asked without a hop."""
         self.counts: Counter[str] = Counter()
         self.choose_versions: VersionChooser = lambda service, members: members
+        self.only_proved: VersionChooser = lambda service, members: members
         self.on_withdrawn: Callable[[str, str], object] = lambda service, version: None
         self.is_on_trial: Callable[[str, str], bool] = lambda service, version: False
         self.is_evacuated: Callable[[str], bool] = lambda data_centre: False
@@ -113,7 +117,7 @@
         budget = self._budget(request.service)
         budget.note_request()
         progress = _Progress()
-        members = self._members(request.service)
+        members = self._members(request.service, self.choose_versions)
         while len(progress.asked) < MAX_HOPS:
             if request.left_ms(self._clock) <= RETURN_MS:
                 progress.timed_out = True
@@ -127,7 +131,7 @@
             outcome = self._try(request, member, progress)
             if self.is_on_trial(request.service, member.version):
                 # Whatever a version on trial did not answer goes to the proved one.
-                members = self._proved_members(request.service, member.version)
+                members = self._members(request.service, self.only_proved)
             if isinstance(outcome, Answered):
                 if not self._is_worth_repeating(request, route, progress, outcome):
                     if progress.failed_answer is not None:
@@ -138,21 +142,13 @@
                 break
         return self._conclude(progress)
 
-    def _members(self, service: str) -> list[Member]:
+    def _members(self, service: str, choose: VersionChooser) -> list[Member]:
         members = [
             member
             for member in self._directory.members(service)
             if not self.is_evacuated(member.data_centre)
         ]
-        return self.choose_versions(service, members)
-
-    def _proved_members(self, service: str, trial_version: str) -> list[Member]:
-        return [
-            member
-            for member in self._directory.members(service)
-            if member.version != trial_version
-            and not self.is_evacuated(member.data_centre)
-        ]
+        return choose(service, members)
 
     def _budget(self, service: str) -> WindowBudget:
         budget = self._budget_by_service.get(service)
@@ -202,11 +198,18 @@
             return outcome
         if int(length) > HELD_ANSWER_BYTES or request.method == "HEAD":
             return outcome
+        left_ms = max(1.0, request.left_ms(self._clock) - RETURN_MS)
+        timeout = eventlet.Timeout(left_ms / MS_PER_S)
         try:
             body = b"".join(outcome.body)
         except AnswerCut as error:
             return OutcomeUnknown(error.cause, load=outcome.load)
+        except eventlet.Timeout as expired:
+            if expired is not timeout:
+                raise
+            return OutcomeUnknown("the rest of the answer did not come", True)
         finally:
+            timeout.cancel()
             outcome.close()
         if len(body) != int(length):
             return OutcomeUnknown("the answer ended early", load=outcome.load)
@@ -287,10 +290,10 @@
         failed = answer.status >= STATUS_SERVER_ERROR
         if not failed or not self._may_repeat(request, route, progress):
             return False
-        members = self._members(request.service)
+        members = self._members(request.service, self.only_proved)
         others = [member for member in members if member.node not in progress.asked]
-        terms_allow = request.left_ms(self._clock) > RETURN_MS
-        return bool(others) and terms_allow and self._has_budget(request.service)
+        in_time = request.left_ms(self._clock) > RETURN_MS
+        return bool(others) and in_time and self._has_budget(request.service)
 
     def _has_budget(self, service: str) -> bool:
         return self._budget(service).has_room(self._directory.size)
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -180,6 +180,7 @@
             self._clock,
         )
         self.runner.choose_versions = self.rules.choose
+        self.runner.only_proved = self.rules.only_proved
         self.runner.on_withdrawn = self.rules.withdraw
         self.runner.is_on_trial = self.rules.is_on_trial
         self.gate.may_run = self._may_run
--- a/src/jayswitch/rollout/versions.py
+++ b/src/jayswitch/rollout/versions.py
@@ -78,14 +78,16 @@
 
     def choose(self, service: str, members: list[Member]) -> list[Member]:
         """Returns the upstreams that one request may go to."""
-        if not members:
-            return members
-        proved = self.proved(service, members)
         move = self._running_move(service)
         if move is not None and self._random.random() < move.share:
             chosen = [m for m in members if m.version == move.to_version]
             if chosen:
                 return chosen
+        return self.only_proved(service, members)
+
+    def only_proved(self, service: str, members: list[Member]) -> list[Member]:
+        """Returns the upstreams of the proved version."""
+        proved = self.proved(service, members)
         return [member for member in members if member.version == proved]
 
     def _running_move(self, service: str) -> Move | None:
