Take no rejection of another request for one of this one

Cause: reading the change: a late answer that says not run was believed before its id was compared, so that a booking could be refused and run. A refusal of another proxy that was cut in the middle raised instead of being unknown. Change: ids come first; a cut or silent refusal is unknown and its connection closed.

--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -217,6 +217,10 @@
     ) -> AttemptOutcome:
         names = self._names
         echoed = find(exchange.headers, names.request_id)
+        if echoed not in (None, request.request_id):
+            # A late answer of an earlier request, whatever it says of that one.
+            exchange.close()
+            return self._broken(request, "the answer is another request's", started_ms)
         not_run = find(exchange.headers, names.not_run) is not None
         misdirected = exchange.status == STATUS_MISDIRECTED
         if misdirected or not_run:
@@ -225,12 +229,11 @@
             if misdirected:
                 self._suspect_upstream(reason)
             return self._refuse(request, reason, self._service_ms / 2, not misdirected)
-        if echoed != request.request_id:
-            exchange.close()
-            return self._broken(request, "the answer is another request's", started_ms)
-        if find(exchange.headers, names.signature) is None:
+        signature = find(exchange.headers, names.signature)
+        if signature is None or echoed is None:
             exchange.close()
-            return self._broken(request, "the answer has no signature", started_ms)
+            reason = "the answer has no signature or no id"
+            return self._broken(request, reason, started_ms)
         self._note_answer(request, exchange.status, started_ms)
         body = self._read(request, exchange)
         return Answered(
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -12,7 +12,12 @@
 from jayswitch.clock import MS_PER_S
 from jayswitch.http.headers import end_to_end
 from jayswitch.proxy import reasons
-from jayswitch.proxy.exceptions import ExchangeBroken, MalformedRequest, NotSent
+from jayswitch.proxy.exceptions import (
+    AnswerCut,
+    ExchangeBroken,
+    MalformedRequest,
+    NotSent,
+)
 from jayswitch.proxy.headers import (
     HOP_OUTCOME,
     HOP_REQUEST,
@@ -177,6 +182,7 @@
     ) -> AttemptOutcome:
         """Sends a request to a proxy and waits for what became of it."""
         timeout = eventlet.Timeout(max(1.0, wait_ms) / MS_PER_S)
+        exchange = None
         try:
             exchange = self._client.send(
                 address,
@@ -190,9 +196,11 @@
             return self._outcome(request, exchange)
         except NotSent:
             return NotRun(reasons.PROXY_UNREACHED, UNREACHED_RETRY_MS)
-        except ExchangeBroken as error:
+        except (ExchangeBroken, AnswerCut) as error:
             return OutcomeUnknown(error.cause)
         except eventlet.Timeout as expired:
+            if exchange is not None:
+                exchange.close()
             if expired is not timeout:
                 raise
             return OutcomeUnknown("no answer came in time", timed_out=True)
@@ -209,9 +217,11 @@
         self._knowledge.compare(told.known)
         if told.kind is HopKind.ANSWERED:
             return self._answer(request, exchange, told.load)
-        for _ in exchange.read():
-            continue
-        exchange.close()
+        try:
+            for _ in exchange.read():
+                continue
+        finally:
+            exchange.close()
         if told.kind is HopKind.NOT_RUN:
             return NotRun(
                 told.reason, told.retry_after_ms, told.reached_upstream, told.load
--- a/tests/loopback/test_forwarding.py
+++ b/tests/loopback/test_forwarding.py
@@ -243,6 +243,17 @@
         got = exchange(pair.address, request("/book/1", "POST"))
         assert got.status == 503 and "Retry-After: 0." in got.head
 
+    def test_rejection_of_another_request_says_nothing_of_this_one(
+        self, pair: Pair
+    ) -> None:
+        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+            head = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRequest-Id: earlier\r\n"
+            connection.sendall(f"{head}Content-Length: 0\r\n\r\n".encode())
+
+        pair.upstream.answer = answer
+        assert exchange(pair.address, request("/book/1", "POST")).status == 502
+        assert len(pair.upstream.seen) == 1
+
     def test_booking_without_an_answer_is_not_said_to_be_refused(
         self, pair: Pair
     ) -> None:
--- /dev/null
+++ b/tests/proxy/test_hop.py
@@ -0,0 +1,159 @@
+"""Tests of the hop between two proxies, without a network."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import eventlet
+import pytest
+
+from jayswitch.clock import VirtualClock
+from jayswitch.fleet.knowledge import Knowledge
+from jayswitch.platform.headers import platform_headers
+from jayswitch.proxy.exceptions import AnswerCut, MalformedRequest, NotSent
+from jayswitch.proxy.headers import HOP_OUTCOME, HOP_REQUEST
+from jayswitch.proxy.hop import (
+    HopClient,
+    hop_headers,
+    outcome_headers,
+    read_hop_request,
+    request_from_hop,
+)
+from jayswitch.proxy.outcome import (
+    Answered,
+    ForwardedRequest,
+    Headers,
+    LoadReport,
+    NotRun,
+    OutcomeUnknown,
+)
+from jayswitch.rollout.trial import Usual
+
+NAMES = platform_headers()
+LOAD = LoadReport(3, 1, 6, 100.0)
+
+
+def _request() -> ForwardedRequest:
+    request = ForwardedRequest("id-1", "GET", "/a", [("Host", "h")], b"", None)
+    request.service, request.version, request.route = "herdview", "v1", "read"
+    request.repeatable, request.rank = True, 2
+    request.usual = Usual(120.0, 0.1)
+    request.deadline_ms, request.objective_ms = 2000.0, 500.0
+    request.caller_service = "robotdesk"
+    return request
+
+
+class FakeExchange:
+    """An answer of another proxy."""
+
+    def __init__(self, headers: Headers, body: Iterator[bytes] = iter(())) -> None:
+        """Takes its head and body."""
+        self.status = 503
+        self.headers = headers
+        self.closed = False
+        self._body = body
+
+    def read(self) -> Iterator[bytes]:
+        """Returns the body."""
+        return self._body
+
+    def close(self) -> None:
+        """Notes that it was closed."""
+        self.closed = True
+
+
+class FakeClient:
+    """Returns an exchange, or raises."""
+
+    def __init__(self, result: FakeExchange | Exception) -> None:
+        """Takes what each request leads to."""
+        self.result = result
+
+    def send(self, *arguments: object) -> FakeExchange:
+        """Returns or raises the result."""
+        if isinstance(self.result, Exception):
+            raise self.result
+        return self.result
+
+
+def _send(result: FakeExchange | Exception) -> object:
+    client = HopClient(
+        FakeClient(result),  # type: ignore[arg-type]
+        Knowledge([]),
+        NAMES,
+        VirtualClock(),
+    )
+    return client.send("a:1", _request(), 1000.0)
+
+
+class TestRequest:
+    """Decisions arrive as they were made."""
+
+    def test_decisions_travel(self) -> None:
+        clock = VirtualClock()
+        headers = hop_headers(_request(), "7,9", NAMES, clock)
+        hop = read_hop_request(headers)
+        got = request_from_hop("GET", "/a", headers, hop, NAMES, clock)
+        for name in ("service", "version", "route", "repeatable", "rank", "usual"):
+            assert getattr(got, name) == getattr(_request(), name)
+        assert (got.deadline_ms, got.objective_ms) == (2000.0, 500.0)
+        assert got.caller_service == "robotdesk" and hop.known == "7,9"
+        assert got.headers == [("Host", "h")]
+
+    def test_request_without_decisions_is_malformed(self) -> None:
+        for headers in ([], [(HOP_REQUEST, "{")]):
+            with pytest.raises(MalformedRequest):
+                read_hop_request(headers)
+
+
+class TestOutcome:
+    """What a proxy says of a request is what the sender learns."""
+
+    def test_refusal_is_not_run(self) -> None:
+        told = NotRun("full", 80.0, True, LOAD)
+        outcome = _send(FakeExchange(outcome_headers(told, "")))
+        assert isinstance(outcome, NotRun)
+        assert (outcome.reason, outcome.retry_after_ms) == ("full", 80.0)
+        assert outcome.reached_upstream and outcome.load == LOAD
+
+    def test_unknown_stays_unknown(self) -> None:
+        told = OutcomeUnknown("reset", True, LOAD)
+        outcome = _send(FakeExchange(outcome_headers(told, "")))
+        assert isinstance(outcome, OutcomeUnknown) and outcome.timed_out
+
+    def test_reason_cannot_end_its_header(self) -> None:
+        told = OutcomeUnknown("garbage\r\n\r\nHTTP/1.1 200 OK")
+        (_, text), _ = outcome_headers(told, "")
+        assert "\r" not in text and "\n" not in text
+
+    def test_proxy_that_cannot_be_reached_has_run_nothing(self) -> None:
+        assert isinstance(_send(NotSent("a:1", "refused")), NotRun)
+
+    def test_answer_without_an_outcome_says_nothing(self) -> None:
+        assert isinstance(_send(FakeExchange([])), OutcomeUnknown)
+        assert isinstance(_send(FakeExchange([(HOP_OUTCOME, "[]")])), OutcomeUnknown)
+
+    def test_refusal_that_is_cut_is_unknown(self) -> None:
+        def cut() -> Iterator[bytes]:
+            raise AnswerCut("reset")
+            yield b""
+
+        exchange = FakeExchange(outcome_headers(NotRun("full"), ""), cut())
+        assert isinstance(_send(exchange), OutcomeUnknown)
+        assert exchange.closed
+
+    def test_silent_proxy_is_given_up_and_its_connection_closed(self) -> None:
+        def silent() -> Iterator[bytes]:
+            eventlet.sleep(60)
+            yield b""
+
+        exchange = FakeExchange(outcome_headers(NotRun("full"), ""), silent())
+        outcome = _send(exchange)
+        assert isinstance(outcome, OutcomeUnknown) and outcome.timed_out
+        assert exchange.closed
+
+    def test_answer_of_another_request_is_not_taken(self) -> None:
+        told = Answered(200, [], iter(()), lambda: None, LOAD)
+        headers = outcome_headers(told, "")
+        headers.append((NAMES.request_id, "other"))
+        assert isinstance(_send(FakeExchange(headers)), OutcomeUnknown)
