End a request in one place, log a record that is not withdrawn

The inbound application ended a request in four places where the outbound one has a method for it; two reasons had no reader; a failed withdrawal of a record was swallowed without a line. Change: InboundApplication._finish; the unused reasons are gone; the failure is logged. Conclusion: behaviour is as it was but for the log line.

--- a/src/jayswitch/fleet/publisher.py
+++ b/src/jayswitch/fleet/publisher.py
@@ -86,8 +86,11 @@
     def withdraw(self) -> None:
         """Ends the lease at a planned stop, so that others forget the record."""
         self._stopped = True
-        if self._lease:
-            self._store.revoke(self._lease)
+        if not self._lease:
+            return
+        match self._store.revoke(self._lease):
+            case Failure(error):
+                logger.warning("record not withdrawn", extra={"reason": error.cause})
 
     def _run(self, on_restore: Callable[[Upstream | None], None]) -> None:
         while not self._restore(on_restore):
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -81,13 +81,16 @@
         except MalformedRequest:
             return self._end(environ, start_response, STATUS_BAD_REQUEST, watch)
         except BaseException:
-            self.in_flight -= 1
-            watch.stop()
+            self._finish(watch)
             raise
         if isinstance(outcome, Answered):
             return self._answer(outcome, environ, start_response, watch)
         return self._tell(outcome, start_response, watch)
 
+    def _finish(self, watch: HangupWatch) -> None:
+        watch.stop()
+        self.in_flight -= 1
+
     def _read(self, environ: dict[str, Any]) -> ForwardedRequest:
         headers = raw_headers(environ)
         hop = read_hop_request(headers)
@@ -116,9 +119,8 @@
         try:
             yield from body
         finally:
-            watch.stop()
             outcome.close()
-            self.in_flight -= 1
+            self._finish(watch)
 
     def _tell(
         self,
@@ -126,8 +128,7 @@
         start_response: StartResponse,
         watch: HangupWatch,
     ) -> Iterable[bytes]:
-        watch.stop()
-        self.in_flight -= 1
+        self._finish(watch)
         headers = [
             *outcome_headers(outcome, self._knowledge.describe()),
             ("Content-Length", "0"),
@@ -142,8 +143,7 @@
         status: int,
         watch: HangupWatch,
     ) -> Iterable[bytes]:
-        watch.stop()
-        self.in_flight -= 1
+        self._finish(watch)
         close_connection(environ)
         start_response(status_line(status), [("Content-Length", "0")])
         return [b""]
--- a/src/jayswitch/proxy/reasons.py
+++ b/src/jayswitch/proxy/reasons.py
@@ -16,7 +16,3 @@
 NO_CANDIDATE = "no upstream of the service takes work"
 STARTING = "this proxy has no configuration yet"
 STOPPING = "this proxy is about to stop"
-BUDGET = "the retry budget is spent"
-
-# Reasons that say something about load and not about the sender's knowledge.
-LOAD_REASONS = frozenset((FULL, COLD, TOO_LATE))
