Use the cold bound's slack, count an earlier process's calls from its end

Change: factor and slack are settings, filled from the platform's bounds; half of the slack is used. The window reserved for an earlier process counts from the latest time at which that process can have ended.

--- a/src/jayswitch/clock.py
+++ b/src/jayswitch/clock.py
@@ -23,6 +23,13 @@
         """Returns milliseconds since the Unix epoch."""
         return int(time.time() * MS_PER_S)
 
+    def least_age_ms(self) -> float:
+        """Returns a time for which this process has run at least.
+
+        It is the processor time used: no clock tells when a process was started.
+        """
+        return time.process_time() * MS_PER_S
+
     def sleep_ms(self, duration_ms: float) -> None:
         """Suspends the current task for the given time."""
         eventlet.sleep(max(0.0, duration_ms) / MS_PER_S)
@@ -37,6 +44,10 @@
         """Takes the wall time that corresponds to zero on the event loop."""
         self._epoch_ms = epoch_ms
 
+    def least_age_ms(self) -> float:
+        """Returns zero, so that scenarios repeat exactly."""
+        return 0.0
+
     def wall_ms(self) -> int:
         """Returns the epoch plus the virtual time that has passed."""
         return self._epoch_ms + int(self.now_ms())
--- a/src/jayswitch/gate/start_rate.py
+++ b/src/jayswitch/gate/start_rate.py
@@ -63,6 +63,9 @@
         return 0.0
 
     def reserve_window(self) -> None:
-        """Counts a full second's calls, sent by a process whose memory is lost."""
-        now_ms = self._clock.now_ms()
-        self._started_ms.extend([now_ms] * MOST_CALLS_IN_WINDOW)
+        """Counts a full second's calls, sent by a process whose memory is lost.
+
+        That process ended before this one began.
+        """
+        ended_ms = self._clock.now_ms() - self._clock.least_age_ms()
+        self._started_ms.extend([ended_ms] * MOST_CALLS_IN_WINDOW)
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -33,9 +33,9 @@
 LEAVING_RETRY_MS = 200.0
 HEALTH_TIMEOUT_MS = 300.0
 HEALTH_RETRY_MS = 150.0
-# Part of the rate that a cold upstream bears: half as much again is its bound, and
-# requests that are under way while it turns cold count too.
-COLD_FACTOR = 1.25
+# Part of the slack that is used: requests travel for different times, and those that
+# are under way while the upstream turns cold count too.
+COLD_SLACK_PART = 0.5
 # Less than this is left: the upstream would be stopped before it has answered.
 SHORTEST_RUN_MS = 10.0
 MOST_URGENT_RANK = 0
@@ -48,6 +48,21 @@
 logger = logging.getLogger(__name__)
 
 
+class ColdBound:
+    """How far a cold upstream's calls may exceed the rate that it states."""
+
+    __slots__ = ("_factor", "_slack")
+
+    def __init__(self, factor: float = 1.0, slack: float = 0.0) -> None:
+        """Takes a factor on the rate and calls a second on top."""
+        self._factor = factor
+        self._slack = slack
+
+    def calls_per_s(self, stated_per_s: float) -> float:
+        """Returns the calls that an upstream may be started with in a second."""
+        return stated_per_s * self._factor + self._slack * COLD_SLACK_PART
+
+
 class UpstreamGate:
     """Admits requests to one upstream within what it bears.
 
@@ -62,8 +77,10 @@
         client: HttpClient,
         names: HeaderNames,
         clock: Clock,
+        cold_bound: ColdBound | None = None,
     ) -> None:
         """Takes the upstream's address and what is known of it."""
+        self._cold_bound = cold_bound or ColdBound()
         self.counts: Counter[str] = Counter()
         self.slots = SlotQueue(1, rate, clock)
         self.health_path = "/health"
@@ -94,7 +111,7 @@
     def set_service(self, service: Service) -> None:
         """Follows what the configuration says of the upstream's service."""
         self.health_path = service.health_path
-        self.rate.per_s = service.cold_calls_per_s * COLD_FACTOR
+        self.rate.per_s = self._cold_bound.calls_per_s(service.cold_calls_per_s)
 
     def resize(self) -> None:
         """Follows the slots of the present upstream."""
--- a/src/jayswitch/proxy/generated.py
+++ b/src/jayswitch/proxy/generated.py
@@ -70,6 +70,15 @@
     first_start: Annotated[
         bool, Meta(description="Whether the whole fleet starts for the first time.")
     ]
+    cold_factor: Annotated[
+        float,
+        Meta(
+            description="Calls that a cold upstream may get, as a multiple of the rate that its service states."
+        ),
+    ] = 1.0
+    cold_slack: Annotated[
+        float, Meta(description="Calls a second that a cold upstream may get on top.")
+    ] = 0.0
     log_level: Annotated[
         Literal["debug", "info", "warning", "error"],
         Meta(description="Lowest level that is logged."),
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -25,7 +25,7 @@
 )
 from jayswitch.gate.local_upstream import Heartbeat, HeartbeatVerdict, LocalUpstream
 from jayswitch.gate.start_rate import StartRate
-from jayswitch.gate.upstream_gate import UpstreamGate
+from jayswitch.gate.upstream_gate import ColdBound, UpstreamGate
 from jayswitch.http.reasons import status_line
 from jayswitch.http.server import HttpServer
 from jayswitch.proxy.attempts import AttemptRunner, BudgetTerms
@@ -136,6 +136,7 @@
             self.upstream_client,
             names,
             clock,
+            ColdBound(settings.cold_factor, settings.cold_slack),
         )
 
     def _build_forwarding(self, names: HeaderNames) -> None:
--- a/tests/gate/test_start_rate.py
+++ b/tests/gate/test_start_rate.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 from jayswitch.clock import VirtualClock
 from jayswitch.gate.start_rate import StartRate
+from jayswitch.gate.upstream_gate import ColdBound
 
 COLD_CALLS_PER_S = 8.5
 
@@ -45,3 +48,24 @@
         rate.reserve_window()
         rate.set_cold(3000)
         assert rate.take() >= 1000
+
+    def test_time_that_this_process_has_run_is_not_waited_for_again(self) -> None:
+        clock = VirtualClock()
+        clock_of_old_process = mock.patch.object(
+            VirtualClock, "least_age_ms", return_value=400.0
+        )
+        rate = StartRate(clock, COLD_CALLS_PER_S)
+        with clock_of_old_process:
+            rate.reserve_window()
+        rate.set_cold(3000)
+        assert 600 <= rate.take() <= 700
+
+
+class TestColdBound:
+    """What a cold upstream may get beyond the rate that its service states."""
+
+    def test_bound_is_used_up_to_half_of_its_slack(self) -> None:
+        assert ColdBound(1.5, 5.0).calls_per_s(8.5) == 15.25
+
+    def test_without_a_bound_the_stated_rate_holds(self) -> None:
+        assert ColdBound().calls_per_s(8.5) == 8.5
