Stay through the grace period while callers may still be sent here

From 18.0 s on callers of a VM that was being removed found no connection (288 tries). Its proxy had stopped 2.3 s after SIGTERM, once callers were quiet; then a second proxy of the data centre drained, fewer than half were ready, and the platform sent callers back to the ended one.

Ruled out: requests cut by the stop (every 'stopped' line says drained).

Change: records say that a proxy drains also when its upstream is gone; a stop goes on while fewer than half of the data centre's proxies take callers, or if the upstream is gone, as then nothing is gained by ending. The VM's own upstream is used until then.

--- a/src/jayswitch/fleet/directory.py
+++ b/src/jayswitch/fleet/directory.py
@@ -24,8 +24,9 @@
     and that serves all the same. It is kept until an attempt to reach it fails.
     """
 
-    def __init__(self) -> None:
-        """Starts empty."""
+    def __init__(self, vm: str = "") -> None:
+        """Takes this VM, whose upstream is used until its proxy ends."""
+        self._vm = vm
         self.record_by_vm: dict[str, NodeRecord] = {}
         self.unlisted: set[str] = set()
         self.is_suspected: Callable[[str], bool] = lambda vm: False
@@ -60,11 +61,20 @@
         """Returns how many proxies are known."""
         return len(self.record_by_vm)
 
+    def most_take_callers(self, data_centre: str) -> bool:
+        """Tells whether at least half of a data centre's proxies take new callers.
+
+        Otherwise the platform lets callers stay with proxies that are not ready.
+        """
+        here = [r for r in self.record_by_vm.values() if r.data_centre == data_centre]
+        taking = [r for r in here if not r.draining and r.vm not in self.unlisted]
+        return 2 * len(taking) >= len(here)
+
     def _group(self) -> dict[str, list[Member]]:
         grouped: dict[str, list[Member]] = {}
         for record in self.record_by_vm.values():
             upstream = record.upstream
-            if upstream is None or record.draining:
+            if upstream is None or (record.draining and record.vm != self._vm):
                 continue
             if upstream.state is not UpstreamState.READY:
                 continue
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -105,7 +105,7 @@
         self._clock = clock
         self._rng = random.Random(f"{settings.vm} {time.monotonic()}")
         self._build_gate(names)
-        self.directory = Directory()
+        self.directory = Directory(settings.vm)
         self.publisher = RecordPublisher(
             store, settings.vm, self._describe, self._last_state, clock
         )
@@ -248,9 +248,22 @@
             self._clock.sleep_ms(DRAIN_POLL_MS)
 
     def _is_in_use(self) -> bool:
+        if self._callers_may_return():
+            return True
         quiet_ms = self._clock.now_ms() - self.outbound.last_request_ms
         return bool(self.in_flight) or quiet_ms < QUIET_MS
 
+    def _callers_may_return(self) -> bool:
+        """Tells whether callers may still be sent to this VM after it was quiet.
+
+        They are while few other proxies of the data centre are ready. A VM that
+        goes away with its upstream gains nothing by ending sooner.
+        """
+        if not self.directory.most_take_callers(self.settings.data_centre):
+            return True
+        current = self.local.current
+        return current is not None and current.state is not UpstreamState.READY
+
     @property
     def in_flight(self) -> int:
         """Returns the requests that callers or other proxies wait for."""
@@ -331,7 +344,7 @@
             address=settings.proxies_address,
             started_ms=self._started_ms,
             upstream=shown,
-            draining=self.draining and ready,
+            draining=self.draining,
             trial=self.trial.counts if self._is_on_trial() else None,
         )
 
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -33,6 +33,12 @@
         directory.apply(_event("c", draining=True))
         assert _names(directory) == ["a"]
 
+    def test_own_upstream_is_used_until_the_proxy_ends(self) -> None:
+        directory = Directory("a")
+        directory.apply(_event("a", draining=True))
+        directory.apply(_event("b", draining=True))
+        assert _names(directory) == ["a"]
+
     def test_proxy_that_the_store_turns_away_is_used_until_it_fails(self) -> None:
         directory = Directory()
         directory.apply(_event("a"))
@@ -62,6 +68,23 @@
         directory.note_failure("a")
         assert _names(directory) == ["a"]
 
+    def test_callers_are_sent_elsewhere_while_half_of_the_proxies_take_them(
+        self,
+    ) -> None:
+        directory = Directory()
+        for vm in ("a", "b", "c"):
+            directory.apply(_event(vm))
+        directory.apply(_event("a", draining=True))
+        assert directory.most_take_callers("bunbury")
+        directory.apply(_event("b", UpstreamState.GONE, draining=True))
+        assert not directory.most_take_callers("bunbury")
+
+    def test_proxies_of_other_data_centres_do_not_count(self) -> None:
+        directory = Directory()
+        directory.apply(_event("a", draining=True))
+        assert not directory.most_take_callers("bunbury")
+        assert directory.most_take_callers("harvey")
+
     def test_unreadable_record_is_dropped_and_harms_no_other(self) -> None:
         directory = Directory()
         directory.apply(_event("a"))
--- a/tests/loopback/test_stop.py
+++ b/tests/loopback/test_stop.py
@@ -77,3 +77,12 @@
         assert stopping.proxy.stop() is True
         wait_until(lambda: store.read("jayswitch/nodes/vm-1") is None)
         assert store.read("jayswitch-last/vm-1") is not None
+
+    def test_last_proxy_of_a_data_centre_stays_as_long_as_it_may(self) -> None:
+        stopping = Stopping()
+        wait_until(lambda: "vm-1" in stopping.proxy.directory.record_by_vm)
+        stop = eventlet.spawn(stopping.proxy.stop)
+        # Longer than a stop takes that leaves its callers to others.
+        eventlet.sleep(3.5)
+        assert exchange(stopping.address, request()).status == 200
+        assert stop.wait() is True
