Test the reading of answers without a network

Cause: the new answer parser was covered by loopback tests only. Whole, cut, ambiguous and surplus answers are now read from bytes cut at any place (hypothesis). No failure found; formatter, linter and types are clean again.

--- a/src/jayswitch/logs.py
+++ b/src/jayswitch/logs.py
@@ -49,7 +49,7 @@
     logging.logThreads = False
     logging.logMultiprocessing = False
     # The documented way to leave out the caller's file and line.
-    logging._srcfile = None  # type: ignore[attr-defined]
+    logging._srcfile = None
 
 
 class BoundedLogHandler(logging.Handler):
--- a/src/jayswitch/proxy/http_client.py
+++ b/src/jayswitch/proxy/http_client.py
@@ -216,17 +216,15 @@
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers]
     has_length = find(headers, "Content-Length") is not None
-    is_stream = body is not None and not isinstance(body, bytes)
-    if is_stream and not has_length:
-        lines.append("Transfer-Encoding: chunked")
-    elif not has_length and (body or method not in _METHODS_WITHOUT_BODY):
-        lines.append(f"Content-Length: {len(body or b'')}")
-    lines.append("\r\n")
-    head = "\r\n".join(lines).encode("latin-1")
     if body is None or isinstance(body, bytes):
-        sock.sendall(head + (body or b""))
+        whole = body or b""
+        if not has_length and (whole or method not in _METHODS_WITHOUT_BODY):
+            lines.append(f"Content-Length: {len(whole)}")
+        sock.sendall(_join_head(lines) + whole)
         return
-    sock.sendall(head)
+    if not has_length:
+        lines.append("Transfer-Encoding: chunked")
+    sock.sendall(_join_head(lines))
     for part in body:
         if not part:
             continue
@@ -235,6 +233,10 @@
         sock.sendall(b"0\r\n\r\n")
 
 
+def _join_head(lines: list[str]) -> bytes:
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
+
+
 def _is_quiet(connection: _Connection) -> bool:
     """Tells whether an idle connection is open and has received nothing."""
     sock = connection.sock
--- a/src/jayswitch/proxy/sockets.py
+++ b/src/jayswitch/proxy/sockets.py
@@ -4,7 +4,6 @@
 
 import errno
 import socket
-from typing import Any
 
 from eventlet.greenio import GreenSocket
 
--- /dev/null
+++ b/tests/proxy/test_answer_parser.py
@@ -0,0 +1,111 @@
+"""Tests of reading answers, however their bytes are cut up."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, strategies as st
+
+from jayswitch.proxy.answer_parser import AnswerParser
+from jayswitch.proxy.exceptions import AnswerCut
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nRequest-Id: r-1\r\n"
+WITH_LENGTH = HEAD + b"\r\nwhole body"
+IN_CHUNKS = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"6\r\nwhole \r\n4\r\nbody\r\n0\r\n\r\n"
+)
+
+
+def _read(data: bytes, has_body: bool = True) -> AnswerParser:
+    parser = AnswerParser(has_body)
+    parser.feed(data)
+    return parser
+
+
+def _body(parser: AnswerParser) -> bytes:
+    return b"".join(parser.take_body())
+
+
+class TestWholeAnswers:
+    """Answers whose framing says where they end."""
+
+    @pytest.mark.parametrize("data", [WITH_LENGTH, IN_CHUNKS])
+    def test_framed_answer_is_whole_and_frees_its_connection(self, data: bytes) -> None:
+        parser = _read(data)
+        assert parser.is_complete and parser.allows_reuse
+        assert (parser.status, _body(parser)) == (200, b"whole body")
+
+    @given(data=st.sampled_from([WITH_LENGTH, IN_CHUNKS]), cuts=st.data())
+    def test_cuts_between_packets_change_nothing(
+        self, data: bytes, cuts: st.DataObject
+    ) -> None:
+        at = cuts.draw(st.lists(st.integers(0, len(data)), max_size=6).map(sorted))
+        parser, body = AnswerParser(), b""
+        for begin, end in zip([0, *at], [*at, len(data)], strict=True):
+            assert not parser.is_complete or begin == end == len(data)
+            parser.feed(data[begin:end])
+            body += _body(parser)
+        assert parser.allows_reuse and body == b"whole body"
+
+    def test_interim_answer_is_passed_over(self) -> None:
+        parser = _read(b"HTTP/1.1 100 Continue\r\nX: y\r\n\r\n" + WITH_LENGTH)
+        assert parser.status == 200 and parser.is_complete
+        assert ("X", "y") not in parser.headers and _body(parser) == b"whole body"
+
+    def test_answer_to_head_has_no_body(self) -> None:
+        parser = _read(HEAD + b"\r\n", has_body=False)
+        assert parser.is_complete and not parser.allows_reuse
+
+    @pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
+    def test_status_without_a_body_is_whole(self, status: bytes) -> None:
+        assert _read(b"HTTP/1.1 " + status + b"\r\n\r\n").allows_reuse
+
+    def test_answer_without_a_length_ends_with_its_connection(self) -> None:
+        parser = _read(b"HTTP/1.1 200 OK\r\n\r\nwhole body")
+        assert not parser.is_complete
+        parser.feed_end()
+        assert parser.is_complete and not parser.allows_reuse
+        assert _body(parser) == b"whole body"
+
+
+class TestBrokenAnswers:
+    """Whatever is not an answer, or not the whole of one."""
+
+    @pytest.mark.parametrize("data", [WITH_LENGTH, IN_CHUNKS])
+    def test_early_end_is_never_a_whole_answer(self, data: bytes) -> None:
+        for length in range(1, len(data)):
+            parser = _read(data[:length])
+            with pytest.raises(AnswerCut):
+                parser.feed_end()
+            assert not parser.is_complete
+
+    def test_end_before_any_byte_is_no_answer(self) -> None:
+        with pytest.raises(AnswerCut):
+            AnswerParser().feed_end()
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"garbage\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\na",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        ],
+    )
+    def test_ambiguous_framing_is_no_answer(self, data: bytes) -> None:
+        with pytest.raises(AnswerCut):
+            _read(data)
+
+    @pytest.mark.parametrize("surplus", [b"x", WITH_LENGTH, b"HTTP/1.1 500 No\r\n\r\n"])
+    def test_surplus_bytes_end_the_connection_and_reach_nobody(
+        self, surplus: bytes
+    ) -> None:
+        parser = _read(WITH_LENGTH + surplus)
+        assert parser.is_complete and not parser.allows_reuse
+        assert (parser.status, _body(parser)) == (200, b"whole body")
+        assert parser.headers.count(("Request-Id", "r-1")) == 1
+
+    def test_closing_server_is_not_asked_again(self) -> None:
+        assert not _read(HEAD + b"Connection: close\r\n\r\nwhole body").allows_reuse
+        assert not _read(WITH_LENGTH.replace(b"1.1", b"1.0")).allows_reuse
