Gather more changes of the store's watch while a storm lasts

Change: the pause after a change grows by half while the next watch finds changes waiting, up to 0.5 s for orders and 0.9 s for the fleet, and is short again after two quiet seconds.

--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -40,7 +40,7 @@
 from jayswitch.rollout.trial import TrialJudge, Usual
 from jayswitch.rollout.versions import VersionRules
 from jayswitch.routing.balancer import Balancer
-from jayswitch.store.follower import PrefixFollower
+from jayswitch.store.follower import Pause, PrefixFollower
 
 if TYPE_CHECKING:
     from jayswitch.logs import BoundedLogHandler
@@ -71,11 +71,11 @@
 WITHDRAW_MS = 250.0
 # Callers that have gone elsewhere send nothing for this long.
 QUIET_MS = 1000.0
-# A configuration has two seconds to be in force; a quarter of a second of that
-# brings the changes of a quick succession with fewer calls.
-ORDERS_COALESCE_MS = 250.0
+# A configuration has two seconds to be in force; up to half a second of that brings
+# the changes of a quick succession with fewer calls.
+ORDERS_PAUSE = Pause(250.0, 500.0)
 # Gates enforce what records say at once, so that others may learn it later.
-FLEET_COALESCE_MS = 300.0
+FLEET_PAUSE = Pause(300.0, 900.0)
 MS_PER_S = 1000.0
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
@@ -110,10 +110,10 @@
             store, settings.vm, self._describe, self._last_state, clock
         )
         self.orders_follower = PrefixFollower(
-            store, operator_prefix, apply_order, clock, ORDERS_COALESCE_MS
+            store, operator_prefix, apply_order, clock, ORDERS_PAUSE
         )
         self.fleet_follower = PrefixFollower(
-            store, SHARED_PREFIX, self._apply_shared, clock, FLEET_COALESCE_MS
+            store, SHARED_PREFIX, self._apply_shared, clock, FLEET_PAUSE
         )
         self.knowledge = Knowledge([self.orders_follower, self.fleet_follower])
         self._build_forwarding(names)
--- a/src/jayswitch/store/follower.py
+++ b/src/jayswitch/store/follower.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import eventlet
+import msgspec
 from returns.result import Failure
 
 from jayswitch.store.interface import StoredValue, WatchEvent
@@ -25,9 +26,31 @@
 # A watch that is in order brings a change within this time of its being known.
 CATCH_UP_DELAY_MS = 200.0
 
+# While each watch finds changes that wait already, the pause before the next one
+# grows by this factor; it is short again after a watch that waited so long.
+PAUSE_GROWTH = 1.5
+QUIET_MS = 2000.0
+# A watch that is answered sooner than this found its changes waiting.
+AT_ONCE_MS = 100.0
+
 logger = logging.getLogger(__name__)
 
 
+class Pause(msgspec.Struct, frozen=True):
+    """How long changes are gathered before they are fetched with one call."""
+
+    shortest_ms: float
+    longest_ms: float
+
+    def next_ms(self, present_ms: float, waited_ms: float) -> float:
+        """Returns the next pause, after a watch that waited so long for changes."""
+        if waited_ms >= QUIET_MS:
+            return self.shortest_ms
+        if waited_ms < AT_ONCE_MS:
+            return min(self.longest_ms, present_ms * PAUSE_GROWTH)
+        return present_ms
+
+
 class PrefixFollower:
     """Keeps a listener informed of every key below a prefix.
 
@@ -41,11 +64,11 @@
         prefix: str,
         on_change: Callable[[WatchEvent], None],
         clock: Clock,
-        coalesce_ms: float,
+        pause: Pause,
     ) -> None:
         """Takes the listener, which must not block.
 
-        After a change, others are waited for so long that one call brings them.
+        After a change, others are waited for, so that one call brings them.
         """
         self.synced = False
         self.connected = False
@@ -56,7 +79,8 @@
         self._prefix = prefix
         self._on_change = on_change
         self._clock = clock
-        self._coalesce_ms = coalesce_ms
+        self._pause = pause
+        self._pause_ms = pause.shortest_ms
         self._catching_up = False
         self._revision_by_key: dict[str, int] = {}
         self._retry_ms = RETRY_MIN_MS
@@ -81,7 +105,7 @@
 
     def _catch_up(self, revision: int) -> None:
         try:
-            self._clock.sleep_ms(CATCH_UP_DELAY_MS + self._coalesce_ms)
+            self._clock.sleep_ms(CATCH_UP_DELAY_MS + self._pause.longest_ms)
             if self.revision >= revision:
                 return
             logger.warning(
@@ -145,6 +169,7 @@
 
     def _watch_once(self) -> bool:
         """Waits for changes; tells whether the prefix must be read anew."""
+        asked_ms = self._clock.now_ms()
         result = self._store.watch(self._prefix, self.revision, WATCH_WAIT_MS)
         match result:
             case Failure(error):
@@ -162,7 +187,9 @@
             self._apply(event)
         self.revision = max(self.revision, batch.revision)
         if batch.events:
-            self._clock.sleep_ms(self._coalesce_ms)
+            waited_ms = self.read_ms - asked_ms
+            self._pause_ms = self._pause.next_ms(self._pause_ms, waited_ms)
+            self._clock.sleep_ms(self._pause_ms)
         return False
 
     def _apply(self, event: WatchEvent) -> None:
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from jayswitch.clock import VirtualClock
 from jayswitch.standins.memory_store import MemoryStore
-from jayswitch.store.follower import PrefixFollower
+from jayswitch.store.follower import Pause, PrefixFollower
 from jayswitch.store.interface import StoredValue, WatchBatch, WatchEvent, Write
 
-COALESCE_MS = 100.0
+PAUSE = Pause(100.0, 400.0)
 
 
 class Followed:
@@ -19,7 +21,7 @@
         self.store = MemoryStore(self.clock)
         self.values: dict[str, bytes] = {}
         self.follower = PrefixFollower(
-            self.store, "op/", self._apply, self.clock, COALESCE_MS
+            self.store, "op/", self._apply, self.clock, PAUSE
         )
         self.follower.start()
         self.clock.sleep_ms(10)
@@ -91,3 +93,31 @@
         followed.follower._apply(WatchEvent("op/a", b"new", 9))
         followed.follower._take_snapshot({}, 8)
         assert followed.values == {"op/a": b"new"}
+
+
+class TestPause:
+    """Storms cost few calls, single changes arrive at once."""
+
+    def test_pause_grows_in_a_storm_and_is_short_again_after_it(self) -> None:
+        pauses = [PAUSE.shortest_ms]
+        for waited_ms in (4.0, 4.0, 500.0, 4.0, 4.0, 4.0, 5000.0):
+            pauses.append(PAUSE.next_ms(pauses[-1], waited_ms))
+        assert pauses == [100, 150, 225, 225, 337.5, 400, 400, 100]
+
+    def test_storm_of_changes_costs_fewer_calls_than_changes(self) -> None:
+        followed = Followed()
+        watches = 0
+        watch = followed.store.watch
+
+        def count(*arguments: Any) -> Any:
+            nonlocal watches
+            watches += 1
+            return watch(*arguments)
+
+        followed.store.watch = count  # type: ignore[method-assign]
+        for number in range(100):
+            followed.put("op/a", str(number).encode())
+            followed.clock.sleep_ms(50)
+        followed.clock.sleep_ms(400)
+        assert followed.values == {"op/a": b"99"}
+        assert watches <= 5000 / PAUSE.longest_ms + 5
