Leave turns to less urgent calls, wait for health checks, time routes apart

Logs: calls of the other service fill it, its own callers get 0 of 290 answers in some seconds; lost answers make the gate refuse everything while it checks the upstream (144 of 418 refused calls); the time that all routes share hides that the calls take 40 ms and the others 130 ms.

Change: every ninth turn goes to a less urgent call that waits; a gate lets requests wait for a running health check; service times are kept by route; refusals log route, rank and the time left.

--- a/src/jayswitch/gate/slots.py
+++ b/src/jayswitch/gate/slots.py
@@ -16,6 +16,9 @@
 
 # Calls that may wait for each slot: beyond it every answer would be late.
 WAITING_PER_SLOT = 4
+# Calls started ahead of a less urgent one that waits, before it gets a turn: a kind of
+# request must be served at least a quarter as often as all of them.
+TURNS_AHEAD = 8
 
 
 class _Waiter:
@@ -30,7 +33,8 @@
 class SlotQueue:
     """Counts running calls against a limit and queues others by rank.
 
-    A cold upstream starts calls no faster than it bears; calls wait for that as
+    Urgent calls go first, but leave every ninth turn to a less urgent one. A cold
+    upstream starts calls no faster than it bears; calls wait for that as
     they wait for a slot, the most urgent first.
     """
 
@@ -42,6 +46,7 @@
         self.running = 0
         self._clock = clock
         self._serial = 0
+        self._turns_ahead = 0
         self._waiting: SortedList = SortedList(key=lambda waiter: waiter.order)
 
     @property
@@ -87,10 +92,24 @@
         while self._waiting and self.running < self.limit:
             if not self._start():
                 return
-            waiter = self._waiting.pop(0)
+            waiter = self._next()
             waiter.granted = True
             waiter.turn.send(None)
 
+    def _next(self) -> _Waiter:
+        """Removes the call whose turn it is."""
+        first = self._waiting[0]
+        rank = first.order[0]
+        others = self._waiting.bisect_key_right((rank, self._serial))
+        if others == len(self._waiting):
+            self._turns_ahead = 0
+        elif self._turns_ahead >= TURNS_AHEAD:
+            self._turns_ahead = 0
+            return self._waiting.pop(others)
+        else:
+            self._turns_ahead += 1
+        return self._waiting.pop(0)
+
     def _start(self) -> bool:
         """Takes a slot unless a cold upstream must rest first."""
         rest_ms = self.rate.take()
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -8,8 +8,10 @@
 from typing import TYPE_CHECKING
 
 import eventlet
+from eventlet.event import Event
 
 from jayswitch.clock import MS_PER_S
+from jayswitch.gate.service_times import ServiceTimes
 from jayswitch.gate.slots import SlotQueue
 from jayswitch.gate.start_rate import StartRate
 from jayswitch.proxy import reasons
@@ -26,9 +28,6 @@
     from jayswitch.proxy.http_client import Exchange, HttpClient
     from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
 
-SERVICE_TIME_WEIGHT = 0.1
-# Assumed until the first answer: a tenth of a second, as in both deployments.
-FIRST_SERVICE_MS = 100.0
 # A rejected request may come back when about one running call has ended.
 LEAVING_RETRY_MS = 200.0
 HEALTH_TIMEOUT_MS = 300.0
@@ -93,19 +92,20 @@
         self._client = client
         self._names = names
         self._clock = clock
-        self._service_ms = FIRST_SERVICE_MS
+        self._times = ServiceTimes()
         self._suspect = False
         self._checking = False
+        self._checked = Event()
 
     @property
     def load(self) -> LoadReport:
         """Returns the present load; a cold upstream counts for what it bears."""
         limit = self.slots.limit
         if self.rate.is_cold:
-            bears = int(self.rate.per_s * self._service_ms / MS_PER_S)
+            bears = int(self.rate.per_s * self._times.overall_ms / MS_PER_S)
             limit = max(1, min(limit, bears))
         return LoadReport(
-            self.slots.running, self.slots.waiting, limit, self._service_ms
+            self.slots.running, self.slots.waiting, limit, self._times.overall_ms
         )
 
     def set_service(self, service: Service) -> None:
@@ -123,20 +123,23 @@
     def restart(self) -> None:
         """Forgets the connections and times of an earlier incarnation."""
         self._client.forget(self._address)
-        self._service_ms = FIRST_SERVICE_MS
+        self._times = ServiceTimes()
         self._suspect = False
         self.resize()
 
     def run(self, request: ForwardedRequest) -> AttemptOutcome:
         """Runs a request at the upstream, or refuses it."""
         refusal = self._refusal(request)
+        if refusal == reasons.SUSPECT:
+            self._await_check(self._longest_wait_ms(request))
+            refusal = self._refusal(request)
         if refusal is not None:
             return self._refuse(request, refusal)
         wait_ms = self._longest_wait_ms(request)
-        expected_ms = self.slots.expected_wait_ms(request.rank, self._service_ms)
+        expected_ms = self.slots.expected_wait_ms(request.rank, self._times.overall_ms)
         if expected_ms > wait_ms or not self.slots.acquire(request.rank, wait_ms):
             reason = reasons.COLD if self.rate.is_cold else reasons.FULL
-            return self._refuse(request, reason, self._service_ms / 2)
+            return self._refuse(request, reason, self._times.overall_ms / 2)
         try:
             outcome = self._run_in_slot(request)
         except BaseException:
@@ -171,11 +174,11 @@
         The most urgent requests wait as long as an answer can still come: others
         that have run already depend on them.
         """
-        until_ms = request.objective_ms
+        until_ms = min(request.objective_ms, request.deadline_ms)
         if request.rank <= MOST_URGENT_RANK:
             until_ms = request.deadline_ms
-        until_ms = min(until_ms, request.deadline_ms)
-        return max(0.0, until_ms - self._clock.now_ms() - self._service_ms)
+        service_ms = self._times.of_route(request.route)
+        return max(0.0, until_ms - self._clock.now_ms() - service_ms)
 
     def _run_in_slot(self, request: ForwardedRequest) -> AttemptOutcome:
         refusal = self._refusal(request)
@@ -245,7 +248,9 @@
             reason = reasons.MISDIRECTED if misdirected else reasons.REJECTED
             if misdirected:
                 self._suspect_upstream(reason)
-            return self._refuse(request, reason, self._service_ms / 2, not misdirected)
+            return self._refuse(
+                request, reason, self._times.overall_ms / 2, not misdirected
+            )
         signature = find(exchange.headers, names.signature)
         if signature is None or echoed is None:
             exchange.close()
@@ -295,7 +300,7 @@
         failed = status >= STATUS_SERVER_ERROR
         self.counts["upstream_errors" if failed else "answered"] += 1
         if not failed:
-            self._service_ms += (latency_ms - self._service_ms) * SERVICE_TIME_WEIGHT
+            self._times.note(request.route, latency_ms)
         self.on_answer(request, failed, latency_ms)
 
     def _broken(
@@ -310,7 +315,7 @@
         if timed_out:
             # A lost answer says nothing about a version, a late one does.
             self.on_answer(request, True, latency_ms)
-            self._service_ms += (latency_ms - self._service_ms) * SERVICE_TIME_WEIGHT
+            self._times.note(request.route, latency_ms)
         logger.warning(
             "upstream gave no whole answer",
             extra={
@@ -334,10 +339,13 @@
             extra={
                 "request_id": request.request_id,
                 "reason": reason,
+                "route": request.route,
+                "rank": request.rank,
+                "left_ms": round(request.left_ms(self._clock)),
                 "running": self.slots.running,
                 "waiting": self.slots.waiting,
                 "limit": self.slots.limit,
-                "service_ms": round(self._service_ms),
+                "service_ms": round(self._times.overall_ms),
             },
         )
         return NotRun(reason, retry_after_ms, reached_upstream, self.load)
@@ -354,6 +362,7 @@
         logger.warning("upstream suspected", extra={"reason": reason})
         if not self._checking:
             self._checking = True
+            self._checked = Event()
             eventlet.spawn(self._check_health)
 
     def _check_health(self) -> None:
@@ -367,6 +376,14 @@
             self._suspect = False
         finally:
             self._checking = False
+            self._checked.send(None)
+
+    def _await_check(self, wait_ms: float) -> None:
+        """Waits for the end of a health check, which takes a few milliseconds."""
+        longest_ms = min(wait_ms, HEALTH_TIMEOUT_MS)
+        if self._checking and longest_ms > 0:
+            with eventlet.Timeout(longest_ms / MS_PER_S, False):
+                self._checked.wait()
 
     def confirm_restored(self) -> bool:
         """Asks whether the upstream that an earlier process knew is still there.
--- a/src/jayswitch/proxy/outbound.py
+++ b/src/jayswitch/proxy/outbound.py
@@ -227,6 +227,7 @@
         if request is not None:
             fields["to_vm"] = request.last_vm
             fields["service"] = request.service
+            fields["route"] = request.route
             fields["version"] = request.version
         if isinstance(outcome, Answered) and outcome.load is not None:
             fields["load"] = outcome.load.encode()
--- a/tests/rollout/test_coordinator.py
+++ b/tests/rollout/test_coordinator.py
@@ -47,9 +47,7 @@
     def _start(self, number: int) -> MoveCoordinator:
         rules = self.rules[number]
         pause = Pause(100.0, 100.0)
-        PrefixFollower(
-            self.store, "jayswitch/", rules.apply, self.clock, pause
-        ).start()
+        PrefixFollower(self.store, "jayswitch/", rules.apply, self.clock, pause).start()
         coordinator = MoveCoordinator(
             f"vm-{number}",
             self.store,
