--- a/tests/rollout/test_trial.py
+++ b/tests/rollout/test_trial.py
@@ -61,6 +61,31 @@
             found += judge.is_bad
         assert found == 0
 
+    def test_good_version_on_upstreams_of_unequal_speed_is_left_alone(self) -> None:
+        found = 0
+        for seed in range(100):
+            rng = random.Random(seed)
+            judge = TrialJudge()
+            speed = rng.choice((0.7, 1.0, 2.0))
+            for number in range(200):
+                latency_ms = USUAL_MS * speed * rng.lognormvariate(-0.245, 0.7)
+                judge.observe(f"route {number % 3}", False, latency_ms, USUAL)
+            found += judge.is_bad
+        assert found <= 2
+
+    def test_partly_slow_version_is_found_within_fifty_slow_answers(self) -> None:
+        for speed in (0.7, 1.0, 2.0):
+            for seed in range(50):
+                rng = random.Random(seed)
+                judge = TrialJudge()
+                slow = 0
+                while not judge.is_bad:
+                    is_slow = rng.random() < BAD_SHARE
+                    slow += is_slow
+                    latency_ms = USUAL_MS * speed * rng.lognormvariate(-0.245, 0.7)
+                    judge.observe("read", False, latency_ms * 8**is_slow, USUAL)
+                assert slow < 50
+
     def test_unknown_usual_latency_says_nothing(self) -> None:
         judge = TrialJudge()
         for _ in range(10):
