Use the clock's one constant for milliseconds a second

Cause: on re-reading, the event loop and the proxy's process had copies of their own. The value is the same; 128 tests of loop, proxy, loopback and model pass.

--- a/src/jayswitch/hub.py
+++ b/src/jayswitch/hub.py
@@ -7,7 +7,7 @@
 
 from eventlet.hubs import poll
 
-MS_PER_S = 1000.0
+from jayswitch.clock import MS_PER_S
 
 
 class SparingHub(poll.Hub):
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from jayswitch.catalog.orders import Orders
-from jayswitch.clock import Clock
+from jayswitch.clock import MS_PER_S, Clock
 from jayswitch.fleet.directory import Directory
 from jayswitch.fleet.knowledge import Knowledge
 from jayswitch.fleet.publisher import RecordPublisher
@@ -76,7 +76,6 @@
 ORDERS_PAUSE = Pause(250.0, 500.0)
 # Gates enforce what records say at once, so that others may learn it later.
 FLEET_PAUSE = Pause(300.0, 900.0)
-MS_PER_S = 1000.0
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
 
