Name the cold-start rate limiter after what it limits

StartRate, rest_ms and ColdBound did not say that they limit calls to an upstream that has reported itself cold. They are now ColdRateLimiter (in cold_rate_limiter.py), delay_ms and ColdRateAllowance; the constants MAX_CALLS_IN_WINDOW and COLD_SLACK_SHARE follow.

Only names change; behaviour is the same.

--- a/src/jayswitch/gate/start_rate.py
+++ b/src/jayswitch/gate/cold_rate_limiter.py
@@ -11,10 +11,10 @@
 # A little over a second, because requests travel for different times.
 WINDOW_MS = 1050.0
 # More than any service's cold rate: what an earlier process may have sent.
-MOST_CALLS_IN_WINDOW = 1000
+MAX_CALLS_IN_WINDOW = 1000
 
 
-class StartRate:
+class ColdRateLimiter:
     """A sliding window over the calls that were handed to one upstream.
 
     per_s is how many a cold upstream may be started with in a second.
@@ -46,12 +46,12 @@
 
         The result is in milliseconds; a call that must wait is not noted.
         """
-        rest_ms = self.rest_ms()
-        if rest_ms <= 0:
+        delay_ms = self.delay_ms()
+        if delay_ms <= 0:
             self._started_ms.append(self._clock.now_ms())
-        return rest_ms
+        return delay_ms
 
-    def rest_ms(self) -> float:
+    def delay_ms(self) -> float:
         """Returns how long a cold upstream must rest before its next call."""
         now_ms = self._clock.now_ms()
         started = self._started_ms
@@ -68,4 +68,4 @@
         That process ended before this one began.
         """
         ended_ms = self._clock.now_ms() - self._clock.least_age_ms()
-        self._started_ms.extend([ended_ms] * MOST_CALLS_IN_WINDOW)
+        self._started_ms.extend([ended_ms] * MAX_CALLS_IN_WINDOW)
--- a/src/jayswitch/gate/slots.py
+++ b/src/jayswitch/gate/slots.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
-    from jayswitch.gate.start_rate import StartRate
+    from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 
 # Calls that may wait for each slot: beyond it every answer would be late.
 WAITING_PER_SLOT = 4
@@ -38,7 +38,7 @@
     they wait for a slot, the most urgent first.
     """
 
-    def __init__(self, limit: int, rate: StartRate, clock: Clock) -> None:
+    def __init__(self, limit: int, rate: ColdRateLimiter, clock: Clock) -> None:
         """Takes the most calls that may run at once and the rate of starts."""
         self.limit = limit
         self.rate = rate
@@ -58,7 +58,7 @@
         """Returns how long a call of a rank would wait for a slot."""
         ahead = sum(1 for waiter in self._waiting if waiter.order[0] <= rank)
         if self.rate.is_cold:
-            return self.rate.rest_ms() + ahead * MS_PER_S / max(1.0, self.rate.per_s)
+            return self.rate.delay_ms() + ahead * MS_PER_S / max(1.0, self.rate.per_s)
         if self.running < self.limit and not self._waiting:
             return 0.0
         return (ahead + 0.5) * service_ms / max(1, self.limit)
@@ -112,13 +112,13 @@
 
     def _start(self) -> bool:
         """Takes a slot unless a cold upstream must rest first."""
-        rest_ms = self.rate.take()
-        if rest_ms <= 0:
+        delay_ms = self.rate.take()
+        if delay_ms <= 0:
             self.running += 1
             return True
         if not self._hand_out_planned:
             self._hand_out_planned = True
-            eventlet.spawn_after(rest_ms / MS_PER_S, self._hand_out_later)
+            eventlet.spawn_after(delay_ms / MS_PER_S, self._hand_out_later)
         return False
 
     def _hand_out_later(self) -> None:
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -11,9 +11,9 @@
 from eventlet.event import Event
 
 from jayswitch.clock import MS_PER_S
+from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 from jayswitch.gate.service_times import ServiceTimes
 from jayswitch.gate.slots import SlotQueue
-from jayswitch.gate.start_rate import StartRate
 from jayswitch.proxy import reasons
 from jayswitch.proxy.exceptions import AnswerCut, ExchangeBroken, NotSent
 from jayswitch.proxy.headers import find
@@ -36,7 +36,7 @@
 HEALTH_RETRY_MS = 150.0
 # Part of the slack that is used: requests travel for different times, and those that
 # are under way while the upstream turns cold count too.
-COLD_SLACK_PART = 0.5
+COLD_SLACK_SHARE = 0.5
 # Less than this is left: the upstream would be stopped before it has answered.
 SHORTEST_RUN_MS = 10.0
 MOST_URGENT_RANK = 0
@@ -49,7 +49,7 @@
 logger = logging.getLogger(__name__)
 
 
-class ColdBound:
+class ColdRateAllowance:
     """How far a cold upstream's calls may exceed the rate that it states."""
 
     __slots__ = ("_factor", "_slack")
@@ -61,7 +61,7 @@
 
     def calls_per_s(self, stated_per_s: float) -> float:
         """Returns the calls that an upstream may be started with in a second."""
-        return stated_per_s * self._factor + self._slack * COLD_SLACK_PART
+        return stated_per_s * self._factor + self._slack * COLD_SLACK_SHARE
 
 
 class UpstreamGate:
@@ -74,14 +74,14 @@
         self,
         address: str,
         local: LocalUpstream,
-        rate: StartRate,
+        rate: ColdRateLimiter,
         client: HttpClient,
         names: HeaderNames,
         clock: Clock,
-        cold_bound: ColdBound | None = None,
+        cold_rate_allowance: ColdRateAllowance | None = None,
     ) -> None:
         """Takes the upstream's address and what is known of it."""
-        self._cold_bound = cold_bound or ColdBound()
+        self._cold_rate_allowance = cold_rate_allowance or ColdRateAllowance()
         self.counts: Counter[str] = Counter()
         self.slots = SlotQueue(1, rate, clock)
         self.health_path = "/health"
@@ -113,7 +113,9 @@
     def set_service(self, service: Service) -> None:
         """Follows what the configuration says of the upstream's service."""
         self.health_path = service.health_path
-        self.rate.per_s = self._cold_bound.calls_per_s(service.cold_calls_per_s)
+        self.rate.per_s = self._cold_rate_allowance.calls_per_s(
+            service.cold_calls_per_s
+        )
 
     def resize(self) -> None:
         """Follows the slots of the present upstream."""
--- a/src/jayswitch/model/fleet.py
+++ b/src/jayswitch/model/fleet.py
@@ -17,8 +17,8 @@
     Upstream,
     UpstreamState,
 )
+from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 from jayswitch.gate.local_upstream import Heartbeat, LocalUpstream
-from jayswitch.gate.start_rate import StartRate
 from jayswitch.gate.upstream_gate import UpstreamGate
 from jayswitch.model.upstream import STATUS_SERVER_ERROR, Caller, ModelUpstream
 from jayswitch.proxy.attempts import AttemptRunner, BudgetTerms
@@ -140,7 +140,7 @@
     def _add(self, group: UpstreamGroup) -> None:
         name = f"{group.service}-{len(self.vm_by_name) + 1}"
         clock = self.clock
-        rate = StartRate(clock)
+        rate = ColdRateLimiter(clock)
         local = LocalUpstream(group.service, HEARTBEAT_MS, clock, rate.set_cold)
         stand_in = ModelUpstream(
             group, self._kind_by_name, self._names, clock, self._random
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -27,9 +27,9 @@
     Upstream,
     UpstreamState,
 )
+from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 from jayswitch.gate.local_upstream import Heartbeat, HeartbeatVerdict, LocalUpstream
-from jayswitch.gate.start_rate import StartRate
-from jayswitch.gate.upstream_gate import ColdBound, UpstreamGate
+from jayswitch.gate.upstream_gate import ColdRateAllowance, UpstreamGate
 from jayswitch.http.reasons import status_line
 from jayswitch.http.server import HttpServer
 from jayswitch.proxy.attempts import AttemptRunner, BudgetTerms
@@ -132,7 +132,7 @@
 
     def _build_gate(self, names: HeaderNames) -> None:
         settings, clock = self.settings, self._clock
-        self.rate = StartRate(clock)
+        self.rate = ColdRateLimiter(clock)
         self.local = LocalUpstream(
             settings.service, settings.heartbeat_ms, clock, self.rate.set_cold
         )
@@ -144,7 +144,7 @@
             self.upstream_client,
             names,
             clock,
-            ColdBound(settings.cold_factor, settings.cold_slack),
+            ColdRateAllowance(settings.cold_factor, settings.cold_slack),
         )
 
     def _build_forwarding(self, names: HeaderNames) -> None:
--- a/tests/gate/test_start_rate.py
+++ b/tests/gate/test_cold_rate_limiter.py
@@ -5,22 +5,22 @@
 from unittest import mock
 
 from jayswitch.clock import VirtualClock
-from jayswitch.gate.start_rate import StartRate
-from jayswitch.gate.upstream_gate import ColdBound
+from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
+from jayswitch.gate.upstream_gate import ColdRateAllowance
 
 COLD_CALLS_PER_S = 8.5
 
 
-class TestStartRate:
+class TestColdRateLimiter:
     """A cold upstream gets no more than its calls in any second."""
 
     def test_warm_upstream_is_not_bounded(self) -> None:
-        rate = StartRate(VirtualClock(), COLD_CALLS_PER_S)
+        rate = ColdRateLimiter(VirtualClock(), COLD_CALLS_PER_S)
         assert all(rate.take() == 0 for _ in range(100))
 
     def test_no_second_holds_more_than_a_cold_upstream_bears(self) -> None:
         clock = VirtualClock()
-        rate = StartRate(clock, COLD_CALLS_PER_S)
+        rate = ColdRateLimiter(clock, COLD_CALLS_PER_S)
         rate.set_cold(60_000)
         started: list[float] = []
         for _ in range(1000):
@@ -33,18 +33,18 @@
 
     def test_calls_before_the_upstream_turned_cold_count(self) -> None:
         clock = VirtualClock()
-        rate = StartRate(clock, COLD_CALLS_PER_S)
+        rate = ColdRateLimiter(clock, COLD_CALLS_PER_S)
         for _ in range(20):
             rate.take()
         rate.set_cold(3000)
-        rest_ms = rate.take()
-        assert rest_ms > 0
-        clock.sleep_ms(rest_ms)
+        delay_ms = rate.take()
+        assert delay_ms > 0
+        clock.sleep_ms(delay_ms)
         assert rate.take() == 0
 
     def test_calls_of_an_earlier_process_may_still_count(self) -> None:
         clock = VirtualClock()
-        rate = StartRate(clock, COLD_CALLS_PER_S)
+        rate = ColdRateLimiter(clock, COLD_CALLS_PER_S)
         rate.reserve_window()
         rate.set_cold(3000)
         assert rate.take() >= 1000
@@ -54,18 +54,18 @@
         clock_of_old_process = mock.patch.object(
             VirtualClock, "least_age_ms", return_value=400.0
         )
-        rate = StartRate(clock, COLD_CALLS_PER_S)
+        rate = ColdRateLimiter(clock, COLD_CALLS_PER_S)
         with clock_of_old_process:
             rate.reserve_window()
         rate.set_cold(3000)
         assert 600 <= rate.take() <= 700
 
 
-class TestColdBound:
+class TestColdRateAllowance:
     """What a cold upstream may get beyond the rate that its service states."""
 
     def test_bound_is_used_up_to_half_of_its_slack(self) -> None:
-        assert ColdBound(1.5, 5.0).calls_per_s(8.5) == 15.25
+        assert ColdRateAllowance(1.5, 5.0).calls_per_s(8.5) == 15.25
 
     def test_without_a_bound_the_stated_rate_holds(self) -> None:
-        assert ColdBound().calls_per_s(8.5) == 8.5
+        assert ColdRateAllowance().calls_per_s(8.5) == 8.5
--- a/tests/gate/test_slots.py
+++ b/tests/gate/test_slots.py
@@ -5,14 +5,14 @@
 import eventlet
 
 from jayswitch.clock import VirtualClock
+from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 from jayswitch.gate.slots import WAITING_PER_SLOT, SlotQueue
-from jayswitch.gate.start_rate import StartRate
 from jayswitch.proxy.exceptions import CallerGone
 
 
 def _slots(limit: int) -> SlotQueue:
     clock = VirtualClock()
-    return SlotQueue(limit, StartRate(clock), clock)
+    return SlotQueue(limit, ColdRateLimiter(clock), clock)
 
 
 def _acquire_until_gone(slots: SlotQueue, seen: list[str]) -> None:
@@ -95,7 +95,7 @@
 
     def test_calls_wait_for_their_start_in_the_order_of_their_rank(self) -> None:
         clock = VirtualClock()
-        rate = StartRate(clock, per_s=4)
+        rate = ColdRateLimiter(clock, per_s=4)
         rate.set_cold(60_000)
         slots = SlotQueue(6, rate, clock)
         started: list[tuple[float, int]] = []
@@ -118,7 +118,7 @@
 
     def test_expected_wait_follows_the_rate(self) -> None:
         clock = VirtualClock()
-        rate = StartRate(clock, per_s=4)
+        rate = ColdRateLimiter(clock, per_s=4)
         rate.set_cold(60_000)
         slots = SlotQueue(6, rate, clock)
         assert slots.expected_wait_ms(1, 100) == 0
--- a/tests/load/test_urgent_flood.py
+++ b/tests/load/test_urgent_flood.py
@@ -8,8 +8,8 @@
 import eventlet
 
 from jayswitch.clock import VirtualClock
+from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 from jayswitch.gate.slots import SlotQueue
-from jayswitch.gate.start_rate import StartRate
 
 SLOTS = 6
 URGENT_RANK, USUAL_RANK = 1, 2
@@ -22,7 +22,7 @@
     def __init__(self) -> None:
         """Starts without calls."""
         self.clock = VirtualClock()
-        self.queue = SlotQueue(SLOTS, StartRate(self.clock), self.clock)
+        self.queue = SlotQueue(SLOTS, ColdRateLimiter(self.clock), self.clock)
         self.asked = {URGENT_RANK: 0, USUAL_RANK: 0}
         self.served = {URGENT_RANK: 0, USUAL_RANK: 0}
 
