Name slot granting and wait queues by what they do

hand_out, turn, TURNS_AHEAD and _fits read as figures of speech, and WAITING_PER_SLOT did not say that it is a bound. Free slots are now granted (grant_free_slots, _grant_scheduled, MAX_CONSECUTIVE_URGENT_GRANTS), a waiter has a sort key and a wakeup event, and Admission is AdmissionQueue.

Only names change; behaviour is the same.

--- a/src/jayswitch/gate/admission.py
+++ b/src/jayswitch/gate/admission.py
@@ -16,11 +16,11 @@
 PRIORITIES = ("high", "normal", "bulk")
 BULK = "bulk"
 BULK_SHARE = 0.5
-TURNS_BEFORE_BULK = 8
-WAITING_PER_SLOT = 1
+MAX_GRANTS_BEFORE_BULK = 8
+MAX_WAITING_PER_SLOT = 1
 
 
-class Admission:
+class AdmissionQueue:
     """Counts running calls against a limit and queues a bounded number of others.
 
     Bulk calls hold at most half of the slots, and each of them waits for at most
@@ -35,7 +35,7 @@
         self._waiting_by_priority: dict[str, deque[Event]] = {
             priority: deque() for priority in PRIORITIES
         }
-        self._turns_since_bulk = 0
+        self._grants_since_bulk = 0
 
     @property
     def waiting(self) -> int:
@@ -44,19 +44,19 @@
 
     def acquire(self, priority: str, wait_ms: float) -> bool:
         """Takes a slot, waiting for at most the given time; False if none came."""
-        if self.waiting == 0 and self._fits(priority):
-            self._take(priority)
+        if self.waiting == 0 and self._has_capacity(priority):
+            self._occupy_slot(priority)
             return True
-        if wait_ms <= 0 or self.waiting >= self._limit() * WAITING_PER_SLOT:
+        if wait_ms <= 0 or self.waiting >= self._limit() * MAX_WAITING_PER_SLOT:
             return False
-        turn = Event()
+        wakeup = Event()
         queue = self._waiting_by_priority[priority]
-        queue.append(turn)
+        queue.append(wakeup)
         with eventlet.Timeout(wait_ms / MS_PER_S, False):
-            turn.wait()
-        if turn.ready():
+            wakeup.wait()
+        if wakeup.ready():
             return True
-        queue.remove(turn)
+        queue.remove(wakeup)
         return False
 
     def release(self, priority: str) -> None:
@@ -64,41 +64,41 @@
         self.in_flight -= 1
         if priority == BULK:
             self.bulk_in_flight -= 1
-        self.hand_out()
+        self.grant_free_slots()
 
-    def hand_out(self) -> None:
+    def grant_free_slots(self) -> None:
         """Wakes as many waiting calls as the limit allows."""
         while True:
             priority = self._next_priority()
             if not priority:
                 return
-            turn = self._waiting_by_priority[priority].popleft()
-            self._take(priority)
-            turn.send(None)
+            wakeup = self._waiting_by_priority[priority].popleft()
+            self._occupy_slot(priority)
+            wakeup.send(None)
 
-    def _fits(self, priority: str) -> bool:
+    def _has_capacity(self, priority: str) -> bool:
         limit = self._limit()
         if self.in_flight >= limit:
             return False
         bulk_limit = max(1, int(limit * BULK_SHARE))
         return priority != BULK or self.bulk_in_flight < bulk_limit
 
-    def _take(self, priority: str) -> None:
+    def _occupy_slot(self, priority: str) -> None:
         self.in_flight += 1
         if priority == BULK:
             self.bulk_in_flight += 1
-            self._turns_since_bulk = 0
+            self._grants_since_bulk = 0
         else:
-            self._turns_since_bulk += 1
+            self._grants_since_bulk += 1
 
     def _next_priority(self) -> str:
         ready = [
             priority
             for priority in PRIORITIES
-            if self._waiting_by_priority[priority] and self._fits(priority)
+            if self._waiting_by_priority[priority] and self._has_capacity(priority)
         ]
         if not ready:
             return ""
-        if BULK in ready and self._turns_since_bulk >= TURNS_BEFORE_BULK:
+        if BULK in ready and self._grants_since_bulk >= MAX_GRANTS_BEFORE_BULK:
             return BULK
         return ready[0]
--- a/src/jayswitch/gate/gate.py
+++ b/src/jayswitch/gate/gate.py
@@ -13,7 +13,7 @@
 from returns.result import Failure, Success
 
 from jayswitch.clock import MS_PER_S
-from jayswitch.gate.admission import Admission
+from jayswitch.gate.admission import AdmissionQueue
 from jayswitch.gate.exceptions import (
     UpstreamBroke,
     UpstreamFailure,
@@ -87,7 +87,7 @@
         self.counts: Counter[str] = Counter()
         self.ledger = RequestLedger(clock)
         self.limiter = Limiter(1, warm_up_ms, clock)
-        self.admission = Admission(lambda: self.limiter.limit)
+        self.admission = AdmissionQueue(lambda: self.limiter.limit)
         self.on_outcome: OutcomeListener = lambda call, failed, latency_ms: None
         self._answers = AnswerCache(clock)
         self._client = client
--- a/src/jayswitch/gate/slots.py
+++ b/src/jayswitch/gate/slots.py
@@ -15,18 +15,18 @@
     from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 
 # Calls that may wait for each slot: beyond it every answer would be late.
-WAITING_PER_SLOT = 4
+MAX_WAITING_PER_SLOT = 4
 # Calls started ahead of a less urgent one that waits, before it gets a turn: a kind of
 # request must be served at least a quarter as often as all of them.
-TURNS_AHEAD = 8
+MAX_CONSECUTIVE_URGENT_GRANTS = 8
 
 
 class _Waiter:
-    __slots__ = ("granted", "order", "turn")
+    __slots__ = ("granted", "sort_key", "wakeup")
 
-    def __init__(self, order: tuple[int, int]) -> None:
-        self.order = order
-        self.turn = Event()
+    def __init__(self, sort_key: tuple[int, int]) -> None:
+        self.sort_key = sort_key
+        self.wakeup = Event()
         self.granted = False
 
 
@@ -42,12 +42,12 @@
         """Takes the most calls that may run at once and the rate of starts."""
         self.limit = limit
         self.rate = rate
-        self._hand_out_planned = False
+        self._grant_scheduled = False
         self.running = 0
         self._clock = clock
         self._serial = 0
-        self._turns_ahead = 0
-        self._waiting: SortedList = SortedList(key=lambda waiter: waiter.order)
+        self._consecutive_urgent_grants = 0
+        self._waiting: SortedList = SortedList(key=lambda waiter: waiter.sort_key)
 
     @property
     def waiting(self) -> int:
@@ -56,7 +56,7 @@
 
     def expected_wait_ms(self, rank: int, service_ms: float) -> float:
         """Returns how long a call of a rank would wait for a slot."""
-        ahead = sum(1 for waiter in self._waiting if waiter.order[0] <= rank)
+        ahead = sum(1 for waiter in self._waiting if waiter.sort_key[0] <= rank)
         if self.rate.is_cold:
             return self.rate.delay_ms() + ahead * MS_PER_S / max(1.0, self.rate.per_s)
         if self.running < self.limit and not self._waiting:
@@ -65,18 +65,18 @@
 
     def acquire(self, rank: int, wait_ms: float) -> bool:
         """Takes a slot, waiting for at most the given time; False if none came."""
-        if self.running < self.limit and not self._waiting and self._start():
+        if self.running < self.limit and not self._waiting and self._try_start():
             return True
-        if wait_ms <= 0 or len(self._waiting) >= self.limit * WAITING_PER_SLOT:
+        if wait_ms <= 0 or len(self._waiting) >= self.limit * MAX_WAITING_PER_SLOT:
             return False
         self._serial += 1
         waiter = _Waiter((rank, self._serial))
         self._waiting.add(waiter)
         try:
             with eventlet.Timeout(wait_ms / MS_PER_S, False):
-                waiter.turn.wait()
+                waiter.wakeup.wait()
         except BaseException:
-            self._abandon(waiter)
+            self._cancel(waiter)
             raise
         if not waiter.granted:
             self._waiting.remove(waiter)
@@ -85,47 +85,47 @@
     def release(self) -> None:
         """Returns a slot and hands it to the most urgent call that waits."""
         self.running -= 1
-        self.hand_out()
+        self.grant_free_slots()
 
-    def hand_out(self) -> None:
+    def grant_free_slots(self) -> None:
         """Grants free slots, also after the limit has grown."""
         while self._waiting and self.running < self.limit:
-            if not self._start():
+            if not self._try_start():
                 return
-            waiter = self._next()
+            waiter = self._pop_next()
             waiter.granted = True
-            waiter.turn.send(None)
+            waiter.wakeup.send(None)
 
-    def _next(self) -> _Waiter:
+    def _pop_next(self) -> _Waiter:
         """Removes the call whose turn it is."""
         first = self._waiting[0]
-        rank = first.order[0]
+        rank = first.sort_key[0]
         others = self._waiting.bisect_key_right((rank, self._serial))
         if others == len(self._waiting):
-            self._turns_ahead = 0
-        elif self._turns_ahead >= TURNS_AHEAD:
-            self._turns_ahead = 0
+            self._consecutive_urgent_grants = 0
+        elif self._consecutive_urgent_grants >= MAX_CONSECUTIVE_URGENT_GRANTS:
+            self._consecutive_urgent_grants = 0
             return self._waiting.pop(others)
         else:
-            self._turns_ahead += 1
+            self._consecutive_urgent_grants += 1
         return self._waiting.pop(0)
 
-    def _start(self) -> bool:
+    def _try_start(self) -> bool:
         """Takes a slot unless a cold upstream must rest first."""
         delay_ms = self.rate.take()
         if delay_ms <= 0:
             self.running += 1
             return True
-        if not self._hand_out_planned:
-            self._hand_out_planned = True
-            eventlet.spawn_after(delay_ms / MS_PER_S, self._hand_out_later)
+        if not self._grant_scheduled:
+            self._grant_scheduled = True
+            eventlet.spawn_after(delay_ms / MS_PER_S, self._run_scheduled_grant)
         return False
 
-    def _hand_out_later(self) -> None:
-        self._hand_out_planned = False
-        self.hand_out()
+    def _run_scheduled_grant(self) -> None:
+        self._grant_scheduled = False
+        self.grant_free_slots()
 
-    def _abandon(self, waiter: _Waiter) -> None:
+    def _cancel(self, waiter: _Waiter) -> None:
         if waiter.granted:
             self.release()
         else:
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -122,7 +122,7 @@
         current = self._local.current
         if current is not None and current.slots != self.slots.limit:
             self.slots.limit = max(1, current.slots)
-            self.slots.hand_out()
+            self.slots.grant_free_slots()
 
     def restart(self) -> None:
         """Forgets the connections and times of an earlier incarnation."""
--- a/src/jayswitch/node/node.py
+++ b/src/jayswitch/node/node.py
@@ -293,7 +293,7 @@
         if self.parts.gate.expire_announcement():
             logger.warning("upstream fell silent")
             self._publish_member()
-        self.parts.gate.admission.hand_out()
+        self.parts.gate.admission.grant_free_slots()
 
     def _review_moves(self) -> None:
         tree = self.parts.tree
--- a/tests/gate/test_admission.py
+++ b/tests/gate/test_admission.py
@@ -5,21 +5,21 @@
 import eventlet
 
 from jayswitch.clock import VirtualClock
-from jayswitch.gate.admission import Admission
+from jayswitch.gate.admission import AdmissionQueue
 from jayswitch.gate.limiter import Limiter
 
 
-class TestAdmission:
+class TestAdmissionQueue:
     """Running calls stay below the limit; no priority starves."""
 
     def test_bulk_calls_leave_slots_to_short_reads(self) -> None:
-        admission = Admission(lambda: 6)
+        admission = AdmissionQueue(lambda: 6)
         taken = [admission.acquire("bulk", 0) for _ in range(6)]
         assert taken.count(True) == 3
         assert admission.acquire("high", 0)
 
     def test_high_priority_goes_first(self) -> None:
-        admission = Admission(lambda: 2)
+        admission = AdmissionQueue(lambda: 2)
         order: list[str] = []
         assert admission.acquire("normal", 0) and admission.acquire("normal", 0)
 
@@ -38,7 +38,7 @@
 
     def test_bulk_gets_its_turn_under_constant_high_load(self) -> None:
         clock = VirtualClock()
-        admission = Admission(lambda: 4)
+        admission = AdmissionQueue(lambda: 4)
         done: list[str] = []
 
         def work(priority: str) -> None:
@@ -55,7 +55,7 @@
 
     def test_waiting_is_bounded_and_ends(self) -> None:
         clock = VirtualClock()
-        admission = Admission(lambda: 1)
+        admission = AdmissionQueue(lambda: 1)
         assert admission.acquire("normal", 0)
         before = clock.now_ms()
         assert not admission.acquire("normal", 50)
--- a/tests/gate/test_slots.py
+++ b/tests/gate/test_slots.py
@@ -6,7 +6,7 @@
 
 from jayswitch.clock import VirtualClock
 from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
-from jayswitch.gate.slots import WAITING_PER_SLOT, SlotQueue
+from jayswitch.gate.slots import MAX_WAITING_PER_SLOT, SlotQueue
 from jayswitch.proxy.exceptions import CallerGone
 
 
@@ -76,7 +76,7 @@
     def test_waiting_is_bounded(self) -> None:
         slots = _slots(1)
         assert slots.acquire(1, 0)
-        for _ in range(WAITING_PER_SLOT):
+        for _ in range(MAX_WAITING_PER_SLOT):
             eventlet.spawn(slots.acquire, 1, 1000)
         eventlet.sleep(0)
         assert not slots.acquire(1, 1000)
