Name the gate's request states and chunk streams plainly

Fate, ledger, Send, Stream.allowed, _heard_ms and the early and late refusals were figurative or vague. The gate now keeps a RequestStateStore of RequestState entries (request_states.py), sends through SendReply, streams chunks up to a credit_limit and checks _refusal_reason before and after the wait for a slot. The control that forgets requests patches RequestStateStore.state_of, as it patched RequestLedger.fate.

Only names change; behaviour, the values of the states and the dump's field names are the same.

--- a/src/jayswitch/gate/gate.py
+++ b/src/jayswitch/gate/gate.py
@@ -20,7 +20,6 @@
     UpstreamNotReached,
     UpstreamShed,
 )
-from jayswitch.gate.ledger import AnswerCache, Fate, KeyedAnswer, RequestLedger
 from jayswitch.gate.limiter import Limiter
 from jayswitch.gate.reasons import (
     REASON_CANCELLED,
@@ -32,6 +31,12 @@
     REASON_OUT,
     REASON_REFUSED_BEFORE,
 )
+from jayswitch.gate.request_states import (
+    AnswerCache,
+    KeyedAnswer,
+    RequestState,
+    RequestStateStore,
+)
 from jayswitch.messages.generated import Answer, Call, Cancel, Chunk, Refusal, Unknown
 
 if TYPE_CHECKING:
@@ -42,7 +47,7 @@
         UpstreamClient,
     )
 
-LONGEST_WAIT_MS = 150.0
+MAX_WAIT_MS = 150.0
 FULL_RETRY_AFTER_MS = 50
 LEAVING_RETRY_AFTER_MS = 1000
 SERVICE_TIME_WEIGHT = 0.1
@@ -52,20 +57,20 @@
 STATUS_SERVER_ERROR = 500
 
 Reply: TypeAlias = Answer | Chunk | Refusal | Unknown
-Send = Callable[[Reply], None]
+SendReply = Callable[[Reply], None]
 OutcomeListener = Callable[[Call, bool, float | None], None]
 
 logger = logging.getLogger(__name__)
 
 
-class Stream:
+class ChunkStream:
     """The later chunks of one answer and how many may be sent."""
 
-    __slots__ = ("allowed", "changed", "cancelled")
+    __slots__ = ("credit_limit", "changed", "cancelled")
 
     def __init__(self) -> None:
         """Allows the first window."""
-        self.allowed = CHUNK_WINDOW
+        self.credit_limit = CHUNK_WINDOW
         self.cancelled = False
         self.changed = Event()
 
@@ -85,7 +90,7 @@
         self.out_of_service = False
         self.draining = False
         self.counts: Counter[str] = Counter()
-        self.ledger = RequestLedger(clock)
+        self.request_states = RequestStateStore(clock)
         self.limiter = Limiter(1, warm_up_ms, clock)
         self.admission = AdmissionQueue(lambda: self.limiter.limit)
         self.on_outcome: OutcomeListener = lambda call, failed, latency_ms: None
@@ -93,9 +98,9 @@
         self._client = client
         self._warm_up_ms = warm_up_ms
         self._clock = clock
-        self._heard_ms = float("-inf")
+        self._last_announced_ms = float("-inf")
         self._service_ms = 0.0
-        self._stream_by_id: dict[str, Stream] = {}
+        self._stream_by_id: dict[str, ChunkStream] = {}
         self._task_by_id: dict[str, greenlet] = {}
 
     # The upstream's own state
@@ -103,7 +108,7 @@
     def announce(self, announcement: Announcement) -> bool:
         """Takes an announcement; tells whether it says anything new."""
         previous = self.announcement
-        self._heard_ms = self._clock.now_ms()
+        self._last_announced_ms = self._clock.now_ms()
         if announcement == previous:
             return False
         self.announcement = announcement
@@ -114,7 +119,7 @@
 
     def expire_announcement(self) -> bool:
         """Drops an upstream that is silent; tells whether it did."""
-        silent_ms = self._clock.now_ms() - self._heard_ms
+        silent_ms = self._clock.now_ms() - self._last_announced_ms
         if self.announcement is None or silent_ms <= ANNOUNCEMENT_TTL_MS:
             return False
         self.announcement = None
@@ -135,23 +140,23 @@
 
     # Calls
 
-    def handle(self, call: Call, send: Send) -> None:
+    def handle(self, call: Call, send: SendReply) -> None:
         """Runs or refuses a call; sends exactly one outcome, then any chunks.
 
         A message that arrives twice gets no second outcome, unless the first one
         was a refusal, which is repeated.
         """
-        fate = self.ledger.fate(call.id)
-        if fate is Fate.REFUSED:
+        state = self.request_states.state_of(call.id)
+        if state is RequestState.REFUSED:
             self._refuse(call, REASON_REFUSED_BEFORE, 0, send)
             return
-        if fate is not None:
+        if state is not None:
             self.counts["duplicates_dropped"] += 1
             return
-        if self.ledger.fate(call.request_id) is Fate.HANDED_OVER:
+        if self.request_states.state_of(call.request_id) is RequestState.HANDED_OVER:
             send(Unknown(id=call.id, reason="handed over in an earlier attempt"))
             return
-        reason = self._early_refusal(call)
+        reason = self._refusal_reason(call)
         if reason:
             self._refuse(call, reason, LEAVING_RETRY_AFTER_MS, send)
             return
@@ -160,27 +165,27 @@
             return
         self._admit(call, send)
 
-    def cancel(self, message: Cancel, send: Send) -> None:
+    def cancel(self, message: Cancel, send: SendReply) -> None:
         """Stops a call that nobody waits for, and says whether it was run."""
-        fate = self.ledger.fate(message.id)
+        state = self.request_states.state_of(message.id)
         self.counts["cancellations"] += 1
-        if fate is Fate.HANDED_OVER:
+        if state is RequestState.HANDED_OVER:
             task = self._task_by_id.get(message.id)
             if task is not None:
                 eventlet.kill(task)
             send(Unknown(id=message.id, reason="cancelled after it was handed over"))
             return
-        self.ledger.note(message.id, Fate.REFUSED)
+        self.request_states.record(message.id, RequestState.REFUSED)
         send(Refusal(id=message.id, reason=REASON_CANCELLED))
 
     def credit(self, call_id: str, up_to: int) -> None:
         """Allows chunks of an answer up to a sequence number."""
         stream = self._stream_by_id.get(call_id)
-        if stream is not None and up_to > stream.allowed:
-            stream.allowed = up_to
+        if stream is not None and up_to > stream.credit_limit:
+            stream.credit_limit = up_to
             stream.wake()
 
-    def _early_refusal(self, call: Call) -> str:
+    def _refusal_reason(self, call: Call) -> str:
         announced = self.announcement
         if announced is None:
             return REASON_NO_UPSTREAM
@@ -192,7 +197,7 @@
             return REASON_OTHER_VERSION
         return ""
 
-    def _handle_keyed(self, call: Call, send: Send) -> None:
+    def _handle_keyed(self, call: Call, send: SendReply) -> None:
         item = self._answers.find(call.key)
         if item is None:
             self._admit(call, send, self._answers.begin(call.key))
@@ -207,13 +212,15 @@
         else:
             send(Unknown(id=call.id, reason="the first request's outcome is unknown"))
 
-    def _admit(self, call: Call, send: Send, keyed: KeyedAnswer | None = None) -> None:
+    def _admit(
+        self, call: Call, send: SendReply, keyed: KeyedAnswer | None = None
+    ) -> None:
         arrived_ms = self._clock.now_ms()
-        self.ledger.note(call.id, Fate.WAITING)
-        wait_ms = min(LONGEST_WAIT_MS, call.remaining_ms - self._service_ms)
+        self.request_states.record(call.id, RequestState.WAITING)
+        wait_ms = min(MAX_WAIT_MS, call.remaining_ms - self._service_ms)
         admitted = self.admission.acquire(call.priority, wait_ms)
         waited_ms = self._clock.now_ms() - arrived_ms
-        reason = self._late_refusal(call, admitted, waited_ms)
+        reason = self._refusal_reason_after_wait(call, admitted, waited_ms)
         if reason:
             if admitted:
                 self.admission.release(call.priority)
@@ -230,48 +237,54 @@
             if keyed is not None and not keyed.done.ready():
                 self._answers.finish(keyed, None)
 
-    def _late_refusal(self, call: Call, admitted: bool, waited_ms: float) -> str:
-        if self.ledger.fate(call.id) is Fate.REFUSED:
+    def _refusal_reason_after_wait(
+        self, call: Call, admitted: bool, waited_ms: float
+    ) -> str:
+        if self.request_states.state_of(call.id) is RequestState.REFUSED:
             return REASON_CANCELLED
         if not admitted:
             return REASON_FULL
         if call.remaining_ms - waited_ms <= self._service_ms:
             return REASON_DEADLINE
-        return self._early_refusal(call)
+        return self._refusal_reason(call)
 
     def _run(
-        self, call: Call, remaining_ms: float, send: Send, keyed: KeyedAnswer | None
+        self,
+        call: Call,
+        remaining_ms: float,
+        send: SendReply,
+        keyed: KeyedAnswer | None,
     ) -> None:
         announced = self.announcement
         assert announced is not None
-        self.ledger.note(call.id, Fate.HANDED_OVER)
+        self.request_states.record(call.id, RequestState.HANDED_OVER)
         if not call.idempotent:
-            self.ledger.note(call.request_id, Fate.HANDED_OVER)
+            self.request_states.record(call.request_id, RequestState.HANDED_OVER)
         self.counts["handed_over"] += 1
-        warming = self.limiter.is_warming
+        warming_up = self.limiter.is_warming_up
         started_ms = self._clock.now_ms()
         try:
             result = self._client.run(announced.address, call, remaining_ms)
         except GreenletExit:
             self._client.cancel(announced.address, call)
-            self._note_failure(call, UpstreamBroke("cancelled"))
+            self._record_failure(call, UpstreamBroke("cancelled"))
             raise
         latency_ms = self._clock.now_ms() - started_ms
         match result:
             case Success(answer):
-                self._note_answer(call, answer, latency_ms, warming)
+                self._record_answer(call, answer, latency_ms, warming_up)
                 self._send_answer(call, answer, send, keyed)
             case Failure(error):
-                self._note_failure(call, error)
+                self._record_failure(call, error)
                 self._send_failure(call, error, send, keyed)
 
     # Outcomes
 
-    def _note_answer(
-        self, call: Call, answer: UpstreamAnswer, latency_ms: float, warming: bool
+    def _record_answer(
+        self, call: Call, answer: UpstreamAnswer, latency_ms: float, warming_up: bool
     ) -> None:
         failed = answer.status >= STATUS_SERVER_ERROR
-        self.on_outcome(call, failed, None if warming else latency_ms)
+        self.on_outcome(call, failed, None if warming_up else latency_ms)
         self.limiter.on_status(failed)
         if failed:
             self.counts["upstream_errors"] += 1
@@ -279,7 +292,7 @@
         self._service_ms += (latency_ms - self._service_ms) * SERVICE_TIME_WEIGHT
         self.limiter.on_success(call.route, latency_ms, self.admission.in_flight)
 
-    def _note_failure(self, call: Call, error: UpstreamFailure) -> None:
+    def _record_failure(self, call: Call, error: UpstreamFailure) -> None:
         self.counts[error.code] += 1
         self.limiter.on_overload()
         if isinstance(error, UpstreamBroke):
@@ -289,7 +302,7 @@
         self,
         call: Call,
         error: UpstreamFailure,
-        send: Send,
+        send: SendReply,
         keyed: KeyedAnswer | None,
     ) -> None:
         if isinstance(error, UpstreamShed | UpstreamNotReached):
@@ -303,7 +316,7 @@
         self,
         call: Call,
         answer: UpstreamAnswer,
-        send: Send,
+        send: SendReply,
         keyed: KeyedAnswer | None,
     ) -> None:
         message = Answer(
@@ -322,7 +335,7 @@
         if answer.rest is None:
             send(message)
             return
-        stream = self._stream_by_id[call.id] = Stream()
+        stream = self._stream_by_id[call.id] = ChunkStream()
         send(message)
         try:
             self._send_chunks(call, answer, stream, send)
@@ -330,7 +343,7 @@
             del self._stream_by_id[call.id]
 
     def _send_chunks(
-        self, call: Call, answer: UpstreamAnswer, stream: Stream, send: Send
+        self, call: Call, answer: UpstreamAnswer, stream: ChunkStream, send: SendReply
     ) -> None:
         assert answer.rest is not None
         seq = 0
@@ -346,9 +359,9 @@
             return
         send(Chunk(id=call.id, seq=seq, data=b"", last=True))
 
-    def _wait_for_credit(self, stream: Stream, seq: int) -> bool:
+    def _wait_for_credit(self, stream: ChunkStream, seq: int) -> bool:
         until_ms = self._clock.now_ms() + CHUNK_IDLE_TIMEOUT_MS
-        while seq >= stream.allowed and not stream.cancelled:
+        while seq >= stream.credit_limit and not stream.cancelled:
             left_ms = until_ms - self._clock.now_ms()
             if left_ms <= 0:
                 return False
@@ -356,9 +369,11 @@
                 stream.changed.wait()
         return not stream.cancelled
 
-    def _refuse(self, call: Call, reason: str, retry_after_ms: int, send: Send) -> None:
+    def _refuse(
+        self, call: Call, reason: str, retry_after_ms: int, send: SendReply
+    ) -> None:
         self.counts["refused"] += 1
-        self.ledger.note(call.id, Fate.REFUSED)
+        self.request_states.record(call.id, RequestState.REFUSED)
         refusal = Refusal(
             id=call.id,
             reason=reason,
--- a/src/jayswitch/gate/limiter.py
+++ b/src/jayswitch/gate/limiter.py
@@ -83,7 +83,7 @@
         return max(1, int(min(self._limit, self._ceiling())))
 
     @property
-    def is_warming(self) -> bool:
+    def is_warming_up(self) -> bool:
         """Tells whether the warm-up time since the last cold start still runs."""
         return self._ceiling() < self._slots
 
--- a/src/jayswitch/gate/ledger.py
+++ b/src/jayswitch/gate/request_states.py
@@ -12,11 +12,11 @@
     from jayswitch.clock import Clock
     from jayswitch.messages.generated import Answer
 
-REQUEST_KEPT_MS = 120_000.0
-ANSWERS_KEPT_BYTES = 4 * 1024 * 1024
+RETENTION_MS = 120_000.0
+MAX_CACHED_ANSWER_BYTES = 4 * 1024 * 1024
 
 
-class Fate(Enum):
+class RequestState(Enum):
     """What has become of a request at this gate."""
 
     WAITING = "waiting"
@@ -24,56 +24,56 @@
     REFUSED = "refused"
 
 
-class LedgerItem:
-    """The fate of one request; a refused one is never handed over later."""
+class RequestStateEntry:
+    """The state of one request; a refused one is never handed over later."""
 
-    __slots__ = ("fate", "noted_ms")
+    __slots__ = ("state", "recorded_ms")
 
-    def __init__(self, fate: Fate, noted_ms: float) -> None:
-        """Takes the fate and the time it was noted."""
-        self.fate = fate
-        self.noted_ms = noted_ms
+    def __init__(self, state: RequestState, recorded_ms: float) -> None:
+        """Takes the state and the time it was noted."""
+        self.state = state
+        self.recorded_ms = recorded_ms
 
 
-class RequestLedger:
+class RequestStateStore:
     """Remembers requests for two minutes, by request id."""
 
     def __init__(self, clock: Clock) -> None:
         """Starts empty."""
         self._clock = clock
-        self._item_by_id: OrderedDict[str, LedgerItem] = OrderedDict()
+        self._entry_by_id: OrderedDict[str, RequestStateEntry] = OrderedDict()
 
-    def fate(self, request_id: str) -> Fate | None:
-        """Returns the request's fate; None for one never seen."""
-        item = self._item_by_id.get(request_id)
-        return item.fate if item is not None else None
+    def state_of(self, request_id: str) -> RequestState | None:
+        """Returns the request's state; None for one never seen."""
+        item = self._entry_by_id.get(request_id)
+        return item.state if item is not None else None
 
-    def note(self, request_id: str, fate: Fate) -> None:
-        """Stores the fate and forgets requests of long ago."""
+    def record(self, request_id: str, state: RequestState) -> None:
+        """Stores the state and forgets requests of long ago."""
         now_ms = self._clock.now_ms()
-        self._item_by_id.pop(request_id, None)
-        self._item_by_id[request_id] = LedgerItem(fate, now_ms)
-        while self._item_by_id:
-            oldest_id = next(iter(self._item_by_id))
-            if now_ms - self._item_by_id[oldest_id].noted_ms <= REQUEST_KEPT_MS:
+        self._entry_by_id.pop(request_id, None)
+        self._entry_by_id[request_id] = RequestStateEntry(state, now_ms)
+        while self._entry_by_id:
+            oldest_id = next(iter(self._entry_by_id))
+            if now_ms - self._entry_by_id[oldest_id].recorded_ms <= RETENTION_MS:
                 return
-            del self._item_by_id[oldest_id]
+            del self._entry_by_id[oldest_id]
 
     def __len__(self) -> int:
         """Returns how many requests are remembered."""
-        return len(self._item_by_id)
+        return len(self._entry_by_id)
 
 
 class KeyedAnswer:
     """The answer to a request with an idempotency key, once it is there."""
 
-    __slots__ = ("answer", "done", "noted_ms")
+    __slots__ = ("answer", "done", "recorded_ms")
 
-    def __init__(self, noted_ms: float) -> None:
+    def __init__(self, recorded_ms: float) -> None:
         """Starts without an answer."""
         self.answer: Answer | None = None
         self.done = Event()
-        self.noted_ms = noted_ms
+        self.recorded_ms = recorded_ms
 
 
 class AnswerCache:
@@ -111,19 +111,19 @@
         item.done.send(None)
 
     def _expire(self) -> None:
-        before_ms = self._clock.now_ms() - REQUEST_KEPT_MS
+        before_ms = self._clock.now_ms() - RETENTION_MS
         while self._item_by_key:
             key, item = next(iter(self._item_by_key.items()))
-            if item.noted_ms >= before_ms:
+            if item.recorded_ms >= before_ms:
                 break
-            self._drop_answer(item)
+            self._evict_answer(item)
             del self._item_by_key[key]
         for item in self._item_by_key.values():
-            if self._bytes <= ANSWERS_KEPT_BYTES:
+            if self._bytes <= MAX_CACHED_ANSWER_BYTES:
                 return
-            self._drop_answer(item)
+            self._evict_answer(item)
 
-    def _drop_answer(self, item: KeyedAnswer) -> None:
+    def _evict_answer(self, item: KeyedAnswer) -> None:
         """Frees an answer; that its request was run is still remembered."""
         if item.answer is not None:
             self._bytes -= len(item.answer.body)
--- a/src/jayswitch/node/dump.py
+++ b/src/jayswitch/node/dump.py
@@ -72,7 +72,7 @@
             in_flight=gate.admission.in_flight,
             waiting=gate.admission.waiting,
             cold_starts=gate.limiter.cold_starts,
-            remembered_requests=len(gate.ledger),
+            remembered_requests=len(gate.request_states),
             counts=dict(gate.counts),
         )
 
--- a/src/jayswitch/node/node.py
+++ b/src/jayswitch/node/node.py
@@ -33,7 +33,7 @@
 
 if TYPE_CHECKING:
     from jayswitch.config.state import ConfigState
-    from jayswitch.gate.gate import Reply, Send
+    from jayswitch.gate.gate import Reply, SendReply
     from jayswitch.gate.upstream import Announcement
     from jayswitch.messages.codec import AnyMessage
     from jayswitch.messages.generated import Record
@@ -175,7 +175,7 @@
     def _(self, message: Credit) -> None:
         self.parts.gate.credit(message.id, message.up_to)
 
-    def _sender(self, address: str) -> Send:
+    def _sender(self, address: str) -> SendReply:
         def send(message: Reply) -> None:
             if not self.parts.data.send(address, message, REPLY_TIMEOUT_MS):
                 self.parts.gate.counts["replies_unsent"] += 1
--- a/tests/scenarios/test_controls.py
+++ b/tests/scenarios/test_controls.py
@@ -13,8 +13,8 @@
 
 from jayswitch.config.replica import ConfigReplica
 from jayswitch.gate.gate import Gate
-from jayswitch.gate.ledger import RequestLedger
 from jayswitch.gate.limiter import Limiter
+from jayswitch.gate.request_states import RequestStateStore
 from jayswitch.gate.upstream import Announcement
 from jayswitch.membership.link import Link
 from jayswitch.node.node import Node
@@ -192,7 +192,7 @@
 
 def forget_requests(patch: pytest.MonkeyPatch) -> None:
     """The gate remembers no request."""
-    patch.setattr(RequestLedger, "fate", lambda self, request_id: None)
+    patch.setattr(RequestStateStore, "state_of", lambda self, request_id: None)
 
 
 def retry_everything(patch: pytest.MonkeyPatch) -> None:
