Name the concurrency limiter for what it limits

Limiter stood beside a second limiter, of the cold start rate, and its names spoke of shrinking and pausing. It is ConcurrencyLimiter in concurrency_limiter.py, with DECREASE_FACTOR, MIN_DECREASE_INTERVAL_MS and restart_ramp.

Only names change; behaviour is the same.

--- a/src/jayswitch/gate/limiter.py
+++ b/src/jayswitch/gate/concurrency_limiter.py
@@ -9,8 +9,8 @@
 
 COLD_SHARE = 0.1
 GROWTH_PER_SUCCESS = 1.0
-OVERLOAD_FACTOR = 0.6
-OVERLOAD_PAUSE_MS = 200.0
+DECREASE_FACTOR = 0.6
+MIN_DECREASE_INTERVAL_MS = 200.0
 ERROR_WEIGHT = 0.1
 ERROR_SHARE = 0.3
 SLOW_RATIO = 2.0
@@ -45,7 +45,7 @@
         return False
 
 
-class Limiter:
+class ConcurrencyLimiter:
     """A concurrency limit that ramps up a cold upstream and backs off at overload.
 
     The limit grows only with successes, and no faster than the warm-up time
@@ -60,7 +60,7 @@
         "_limit",
         "_ramp_from",
         "_ramp_started_ms",
-        "_shrunk_ms",
+        "_last_decrease_ms",
         "_slots",
         "_warm_up_ms",
         "cold_starts",
@@ -73,9 +73,9 @@
         self._slots = max(1, slots)
         self._warm_up_ms = warm_up_ms
         self._latency_by_route: dict[str, RouteLatency] = {}
-        self._shrunk_ms = float("-inf")
+        self._last_decrease_ms = float("-inf")
         self._error_share = 0.0
-        self.start_cold()
+        self.restart_ramp()
 
     @property
     def limit(self) -> int:
@@ -92,7 +92,7 @@
         """Tells whether the limit is still below the slots."""
         return self.limit < self._slots
 
-    def start_cold(self) -> None:
+    def restart_ramp(self) -> None:
         """Restarts the ramp from the least load."""
         self.cold_starts += 1
         self._limit = max(1.0, COLD_SHARE * self._slots)
@@ -105,7 +105,7 @@
         if latency.is_slow(latency_ms):
             latency.slow_in_row = 0
             if not self.is_ramping:
-                self.start_cold()
+                self.restart_ramp()
             else:
                 self.on_overload()
             return
@@ -122,10 +122,10 @@
     def on_overload(self) -> None:
         """Shrinks the limit after a shed, a failure or a timeout."""
         now_ms = self._clock.now_ms()
-        if now_ms - self._shrunk_ms < OVERLOAD_PAUSE_MS:
+        if now_ms - self._last_decrease_ms < MIN_DECREASE_INTERVAL_MS:
             return
-        self._shrunk_ms = now_ms
-        self._limit = max(1.0, min(self._limit, self.limit) * OVERLOAD_FACTOR)
+        self._last_decrease_ms = now_ms
+        self._limit = max(1.0, min(self._limit, self.limit) * DECREASE_FACTOR)
         self._ramp_from = self._limit
         self._ramp_started_ms = now_ms
 
--- a/src/jayswitch/gate/gate.py
+++ b/src/jayswitch/gate/gate.py
@@ -14,13 +14,13 @@
 
 from jayswitch.clock import MS_PER_S
 from jayswitch.gate.admission import AdmissionQueue
+from jayswitch.gate.concurrency_limiter import ConcurrencyLimiter
 from jayswitch.gate.exceptions import (
     UpstreamBroke,
     UpstreamFailure,
     UpstreamNotReached,
     UpstreamShed,
 )
-from jayswitch.gate.limiter import Limiter
 from jayswitch.gate.reasons import (
     REASON_CANCELLED,
     REASON_DEADLINE,
@@ -91,7 +91,7 @@
         self.draining = False
         self.counts: Counter[str] = Counter()
         self.request_states = RequestStateStore(clock)
-        self.limiter = Limiter(1, warm_up_ms, clock)
+        self.limiter = ConcurrencyLimiter(1, warm_up_ms, clock)
         self.admission = AdmissionQueue(lambda: self.limiter.limit)
         self.on_outcome: OutcomeListener = lambda call, failed, latency_ms: None
         self._answers = AnswerCache(clock)
@@ -114,7 +114,9 @@
         self.announcement = announcement
         if previous is None or _identity(previous) != _identity(announcement):
             self.announced_since_ms = self._clock.wall_ms()
-            self.limiter = Limiter(announcement.slots, self._warm_up_ms, self._clock)
+            self.limiter = ConcurrencyLimiter(
+                announcement.slots, self._warm_up_ms, self._clock
+            )
         return True
 
     def expire_announcement(self) -> bool:
@@ -129,7 +131,7 @@
     def set_out_of_service(self, out: bool) -> None:
         """Follows the data centre; coming back into service starts a new ramp."""
         if self.out_of_service and not out:
-            self.limiter.start_cold()
+            self.limiter.restart_ramp()
         self.out_of_service = out
 
     @property
--- a/tests/gate/test_admission.py
+++ b/tests/gate/test_admission.py
@@ -6,7 +6,7 @@
 
 from jayswitch.clock import VirtualClock
 from jayswitch.gate.admission import AdmissionQueue
-from jayswitch.gate.limiter import Limiter
+from jayswitch.gate.concurrency_limiter import ConcurrencyLimiter
 
 
 class TestAdmissionQueue:
@@ -63,22 +63,24 @@
         assert admission.waiting == 0
 
 
-class TestLimiter:
+class TestConcurrencyLimiter:
     """The limit follows what the upstream has borne."""
 
-    def succeed(self, limiter: Limiter, count: int, latency_ms: float = 5.0) -> None:
+    def succeed(
+        self, limiter: ConcurrencyLimiter, count: int, latency_ms: float = 5.0
+    ) -> None:
         """Reports answers at full use of the limit."""
         for _ in range(count):
             limiter.on_success("read", latency_ms, limiter.limit)
 
     def test_cold_upstream_starts_with_little(self) -> None:
-        limiter = Limiter(20, 10_000, VirtualClock())
+        limiter = ConcurrencyLimiter(20, 10_000, VirtualClock())
         self.succeed(limiter, 500)
         assert limiter.limit <= 2
 
     def test_limit_reaches_the_slots_after_the_warm_up_time(self) -> None:
         clock = VirtualClock()
-        limiter = Limiter(20, 10_000, clock)
+        limiter = ConcurrencyLimiter(20, 10_000, clock)
         for _ in range(100):
             clock.sleep_ms(110)
             self.succeed(limiter, 20)
@@ -86,7 +88,7 @@
 
     def test_overload_shrinks_the_limit(self) -> None:
         clock = VirtualClock()
-        limiter = Limiter(20, 0, clock)
+        limiter = ConcurrencyLimiter(20, 0, clock)
         self.succeed(limiter, 2000)
         assert limiter.limit == 20
         limiter.on_overload()
@@ -94,7 +96,7 @@
 
     def test_run_of_slow_answers_restarts_the_ramp(self) -> None:
         clock = VirtualClock()
-        limiter = Limiter(20, 1000, clock)
+        limiter = ConcurrencyLimiter(20, 1000, clock)
         for _ in range(40):
             clock.sleep_ms(100)
             self.succeed(limiter, 30)
--- a/tests/scenarios/test_controls.py
+++ b/tests/scenarios/test_controls.py
@@ -12,8 +12,8 @@
 import pytest
 
 from jayswitch.config.replica import ConfigReplica
+from jayswitch.gate.concurrency_limiter import ConcurrencyLimiter
 from jayswitch.gate.gate import Gate
-from jayswitch.gate.limiter import Limiter
 from jayswitch.gate.request_states import RequestStateStore
 from jayswitch.gate.upstream import Announcement
 from jayswitch.membership.link import Link
@@ -224,7 +224,7 @@
 
 def no_ramp(patch: pytest.MonkeyPatch) -> None:
     """The gate admits as many calls as the upstream has slots."""
-    patch.setattr(Limiter, "limit", property(lambda self: self._slots))
+    patch.setattr(ConcurrencyLimiter, "limit", property(lambda self: self._slots))
 
 
 def no_judge(patch: pytest.MonkeyPatch) -> None:
