Name heartbeat handling at the local upstream plainly

hear, told, verdict and leave spoke of heartbeats as of a conversation. LocalUpstream now has handle_heartbeat and deregister, returns a HeartbeatResult and compares _last_heartbeat_ms with _heartbeat_timeout_ms.

Only names change; behaviour and the values of the results are the same.

--- a/src/jayswitch/gate/local_upstream.py
+++ b/src/jayswitch/gate/local_upstream.py
@@ -27,7 +27,7 @@
     cold_left_ms: float
 
 
-class HeartbeatVerdict(Enum):
+class HeartbeatResult(Enum):
     """What became of a heartbeat."""
 
     CHANGED = "changed"
@@ -49,10 +49,10 @@
         """Takes the service that this VM hosts and where cold times are noted."""
         self.current: Upstream | None = None
         self._service = service
-        self._silence_ms = MISSED_HEARTBEATS * heartbeat_ms
+        self._heartbeat_timeout_ms = MISSED_HEARTBEATS * heartbeat_ms
         self._clock = clock
         self._on_cold = on_cold
-        self._heard_ms = float("-inf")
+        self._last_heartbeat_ms = float("-inf")
 
     def restore(self, upstream: Upstream) -> None:
         """Takes the last state that an earlier process stored.
@@ -65,8 +65,8 @@
 
     def confirm(self) -> None:
         """Notes that the restored upstream has said itself that it takes calls."""
-        if self._heard_ms == float("-inf"):
-            self._heard_ms = self._clock.now_ms()
+        if self._last_heartbeat_ms == float("-inf"):
+            self._last_heartbeat_ms = self._clock.now_ms()
 
     @property
     def usable(self) -> Upstream | None:
@@ -74,35 +74,35 @@
         current = self.current
         if current is None or current.state is not UpstreamState.READY:
             return None
-        if self._clock.now_ms() - self._heard_ms > self._silence_ms:
+        if self._clock.now_ms() - self._last_heartbeat_ms > self._heartbeat_timeout_ms:
             return None
         return current
 
-    def hear(self, heartbeat: Heartbeat) -> HeartbeatVerdict:
+    def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatResult:
         """Takes a heartbeat; late ones and those of earlier incarnations are void."""
-        told = heartbeat.upstream
+        reported = heartbeat.upstream
         current = self.current
-        if told.service != self._service:
-            return HeartbeatVerdict.FOREIGN
-        if current is not None and current.same_incarnation(told):
-            return self._hear_same(current, heartbeat)
-        if current is not None and told.started_ms < current.started_ms:
-            return HeartbeatVerdict.STALE
-        self.current = told
-        self._heard(heartbeat)
+        if reported.service != self._service:
+            return HeartbeatResult.FOREIGN
+        if current is not None and current.same_incarnation(reported):
+            return self._handle_same_incarnation(current, heartbeat)
+        if current is not None and reported.started_ms < current.started_ms:
+            return HeartbeatResult.STALE
+        self.current = reported
+        self._record_heartbeat(heartbeat)
         logger.info(
             "upstream started",
             extra={
-                "upstream": told.id,
-                "version": told.version,
-                "state": told.state.value,
-                "started_ms": told.started_ms,
+                "upstream": reported.id,
+                "version": reported.version,
+                "state": reported.state.value,
+                "started_ms": reported.started_ms,
                 "cold_left_ms": heartbeat.cold_left_ms,
             },
         )
-        return HeartbeatVerdict.CHANGED
+        return HeartbeatResult.CHANGED
 
-    def leave(self, upstream_id: str) -> bool:
+    def deregister(self, upstream_id: str) -> bool:
         """Notes that an upstream says it ends; tells whether it is the current one."""
         current = self.current
         if current is None or current.id != upstream_id:
@@ -112,24 +112,26 @@
             logger.info("upstream deregistered", extra={"upstream": upstream_id})
         return True
 
-    def _hear_same(self, current: Upstream, heartbeat: Heartbeat) -> HeartbeatVerdict:
-        told = heartbeat.upstream
-        if told.sequence <= current.sequence:
+    def _handle_same_incarnation(
+        self, current: Upstream, heartbeat: Heartbeat
+    ) -> HeartbeatResult:
+        reported = heartbeat.upstream
+        if reported.sequence <= current.sequence:
             # A heartbeat that is sent again is answered like the first one.
-            return HeartbeatVerdict.STALE
-        first = self._heard_ms == float("-inf")
-        self._heard(heartbeat)
+            return HeartbeatResult.STALE
+        first = self._last_heartbeat_ms == float("-inf")
+        self._record_heartbeat(heartbeat)
         left = current.state is not UpstreamState.READY
-        state = current.state if left else told.state
-        self.current = msgspec.structs.replace(told, state=state)
-        same = state is current.state and told.version == current.version
+        state = current.state if left else reported.state
+        self.current = msgspec.structs.replace(reported, state=state)
+        same = state is current.state and reported.version == current.version
         if same and not first:
-            return HeartbeatVerdict.KNOWN
+            return HeartbeatResult.KNOWN
         logger.info(
-            "upstream changed", extra={"upstream": told.id, "state": state.value}
+            "upstream changed", extra={"upstream": reported.id, "state": state.value}
         )
-        return HeartbeatVerdict.CHANGED
+        return HeartbeatResult.CHANGED
 
-    def _heard(self, heartbeat: Heartbeat) -> None:
-        self._heard_ms = self._clock.now_ms()
+    def _record_heartbeat(self, heartbeat: Heartbeat) -> None:
+        self._last_heartbeat_ms = self._clock.now_ms()
         self._on_cold(heartbeat.cold_left_ms)
--- a/src/jayswitch/model/fleet.py
+++ b/src/jayswitch/model/fleet.py
@@ -157,7 +157,7 @@
             name, 0, group.service, VERSION, group.slots, UpstreamState.READY
         )
         cold_ms = group.cold_s * MS_PER_S
-        local.hear(Heartbeat(upstream, cold_ms))
+        local.handle_heartbeat(Heartbeat(upstream, cold_ms))
         gate.set_service(
             Service(group.service, "/health", 0, cold_ms, group.cold_calls_per_s)
         )
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -28,7 +28,7 @@
     UpstreamState,
 )
 from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
-from jayswitch.gate.local_upstream import Heartbeat, HeartbeatVerdict, LocalUpstream
+from jayswitch.gate.local_upstream import Heartbeat, HeartbeatResult, LocalUpstream
 from jayswitch.gate.upstream_gate import ColdRateAllowance, UpstreamGate
 from jayswitch.http.reasons import status_line
 from jayswitch.http.server import HttpServer
@@ -306,8 +306,8 @@
         if not self.publisher.restored:
             return False
         previous = self.local.current
-        verdict = self.local.hear(heartbeat)
-        if verdict is HeartbeatVerdict.CHANGED:
+        verdict = self.local.handle_heartbeat(heartbeat)
+        if verdict is HeartbeatResult.CHANGED:
             current = self.local.current
             assert current is not None
             if previous is None or not previous.same_incarnation(current):
@@ -316,7 +316,7 @@
             self.publisher.publish()
         self.gate.resize()
         if heartbeat.upstream.state is UpstreamState.READY:
-            return verdict is not HeartbeatVerdict.FOREIGN
+            return verdict is not HeartbeatResult.FOREIGN
         return self._acknowledge(heartbeat.upstream.id)
 
     def leave(self, upstream_id: str, started_ms: int) -> bool:
@@ -326,7 +326,7 @@
         current = self.local.current
         if current is not None and started_ms and started_ms < current.started_ms:
             return True
-        if self.local.leave(upstream_id):
+        if self.local.deregister(upstream_id):
             self.publisher.publish()
         return self._acknowledge(upstream_id)
 
--- a/tests/gate/test_local_upstream.py
+++ b/tests/gate/test_local_upstream.py
@@ -6,7 +6,7 @@
 
 from jayswitch.clock import VirtualClock
 from jayswitch.fleet.records import Upstream, UpstreamState
-from jayswitch.gate.local_upstream import Heartbeat, HeartbeatVerdict, LocalUpstream
+from jayswitch.gate.local_upstream import Heartbeat, HeartbeatResult, LocalUpstream
 
 HEARTBEAT_MS = 1000.0
 
@@ -28,61 +28,66 @@
         cold: list[float] = []
         local = _local(VirtualClock(), cold)
         assert local.usable is None
-        verdict = local.hear(Heartbeat(_upstream(), 1500))
-        assert verdict is HeartbeatVerdict.CHANGED
+        result = local.handle_heartbeat(Heartbeat(_upstream(), 1500))
+        assert result is HeartbeatResult.CHANGED
         assert local.usable is not None
         assert cold == [1500]
 
     def test_leaving_is_not_undone_by_a_late_heartbeat(self) -> None:
         local = _local(VirtualClock())
-        local.hear(Heartbeat(_upstream(5, state=UpstreamState.LEAVING), 0))
-        assert local.hear(Heartbeat(_upstream(4), 0)) is HeartbeatVerdict.STALE
-        local.hear(Heartbeat(_upstream(6), 0))
+        local.handle_heartbeat(Heartbeat(_upstream(5, state=UpstreamState.LEAVING), 0))
+        assert (
+            local.handle_heartbeat(Heartbeat(_upstream(4), 0)) is HeartbeatResult.STALE
+        )
+        local.handle_heartbeat(Heartbeat(_upstream(6), 0))
         assert local.usable is None
 
     def test_earlier_incarnation_changes_nothing(self) -> None:
         local = _local(VirtualClock())
-        local.hear(Heartbeat(_upstream(1, id="i-2", started_ms=2000), 0))
+        local.handle_heartbeat(Heartbeat(_upstream(1, id="i-2", started_ms=2000), 0))
         late = _upstream(90, state=UpstreamState.LEAVING)
-        assert local.hear(Heartbeat(late, 0)) is HeartbeatVerdict.STALE
+        assert local.handle_heartbeat(Heartbeat(late, 0)) is HeartbeatResult.STALE
         assert local.usable is not None and local.usable.id == "i-2"
 
     def test_same_id_with_a_later_start_is_new(self) -> None:
         local = _local(VirtualClock())
-        local.hear(Heartbeat(_upstream(50, state=UpstreamState.LEAVING), 0))
-        verdict = local.hear(Heartbeat(_upstream(1, started_ms=2000), 3000))
-        assert verdict is HeartbeatVerdict.CHANGED
+        local.handle_heartbeat(Heartbeat(_upstream(50, state=UpstreamState.LEAVING), 0))
+        result = local.handle_heartbeat(Heartbeat(_upstream(1, started_ms=2000), 3000))
+        assert result is HeartbeatResult.CHANGED
         assert local.usable is not None
 
     def test_other_service_is_foreign(self) -> None:
         local = _local(VirtualClock())
-        verdict = local.hear(Heartbeat(_upstream(service="robotdesk"), 0))
-        assert verdict is HeartbeatVerdict.FOREIGN
+        result = local.handle_heartbeat(Heartbeat(_upstream(service="robotdesk"), 0))
+        assert result is HeartbeatResult.FOREIGN
         assert local.usable is None
 
     def test_silent_upstream_takes_nothing_new(self) -> None:
         clock = VirtualClock()
         local = _local(clock)
-        local.hear(Heartbeat(_upstream(), 0))
+        local.handle_heartbeat(Heartbeat(_upstream(), 0))
         clock.sleep_ms(10 * HEARTBEAT_MS)
         assert local.usable is None
 
     def test_deregistered_upstream_takes_nothing_new(self) -> None:
         local = _local(VirtualClock())
-        local.hear(Heartbeat(_upstream(), 0))
-        assert local.leave("i-1")
+        local.handle_heartbeat(Heartbeat(_upstream(), 0))
+        assert local.deregister("i-1")
         assert local.usable is None
-        assert not local.leave("i-9")
+        assert not local.deregister("i-9")
 
     def test_restored_state_needs_a_heartbeat_and_guards_against_old_ones(self) -> None:
         local = _local(VirtualClock())
         local.restore(_upstream(7, state=UpstreamState.LEAVING))
-        local.hear(Heartbeat(_upstream(8), 0))
+        local.handle_heartbeat(Heartbeat(_upstream(8), 0))
         assert local.usable is None
 
     def test_first_heartbeat_after_a_restart_is_news(self) -> None:
         local = _local(VirtualClock())
         local.restore(_upstream(7))
         assert local.usable is None
-        assert local.hear(Heartbeat(_upstream(8), 0)) is HeartbeatVerdict.CHANGED
+        assert (
+            local.handle_heartbeat(Heartbeat(_upstream(8), 0))
+            is HeartbeatResult.CHANGED
+        )
         assert local.usable is not None
