Name upstream failures and the upstream gate's steps plainly

UpstreamBroke, UpstreamNotReached, may_run, _take_answer, _broken and _closer were vague or figurative, and LONGEST and SHORTEST constants did not read as bounds. The failures are IncompleteUpstreamAnswer and UpstreamUnreachable; their codes, which leave the process, stay.

Only names change; behaviour is the same.

--- a/src/jayswitch/gate/exceptions.py
+++ b/src/jayswitch/gate/exceptions.py
@@ -12,7 +12,7 @@
     status = 502
 
 
-class UpstreamNotReached(UpstreamFailure):
+class UpstreamUnreachable(UpstreamFailure):
     """No connection to the upstream could be opened; nothing was sent."""
 
     code = "upstream-not-reached"
@@ -39,7 +39,7 @@
         )
 
 
-class UpstreamBroke(UpstreamFailure):
+class IncompleteUpstreamAnswer(UpstreamFailure):
     """The request was handed over and no complete answer came."""
 
     code = "upstream-broke"
--- a/src/jayswitch/gate/gate.py
+++ b/src/jayswitch/gate/gate.py
@@ -16,10 +16,10 @@
 from jayswitch.gate.admission import AdmissionQueue
 from jayswitch.gate.concurrency_limiter import ConcurrencyLimiter
 from jayswitch.gate.exceptions import (
-    UpstreamBroke,
+    IncompleteUpstreamAnswer,
     UpstreamFailure,
-    UpstreamNotReached,
     UpstreamShed,
+    UpstreamUnreachable,
 )
 from jayswitch.gate.reasons import (
     REASON_CANCELLED,
@@ -269,7 +269,7 @@
             result = self._client.run(announced.address, call, remaining_ms)
         except GreenletExit:
             self._client.cancel(announced.address, call)
-            self._record_failure(call, UpstreamBroke("cancelled"))
+            self._record_failure(call, IncompleteUpstreamAnswer("cancelled"))
             raise
         latency_ms = self._clock.now_ms() - started_ms
         match result:
@@ -297,7 +297,7 @@
     def _record_failure(self, call: Call, error: UpstreamFailure) -> None:
         self.counts[error.code] += 1
         self.limiter.on_overload()
-        if isinstance(error, UpstreamBroke):
+        if isinstance(error, IncompleteUpstreamAnswer):
             self.on_outcome(call, True, None)
 
     def _send_failure(
@@ -307,7 +307,7 @@
         send: SendReply,
         keyed: KeyedAnswer | None,
     ) -> None:
-        if isinstance(error, UpstreamShed | UpstreamNotReached):
+        if isinstance(error, UpstreamShed | UpstreamUnreachable):
             if keyed is not None:
                 self._answers.abandon(call.key, keyed)
             self._refuse(call, error.code, FULL_RETRY_AFTER_MS, send)
@@ -352,10 +352,10 @@
         try:
             for data in answer.rest:
                 if not self._wait_for_credit(stream, seq):
-                    raise UpstreamBroke("the entry node stopped reading")
+                    raise IncompleteUpstreamAnswer("the entry node stopped reading")
                 send(Chunk(id=call.id, seq=seq, data=data))
                 seq += 1
-        except UpstreamBroke as error:
+        except IncompleteUpstreamAnswer as error:
             self.counts["answers_cut"] += 1
             send(Chunk(id=call.id, seq=seq, data=b"", failed=error.cause))
             return
--- a/src/jayswitch/gate/upstream.py
+++ b/src/jayswitch/gate/upstream.py
@@ -31,7 +31,7 @@
 class UpstreamAnswer:
     """The head of an answer, and the rest of its body where it is long.
 
-    Reading the rest raises UpstreamBroke when the body ends early.
+    Reading the rest raises IncompleteUpstreamAnswer when the body ends early.
     """
 
     __slots__ = ("body", "headers", "rest", "status")
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -32,13 +32,13 @@
 LEAVING_RETRY_MS = 200.0
 HEALTH_TIMEOUT_MS = 300.0
 # A rejection or a health answer has a body of a few bytes; longer ones are cut off.
-LONGEST_DISCARD_BYTES = 64 * 1024
+MAX_DISCARD_BYTES = 64 * 1024
 HEALTH_RETRY_MS = 150.0
 # Part of the slack that is used: requests travel for different times, and those that
 # are under way while the upstream turns cold count too.
 COLD_SLACK_SHARE = 0.5
 # Less than this is left: the upstream would be stopped before it has answered.
-SHORTEST_RUN_MS = 10.0
+MIN_TIME_LEFT_MS = 10.0
 MOST_URGENT_RANK = 0
 STATUS_OK = 200
 STATUS_MISDIRECTED = 421
@@ -86,7 +86,7 @@
         self.slots = SlotQueue(1, rate, clock)
         self.health_path = "/health"
         self.out_of_service = False
-        self.may_run: Callable[[str], bool] = lambda version: True
+        self.is_version_allowed: Callable[[str], bool] = lambda version: True
         self.on_answer: AnswerListener = lambda request, failed, latency_ms: None
         self.rate = rate
         self._address = address
@@ -96,16 +96,16 @@
         self._clock = clock
         self._times = ServiceTimes()
         self._suspect = False
-        self._checking = False
-        self._checked = Event()
+        self._check_running = False
+        self._check_done = Event()
 
     @property
     def load(self) -> LoadReport:
         """Returns the present load; a cold upstream counts for what it bears."""
         limit = self.slots.limit
         if self.rate.is_cold:
-            bears = int(self.rate.per_s * self._times.overall_ms / MS_PER_S)
-            limit = max(1, min(limit, bears))
+            sustainable = int(self.rate.per_s * self._times.overall_ms / MS_PER_S)
+            limit = max(1, min(limit, sustainable))
         return LoadReport(
             self.slots.running, self.slots.waiting, limit, self._times.overall_ms
         )
@@ -135,11 +135,11 @@
         """Runs a request at the upstream, or refuses it."""
         refusal = self._refusal(request)
         if refusal == reasons.SUSPECT:
-            self._await_check(self._longest_wait_ms(request))
+            self._wait_for_health_check(self._max_wait_ms(request))
             refusal = self._refusal(request)
         if refusal is not None:
             return self._refuse(request, refusal)
-        wait_ms = self._longest_wait_ms(request)
+        wait_ms = self._max_wait_ms(request)
         expected_ms = self.slots.expected_wait_ms(request.rank, self._times.overall_ms)
         if expected_ms > wait_ms or not self.slots.acquire(request.rank, wait_ms):
             reason = reasons.COLD if self.rate.is_cold else reasons.FULL
@@ -162,17 +162,17 @@
             return reasons.OTHER_UPSTREAM
         if request.version and current.version != request.version:
             return reasons.OTHER_UPSTREAM
-        if not self.may_run(current.version):
+        if not self.is_version_allowed(current.version):
             return reasons.WITHDRAWN
         if self.out_of_service:
             return reasons.EVACUATED
         if self._suspect:
             return reasons.SUSPECT
-        if request.left_ms(self._clock) < SHORTEST_RUN_MS:
+        if request.left_ms(self._clock) < MIN_TIME_LEFT_MS:
             return reasons.TOO_LATE
         return None
 
-    def _longest_wait_ms(self, request: ForwardedRequest) -> float:
+    def _max_wait_ms(self, request: ForwardedRequest) -> float:
         """Returns the wait after which the answer would miss its objective.
 
         The most urgent requests wait as long as an answer can still come: others
@@ -181,7 +181,7 @@
         until_ms = min(request.objective_ms, request.deadline_ms)
         if request.rank <= MOST_URGENT_RANK:
             until_ms = request.deadline_ms
-        service_ms = self._times.of_route(request.route)
+        service_ms = self._times.for_route(request.route)
         return max(0.0, until_ms - self._clock.now_ms() - service_ms)
 
     def _run_in_slot(self, request: ForwardedRequest) -> AttemptOutcome:
@@ -206,17 +206,17 @@
                 self._headers(request, current, left_ms),
                 request.body or None,
             )
-            return self._take_answer(request, exchange, started_ms)
+            return self._process_answer(request, exchange, started_ms)
         except NotSent as error:
             self._suspect_upstream(error.cause)
             return self._refuse(request, reasons.NOT_REACHED, LEAVING_RETRY_MS)
         except ExchangeBroken as error:
             self._suspect_upstream(error.cause)
-            return self._broken(request, error.cause, started_ms)
+            return self._outcome_unknown(request, error.cause, started_ms)
         except eventlet.Timeout as expired:
             if expired is not timeout:
                 raise
-            return self._broken(request, "its time ran out", started_ms, True)
+            return self._outcome_unknown(request, "its time ran out", started_ms, True)
         except BaseException:
             if exchange is not None:
                 exchange.close()
@@ -236,7 +236,7 @@
             headers.append(("Content-Length", str(request.body_length)))
         return headers
 
-    def _take_answer(
+    def _process_answer(
         self, request: ForwardedRequest, exchange: Exchange, started_ms: float
     ) -> AttemptOutcome:
         names = self._names
@@ -244,7 +244,9 @@
         if echoed not in (None, request.request_id):
             # A late answer of an earlier request, whatever it says of that one.
             exchange.close()
-            return self._broken(request, "the answer is another request's", started_ms)
+            return self._outcome_unknown(
+                request, "the answer is another request's", started_ms
+            )
         not_run = find(exchange.headers, names.not_run) is not None
         misdirected = exchange.status == STATUS_MISDIRECTED
         if misdirected or not_run:
@@ -259,14 +261,14 @@
         if signature is None or echoed is None:
             exchange.close()
             reason = "the answer has no signature or no id"
-            return self._broken(request, reason, started_ms)
-        self._note_answer(request, exchange.status, started_ms)
+            return self._outcome_unknown(request, reason, started_ms)
+        self._record_answer(request, exchange.status, started_ms)
         body = self._read(request, exchange)
         return Answered(
             exchange.status,
             exchange.headers,
             body,
-            self._closer(exchange),
+            self._release_callback(exchange),
             self.load,
         )
 
@@ -281,7 +283,7 @@
         finally:
             timeout.cancel()
 
-    def _closer(self, exchange: Exchange) -> Callable[[], None]:
+    def _release_callback(self, exchange: Exchange) -> Callable[[], None]:
         def close() -> None:
             exchange.close()
             self.slots.release()
@@ -290,23 +292,23 @@
 
     def _discard(self, exchange: Exchange) -> None:
         try:
-            exchange.read_whole(LONGEST_DISCARD_BYTES)
+            exchange.read_whole(MAX_DISCARD_BYTES)
         except AnswerCut:
             self.counts["rejections_cut"] += 1
         finally:
             exchange.close()
 
-    def _note_answer(
+    def _record_answer(
         self, request: ForwardedRequest, status: int, started_ms: float
     ) -> None:
         latency_ms = self._clock.now_ms() - started_ms
         failed = status >= STATUS_SERVER_ERROR
         self.counts["upstream_errors" if failed else "answered"] += 1
         if not failed:
-            self._times.note(request.route, latency_ms)
+            self._times.record(request.route, latency_ms)
         self.on_answer(request, failed, latency_ms)
 
-    def _broken(
+    def _outcome_unknown(
         self,
         request: ForwardedRequest,
         reason: str,
@@ -318,7 +320,7 @@
         if timed_out:
             # A lost answer says nothing about a version, a late one does.
             self.on_answer(request, True, latency_ms)
-            self._times.note(request.route, latency_ms)
+            self._times.record(request.route, latency_ms)
         logger.warning(
             "upstream gave no whole answer",
             extra={
@@ -363,9 +365,9 @@
         self._client.forget(self._address)
         self._suspect = True
         logger.warning("upstream suspected", extra={"reason": reason})
-        if not self._checking:
-            self._checking = True
-            self._checked = Event()
+        if not self._check_running:
+            self._check_running = True
+            self._check_done = Event()
             eventlet.spawn(self._check_health)
 
     def _check_health(self) -> None:
@@ -378,15 +380,15 @@
                 self._clock.sleep_ms(HEALTH_RETRY_MS)
             self._suspect = False
         finally:
-            self._checking = False
-            self._checked.send(None)
+            self._check_running = False
+            self._check_done.send(None)
 
-    def _await_check(self, wait_ms: float) -> None:
+    def _wait_for_health_check(self, wait_ms: float) -> None:
         """Waits for the end of a health check, which takes a few milliseconds."""
-        longest_ms = min(wait_ms, HEALTH_TIMEOUT_MS)
-        if self._checking and longest_ms > 0:
-            with eventlet.Timeout(longest_ms / MS_PER_S, False):
-                self._checked.wait()
+        timeout_ms = min(wait_ms, HEALTH_TIMEOUT_MS)
+        if self._check_running and timeout_ms > 0:
+            with eventlet.Timeout(timeout_ms / MS_PER_S, False):
+                self._check_done.wait()
 
     def confirm_restored(self) -> bool:
         """Asks whether the upstream that an earlier process knew is still there.
--- a/src/jayswitch/http/upstream_client.py
+++ b/src/jayswitch/http/upstream_client.py
@@ -11,10 +11,10 @@
 
 from jayswitch.clock import MS_PER_S
 from jayswitch.gate.exceptions import (
-    UpstreamBroke,
+    IncompleteUpstreamAnswer,
     UpstreamFailure,
-    UpstreamNotReached,
     UpstreamShed,
+    UpstreamUnreachable,
 )
 from jayswitch.gate.upstream import UpstreamAnswer
 from jayswitch.http.headers import (
@@ -57,14 +57,14 @@
         try:
             return self._exchange(address, call, remaining_ms)
         except _NOT_SENT as error:
-            return Failure(UpstreamNotReached(address, str(error)))
+            return Failure(UpstreamUnreachable(address, str(error)))
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            return Failure(UpstreamBroke(str(error)))
+            return Failure(IncompleteUpstreamAnswer(str(error)))
         except eventlet.Timeout as timeout:
             if timeout is not deadline:
                 raise
             self.cancel(address, call)
-            return Failure(UpstreamBroke("its time ran out"))
+            return Failure(IncompleteUpstreamAnswer("its time ran out"))
         finally:
             deadline.cancel()
 
@@ -152,7 +152,7 @@
             yield data
         whole = True
     except (urllib3.exceptions.HTTPError, OSError) as error:
-        raise UpstreamBroke(str(error)) from error
+        raise IncompleteUpstreamAnswer(str(error)) from error
     finally:
         if whole:
             response.release_conn()
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -212,7 +212,7 @@
         self.runner.only_proved = self.rules.only_proved
         self.runner.on_withdrawn = self.rules.withdraw
         self.runner.is_on_trial = self.rules.is_on_trial
-        self.gate.may_run = self._may_run
+        self.gate.is_version_allowed = self._may_run
         self.gate.on_answer = self._judge
 
     def start(
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -10,7 +10,11 @@
 from returns.result import Failure, Success
 
 from jayswitch.clock import VirtualClock
-from jayswitch.gate.exceptions import UpstreamBroke, UpstreamNotReached, UpstreamShed
+from jayswitch.gate.exceptions import (
+    IncompleteUpstreamAnswer,
+    UpstreamShed,
+    UpstreamUnreachable,
+)
 from jayswitch.gate.gate import Gate
 from jayswitch.gate.upstream import Announcement, UpstreamAnswer
 from jayswitch.messages.generated import Answer, Call, Cancel, Refusal, Unknown
@@ -65,14 +69,14 @@
     def run(self, address: str, attempt: Call, remaining_ms: float) -> object:
         """Runs an attempt unless the upstream is said to refuse."""
         if self.outcome == "not reached":
-            return Failure(UpstreamNotReached(address, "refused"))
+            return Failure(UpstreamUnreachable(address, "refused"))
         if self.outcome == "shed":
             return Failure(UpstreamShed())
         self.runs_by_attempt[attempt.id] += 1
         self.runs_by_request[attempt.request_id] += 1
         self.clock.sleep_ms(20)
         if self.outcome == "break":
-            return Failure(UpstreamBroke("reset"))
+            return Failure(IncompleteUpstreamAnswer("reset"))
         return Success(UpstreamAnswer(200, [], attempt.id.encode()))
 
     def cancel(self, address: str, attempt: Call) -> None:
--- a/tests/harness/upstreams.py
+++ b/tests/harness/upstreams.py
@@ -11,10 +11,10 @@
 
 from jayswitch.clock import MS_PER_S, Clock
 from jayswitch.gate.exceptions import (
-    UpstreamBroke,
+    IncompleteUpstreamAnswer,
     UpstreamFailure,
-    UpstreamNotReached,
     UpstreamShed,
+    UpstreamUnreachable,
 )
 from jayswitch.gate.upstream import UpstreamAnswer
 from jayswitch.http.headers import SHED_HEADER, SHED_NOT_RUN
@@ -73,14 +73,14 @@
     ) -> Result[UpstreamAnswer, UpstreamFailure]:
         """Hands the call over once."""
         if not self.reachable:
-            return Failure(UpstreamNotReached(address, "refused"))
+            return Failure(UpstreamUnreachable(address, "refused"))
         deadline = eventlet.Timeout(max(0.001, remaining_ms) / MS_PER_S)
         try:
             return self._run(call, remaining_ms)
         except eventlet.Timeout as timeout:
             if timeout is not deadline:
                 raise
-            return Failure(UpstreamBroke("its time ran out"))
+            return Failure(IncompleteUpstreamAnswer("its time ran out"))
         finally:
             deadline.cancel()
 
@@ -112,9 +112,9 @@
         try:
             body = b"".join(parts)
         except ConnectionAbortedError:
-            return Failure(UpstreamBroke("cut"))
+            return Failure(IncompleteUpstreamAnswer("cut"))
         if self.standin._random.random() < self.lose_answers:
-            return Failure(UpstreamBroke("the answer was lost"))
+            return Failure(IncompleteUpstreamAnswer("the answer was lost"))
         headers = [Header(name=name, value=value) for name, value in status["headers"]]
         number = int(status["line"].split()[0])
         return Success(UpstreamAnswer(number, headers, body))
