Name the retry budgets for what they count

WindowBudget, has_room and note_request did not say that they bound retries, and BUDGET_BURST and BUDGET_START not that they count tokens. They are SlidingWindowRetryBudget (sliding_window_budget.py), allows_retry, record_request, MAX_TOKENS and INITIAL_TOKENS; retry.py is retry_budget.py.

Only names change; behaviour is the same.

--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -16,7 +16,7 @@
 from jayswitch.proxy.headers import find
 from jayswitch.proxy.outcome import Answered, NotRun, OutcomeUnknown
 from jayswitch.rollout.trial import Usual
-from jayswitch.routing.window_budget import WindowBudget
+from jayswitch.routing.sliding_window_budget import SlidingWindowRetryBudget
 
 if TYPE_CHECKING:
     from jayswitch.catalog.model import Route
@@ -104,7 +104,7 @@
         self._directory = directory
         self._balancer = balancer
         self._budget_terms = budget_terms
-        self._budget_by_service: dict[str, WindowBudget] = {}
+        self._budget_by_service: dict[str, SlidingWindowRetryBudget] = {}
         self._usual_by_route: dict[str, Usual] = {}
         self._clock = clock
         self._random = rng
@@ -115,7 +115,7 @@
         request.route = route.name
         request.usual = self._usual_by_route.get(route.name, Usual())
         budget = self._budget(request.service)
-        budget.note_request()
+        budget.record_request()
         progress = _Progress()
         members = self._members(request.service, self.choose_versions)
         while len(progress.asked) < MAX_HOPS:
@@ -150,11 +150,13 @@
         ]
         return choose(service, members)
 
-    def _budget(self, service: str) -> WindowBudget:
+    def _budget(self, service: str) -> SlidingWindowRetryBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
             terms = self._budget_terms
-            budget = WindowBudget(terms.ratio, terms.slack, terms.window_s, self._clock)
+            budget = SlidingWindowRetryBudget(
+                terms.ratio, terms.slack, terms.window_s, self._clock
+            )
             self._budget_by_service[service] = budget
         return budget
 
@@ -296,7 +298,7 @@
         return bool(others) and in_time and self._has_budget(request.service)
 
     def _has_budget(self, service: str) -> bool:
-        return self._budget(service).has_room(self._directory.size)
+        return self._budget(service).allows_retry(self._directory.size)
 
     def _set_aside(self, answer: Answered, progress: _Progress) -> None:
         """Keeps a failure, which the caller gets if nothing better comes."""
--- a/src/jayswitch/routing/request.py
+++ b/src/jayswitch/routing/request.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from jayswitch.profiles.generated import Route
-    from jayswitch.routing.retry import RetryBudget
+    from jayswitch.routing.retry_budget import RetryBudget
 
 NO_UPSTREAM_RETRY_MS = 1000
 
--- a/src/jayswitch/routing/retry.py
+++ b/src/jayswitch/routing/retry_budget.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-BUDGET_BURST = 10.0
-BUDGET_START = 3.0
+MAX_TOKENS = 10.0
+INITIAL_TOKENS = 3.0
 PERCENT = 100.0
 
 
@@ -14,11 +14,11 @@
 
     def __init__(self) -> None:
         """Starts with a few tokens, so that rare calls can be retried."""
-        self._tokens = BUDGET_START
+        self._tokens = INITIAL_TOKENS
 
     def deposit(self, percent: int) -> None:
         """Counts one call that allows the given share of retries."""
-        self._tokens = min(BUDGET_BURST, self._tokens + percent / PERCENT)
+        self._tokens = min(MAX_TOKENS, self._tokens + percent / PERCENT)
 
     @property
     def has_token(self) -> bool:
--- a/src/jayswitch/routing/router.py
+++ b/src/jayswitch/routing/router.py
@@ -36,7 +36,7 @@
     CallerAnswer,
     CallerRequest,
 )
-from jayswitch.routing.retry import RetryBudget
+from jayswitch.routing.retry_budget import RetryBudget
 from jayswitch.routing.table import (
     RoutingTable,
     UpstreamDirectory,
--- a/src/jayswitch/routing/window_budget.py
+++ b/src/jayswitch/routing/sliding_window_budget.py
@@ -17,7 +17,7 @@
 SHARE_OF_SLACK = 0.5
 
 
-class WindowBudget:
+class SlidingWindowRetryBudget:
     """Repeats against requests in a sliding window.
 
     A proxy spends what its own requests have earned and an equal part of the slack,
@@ -37,11 +37,11 @@
         # Start of the bucket, requests, repeats.
         self._buckets: deque[list[float]] = deque()
 
-    def note_request(self) -> None:
+    def record_request(self) -> None:
         """Counts a request that callers made."""
         self._bucket()[1] += 1
 
-    def has_room(self, fleet_size: int) -> bool:
+    def allows_retry(self, fleet_size: int) -> bool:
         """Tells whether a repeat would be allowed."""
         self._bucket()
         requests = sum(bucket[1] for bucket in self._buckets)
@@ -51,7 +51,7 @@
 
     def take(self, fleet_size: int) -> bool:
         """Counts a repeat if the budget allows one."""
-        if not self.has_room(fleet_size):
+        if not self.allows_retry(fleet_size):
             return False
         self._bucket()[2] += 1
         return True
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -12,7 +12,7 @@
 from jayswitch.membership.member import Member
 from jayswitch.profiles.generated import Profile, Route, Target
 from jayswitch.routing.balancer import Balancer
-from jayswitch.routing.retry import RetryBudget
+from jayswitch.routing.retry_budget import RetryBudget
 from jayswitch.routing.table import RoutingTable, UpstreamDirectory
 from tests.harness.mesh import Mesh
 
--- a/tests/routing/test_window_budget.py
+++ b/tests/routing/test_sliding_window_budget.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from jayswitch.clock import VirtualClock
-from jayswitch.routing.window_budget import WindowBudget
+from jayswitch.routing.sliding_window_budget import SlidingWindowRetryBudget
 
 RATIO = 0.2
 SLACK = 60.0
@@ -11,18 +11,21 @@
 FLEET = 10
 
 
-class TestWindowBudget:
+class TestSlidingWindowRetryBudget:
     """The sum over all proxies stays within ratio and slack in every window."""
 
     def test_fleet_without_contact_stays_within_the_bound(self) -> None:
         clock = VirtualClock()
-        fleet = [WindowBudget(RATIO, SLACK, WINDOW_S, clock) for _ in range(FLEET)]
+        fleet = [
+            SlidingWindowRetryBudget(RATIO, SLACK, WINDOW_S, clock)
+            for _ in range(FLEET)
+        ]
         requests: list[float] = []
         repeats: list[float] = []
         for number in range(4000):
             # Most requests come to three of the proxies, as in a burst.
             proxy = fleet[number % (3 if number % 4 else FLEET)]
-            proxy.note_request()
+            proxy.record_request()
             requests.append(clock.now_ms())
             while proxy.take(FLEET):
                 repeats.append(clock.now_ms())
@@ -34,13 +37,13 @@
             assert within <= RATIO * asked + SLACK
 
     def test_few_requests_still_have_some_repeats(self) -> None:
-        budget = WindowBudget(RATIO, SLACK, WINDOW_S, VirtualClock())
-        budget.note_request()
+        budget = SlidingWindowRetryBudget(RATIO, SLACK, WINDOW_S, VirtualClock())
+        budget.record_request()
         assert budget.take(FLEET)
 
     def test_repeats_are_forgotten_after_the_window(self) -> None:
         clock = VirtualClock()
-        budget = WindowBudget(RATIO, SLACK, WINDOW_S, clock)
+        budget = SlidingWindowRetryBudget(RATIO, SLACK, WINDOW_S, clock)
         while budget.take(FLEET):
             continue
         clock.sleep_ms(WINDOW_S * 1000 + 1000)
