Name the balancer's bounds and the split points plainly

LOCAL_SCORE, LOCAL_SLOWNESS and REPORT_KEPT_MS did not read as bounds, and "sound", "open" and "point" were vague. The balancer has MAX_LOCAL_SCORE, MAX_LOCAL_SLOWDOWN and LOAD_REPORT_TTL_MS; a version is chosen by split_point_for_key or random_split_point.

Only names change; behaviour is the same.

--- a/src/jayswitch/routing/balancer.py
+++ b/src/jayswitch/routing/balancer.py
@@ -13,14 +13,14 @@
     from jayswitch.clock import Clock
     from jayswitch.membership.member import Member
 
-REPORT_KEPT_MS = 2000.0
+LOAD_REPORT_TTL_MS = 2000.0
 FAILURE_PENALTY_MS = 1000.0
 MAX_DOUBLINGS = 5
 SATURATED = 1.0
 # The upstream on this VM saves a hop. It is preferred up to this load, and unless
 # another one of its data centre is known to be so much faster.
-LOCAL_SCORE = 0.6
-LOCAL_SLOWNESS = 1.6
+MAX_LOCAL_SCORE = 0.6
+MAX_LOCAL_SLOWDOWN = 1.6
 
 
 class UpstreamLoad:
@@ -74,32 +74,32 @@
         With an idempotency key the choice depends on the key alone, so that a
         repetition meets the gate that knows the first request.
         """
-        open_members = [m for m in candidates if m.node not in excluded]
-        if not open_members:
+        remaining = [m for m in candidates if m.node not in excluded]
+        if not remaining:
             return None
         if key:
-            return max(open_members, key=partial(_rendezvous_weight, key))
-        tiers = self._tiers(open_members)
+            return max(remaining, key=partial(_rendezvous_weight, key))
+        tiers = self._tiers(remaining)
         now_ms = self._clock.now_ms()
-        local = self._local_if_good(tiers[0], now_ms)
+        local = self._preferred_local(tiers[0], now_ms)
         if local is not None:
             return local
         for tier in tiers:
-            sound = [m for m in tier if not self._is_penalized(m, now_ms)]
-            best = self._better_of_two(sound) if sound else tier[0]
-            if sound and self.score(best) < SATURATED:
+            available = [m for m in tier if not self._is_penalized(m, now_ms)]
+            best = self._less_loaded_of_two(available) if available else tier[0]
+            if available and self.score(best) < SATURATED:
                 return best
-        return min((self._better_of_two(tier) for tier in tiers), key=self.score)
+        return min((self._less_loaded_of_two(tier) for tier in tiers), key=self.score)
 
-    def _local_if_good(self, near: list[Member], now_ms: float) -> Member | None:
+    def _preferred_local(self, near: list[Member], now_ms: float) -> Member | None:
         local = next((m for m in near if m.node == self._local_node), None)
         if local is None or self._is_penalized(local, now_ms):
             return None
-        if self.score(local) >= LOCAL_SCORE:
+        if self.score(local) >= MAX_LOCAL_SCORE:
             return None
         known = [self._load(m.node).service_ms for m in near]
         fastest_ms = min((ms for ms in known if ms > 0), default=0.0)
-        slow = self._load(local.node).service_ms > fastest_ms * LOCAL_SLOWNESS
+        slow = self._load(local.node).service_ms > fastest_ms * MAX_LOCAL_SLOWDOWN
         return None if fastest_ms > 0 and slow else local
 
     def score(self, member: Member) -> float:
@@ -110,7 +110,7 @@
             return SATURATED + (load.penalty_until_ms - now_ms)
         in_flight = load.outstanding
         limit = member.slots
-        if now_ms - load.reported_ms < REPORT_KEPT_MS:
+        if now_ms - load.reported_ms < LOAD_REPORT_TTL_MS:
             in_flight = max(in_flight, load.reported_in_flight)
             limit = load.limit
         return in_flight / max(1, limit)
@@ -174,7 +174,7 @@
                 far.append(member)
         return [tier for tier in (near, region, far) if tier]
 
-    def _better_of_two(self, members: list[Member]) -> Member:
+    def _less_loaded_of_two(self, members: list[Member]) -> Member:
         first = self._random.choice(members)
         if len(members) == 1:
             return first
@@ -186,7 +186,7 @@
     return blake2b(f"{key}\0{member.node}".encode(), digest_size=8).digest()
 
 
-def point_of_key(key: str) -> float:
+def split_point_for_key(key: str) -> float:
     """Returns a point between 0 and 100 that depends on the key alone."""
     digest = blake2b(key.encode(), digest_size=4).digest()
     return int.from_bytes(digest) / 2**32 * 100
--- a/src/jayswitch/routing/router.py
+++ b/src/jayswitch/routing/router.py
@@ -22,7 +22,7 @@
     Refusal,
     Unknown,
 )
-from jayswitch.routing.balancer import Balancer, point_of_key
+from jayswitch.routing.balancer import Balancer, split_point_for_key
 from jayswitch.routing.exceptions import (
     CallFailure,
     DepthExceeded,
@@ -41,7 +41,7 @@
     RoutingTable,
     UpstreamDirectory,
     VersionSplit,
-    random_point,
+    random_split_point,
 )
 
 if TYPE_CHECKING:
@@ -143,7 +143,7 @@
     def _choose_version(
         self, table: RoutingTable, split: VersionSplit, service: str, key: str
     ) -> str:
-        point = point_of_key(key) if key else random_point(self._random)
+        point = split_point_for_key(key) if key else random_split_point(self._random)
         version = split.choose(point)
         if version == split.proved_version or split.move is None:
             return version
--- a/src/jayswitch/routing/table.py
+++ b/src/jayswitch/routing/table.py
@@ -86,7 +86,7 @@
         return target.max_retry_percent if target is not None else 0
 
 
-def random_point(rng: random.Random) -> float:
+def random_split_point(rng: random.Random) -> float:
     """Returns a point for VersionSplit.choose."""
     return rng.random() * FULL_PERCENT
 
