Name the router's attempts and waits plainly

Attempts.note, _learn, _await, _gives_up_early and REASONS_OF_LOAD were vague or figurative. They are RequestAttempts.record_failure, _record_outcome, _wait_for_reply, _may_cancel_early and LOAD_REASONS. The control that reports late calls as not run patches the renamed method, as before.

Only names change; behaviour is the same.

--- a/src/jayswitch/gate/reasons.py
+++ b/src/jayswitch/gate/reasons.py
@@ -14,4 +14,4 @@
 REASON_REFUSED_BEFORE = "refused before"
 REASON_CANCELLED = "cancelled"
 
-REASONS_OF_LOAD = frozenset((REASON_FULL, REASON_DEADLINE, REASON_SHED))
+LOAD_REASONS = frozenset((REASON_FULL, REASON_DEADLINE, REASON_SHED))
--- a/src/jayswitch/routing/request.py
+++ b/src/jayswitch/routing/request.py
@@ -65,7 +65,7 @@
     """The body of an answer ended early; the caller must not take it for whole."""
 
 
-class Attempts:
+class RequestAttempts:
     """What has been tried for one request."""
 
     __slots__ = (
@@ -116,7 +116,7 @@
         """Tells whether the route allows the method to run more than once."""
         return self.request.method in self.route.idempotent_methods
 
-    def note(self, node: str, outcome: Refusal | Unknown) -> None:
+    def record_failure(self, node: str, outcome: Refusal | Unknown) -> None:
         """Takes over what an attempt without an answer has shown.
 
         Later attempts go to the proved version, whatever the first one went to.
--- a/src/jayswitch/routing/router.py
+++ b/src/jayswitch/routing/router.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from jayswitch.clock import MS_PER_S
-from jayswitch.gate.reasons import REASONS_OF_LOAD
+from jayswitch.gate.reasons import LOAD_REASONS
 from jayswitch.messages.generated import (
     Answer,
     Call,
@@ -32,9 +32,9 @@
 )
 from jayswitch.routing.request import (
     AnswerCut,
-    Attempts,
     CallerAnswer,
     CallerRequest,
+    RequestAttempts,
 )
 from jayswitch.routing.retry_budget import RetryBudget
 from jayswitch.routing.table import (
@@ -57,7 +57,7 @@
 CHUNK_TIMEOUT_MS = 30_000.0
 CREDIT_EVERY_CHUNKS = 4
 CREDIT_WINDOW = 8
-SHARE_OF_TIME_BEFORE_RETRY = 0.5
+EARLY_CANCEL_SHARE = 0.5
 FREE_ATTEMPTS = 3
 STARTING_RETRY_MS = 1000
 REASON_STARTING = "this node has not received the configuration yet"
@@ -129,7 +129,7 @@
         deadline_ms = self._clock.now_ms() + timeout_ms
         budget = self._budget_by_service.setdefault(route.service, RetryBudget())
         budget.deposit(table.retry_percent(route.service))
-        attempts = Attempts(
+        attempts = RequestAttempts(
             request,
             table.profile_name,
             route,
@@ -138,7 +138,7 @@
             deadline_ms,
             budget,
         )
-        return self._attempt(attempts)
+        return self._run_attempts(attempts)
 
     def _choose_version(
         self, table: RoutingTable, split: VersionSplit, service: str, key: str
@@ -151,7 +151,9 @@
         usable = self._directory.usable(service, version, table.config)
         return split.proved_version if is_bad or not usable else version
 
-    def _attempt(self, attempts: Attempts) -> Result[CallerAnswer, CallFailure]:
+    def _run_attempts(
+        self, attempts: RequestAttempts
+    ) -> Result[CallerAnswer, CallFailure]:
         while True:
             member = self._choose_upstream(attempts)
             remaining_ms = attempts.deadline_ms - self._clock.now_ms()
@@ -160,7 +162,7 @@
             outcome = self._try_upstream(attempts, member, remaining_ms)
             if isinstance(outcome, Answer):
                 return Success(self._to_answer(attempts, member, outcome))
-            attempts.note(member.node, outcome)
+            attempts.record_failure(member.node, outcome)
             if not self._may_retry(attempts, outcome):
                 break
             self.counts["retries"] += 1
@@ -168,14 +170,14 @@
             return Failure(OutcomeUnknown(attempts.last_reason))
         return Failure(NotRun(attempts.last_reason, attempts.retry_after_ms))
 
-    def _choose_upstream(self, attempts: Attempts) -> Member | None:
+    def _choose_upstream(self, attempts: RequestAttempts) -> Member | None:
         usable = self._directory.usable(
             attempts.route.service, attempts.version, self.table.config
         )
         key = attempts.request.key
         return self._balancer.choose(usable, attempts.excluded, key)
 
-    def _may_retry(self, attempts: Attempts, outcome: Refusal | Unknown) -> bool:
+    def _may_retry(self, attempts: RequestAttempts, outcome: Refusal | Unknown) -> bool:
         if attempts.number >= MAX_ATTEMPTS:
             return False
         if isinstance(outcome, Unknown):
@@ -183,14 +185,14 @@
             return attempts.idempotent and not nested and attempts.budget.take()
         # A gate that is gone or leaving costs nothing at first, because the router
         # would not have asked it had the news arrived in time.
-        stale = outcome.reason not in REASONS_OF_LOAD
+        stale = outcome.reason not in LOAD_REASONS
         free = stale and attempts.number <= FREE_ATTEMPTS
         return free or attempts.budget.take()
 
     # One attempt
 
     def _try_upstream(
-        self, attempts: Attempts, member: Member, remaining_ms: float
+        self, attempts: RequestAttempts, member: Member, remaining_ms: float
     ) -> Outcome:
         call = attempts.next_call(self._transport.address, remaining_ms)
         replies: LightQueue = LightQueue()
@@ -203,11 +205,11 @@
             self._replies_by_id.pop(call.id, None)
         if isinstance(outcome, Answer) and outcome.more:
             self._replies_by_id[call.id] = replies
-        self._learn(member, outcome, call)
+        self._record_outcome(member, outcome, call)
         return outcome
 
     def _exchange(
-        self, call: Call, member: Member, replies: LightQueue, attempts: Attempts
+        self, call: Call, member: Member, replies: LightQueue, attempts: RequestAttempts
     ) -> Outcome:
         if member.node == self._node:
             eventlet.spawn_n(self._gate.handle, call, self.receive)
@@ -216,19 +218,19 @@
             if not self._transport.send(member.data_address, call, connect_ms):
                 self._balancer.suspect(member.node)
                 return Refusal(id=call.id, reason=REASON_UNREACHABLE)
-        early_ms = call.remaining_ms * SHARE_OF_TIME_BEFORE_RETRY
-        outcome = self._await(replies, early_ms)
-        if outcome is None and not self._gives_up_early(attempts):
-            outcome = self._await(replies, call.remaining_ms - early_ms)
+        early_ms = call.remaining_ms * EARLY_CANCEL_SHARE
+        outcome = self._wait_for_reply(replies, early_ms)
+        if outcome is None and not self._may_cancel_early(attempts):
+            outcome = self._wait_for_reply(replies, call.remaining_ms - early_ms)
         if outcome is not None:
             return outcome
         return self._cancel(call, member, replies)
 
-    def _gives_up_early(self, attempts: Attempts) -> bool:
+    def _may_cancel_early(self, attempts: RequestAttempts) -> bool:
         first = attempts.number == 1 and attempts.request.depth == 0
         return first and attempts.idempotent and attempts.budget.has_token
 
-    def _await(self, replies: LightQueue, wait_ms: float) -> Outcome | None:
+    def _wait_for_reply(self, replies: LightQueue, wait_ms: float) -> Outcome | None:
         try:
             return replies.get(timeout=max(wait_ms, 0) / MS_PER_S)
         except Empty:
@@ -242,13 +244,13 @@
             self._gate.cancel(cancel, self.receive)
         else:
             self._transport.send(member.data_address, cancel, 0)
-        outcome = self._await(replies, CANCEL_WAIT_MS)
+        outcome = self._wait_for_reply(replies, CANCEL_WAIT_MS)
         if outcome is not None:
             return outcome
         self._balancer.suspect(member.node)
         return Unknown(id=call.id, reason="no answer came in time")
 
-    def _learn(self, member: Member, outcome: Outcome, call: Call) -> None:
+    def _record_outcome(self, member: Member, outcome: Outcome, call: Call) -> None:
         failed = isinstance(outcome, Unknown)
         if isinstance(outcome, Answer):
             self._balancer.report(member.node, outcome.in_flight, outcome.limit)
@@ -272,7 +274,7 @@
         replies.put(message)
 
     def _to_answer(
-        self, attempts: Attempts, member: Member, answer: Answer
+        self, attempts: RequestAttempts, member: Member, answer: Answer
     ) -> CallerAnswer:
         body: Iterator[bytes] = iter([answer.body])
         if answer.more:
--- a/tests/scenarios/test_controls.py
+++ b/tests/scenarios/test_controls.py
@@ -19,7 +19,7 @@
 from jayswitch.membership.link import Link
 from jayswitch.node.node import Node
 from jayswitch.rollout.watcher import MoveWatcher
-from jayswitch.routing.request import Attempts
+from jayswitch.routing.request import RequestAttempts
 from jayswitch.routing.router import Router
 from jayswitch.routing.table import RoutingTable, UpstreamDirectory, VersionSplit
 from jayswitch.standins.upstream import UpstreamBehaviour
@@ -197,18 +197,18 @@
 
 def retry_everything(patch: pytest.MonkeyPatch) -> None:
     """The router takes every method for idempotent."""
-    patch.setattr(Attempts, "idempotent", property(lambda self: True))
+    patch.setattr(RequestAttempts, "idempotent", property(lambda self: True))
 
 
 def call_late_calls_not_run(patch: pytest.MonkeyPatch) -> None:
     """The router says "not run" of whatever it cancelled."""
-    original = Attempts.note
+    original = RequestAttempts.record_failure
 
-    def note(self: Attempts, node: str, outcome: object) -> None:
+    def record_failure(self: RequestAttempts, node: str, outcome: object) -> None:
         original(self, node, outcome)
         self.may_have_run = False
 
-    patch.setattr(Attempts, "note", note)
+    patch.setattr(RequestAttempts, "record_failure", record_failure)
 
 
 def ignore_data_centres(patch: pytest.MonkeyPatch) -> None:
