Reword the texts of the gate package in the usual terms

Comments and docstrings spoke of what an upstream bears, hears or is told, of turns and of memory. They now describe slots, limits, heartbeats, retention and credit; every reason and number is kept. A few tests have plainer names.

Two messages change: the remedy of an incomplete upstream answer, and "the answer has no signature or no request id". A comparison of the syntax trees without docstrings shows no other difference than these and the test names, so behaviour is the same.

Checks: mypy and flake8 report nothing; tests/gate and tests/routing: 57 passed.

--- a/src/jayswitch/gate/admission.py
+++ b/src/jayswitch/gate/admission.py
@@ -1,4 +1,4 @@
-"""Slots of a gate and the calls that wait for one, by priority."""
+"""Admission control of a gate: slots in use and calls queued by priority."""
 
 from __future__ import annotations
 
@@ -21,14 +21,14 @@
 
 
 class AdmissionQueue:
-    """Counts running calls against a limit and queues a bounded number of others.
+    """Limits concurrent calls and queues a bounded number of further ones.
 
-    Bulk calls hold at most half of the slots, and each of them waits for at most
-    a fixed number of others, so that neither kind starves the other.
+    Bulk calls occupy at most half of the slots. After a fixed number of grants to
+    other priorities a waiting bulk call is served, so neither starves the other.
     """
 
     def __init__(self, limit: Callable[[], int]) -> None:
-        """Takes a function that returns the limit in force."""
+        """Expects a function that returns the current concurrency limit."""
         self.in_flight = 0
         self.bulk_in_flight = 0
         self._limit = limit
@@ -39,11 +39,11 @@
 
     @property
     def waiting(self) -> int:
-        """Returns how many calls wait for a slot."""
+        """Returns the number of queued calls."""
         return sum(len(queue) for queue in self._waiting_by_priority.values())
 
     def acquire(self, priority: str, wait_ms: float) -> bool:
-        """Takes a slot, waiting for at most the given time; False if none came."""
+        """Acquires a slot within the given time; False on timeout or a full queue."""
         if self.waiting == 0 and self._has_capacity(priority):
             self._occupy_slot(priority)
             return True
@@ -60,14 +60,14 @@
         return False
 
     def release(self, priority: str) -> None:
-        """Returns a slot and hands free ones to waiting calls."""
+        """Frees a slot and grants free slots to waiting calls."""
         self.in_flight -= 1
         if priority == BULK:
             self.bulk_in_flight -= 1
         self.grant_free_slots()
 
     def grant_free_slots(self) -> None:
-        """Wakes as many waiting calls as the limit allows."""
+        """Grants slots to waiting calls until the limit is reached."""
         while True:
             priority = self._next_priority()
             if not priority:
--- a/src/jayswitch/gate/cold_rate_limiter.py
+++ b/src/jayswitch/gate/cold_rate_limiter.py
@@ -1,4 +1,4 @@
-"""Bounds how many calls a cold upstream is started with in any second."""
+"""Limits the rate at which calls are sent to a cold upstream."""
 
 from __future__ import annotations
 
@@ -8,25 +8,25 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
 
-# A little over a second, because requests travel for different times.
+# Slightly more than a second, because network delay varies between requests.
 WINDOW_MS = 1050.0
-# More than any service's cold rate: what an earlier process may have sent.
+# More than any service's cold rate; stands for the calls of an earlier process.
 MAX_CALLS_IN_WINDOW = 1000
 
 
 class ColdRateLimiter:
-    """A sliding window over the calls that were handed to one upstream.
+    """Sliding-window rate limit for calls to one upstream while it is cold.
 
-    per_s is how many a cold upstream may be started with in a second.
+    per_s is the number of calls that may be sent to a cold upstream per second.
 
-    Every call is noted, also while the upstream is warm, so that an upstream that
-    turns cold is charged for the calls of the second before.
+    Calls are recorded while the upstream is warm too, so that those of the last
+    second count when it becomes cold.
     """
 
     __slots__ = ("_clock", "_cold_until_ms", "_started_ms", "per_s")
 
     def __init__(self, clock: Clock, per_s: float = 1.0) -> None:
-        """Starts warm and without calls."""
+        """Starts in the warm state with an empty window."""
         self.per_s = per_s
         self._clock = clock
         self._cold_until_ms = float("-inf")
@@ -34,17 +34,17 @@
 
     @property
     def is_cold(self) -> bool:
-        """Tells whether the upstream is known to be cold."""
+        """Returns whether the upstream is known to be cold."""
         return self._clock.now_ms() < self._cold_until_ms
 
     def set_cold(self, left_ms: float) -> None:
-        """Takes how long the upstream says that it stays cold."""
+        """Sets how long the upstream stays cold."""
         self._cold_until_ms = self._clock.now_ms() + left_ms
 
     def take(self) -> float:
-        """Notes a call and returns 0, or returns how long a cold upstream must rest.
+        """Records a call and returns 0, or returns the delay before it may be sent.
 
-        The result is in milliseconds; a call that must wait is not noted.
+        The delay is in milliseconds; a call that must wait is not recorded.
         """
         delay_ms = self.delay_ms()
         if delay_ms <= 0:
@@ -52,7 +52,7 @@
         return delay_ms
 
     def delay_ms(self) -> float:
-        """Returns how long a cold upstream must rest before its next call."""
+        """Returns the delay before the next call may be sent to a cold upstream."""
         now_ms = self._clock.now_ms()
         started = self._started_ms
         while started and started[0] <= now_ms - WINDOW_MS:
@@ -63,9 +63,10 @@
         return 0.0
 
     def reserve_window(self) -> None:
-        """Counts a full second's calls, sent by a process whose memory is lost.
+        """Fills the window with calls that an earlier process may have sent.
 
-        That process ended before this one began.
+        That process ended before this one started, so the calls are dated to the
+        latest time at which it can have ended.
         """
         ended_ms = self._clock.now_ms() - self._clock.least_age_ms()
         self._started_ms.extend([ended_ms] * MAX_CALLS_IN_WINDOW)
--- a/src/jayswitch/gate/concurrency_limiter.py
+++ b/src/jayswitch/gate/concurrency_limiter.py
@@ -1,4 +1,4 @@
-"""How many calls an upstream can bear, learned from their outcomes."""
+"""Adaptive concurrency limit, adjusted by the outcomes of calls."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 class RouteLatency:
-    """The usual latency of one route and how many slow answers came in a row."""
+    """Baseline latency of one route and the number of consecutive slow answers."""
 
     __slots__ = ("baseline_ms", "samples", "slow_in_row")
 
@@ -32,7 +32,7 @@
         self.slow_in_row = 0
 
     def is_slow(self, latency_ms: float) -> bool:
-        """Takes a sample; tells whether a run of slow answers is complete."""
+        """Adds a sample; returns whether enough consecutive answers were slow."""
         known = self.samples >= BASELINE_MIN_SAMPLES
         bound_ms = max(self.baseline_ms * SLOW_RATIO, SLOW_FLOOR_MS)
         if known and latency_ms > bound_ms:
@@ -46,11 +46,11 @@
 
 
 class ConcurrencyLimiter:
-    """A concurrency limit that ramps up a cold upstream and backs off at overload.
+    """Concurrency limit that ramps up a cold upstream and backs off on overload.
 
-    The limit grows only with successes, and no faster than the warm-up time
-    allows. Sheds and failures shrink it; a run of slow answers means that the
-    upstream has turned cold, and the ramp starts again.
+    The limit grows only on success and no faster than the warm-up time allows.
+    Shed requests and failures reduce it. Consecutive slow answers at full limit
+    indicate that the upstream has become cold again and restart the ramp.
     """
 
     __slots__ = (
@@ -67,7 +67,7 @@
     )
 
     def __init__(self, slots: int, warm_up_ms: float, clock: Clock) -> None:
-        """Starts cold; the slots bound the limit."""
+        """Starts cold; the limit never exceeds the number of slots."""
         self.cold_starts = 0
         self._clock = clock
         self._slots = max(1, slots)
@@ -79,28 +79,28 @@
 
     @property
     def limit(self) -> int:
-        """Returns how many calls may run at once; at least 1."""
+        """Returns the number of calls that may run concurrently, at least 1."""
         return max(1, int(min(self._limit, self._ceiling())))
 
     @property
     def is_warming_up(self) -> bool:
-        """Tells whether the warm-up time since the last cold start still runs."""
+        """Returns whether the warm-up time of the current ramp has not yet elapsed."""
         return self._ceiling() < self._slots
 
     @property
     def is_ramping(self) -> bool:
-        """Tells whether the limit is still below the slots."""
+        """Returns whether the limit is below the number of slots."""
         return self.limit < self._slots
 
     def restart_ramp(self) -> None:
-        """Restarts the ramp from the least load."""
+        """Restarts the ramp from the lowest limit."""
         self.cold_starts += 1
         self._limit = max(1.0, COLD_SHARE * self._slots)
         self._ramp_from = self._limit
         self._ramp_started_ms = self._clock.now_ms()
 
     def on_success(self, route: str, latency_ms: float, in_flight: int) -> None:
-        """Learns from a complete answer; in_flight includes the call itself."""
+        """Updates the limit after a complete answer; in_flight includes the call."""
         latency = self._latency_by_route.setdefault(route, RouteLatency())
         if latency.is_slow(latency_ms):
             latency.slow_in_row = 0
@@ -114,13 +114,13 @@
             self._limit = min(grown, self._ceiling())
 
     def on_status(self, failed: bool) -> None:
-        """Learns from a status; an upstream that mostly fails gets less work."""
+        """Updates the error share and reduces the limit if it is too high."""
         self._error_share += (float(failed) - self._error_share) * ERROR_WEIGHT
         if failed and self._error_share > ERROR_SHARE:
             self.on_overload()
 
     def on_overload(self) -> None:
-        """Shrinks the limit after a shed, a failure or a timeout."""
+        """Reduces the limit after a shed request, a failure or a timeout."""
         now_ms = self._clock.now_ms()
         if now_ms - self._last_decrease_ms < MIN_DECREASE_INTERVAL_MS:
             return
--- a/src/jayswitch/gate/exceptions.py
+++ b/src/jayswitch/gate/exceptions.py
@@ -1,4 +1,4 @@
-"""Errors between a gate and its upstream."""
+"""Exceptions raised when a gate sends a call to its upstream."""
 
 from __future__ import annotations
 
@@ -6,19 +6,19 @@
 
 
 class UpstreamFailure(JayswitchError):
-    """The upstream did not give a complete answer."""
+    """The upstream did not return a complete answer."""
 
     code = "upstream-failure"
     status = 502
 
 
 class UpstreamUnreachable(UpstreamFailure):
-    """No connection to the upstream could be opened; nothing was sent."""
+    """No connection to the upstream could be opened, so nothing was sent."""
 
     code = "upstream-not-reached"
 
     def __init__(self, address: str, reason: str) -> None:
-        """Takes the upstream's address and what the connection reported."""
+        """Expects the upstream's address and the connection error."""
         super().__init__(
             f"upstream {address} could not be reached: {reason}",
             "check that the upstream listens on the address it announced",
@@ -26,13 +26,13 @@
 
 
 class UpstreamShed(UpstreamFailure):
-    """The upstream refused the request before running it."""
+    """The upstream rejected the request without running it."""
 
     code = "upstream-shed"
     status = 503
 
     def __init__(self) -> None:
-        """Needs no arguments."""
+        """Sets the message and the remedy."""
         super().__init__(
             "the upstream shed the request without running it",
             "try again later or add upstreams",
@@ -40,13 +40,13 @@
 
 
 class IncompleteUpstreamAnswer(UpstreamFailure):
-    """The request was handed over and no complete answer came."""
+    """The request was sent, but no complete answer was received."""
 
     code = "upstream-broke"
 
     def __init__(self, reason: str) -> None:
-        """Takes what the connection reported."""
+        """Expects the connection error."""
         super().__init__(
             f"the upstream gave no complete answer: {reason}",
-            "look up the request id at the upstream before repeating it",
+            "check at the upstream whether the request ran before repeating it",
         )
--- a/src/jayswitch/gate/gate.py
+++ b/src/jayswitch/gate/gate.py
@@ -1,4 +1,4 @@
-"""The gate beside one upstream: it alone decides which calls the upstream runs."""
+"""Gate in front of one upstream; the only component that sends calls to it."""
 
 from __future__ import annotations
 
@@ -64,27 +64,27 @@
 
 
 class ChunkStream:
-    """The later chunks of one answer and how many may be sent."""
+    """Flow control state for the chunks of one streamed answer."""
 
     __slots__ = ("credit_limit", "changed", "cancelled")
 
     def __init__(self) -> None:
-        """Allows the first window."""
+        """Grants credit for the initial window."""
         self.credit_limit = CHUNK_WINDOW
         self.cancelled = False
         self.changed = Event()
 
     def wake(self) -> None:
-        """Wakes the sending task after a change."""
+        """Wakes the sending task after the credit has changed."""
         changed, self.changed = self.changed, Event()
         changed.send(None)
 
 
 class Gate:
-    """Admits calls to the upstream within its limit, each request at most once."""
+    """Admits calls within the limit and runs each request at most once."""
 
     def __init__(self, client: UpstreamClient, warm_up_ms: float, clock: Clock) -> None:
-        """Starts without an upstream; the upstream announces itself."""
+        """Starts without an upstream until one announces itself."""
         self.announcement: Announcement | None = None
         self.announced_since_ms = 0
         self.out_of_service = False
@@ -103,10 +103,10 @@
         self._stream_by_id: dict[str, ChunkStream] = {}
         self._task_by_id: dict[str, greenlet] = {}
 
-    # The upstream's own state
+    # Upstream state
 
     def announce(self, announcement: Announcement) -> bool:
-        """Takes an announcement; tells whether it says anything new."""
+        """Processes an announcement; returns whether it changed anything."""
         previous = self.announcement
         self._last_announced_ms = self._clock.now_ms()
         if announcement == previous:
@@ -120,7 +120,7 @@
         return True
 
     def expire_announcement(self) -> bool:
-        """Drops an upstream that is silent; tells whether it did."""
+        """Drops an upstream whose announcement has expired; returns whether it did."""
         silent_ms = self._clock.now_ms() - self._last_announced_ms
         if self.announcement is None or silent_ms <= ANNOUNCEMENT_TTL_MS:
             return False
@@ -129,24 +129,24 @@
         return True
 
     def set_out_of_service(self, out: bool) -> None:
-        """Follows the data centre; coming back into service starts a new ramp."""
+        """Applies the data centre's state; a return to service restarts the ramp."""
         if self.out_of_service and not out:
             self.limiter.restart_ramp()
         self.out_of_service = out
 
     @property
     def accepts(self) -> bool:
-        """Tells whether new calls are admitted at all."""
+        """Returns whether the gate accepts new calls."""
         announced = self.announcement is not None and not self.announcement.leaving
         return announced and not self.out_of_service and not self.draining
 
     # Calls
 
     def handle(self, call: Call, send: SendReply) -> None:
-        """Runs or refuses a call; sends exactly one outcome, then any chunks.
+        """Runs or refuses a call; sends exactly one outcome and then any chunks.
 
-        A message that arrives twice gets no second outcome, unless the first one
-        was a refusal, which is repeated.
+        A duplicate message is dropped without an outcome, unless the call was
+        refused; then the refusal is sent again.
         """
         state = self.request_states.state_of(call.id)
         if state is RequestState.REFUSED:
@@ -168,7 +168,7 @@
         self._admit(call, send)
 
     def cancel(self, message: Cancel, send: SendReply) -> None:
-        """Stops a call that nobody waits for, and says whether it was run."""
+        """Cancels a call and reports whether it may have run."""
         state = self.request_states.state_of(message.id)
         self.counts["cancellations"] += 1
         if state is RequestState.HANDED_OVER:
@@ -181,7 +181,7 @@
         send(Refusal(id=message.id, reason=REASON_CANCELLED))
 
     def credit(self, call_id: str, up_to: int) -> None:
-        """Allows chunks of an answer up to a sequence number."""
+        """Raises the credit of an answer's stream to a sequence number."""
         stream = self._stream_by_id.get(call_id)
         if stream is not None and up_to > stream.credit_limit:
             stream.credit_limit = up_to
--- a/src/jayswitch/gate/local_upstream.py
+++ b/src/jayswitch/gate/local_upstream.py
@@ -1,4 +1,4 @@
-"""What is known at first hand of the upstream on this VM."""
+"""State of the upstream on this VM, as reported by its heartbeats."""
 
 from __future__ import annotations
 
@@ -14,21 +14,21 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
 
-# An upstream that misses this many heartbeats takes no new calls.
+# An upstream that has missed this many heartbeats gets no new calls.
 MISSED_HEARTBEATS = 4
 
 logger = logging.getLogger(__name__)
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
-    """What an upstream says of itself; cold_left_ms is 0 once it is warm."""
+    """Heartbeat of an upstream; cold_left_ms is 0 once the upstream is warm."""
 
     upstream: Upstream
     cold_left_ms: float
 
 
 class HeartbeatResult(Enum):
-    """What became of a heartbeat."""
+    """Result of processing a heartbeat."""
 
     CHANGED = "changed"
     KNOWN = "known"
@@ -37,7 +37,7 @@
 
 
 class LocalUpstream:
-    """Follows one upstream through its incarnations; leaving is final for each."""
+    """Tracks the incarnations of an upstream; one that leaves cannot return."""
 
     def __init__(
         self,
@@ -46,7 +46,7 @@
         clock: Clock,
         on_cold: Callable[[float], None],
     ) -> None:
-        """Takes the service that this VM hosts and where cold times are noted."""
+        """Expects this VM's service and a callback for the remaining cold time."""
         self.current: Upstream | None = None
         self._service = service
         self._heartbeat_timeout_ms = MISSED_HEARTBEATS * heartbeat_ms
@@ -55,22 +55,22 @@
         self._last_heartbeat_ms = float("-inf")
 
     def restore(self, upstream: Upstream) -> None:
-        """Takes the last state that an earlier process stored.
+        """Restores the last state that an earlier process stored.
 
-        It only guards against going back: the upstream is served again from its
-        first heartbeat on, or once it has been confirmed.
+        The state only guards against stale heartbeats: the upstream becomes usable
+        with its next heartbeat or once it has been confirmed.
         """
         if self.current is None:
             self.current = upstream
 
     def confirm(self) -> None:
-        """Notes that the restored upstream has said itself that it takes calls."""
+        """Marks the restored upstream as confirmed by its own health answer."""
         if self._last_heartbeat_ms == float("-inf"):
             self._last_heartbeat_ms = self._clock.now_ms()
 
     @property
     def usable(self) -> Upstream | None:
-        """Returns the upstream if it takes new calls."""
+        """Returns the upstream if it accepts new calls."""
         current = self.current
         if current is None or current.state is not UpstreamState.READY:
             return None
@@ -79,7 +79,7 @@
         return current
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatResult:
-        """Takes a heartbeat; late ones and those of earlier incarnations are void."""
+        """Processes a heartbeat; ignores late ones and those of old incarnations."""
         reported = heartbeat.upstream
         current = self.current
         if reported.service != self._service:
@@ -103,7 +103,7 @@
         return HeartbeatResult.CHANGED
 
     def deregister(self, upstream_id: str) -> bool:
-        """Notes that an upstream says it ends; tells whether it is the current one."""
+        """Marks an upstream as gone; returns whether it is the current one."""
         current = self.current
         if current is None or current.id != upstream_id:
             return False
@@ -117,7 +117,7 @@
     ) -> HeartbeatResult:
         reported = heartbeat.upstream
         if reported.sequence <= current.sequence:
-            # A heartbeat that is sent again is answered like the first one.
+            # A heartbeat that is sent again gets the same reply as the first one.
             return HeartbeatResult.STALE
         first = self._last_heartbeat_ms == float("-inf")
         self._record_heartbeat(heartbeat)
--- a/src/jayswitch/gate/reasons.py
+++ b/src/jayswitch/gate/reasons.py
@@ -1,4 +1,4 @@
-"""Reasons that a gate gives for refusing a call."""
+"""Reasons for which a gate refuses a call."""
 
 from __future__ import annotations
 
--- a/src/jayswitch/gate/request_states.py
+++ b/src/jayswitch/gate/request_states.py
@@ -1,4 +1,4 @@
-"""What a gate remembers of requests, so that each one runs at most once."""
+"""State of recent requests at a gate, kept so that each runs at most once."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class RequestState(Enum):
-    """What has become of a request at this gate."""
+    """State of a request at this gate."""
 
     WAITING = "waiting"
     HANDED_OVER = "handed-over"
@@ -25,18 +25,18 @@
 
 
 class RequestStateEntry:
-    """The state of one request; a refused one is never handed over later."""
+    """State of one request; once refused it is never handed to the upstream."""
 
     __slots__ = ("state", "recorded_ms")
 
     def __init__(self, state: RequestState, recorded_ms: float) -> None:
-        """Takes the state and the time it was noted."""
+        """Expects the state and the time at which it was recorded."""
         self.state = state
         self.recorded_ms = recorded_ms
 
 
 class RequestStateStore:
-    """Remembers requests for two minutes, by request id."""
+    """Keeps the state of each request for two minutes, by request id."""
 
     def __init__(self, clock: Clock) -> None:
         """Starts empty."""
@@ -44,12 +44,12 @@
         self._entry_by_id: OrderedDict[str, RequestStateEntry] = OrderedDict()
 
     def state_of(self, request_id: str) -> RequestState | None:
-        """Returns the request's state; None for one never seen."""
+        """Returns the state of a request, or None if the request is not known."""
         item = self._entry_by_id.get(request_id)
         return item.state if item is not None else None
 
     def record(self, request_id: str, state: RequestState) -> None:
-        """Stores the state and forgets requests of long ago."""
+        """Records the state and removes expired requests."""
         now_ms = self._clock.now_ms()
         self._entry_by_id.pop(request_id, None)
         self._entry_by_id[request_id] = RequestStateEntry(state, now_ms)
@@ -60,12 +60,12 @@
             del self._entry_by_id[oldest_id]
 
     def __len__(self) -> int:
-        """Returns how many requests are remembered."""
+        """Returns the number of requests stored."""
         return len(self._entry_by_id)
 
 
 class KeyedAnswer:
-    """The answer to a request with an idempotency key, once it is there."""
+    """The pending or cached answer for an idempotency key."""
 
     __slots__ = ("answer", "done", "recorded_ms")
 
@@ -77,7 +77,7 @@
 
 
 class AnswerCache:
-    """Answers by idempotency key, bounded in bytes and time."""
+    """Cache of answers by idempotency key, bounded by age and total size."""
 
     def __init__(self, clock: Clock) -> None:
         """Starts empty."""
@@ -86,18 +86,18 @@
         self._bytes = 0
 
     def find(self, key: str) -> KeyedAnswer | None:
-        """Returns the item under a key unless it has expired."""
+        """Returns the item for a key, or None if there is none or it has expired."""
         self._expire()
         return self._item_by_key.get(key)
 
     def begin(self, key: str) -> KeyedAnswer:
-        """Notes that a request with the key is being handed over."""
+        """Registers a request with the key as in progress."""
         item = KeyedAnswer(self._clock.now_ms())
         self._item_by_key[key] = item
         return item
 
     def finish(self, item: KeyedAnswer, answer: Answer | None) -> None:
-        """Stores the answer; None for an outcome that is not known."""
+        """Stores the answer, or None if the outcome is unknown."""
         item.answer = answer
         if answer is not None:
             self._bytes += len(answer.body)
@@ -105,7 +105,7 @@
         self._expire()
 
     def abandon(self, key: str, item: KeyedAnswer) -> None:
-        """Forgets a key whose request was not run."""
+        """Removes a key whose request was not run."""
         if self._item_by_key.get(key) is item:
             del self._item_by_key[key]
         item.done.send(None)
@@ -124,7 +124,7 @@
             self._evict_answer(item)
 
     def _evict_answer(self, item: KeyedAnswer) -> None:
-        """Frees an answer; that its request was run is still remembered."""
+        """Evicts the answer but keeps the key, so the request is not run again."""
         if item.answer is not None:
             self._bytes -= len(item.answer.body)
             item.answer = None
--- a/src/jayswitch/gate/service_times.py
+++ b/src/jayswitch/gate/service_times.py
@@ -1,29 +1,29 @@
-"""How long an upstream takes, as its gate has measured it."""
+"""Service times of an upstream, as measured by its gate."""
 
 from __future__ import annotations
 
-# Assumed until the first answer: a tenth of a second, as in both deployments.
+# Assumed until the first answer: 100 ms, as in both deployments.
 INITIAL_SERVICE_MS = 100.0
-# Weight of one answer in the moving averages, which span about ten of them.
+# Weight of one answer in the moving averages, which span about ten answers.
 SMOOTHING_FACTOR = 0.1
 
 
 class ServiceTimes:
-    """Moving averages over all requests and over those of each route."""
+    """Moving averages of the service time, overall and by route."""
 
     __slots__ = ("_by_route", "overall_ms")
 
     def __init__(self) -> None:
-        """Starts without answers."""
+        """Starts with the assumed service time."""
         self.overall_ms = INITIAL_SERVICE_MS
         self._by_route: dict[str, float] = {}
 
     def for_route(self, route: str) -> float:
-        """Returns a route's average; the overall one while it has no answer."""
+        """Returns the average of a route, or the overall one if it has no answers."""
         return self._by_route.get(route, self.overall_ms)
 
     def record(self, route: str, latency_ms: float) -> None:
-        """Takes the time that one request took."""
+        """Adds the latency of one request to the averages."""
         known_ms = self.for_route(route)
         self._by_route[route] = known_ms + (latency_ms - known_ms) * SMOOTHING_FACTOR
         self.overall_ms += (latency_ms - self.overall_ms) * SMOOTHING_FACTOR
--- a/src/jayswitch/gate/slots.py
+++ b/src/jayswitch/gate/slots.py
@@ -1,4 +1,4 @@
-"""Starts of calls at one upstream: within its slots, and slowly while it is cold."""
+"""Queue for an upstream's slots, rate limited while the upstream is cold."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
     from jayswitch.clock import Clock
     from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 
-# Calls that may wait for each slot: beyond it every answer would be late.
+# Calls that may wait per slot. Answers to any beyond that would be late.
 MAX_WAITING_PER_SLOT = 4
-# Calls started ahead of a less urgent one that waits, before it gets a turn: a kind of
-# request must be served at least a quarter as often as all of them.
+# Calls granted ahead of a waiting less urgent one before that one gets a turn. Each
+# kind of request must be served at least a quarter as often as all of them.
 MAX_CONSECUTIVE_URGENT_GRANTS = 8
 
 
@@ -31,15 +31,15 @@
 
 
 class SlotQueue:
-    """Counts running calls against a limit and queues others by rank.
+    """Limits concurrent calls and queues further ones by rank.
 
-    Urgent calls go first, but leave every ninth turn to a less urgent one. A cold
-    upstream starts calls no faster than it bears; calls wait for that as
-    they wait for a slot, the most urgent first.
+    Urgent calls go first, but every ninth grant goes to a less urgent one. Calls to
+    a cold upstream are also rate limited; they wait for that in the same queue,
+    the most urgent first.
     """
 
     def __init__(self, limit: int, rate: ColdRateLimiter, clock: Clock) -> None:
-        """Takes the most calls that may run at once and the rate of starts."""
+        """Expects the maximum of concurrent calls and the cold rate limiter."""
         self.limit = limit
         self.rate = rate
         self._grant_scheduled = False
@@ -51,11 +51,11 @@
 
     @property
     def waiting(self) -> int:
-        """Returns how many calls wait for a slot."""
+        """Returns the number of queued calls."""
         return len(self._waiting)
 
     def expected_wait_ms(self, rank: int, service_ms: float) -> float:
-        """Returns how long a call of a rank would wait for a slot."""
+        """Estimates how long a call of the given rank would wait for a slot."""
         ahead = sum(1 for waiter in self._waiting if waiter.sort_key[0] <= rank)
         if self.rate.is_cold:
             return self.rate.delay_ms() + ahead * MS_PER_S / max(1.0, self.rate.per_s)
@@ -64,7 +64,7 @@
         return (ahead + 0.5) * service_ms / max(1, self.limit)
 
     def acquire(self, rank: int, wait_ms: float) -> bool:
-        """Takes a slot, waiting for at most the given time; False if none came."""
+        """Acquires a slot within the given time; False on timeout or a full queue."""
         if self.running < self.limit and not self._waiting and self._try_start():
             return True
         if wait_ms <= 0 or len(self._waiting) >= self.limit * MAX_WAITING_PER_SLOT:
@@ -83,12 +83,12 @@
         return waiter.granted
 
     def release(self) -> None:
-        """Returns a slot and hands it to the most urgent call that waits."""
+        """Frees a slot and grants it to the next waiting call."""
         self.running -= 1
         self.grant_free_slots()
 
     def grant_free_slots(self) -> None:
-        """Grants free slots, also after the limit has grown."""
+        """Grants free slots to waiting calls, also after the limit was raised."""
         while self._waiting and self.running < self.limit:
             if not self._try_start():
                 return
@@ -97,7 +97,7 @@
             waiter.wakeup.send(None)
 
     def _pop_next(self) -> _Waiter:
-        """Removes the call whose turn it is."""
+        """Removes and returns the next call to be granted a slot."""
         first = self._waiting[0]
         rank = first.sort_key[0]
         others = self._waiting.bisect_key_right((rank, self._serial))
@@ -111,7 +111,7 @@
         return self._waiting.pop(0)
 
     def _try_start(self) -> bool:
-        """Takes a slot unless a cold upstream must rest first."""
+        """Occupies a slot unless the rate limit of a cold upstream is exhausted."""
         delay_ms = self.rate.take()
         if delay_ms <= 0:
             self.running += 1
--- a/src/jayswitch/gate/upstream.py
+++ b/src/jayswitch/gate/upstream.py
@@ -1,4 +1,4 @@
-"""What a gate needs from the upstream beside it."""
+"""Interface between a gate and its upstream."""
 
 from __future__ import annotations
 
@@ -15,9 +15,10 @@
 
 
 class Announcement(Model):
-    """What an upstream says of itself, repeated as a heartbeat.
+    """Announcement of an upstream, repeated as a heartbeat.
 
-    The slots are the requests it runs at once; the address is an HTTP base URL.
+    slots is the number of requests it runs concurrently; address is an HTTP base
+    URL.
     """
 
     service: str
@@ -29,9 +30,9 @@
 
 
 class UpstreamAnswer:
-    """The head of an answer, and the rest of its body where it is long.
+    """Head and first part of an answer, and an iterator over a longer body.
 
-    Reading the rest raises IncompleteUpstreamAnswer when the body ends early.
+    Reading rest raises IncompleteUpstreamAnswer if the body is truncated.
     """
 
     __slots__ = ("body", "headers", "rest", "status")
@@ -43,7 +44,7 @@
         body: bytes,
         rest: Iterator[bytes] | None = None,
     ) -> None:
-        """Takes the first part of the body and an iterator over later parts."""
+        """Expects the first part of the body and an iterator over later parts."""
         self.status = status
         self.headers = headers
         self.body = body
@@ -51,12 +52,12 @@
 
 
 class UpstreamClient(Protocol):
-    """Hands calls to the upstream."""
+    """Sends calls to the upstream."""
 
     def run(
         self, address: str, call: Call, remaining_ms: float
     ) -> Result[UpstreamAnswer, UpstreamFailure]:
-        """Hands the call over once and waits for the head of the answer."""
+        """Sends the call once and waits for the head of the answer."""
 
     def cancel(self, address: str, call: Call) -> None:
-        """Tells the upstream that nobody waits for the call any more."""
+        """Tells the upstream that the answer to the call is no longer needed."""
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -1,4 +1,4 @@
-"""Decides which requests the upstream on this VM runs, and hands them over."""
+"""Admission control for the upstream on this VM and forwarding to it."""
 
 from __future__ import annotations
 
@@ -28,16 +28,16 @@
     from jayswitch.proxy.http_client import Exchange, HttpClient
     from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
 
-# A rejected request may come back when about one running call has ended.
+# Delay before a retry, about the time in which one running call ends.
 LEAVING_RETRY_MS = 200.0
 HEALTH_TIMEOUT_MS = 300.0
-# A rejection or a health answer has a body of a few bytes; longer ones are cut off.
+# Bodies of rejections and health checks have a few bytes; longer ones are truncated.
 MAX_DISCARD_BYTES = 64 * 1024
 HEALTH_RETRY_MS = 150.0
-# Part of the slack that is used: requests travel for different times, and those that
-# are under way while the upstream turns cold count too.
+# Share of the slack that is used. The rest covers varying network delay and requests
+# that are in flight when the upstream becomes cold, which count too.
 COLD_SLACK_SHARE = 0.5
-# Less than this is left: the upstream would be stopped before it has answered.
+# With less time left the request would be cancelled before the upstream has answered.
 MIN_TIME_LEFT_MS = 10.0
 MOST_URGENT_RANK = 0
 STATUS_OK = 200
@@ -50,24 +50,24 @@
 
 
 class ColdRateAllowance:
-    """How far a cold upstream's calls may exceed the rate that it states."""
+    """Allowance by which calls to a cold upstream may exceed its stated rate."""
 
     __slots__ = ("_factor", "_slack")
 
     def __init__(self, factor: float = 1.0, slack: float = 0.0) -> None:
-        """Takes a factor on the rate and calls a second on top."""
+        """Expects a factor on the rate and additional calls per second."""
         self._factor = factor
         self._slack = slack
 
     def calls_per_s(self, stated_per_s: float) -> float:
-        """Returns the calls that an upstream may be started with in a second."""
+        """Returns the number of calls per second that a cold upstream may get."""
         return stated_per_s * self._factor + self._slack * COLD_SLACK_SHARE
 
 
 class UpstreamGate:
-    """Admits requests to one upstream within what it bears.
+    """Admits requests to one upstream within its capacity.
 
-    It alone sends to the upstream, so that what it refuses has not run.
+    Only the gate sends requests to the upstream, so a refused request has not run.
     """
 
     def __init__(
@@ -80,7 +80,7 @@
         clock: Clock,
         cold_rate_allowance: ColdRateAllowance | None = None,
     ) -> None:
-        """Takes the upstream's address and what is known of it."""
+        """Expects the upstream's address and its state from heartbeats."""
         self._cold_rate_allowance = cold_rate_allowance or ColdRateAllowance()
         self.counts: Counter[str] = Counter()
         self.slots = SlotQueue(1, rate, clock)
@@ -101,7 +101,7 @@
 
     @property
     def load(self) -> LoadReport:
-        """Returns the present load; a cold upstream counts for what it bears."""
+        """Returns the current load; the limit of a cold upstream follows its rate."""
         limit = self.slots.limit
         if self.rate.is_cold:
             sustainable = int(self.rate.per_s * self._times.overall_ms / MS_PER_S)
@@ -111,28 +111,28 @@
         )
 
     def set_service(self, service: Service) -> None:
-        """Follows what the configuration says of the upstream's service."""
+        """Applies the configuration of the upstream's service."""
         self.health_path = service.health_path
         self.rate.per_s = self._cold_rate_allowance.calls_per_s(
             service.cold_calls_per_s
         )
 
     def resize(self) -> None:
-        """Follows the slots of the present upstream."""
+        """Applies the number of slots of the current upstream."""
         current = self._local.current
         if current is not None and current.slots != self.slots.limit:
             self.slots.limit = max(1, current.slots)
             self.slots.grant_free_slots()
 
     def restart(self) -> None:
-        """Forgets the connections and times of an earlier incarnation."""
+        """Discards connections and service times of the previous incarnation."""
         self._client.forget(self._address)
         self._times = ServiceTimes()
         self._suspect = False
         self.resize()
 
     def run(self, request: ForwardedRequest) -> AttemptOutcome:
-        """Runs a request at the upstream, or refuses it."""
+        """Sends a request to the upstream or refuses it."""
         refusal = self._refusal(request)
         if refusal == reasons.SUSPECT:
             self._wait_for_health_check(self._max_wait_ms(request))
@@ -173,10 +173,10 @@
         return None
 
     def _max_wait_ms(self, request: ForwardedRequest) -> float:
-        """Returns the wait after which the answer would miss its objective.
+        """Returns the longest wait with which the latency objective is still met.
 
-        The most urgent requests wait as long as an answer can still come: others
-        that have run already depend on them.
+        The most urgent requests may wait until their deadline, because requests
+        that have already run depend on them.
         """
         until_ms = min(request.objective_ms, request.deadline_ms)
         if request.rank <= MOST_URGENT_RANK:
@@ -242,7 +242,7 @@
         names = self._names
         echoed = find(exchange.headers, names.request_id)
         if echoed not in (None, request.request_id):
-            # A late answer of an earlier request, whatever it says of that one.
+            # A late answer to an earlier request, whatever its outcome.
             exchange.close()
             return self._outcome_unknown(
                 request, "the answer is another request's", started_ms
@@ -260,7 +260,7 @@
         signature = find(exchange.headers, names.signature)
         if signature is None or echoed is None:
             exchange.close()
-            reason = "the answer has no signature or no id"
+            reason = "the answer has no signature or no request id"
             return self._outcome_unknown(request, reason, started_ms)
         self._record_answer(request, exchange.status, started_ms)
         body = self._read(request, exchange)
@@ -318,7 +318,7 @@
         latency_ms = self._clock.now_ms() - started_ms
         self.counts["timed_out" if timed_out else "broken"] += 1
         if timed_out:
-            # A lost answer says nothing about a version, a late one does.
+            # A late answer counts against the version; a lost one does not.
             self.on_answer(request, True, latency_ms)
             self._times.record(request.route, latency_ms)
         logger.warning(
@@ -358,9 +358,9 @@
     # Health
 
     def _suspect_upstream(self, reason: str) -> None:
-        """Checks who is at the address before anything else is sent there.
+        """Starts a health check and holds back requests until it has succeeded.
 
-        A broken connection may mean a new incarnation, which is cold.
+        A broken connection may indicate a new incarnation, which is cold.
         """
         self._client.forget(self._address)
         self._suspect = True
@@ -384,16 +384,17 @@
             self._check_done.send(None)
 
     def _wait_for_health_check(self, wait_ms: float) -> None:
-        """Waits for the end of a health check, which takes a few milliseconds."""
+        """Waits for a running health check, which takes a few milliseconds."""
         timeout_ms = min(wait_ms, HEALTH_TIMEOUT_MS)
         if self._check_running and timeout_ms > 0:
             with eventlet.Timeout(timeout_ms / MS_PER_S, False):
                 self._check_done.wait()
 
     def confirm_restored(self) -> bool:
-        """Asks whether the upstream that an earlier process knew is still there.
+        """Checks whether the upstream restored from the stored state still runs.
 
-        It saves waiting for the next heartbeat. Anything but a plain yes is a no.
+        This avoids waiting for the next heartbeat. Only a successful answer with
+        the expected upstream id confirms it.
         """
         exchange = self._ask_health()
         current = self._local.current
@@ -402,13 +403,13 @@
         return find(exchange.headers, self._names.upstream_id) == current.id
 
     def _is_healthy(self) -> bool:
-        """Asks the upstream who it is and whether it is cold."""
+        """Returns whether the upstream answers and is the expected one."""
         exchange = self._ask_health()
         if exchange is None:
             return False
         current = self._local.current
         upstream_id = find(exchange.headers, self._names.upstream_id)
-        # A rejected check still shows that the upstream is there.
+        # A rejection without an upstream id still shows that the upstream runs.
         return upstream_id is None or current is None or upstream_id == current.id
 
     def _ask_health(self) -> Exchange | None:
--- a/tests/gate/test_admission.py
+++ b/tests/gate/test_admission.py
@@ -1,4 +1,4 @@
-"""Tests of admission: bounds and fairness between priorities."""
+"""Tests of the admission queue and the concurrency limiter."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 
 
 class TestAdmissionQueue:
-    """Running calls stay below the limit; no priority starves."""
+    """Running calls stay within the limit and no priority starves."""
 
-    def test_bulk_calls_leave_slots_to_short_reads(self) -> None:
+    def test_bulk_calls_leave_slots_to_other_priorities(self) -> None:
         admission = AdmissionQueue(lambda: 6)
         taken = [admission.acquire("bulk", 0) for _ in range(6)]
         assert taken.count(True) == 3
@@ -64,16 +64,16 @@
 
 
 class TestConcurrencyLimiter:
-    """The limit follows what the upstream has borne."""
+    """The limit adapts to the outcomes of calls."""
 
     def succeed(
         self, limiter: ConcurrencyLimiter, count: int, latency_ms: float = 5.0
     ) -> None:
-        """Reports answers at full use of the limit."""
+        """Reports successful answers at full utilisation of the limit."""
         for _ in range(count):
             limiter.on_success("read", latency_ms, limiter.limit)
 
-    def test_cold_upstream_starts_with_little(self) -> None:
+    def test_cold_upstream_starts_with_a_low_limit(self) -> None:
         limiter = ConcurrencyLimiter(20, 10_000, VirtualClock())
         self.succeed(limiter, 500)
         assert limiter.limit <= 2
@@ -94,7 +94,7 @@
         limiter.on_overload()
         assert limiter.limit == 12
 
-    def test_run_of_slow_answers_restarts_the_ramp(self) -> None:
+    def test_consecutive_slow_answers_restart_the_ramp(self) -> None:
         clock = VirtualClock()
         limiter = ConcurrencyLimiter(20, 1000, clock)
         for _ in range(40):
--- a/tests/gate/test_cold_rate_limiter.py
+++ b/tests/gate/test_cold_rate_limiter.py
@@ -1,4 +1,4 @@
-"""Tests of the bound on calls to a cold upstream."""
+"""Tests of the rate limit for calls to a cold upstream."""
 
 from __future__ import annotations
 
@@ -12,13 +12,13 @@
 
 
 class TestColdRateLimiter:
-    """A cold upstream gets no more than its calls in any second."""
+    """A cold upstream gets no more than its rate in any second."""
 
     def test_warm_upstream_is_not_bounded(self) -> None:
         rate = ColdRateLimiter(VirtualClock(), COLD_CALLS_PER_S)
         assert all(rate.take() == 0 for _ in range(100))
 
-    def test_no_second_holds_more_than_a_cold_upstream_bears(self) -> None:
+    def test_calls_in_any_second_stay_within_the_cold_rate(self) -> None:
         clock = VirtualClock()
         rate = ColdRateLimiter(clock, COLD_CALLS_PER_S)
         rate.set_cold(60_000)
@@ -31,7 +31,7 @@
             within = [at for at in started if begin <= at < begin + 1000]
             assert len(within) <= COLD_CALLS_PER_S
 
-    def test_calls_before_the_upstream_turned_cold_count(self) -> None:
+    def test_calls_before_the_upstream_became_cold_count(self) -> None:
         clock = VirtualClock()
         rate = ColdRateLimiter(clock, COLD_CALLS_PER_S)
         for _ in range(20):
@@ -49,20 +49,20 @@
         rate.set_cold(3000)
         assert rate.take() >= 1000
 
-    def test_time_that_this_process_has_run_is_not_waited_for_again(self) -> None:
+    def test_process_age_shortens_the_reserved_window(self) -> None:
         clock = VirtualClock()
-        clock_of_old_process = mock.patch.object(
+        process_age = mock.patch.object(
             VirtualClock, "least_age_ms", return_value=400.0
         )
         rate = ColdRateLimiter(clock, COLD_CALLS_PER_S)
-        with clock_of_old_process:
+        with process_age:
             rate.reserve_window()
         rate.set_cold(3000)
         assert 600 <= rate.take() <= 700
 
 
 class TestColdRateAllowance:
-    """What a cold upstream may get beyond the rate that its service states."""
+    """Calls that a cold upstream may get beyond the stated rate."""
 
     def test_bound_is_used_up_to_half_of_its_slack(self) -> None:
         assert ColdRateAllowance(1.5, 5.0).calls_per_s(8.5) == 15.25
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -1,4 +1,4 @@
-"""Tests of the gate: at most once, and refusals that stay true."""
+"""Tests of the gate: at-most-once execution, refusals, keys and cancellation."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 def call(call_id: str, key: str = "", idempotent: bool = False) -> Call:
-    """Returns an attempt of a request."""
+    """Returns one attempt at a request."""
     return Call(
         id=call_id,
         request_id=call_id.rpartition(".")[0],
@@ -46,7 +46,7 @@
 
 
 def announcement(slots: int = 4) -> Announcement:
-    """Returns what the upstream says of itself."""
+    """Returns an announcement of the upstream."""
     return Announcement(
         service="herdview",
         version="v1",
@@ -57,7 +57,7 @@
 
 
 class ScriptedClient:
-    """Counts what it ran; its next outcomes can be set."""
+    """Upstream client with a configurable outcome that counts executions."""
 
     def __init__(self, clock: VirtualClock) -> None:
         """Answers after 20 ms."""
@@ -67,7 +67,7 @@
         self.clock = clock
 
     def run(self, address: str, attempt: Call, remaining_ms: float) -> object:
-        """Runs an attempt unless the upstream is said to refuse."""
+        """Runs an attempt unless the configured outcome is a refusal."""
         if self.outcome == "not reached":
             return Failure(UpstreamUnreachable(address, "refused"))
         if self.outcome == "shed":
@@ -80,15 +80,15 @@
         return Success(UpstreamAnswer(200, [], attempt.id.encode()))
 
     def cancel(self, address: str, attempt: Call) -> None:
-        """Needs no telling."""
+        """Ignores the cancellation."""
 
 
 class GateMachine(RuleBasedStateMachine):
-    """Calls and cancellations come twice, late and crossed."""
+    """Calls and cancellations arrive duplicated, late and out of order."""
 
     @initialize()
     def build(self) -> None:
-        """Makes a gate with an upstream."""
+        """Creates a gate with an upstream."""
         use_virtual_time()
         self.clock = VirtualClock()
         self.client = ScriptedClient(self.clock)
@@ -110,7 +110,7 @@
 
     @rule(outcome=st.sampled_from(["answer", "break", "shed", "not reached"]))
     def set_outcome(self, outcome: str) -> None:
-        """Changes what the upstream does."""
+        """Changes the outcome of later calls."""
         self.client.outcome = outcome
 
     @rule(out=st.booleans(), draining=st.booleans(), leaving=st.booleans())
@@ -122,18 +122,18 @@
 
     @rule(ms=st.sampled_from([1, 10, 30, 200]))
     def wait(self, ms: int) -> None:
-        """Lets calls make progress."""
+        """Advances the virtual clock."""
         self.clock.sleep_ms(ms)
 
     @invariant()
     def at_most_once(self) -> None:
-        """No request is handed over twice, under whatever attempt."""
+        """No request runs twice, whatever the attempt."""
         if hasattr(self, "client"):
             assert max(self.client.runs_by_request.values(), default=0) <= 1
 
     @invariant()
-    def refusals_are_true(self) -> None:
-        """An attempt that was refused is never run, and keeps no slot."""
+    def refused_attempts_never_run(self) -> None:
+        """A refused attempt never runs and occupies no slot."""
         if not hasattr(self, "client"):
             return
         refused = {m.id for m in self.sent if isinstance(m, Refusal)}
@@ -141,8 +141,8 @@
         assert 0 <= self.gate.admission.in_flight <= 4
 
     @invariant()
-    def answers_are_its_own(self) -> None:
-        """An answer carries the body that its own attempt produced."""
+    def answers_match_their_attempt(self) -> None:
+        """An answer carries the body of its own attempt."""
         for message in getattr(self, "sent", []):
             if isinstance(message, Answer):
                 assert message.body == message.id.encode()
@@ -153,10 +153,10 @@
 
 
 class TestIdempotencyKey:
-    """A key that a caller repeats meets the first request's outcome."""
+    """A request with a repeated key gets the outcome of the first one."""
 
     def run(self, outcome: str, second_after_ms: float) -> tuple[object, int]:
-        """Sends two requests with one key; returns the second reply and the runs."""
+        """Sends two requests with one key; returns the second reply and run count."""
         clock = VirtualClock()
         client = ScriptedClient(clock)
         client.outcome = outcome
@@ -178,7 +178,7 @@
         assert isinstance(reply, Answer) and reply.body == b"r1.1"
         assert runs == 1
 
-    def test_request_beside_the_first_waits_for_it(self) -> None:
+    def test_concurrent_request_waits_for_the_first(self) -> None:
         reply, runs = self.run("answer", 5)
         assert isinstance(reply, Answer)
         assert runs == 1
@@ -195,7 +195,7 @@
 
 
 class TestCancellation:
-    """A cancelled call ends, and the entry node learns whether it ran."""
+    """A cancelled call ends and the entry node is told whether it ran."""
 
     def test_call_that_was_handed_over(self) -> None:
         clock = VirtualClock()
@@ -223,7 +223,7 @@
 
 
 class TestDeadline:
-    """Work whose deadline cannot be met is refused before it is handed over."""
+    """A call that cannot meet its deadline is refused before it is sent."""
 
     def test_call_without_enough_time_is_refused(self) -> None:
         clock = VirtualClock()
--- a/tests/gate/test_local_upstream.py
+++ b/tests/gate/test_local_upstream.py
@@ -1,4 +1,4 @@
-"""Tests of what heartbeats change, and of what late ones must not change."""
+"""Tests of heartbeat handling, including late and repeated heartbeats."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class TestHeartbeats:
-    """The newest incarnation counts, and leaving is final for each."""
+    """The newest incarnation is current, and one that leaves cannot return."""
 
     def test_first_heartbeat_makes_the_upstream_usable(self) -> None:
         cold: list[float] = []
@@ -82,7 +82,7 @@
         local.handle_heartbeat(Heartbeat(_upstream(8), 0))
         assert local.usable is None
 
-    def test_first_heartbeat_after_a_restart_is_news(self) -> None:
+    def test_first_heartbeat_after_a_restart_is_a_change(self) -> None:
         local = _local(VirtualClock())
         local.restore(_upstream(7))
         assert local.usable is None
--- a/tests/gate/test_slots.py
+++ b/tests/gate/test_slots.py
@@ -1,4 +1,4 @@
-"""Tests of the queue for an upstream's slots."""
+"""Tests of the queue for the slots of an upstream."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
     return SlotQueue(limit, ColdRateLimiter(clock), clock)
 
 
-def _acquire_until_gone(slots: SlotQueue, seen: list[str]) -> None:
+def _acquire_until_caller_is_gone(slots: SlotQueue, seen: list[str]) -> None:
     try:
         slots.acquire(1, 1000)
     except CallerGone:
@@ -23,7 +23,7 @@
 
 
 class TestSlotQueue:
-    """Never more than the limit runs; the most urgent call goes first."""
+    """Concurrency stays within the limit and urgent calls go first."""
 
     def test_limit_holds_and_waiting_ends(self) -> None:
         slots = _slots(2)
@@ -53,7 +53,7 @@
         slots = _slots(1)
         assert slots.acquire(1, 0)
         seen: list[str] = []
-        task = eventlet.spawn(_acquire_until_gone, slots, seen)
+        task = eventlet.spawn(_acquire_until_caller_is_gone, slots, seen)
         eventlet.sleep(0)
         eventlet.spawn_after(0, task.throw, CallerGone())
         eventlet.sleep(0.001)
@@ -66,7 +66,7 @@
         slots = _slots(1)
         assert slots.acquire(1, 0)
         seen: list[str] = []
-        task = eventlet.spawn(_acquire_until_gone, slots, seen)
+        task = eventlet.spawn(_acquire_until_caller_is_gone, slots, seen)
         eventlet.sleep(0)
         eventlet.spawn_after(0, task.throw, CallerGone())
         eventlet.spawn_after(0, slots.release)
@@ -91,7 +91,7 @@
 
 
 class TestColdStarts:
-    """While the upstream is cold, the most urgent calls use what it bears."""
+    """While the upstream is cold, urgent calls are started first."""
 
     def test_calls_wait_for_their_start_in_the_order_of_their_rank(self) -> None:
         clock = VirtualClock()
