Reword the texts of the routing package in the usual terms

Comments and docstrings spoke of the truth, of where a node stands and of what an attempt has shown. They now describe load balancing, retry budgets and traffic splits; every reason is kept.

--- a/src/jayswitch/routing/balancer.py
+++ b/src/jayswitch/routing/balancer.py
@@ -1,4 +1,4 @@
-"""Chooses an upstream: this VM's, the nearest data centre with room, two at random."""
+"""Load balancing: local upstream, nearest data centre, then the better of two."""
 
 from __future__ import annotations
 
@@ -17,14 +17,14 @@
 FAILURE_PENALTY_MS = 1000.0
 MAX_DOUBLINGS = 5
 SATURATED = 1.0
-# The upstream on this VM saves a hop. It is preferred up to this load, and unless
-# another one of its data centre is known to be so much faster.
+# The upstream on this VM saves a hop. It is preferred up to this load, unless its
+# service time exceeds that of the fastest in its data centre by this factor.
 MAX_LOCAL_SCORE = 0.6
 MAX_LOCAL_SLOWDOWN = 1.6
 
 
 class UpstreamLoad:
-    """What this node knows at first hand of one upstream's load."""
+    """Load of one upstream as observed by this node."""
 
     __slots__ = (
         "failures_in_row",
@@ -37,7 +37,7 @@
     )
 
     def __init__(self) -> None:
-        """Starts without a report."""
+        """Starts without a load report."""
         self.failures_in_row = 0
         self.outstanding = 0
         self.limit = 0
@@ -48,7 +48,7 @@
 
 
 class Balancer:
-    """Loads by upstream node, and the choice among candidates."""
+    """Tracks the load of upstreams by node and chooses among candidates."""
 
     def __init__(
         self,
@@ -58,7 +58,7 @@
         rng: random.Random,
         local_node: str = "",
     ) -> None:
-        """Takes where this node stands and, to prefer its upstream, its name."""
+        """Expects this node's location; local_node makes it prefer its own upstream."""
         self._local_node = local_node
         self.load_by_node: dict[str, UpstreamLoad] = {}
         self._data_centre = data_centre
@@ -69,10 +69,10 @@
     def choose(
         self, candidates: list[Member], excluded: Collection[str], key: str = ""
     ) -> Member | None:
-        """Returns the upstream for one attempt; None if every one is excluded.
+        """Returns the upstream for one attempt, or None if all are excluded.
 
-        With an idempotency key the choice depends on the key alone, so that a
-        repetition meets the gate that knows the first request.
+        With an idempotency key the choice depends only on the key, so that a
+        repeated request reaches the gate that handled the first one.
         """
         remaining = [m for m in candidates if m.node not in excluded]
         if not remaining:
@@ -103,7 +103,7 @@
         return None if fastest_ms > 0 and slow else local
 
     def score(self, member: Member) -> float:
-        """Returns the share of its limit that an upstream seems to use."""
+        """Returns the estimated utilisation of an upstream's limit."""
         load = self._load(member.node)
         now_ms = self._clock.now_ms()
         if now_ms < load.penalty_until_ms:
@@ -116,18 +116,18 @@
         return in_flight / max(1, limit)
 
     def start(self, node: str) -> None:
-        """Counts a call handed to an upstream's gate."""
+        """Counts a call sent to an upstream's gate."""
         self._load(node).outstanding += 1
 
     def finish(self, node: str) -> None:
-        """Counts the end of a call."""
+        """Counts a completed call."""
         load = self._load(node)
         load.outstanding = max(0, load.outstanding - 1)
 
     def report(
         self, node: str, in_flight: int, limit: int, service_ms: float = 0.0
     ) -> None:
-        """Takes the load that a gate states in its answer."""
+        """Records the load that a gate reports in its answer."""
         load = self._load(node)
         load.service_ms = service_ms
         load.reported_in_flight = in_flight
@@ -136,22 +136,22 @@
         load.failures_in_row = 0
 
     def penalize(self, node: str, duration_ms: float) -> None:
-        """Avoids an upstream for a while, where there is another."""
+        """Avoids an upstream for a time if there is another one."""
         self._load(node).penalty_until_ms = self._clock.now_ms() + duration_ms
 
     def suspect(self, node: str) -> None:
-        """Avoids an upstream that gave no answer, longer each time in a row."""
+        """Avoids an upstream that did not answer, with exponential backoff."""
         load = self._load(node)
         load.failures_in_row += 1
         doublings = min(load.failures_in_row, MAX_DOUBLINGS) - 1
         self.penalize(node, FAILURE_PENALTY_MS * 2**doublings)
 
     def is_suspected(self, node: str) -> bool:
-        """Tells whether the latest attempts at an upstream got no answer."""
+        """Returns whether the latest attempt at an upstream got no answer."""
         return self._load(node).failures_in_row > 0
 
     def forget(self, node: str) -> None:
-        """Drops an upstream that is gone."""
+        """Removes the load of an upstream that is gone."""
         self.load_by_node.pop(node, None)
 
     def _is_penalized(self, member: Member, now_ms: float) -> bool:
@@ -187,6 +187,6 @@
 
 
 def split_point_for_key(key: str) -> float:
-    """Returns a point between 0 and 100 that depends on the key alone."""
+    """Returns a value from 0 to 100 that depends only on the key."""
     digest = blake2b(key.encode(), digest_size=4).digest()
     return int.from_bytes(digest) / 2**32 * 100
--- a/src/jayswitch/routing/exceptions.py
+++ b/src/jayswitch/routing/exceptions.py
@@ -1,4 +1,4 @@
-"""Refusals and failures that a caller is told of."""
+"""Failures of calls that are reported to the caller."""
 
 from __future__ import annotations
 
@@ -6,26 +6,26 @@
 
 
 class CallFailure(JayswitchError):
-    """A call without an answer; not_run tells whether it surely did not run."""
+    """A call got no answer; not_run is set if it certainly did not run."""
 
     code = "call-failure"
     not_run = False
 
     def __init__(self, cause: str, remedy: str, retry_after_ms: int = 0) -> None:
-        """Takes the cause, the remedy and when a repetition may succeed."""
+        """Expects the cause, the remedy and the delay before a retry."""
         super().__init__(cause, remedy)
         self.retry_after_ms = retry_after_ms
 
 
 class NoRoute(CallFailure):
-    """The profile in force has no route for the path."""
+    """The active profile has no route for the path."""
 
     code = "no-route"
     status = 404
     not_run = True
 
     def __init__(self, path: str, profile: str) -> None:
-        """Takes the path and the profile's name; empty for no profile."""
+        """Expects the path and the profile's name, empty if there is no profile."""
         where = f"profile {profile!r}" if profile else "the empty configuration"
         super().__init__(
             f"{where} has no route for {path!r}",
@@ -34,14 +34,14 @@
 
 
 class NotRun(CallFailure):
-    """No upstream was handed the call."""
+    """The call was not sent to any upstream."""
 
     code = "not-run"
     status = 503
     not_run = True
 
     def __init__(self, reason: str, retry_after_ms: int) -> None:
-        """Takes the last reason and when a repetition may succeed."""
+        """Expects the last reason and the delay before a retry."""
         super().__init__(
             f"the call was not run: {reason}",
             "repeat it after the time in Retry-After",
@@ -50,29 +50,29 @@
 
 
 class OutcomeUnknown(CallFailure):
-    """The call was handed over, and whether it ran is not known."""
+    """The call was sent to an upstream, but it is unknown whether it ran."""
 
     code = "unknown"
     status = 504
 
     def __init__(self, reason: str) -> None:
-        """Takes what is known."""
+        """Expects the reason why the outcome is unknown."""
         super().__init__(
             f"it is not known whether the call ran: {reason}",
-            "look up its effect before repeating it, unless it is idempotent",
+            "check its effect before repeating it, unless it is idempotent",
         )
 
 
 class DepthExceeded(CallFailure):
-    """A chain of calls is deeper than any that the mesh carries."""
+    """A chain of nested calls exceeds the maximum depth."""
 
     code = "depth-exceeded"
     status = 508
     not_run = True
 
     def __init__(self, depth: int) -> None:
-        """Takes the depth of the call."""
+        """Expects the depth of the call."""
         super().__init__(
-            f"the call is {depth} levels deep",
-            "look for services that call each other in a circle",
+            f"the call is nested {depth} levels deep",
+            "look for services that call each other in a cycle",
         )
--- a/src/jayswitch/routing/request.py
+++ b/src/jayswitch/routing/request.py
@@ -1,4 +1,4 @@
-"""One request of a caller: what came in, what was tried and what goes back."""
+"""A caller's request, the attempts made for it and its answer."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class CallerRequest:
-    """A request as it came from a caller; the timeout is 0 if none was given."""
+    """A request as received from a caller; timeout_ms is 0 if none was given."""
 
     __slots__ = ("body", "depth", "headers", "key", "method", "path", "timeout_ms")
 
@@ -30,7 +30,7 @@
         depth: int = 0,
         key: str = "",
     ) -> None:
-        """Takes the path with its query string."""
+        """Expects the path including the query string."""
         self.method = method
         self.path = path
         self.headers = headers
@@ -41,7 +41,7 @@
 
 
 class CallerAnswer:
-    """A complete head and an iterator over the body, which may fail when read."""
+    """Head of an answer and an iterator over its body, which may raise AnswerCut."""
 
     __slots__ = ("body", "headers", "request_id", "status", "upstream")
 
@@ -53,7 +53,7 @@
         headers: list[Header],
         body: Iterator[bytes],
     ) -> None:
-        """Takes what the upstream answered and the name of its node."""
+        """Expects the upstream's answer and the name of its node."""
         self.request_id = request_id
         self.upstream = upstream
         self.status = status
@@ -62,11 +62,11 @@
 
 
 class AnswerCut(Exception):
-    """The body of an answer ended early; the caller must not take it for whole."""
+    """The body of an answer is truncated and must not be treated as complete."""
 
 
 class RequestAttempts:
-    """What has been tried for one request."""
+    """State of the attempts made for one request."""
 
     __slots__ = (
         "budget",
@@ -113,13 +113,13 @@
 
     @property
     def idempotent(self) -> bool:
-        """Tells whether the route allows the method to run more than once."""
+        """Returns whether the route declares the request's method idempotent."""
         return self.request.method in self.route.idempotent_methods
 
     def record_failure(self, node: str, outcome: Refusal | Unknown) -> None:
-        """Takes over what an attempt without an answer has shown.
+        """Records an attempt that got no answer.
 
-        Later attempts go to the proved version, whatever the first one went to.
+        Later attempts use the proved version, whichever version was tried first.
         """
         self.version = self.proved_version
         self.excluded.add(node)
@@ -130,7 +130,7 @@
             self.may_have_run = True
 
     def next_call(self, reply_to: str, remaining_ms: float) -> Call:
-        """Returns the message of the next attempt."""
+        """Returns the message for the next attempt."""
         self.number += 1
         self.call_id = f"{self.request_id}.{self.number}"
         return Call(
--- a/src/jayswitch/routing/retry_budget.py
+++ b/src/jayswitch/routing/retry_budget.py
@@ -1,4 +1,4 @@
-"""A budget that keeps retries to a share of the calls."""
+"""Token bucket that limits retries to a share of the calls."""
 
 from __future__ import annotations
 
@@ -8,25 +8,25 @@
 
 
 class RetryBudget:
-    """Calls deposit a fraction of a token; a retry costs a whole one."""
+    """Each call deposits a fraction of a token; a retry costs one token."""
 
     __slots__ = ("_tokens",)
 
     def __init__(self) -> None:
-        """Starts with a few tokens, so that rare calls can be retried."""
+        """Starts with a few tokens, so that infrequent calls can be retried."""
         self._tokens = INITIAL_TOKENS
 
     def deposit(self, percent: int) -> None:
-        """Counts one call that allows the given share of retries."""
+        """Adds the given percentage of a token for one call."""
         self._tokens = min(MAX_TOKENS, self._tokens + percent / PERCENT)
 
     @property
     def has_token(self) -> bool:
-        """Tells whether a retry would be allowed."""
+        """Returns whether a retry would be allowed."""
         return self._tokens >= 1.0
 
     def take(self) -> bool:
-        """Takes a token for a retry; False if none is left."""
+        """Takes a token for a retry; returns False if none is left."""
         if not self.has_token:
             return False
         self._tokens -= 1.0
--- a/src/jayswitch/routing/router.py
+++ b/src/jayswitch/routing/router.py
@@ -1,4 +1,4 @@
-"""The entry node's part of a call: choice, attempts, retries and the truth."""
+"""Routing of calls at the entry node: upstream choice, attempts and retries."""
 
 from __future__ import annotations
 
@@ -68,7 +68,7 @@
 
 
 class Router:
-    """Routes callers' requests to gates and tells callers only what is known."""
+    """Routes callers' requests to gates; reports an unknown outcome as unknown."""
 
     def __init__(
         self,
@@ -81,7 +81,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Takes the local gate, which is called without the transport."""
+        """Expects the local gate, which is called without the transport."""
         self.table = table
         self.counts: Counter[str] = Counter()
         self.in_flight = 0
@@ -98,7 +98,7 @@
         self._budget_by_service: dict[str, RetryBudget] = {}
 
     def call(self, request: CallerRequest) -> Result[CallerAnswer, CallFailure]:
-        """Runs a request; a failure says whether it is known not to have run."""
+        """Runs a request; a failure states whether it certainly did not run."""
         self.counts["calls"] += 1
         self.in_flight += 1
         try:
@@ -183,8 +183,8 @@
         if isinstance(outcome, Unknown):
             nested = attempts.request.depth > 0
             return attempts.idempotent and not nested and attempts.budget.take()
-        # A gate that is gone or leaving costs nothing at first, because the router
-        # would not have asked it had the news arrived in time.
+        # The first retries after a refusal by a leaving or lost gate are free: the
+        # router chose that gate only because its membership data was stale.
         stale = outcome.reason not in LOAD_REASONS
         free = stale and attempts.number <= FREE_ATTEMPTS
         return free or attempts.budget.take()
@@ -237,7 +237,7 @@
             return None
 
     def _cancel(self, call: Call, member: Member, replies: LightQueue) -> Outcome:
-        """Stops a late call; its gate may still know that it never ran."""
+        """Cancels a late call; its gate may still confirm that it never ran."""
         self.counts["cancels"] += 1
         cancel = Cancel(id=call.id, reply_to=self._transport.address)
         if member.node == self._node:
@@ -266,7 +266,7 @@
     # Answers
 
     def receive(self, message: Reply) -> None:
-        """Hands a reply to the task that waits for it; late ones are counted."""
+        """Passes a reply to the waiting task; counts replies that come too late."""
         replies = self._replies_by_id.get(message.id)
         if replies is None:
             self.counts["late_replies"] += 1
@@ -302,13 +302,13 @@
             try:
                 chunk = replies.get(timeout=CHUNK_TIMEOUT_MS / MS_PER_S)
             except Empty:
-                raise AnswerCut("the next part of the answer did not come") from None
+                raise AnswerCut("the next chunk did not arrive in time") from None
             if not isinstance(chunk, Chunk) or chunk.seq < expected_seq:
                 self.counts["unexpected_replies"] += 1
                 continue
             if chunk.failed or chunk.seq != expected_seq:
                 self.counts["answers_cut"] += 1
-                raise AnswerCut(chunk.failed or "a part of the answer was lost")
+                raise AnswerCut(chunk.failed or "a chunk of the answer was lost")
             if chunk.last:
                 return
             yield chunk.data
--- a/src/jayswitch/routing/sliding_window_budget.py
+++ b/src/jayswitch/routing/sliding_window_budget.py
@@ -1,4 +1,4 @@
-"""A proxy's part of a retry budget that the whole fleet shares."""
+"""A proxy's share of a retry budget for the whole fleet."""
 
 from __future__ import annotations
 
@@ -11,17 +11,17 @@
     from jayswitch.clock import Clock
 
 BUCKET_MS = 500.0
-# Calls that a repeated run makes count as repeats where they arrive, so that a
-# proxy spends only half of what its own requests allow.
+# A retried request repeats its nested calls, which count as retries at the services
+# that they reach, so a proxy spends only half of what its own requests allow.
 SHARE_OF_RATIO = 0.5
 SHARE_OF_SLACK = 0.5
 
 
 class SlidingWindowRetryBudget:
-    """Repeats against requests in a sliding window.
+    """Limits retries relative to requests within a sliding window.
 
-    A proxy spends what its own requests have earned and an equal part of the slack,
-    so that the sum holds while proxies cannot reach each other.
+    A proxy spends the retries allowed by its own requests and an equal share of the
+    slack, so the fleet's limit holds even if proxies cannot reach each other.
     """
 
     __slots__ = ("_buckets", "_clock", "_ratio", "_slack", "_window_ms")
@@ -29,20 +29,20 @@
     def __init__(
         self, ratio: float, slack: float, window_s: float, clock: Clock
     ) -> None:
-        """Takes the fleet's bounds; the window is in seconds."""
+        """Expects the limits of the whole fleet; the window is in seconds."""
         self._ratio = ratio * SHARE_OF_RATIO
         self._slack = slack * SHARE_OF_SLACK
         self._window_ms = window_s * MS_PER_S
         self._clock = clock
-        # Start of the bucket, requests, repeats.
+        # Start of the bucket, requests, retries.
         self._buckets: deque[list[float]] = deque()
 
     def record_request(self) -> None:
-        """Counts a request that callers made."""
+        """Counts a request from a caller."""
         self._bucket()[1] += 1
 
     def allows_retry(self, fleet_size: int) -> bool:
-        """Tells whether a repeat would be allowed."""
+        """Returns whether a retry would be allowed."""
         self._bucket()
         requests = sum(bucket[1] for bucket in self._buckets)
         repeats = sum(bucket[2] for bucket in self._buckets)
@@ -50,7 +50,7 @@
         return repeats + 1 <= allowed
 
     def take(self, fleet_size: int) -> bool:
-        """Counts a repeat if the budget allows one."""
+        """Counts a retry if the budget allows one."""
         if not self.allows_retry(fleet_size):
             return False
         self._bucket()[2] += 1
--- a/src/jayswitch/routing/table.py
+++ b/src/jayswitch/routing/table.py
@@ -1,4 +1,4 @@
-"""Routes of the profile in force, joined with the upstreams that are known."""
+"""Routing table of the active profile and directory of known upstreams."""
 
 from __future__ import annotations
 
@@ -16,32 +16,32 @@
 
 
 class VersionSplit:
-    """Which versions of a service get which share of the calls.
+    """Traffic split between the versions of a service.
 
-    The move is None unless a new version is on trial.
+    move is None unless a new version is on trial.
     """
 
     __slots__ = ("move", "proved_version")
 
     def __init__(self, proved_version: str, move: Move | None) -> None:
-        """Takes the version that gets what the move does not take."""
+        """Expects the version that gets the calls not covered by the move."""
         self.proved_version = proved_version
         self.move = move
 
     def choose(self, point: float) -> str:
-        """Returns the version for a point between 0 and 100."""
+        """Returns the version for a value from 0 to 100."""
         if self.move is not None and point < self.move.percent:
             return self.move.to_version
         return self.proved_version
 
 
 class RoutingTable:
-    """Built in one step from one configuration version; never changed afterwards."""
+    """Immutable table built from one version of the configuration."""
 
     __slots__ = ("config", "profile", "routes", "_split_by_service")
 
     def __init__(self, config: ConfigState, profile: Profile | None) -> None:
-        """Takes the configuration and the profile that this node runs under."""
+        """Expects the configuration and this node's profile."""
         self.config = config
         self.profile = profile
         self.routes: list[Route] = []
@@ -56,11 +56,11 @@
 
     @property
     def profile_name(self) -> str:
-        """Returns the profile's name; empty where there is none."""
+        """Returns the profile's name, empty if there is none."""
         return self.profile.name if self.profile is not None else ""
 
     def route_for(self, path: str) -> Route | None:
-        """Returns the route with the longest prefix that matches on whole segments."""
+        """Returns the route with the longest prefix that matches whole segments."""
         for route in self.routes:
             prefix = route.prefix
             if path == prefix or path.startswith(prefix.rstrip("/") + "/"):
@@ -70,9 +70,9 @@
         return None
 
     def split_for(self, service: str, wall_ms: int) -> VersionSplit:
-        """Returns the versions that share a service's calls.
+        """Returns the traffic split of a service.
 
-        A move past its deadline gets no calls, even where nobody can end it.
+        A move past its deadline gets no calls, even if no node can end it.
         """
         split = self._split_by_service[service]
         move = split.move
@@ -81,18 +81,18 @@
         return VersionSplit(split.proved_version, None)
 
     def retry_percent(self, service: str) -> int:
-        """Returns how many retries a hundred calls to the service allow."""
+        """Returns the maximum retries as a percentage of the calls to a service."""
         target = target_of(self.profile, service) if self.profile else None
         return target.max_retry_percent if target is not None else 0
 
 
 def random_split_point(rng: random.Random) -> float:
-    """Returns a point for VersionSplit.choose."""
+    """Returns a random value for VersionSplit.choose."""
     return rng.random() * FULL_PERCENT
 
 
 class UpstreamDirectory:
-    """The members that are known, by service and version."""
+    """Known members, by service and version."""
 
     def __init__(self) -> None:
         """Starts empty."""
@@ -100,7 +100,7 @@
         self._by_service_version: dict[tuple[str, str], dict[str, Member]] = {}
 
     def put(self, member: Member) -> None:
-        """Adds a member or replaces what was known of it."""
+        """Adds or replaces a member."""
         self.remove(member.node)
         self.by_node[member.node] = member
         if member.service:
@@ -108,7 +108,7 @@
             self._by_service_version.setdefault(key, {})[member.node] = member
 
     def remove(self, node: str) -> None:
-        """Forgets a member."""
+        """Removes a member."""
         member = self.by_node.pop(node, None)
         if member is None or not member.service:
             return
@@ -119,7 +119,7 @@
             self._by_service_version.pop(key, None)
 
     def usable(self, service: str, version: str, config: ConfigState) -> list[Member]:
-        """Returns the upstreams that new work may go to."""
+        """Returns the upstreams that may get new calls."""
         members = self._by_service_version.get((service, version), {})
         return [
             member
@@ -128,6 +128,6 @@
         ]
 
     def has_version(self, service: str, version: str) -> bool:
-        """Tells whether any upstream of the version is up."""
+        """Returns whether any upstream of the version is up."""
         members = self._by_service_version.get((service, version), {})
         return any(member.state == "up" for member in members.values())
--- a/tests/routing/test_local_preference.py
+++ b/tests/routing/test_local_preference.py
@@ -1,4 +1,4 @@
-"""Tests of preferring the upstream on this VM."""
+"""Tests of the preference for the upstream on the same VM."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 
 class TestLocalPreference:
-    """The upstream here is used while it has room and is not slow."""
+    """The local upstream is chosen unless it is busy, slow or refuses calls."""
 
     def test_upstream_with_room_is_preferred(self) -> None:
         balancer = _balancer()
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -1,4 +1,4 @@
-"""Tests of routes, balancing and retries."""
+"""Tests of routes, the upstream directory, load balancing and retries."""
 
 from __future__ import annotations
 
@@ -62,7 +62,7 @@
 
 
 class TestRoutes:
-    """The longest prefix wins, on whole path segments."""
+    """The longest prefix that matches whole path segments wins."""
 
     def test_longest_prefix(self) -> None:
         routes = table()
@@ -82,9 +82,9 @@
 
 
 class TestNodeWithoutConfiguration:
-    """A node that has just started says so, and that nothing was run."""
+    """A node without configuration refuses calls as not run."""
 
-    def test_call_is_refused_with_a_time_to_come_back(self, mesh: Mesh) -> None:
+    def test_call_is_refused_as_not_run(self, mesh: Mesh) -> None:
         mesh.store.faults.down = True
         node = mesh.add("a", "x", "herdview")
         record = mesh.call(node, "/herdview/read")
@@ -93,7 +93,7 @@
 
 
 class TestRefusalByANewVersion:
-    """Its calls go to the proved version; callers do not pay for the trial."""
+    """Calls that a new version refuses are retried on the proved version."""
 
     def test_every_call_is_answered(self, mesh: Mesh) -> None:
         for number in range(2):
@@ -115,7 +115,7 @@
 
 
 class TestDirectory:
-    """Upstreams that must get no new work are not offered."""
+    """Upstreams that must not get new calls are left out."""
 
     def test_out_leaving_and_gone_are_left_out(self) -> None:
         directory = UpstreamDirectory()
@@ -133,7 +133,7 @@
 
 
 class TestBalancer:
-    """Near before far, and never a penalised upstream while there is another."""
+    """Near upstreams are preferred and penalised ones avoided."""
 
     def make(self) -> Balancer:
         """Returns a balancer in data centre x."""
@@ -168,14 +168,14 @@
 
 
 class TestRetryBudget:
-    """Retries stay a bounded share of the calls."""
+    """Retries stay within the configured share of the calls."""
 
     @given(st.lists(st.booleans(), max_size=400), st.integers(0, 100))
-    def test_share_of_retries(self, wishes: list[bool], percent: int) -> None:
+    def test_share_of_retries(self, retry_wanted: list[bool], percent: int) -> None:
         budget = RetryBudget()
         retries = 0
-        for wish in wishes:
+        for wanted in retry_wanted:
             budget.deposit(percent)
-            if wish and budget.take():
+            if wanted and budget.take():
                 retries += 1
-        assert retries <= 3 + len(wishes) * percent / 100 + 1e-6
+        assert retries <= 3 + len(retry_wanted) * percent / 100 + 1e-6
--- a/tests/routing/test_sliding_window_budget.py
+++ b/tests/routing/test_sliding_window_budget.py
@@ -1,4 +1,4 @@
-"""Tests of the retry budget that the fleet shares."""
+"""Tests of the retry budget shared by the fleet."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class TestSlidingWindowRetryBudget:
-    """The sum over all proxies stays within ratio and slack in every window."""
+    """Retries of all proxies stay within ratio and slack in every window."""
 
     def test_fleet_without_contact_stays_within_the_bound(self) -> None:
         clock = VirtualClock()
@@ -23,7 +23,7 @@
         requests: list[float] = []
         repeats: list[float] = []
         for number in range(4000):
-            # Most requests come to three of the proxies, as in a burst.
+            # Most requests arrive at three of the proxies, as in a burst.
             proxy = fleet[number % (3 if number % 4 else FLEET)]
             proxy.record_request()
             requests.append(clock.now_ms())
