Name the cold rate limiter where the gate holds it

The slot queue and the upstream gate held the limiter as rate, which reads as a number of calls per second. They hold it as cold_limiter; its tests follow. The docstring of the health check says again that it updates the cold time.

--- a/src/jayswitch/gate/slots.py
+++ b/src/jayswitch/gate/slots.py
@@ -38,10 +38,10 @@
     the most urgent first.
     """
 
-    def __init__(self, limit: int, rate: ColdRateLimiter, clock: Clock) -> None:
+    def __init__(self, limit: int, cold_limiter: ColdRateLimiter, clock: Clock) -> None:
         """Expects the maximum of concurrent calls and the cold rate limiter."""
         self.limit = limit
-        self.rate = rate
+        self.cold_limiter = cold_limiter
         self._grant_scheduled = False
         self.running = 0
         self._clock = clock
@@ -57,8 +57,10 @@
     def expected_wait_ms(self, rank: int, service_ms: float) -> float:
         """Estimates how long a call of the given rank would wait for a slot."""
         ahead = sum(1 for waiter in self._waiting if waiter.sort_key[0] <= rank)
-        if self.rate.is_cold:
-            return self.rate.delay_ms() + ahead * MS_PER_S / max(1.0, self.rate.per_s)
+        if self.cold_limiter.is_cold:
+            return self.cold_limiter.delay_ms() + ahead * MS_PER_S / max(
+                1.0, self.cold_limiter.per_s
+            )
         if self.running < self.limit and not self._waiting:
             return 0.0
         return (ahead + 0.5) * service_ms / max(1, self.limit)
@@ -112,7 +114,7 @@
 
     def _try_start(self) -> bool:
         """Occupies a slot unless the rate limit of a cold upstream is exhausted."""
-        delay_ms = self.rate.take()
+        delay_ms = self.cold_limiter.take()
         if delay_ms <= 0:
             self.running += 1
             return True
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -74,7 +74,7 @@
         self,
         address: str,
         local: LocalUpstream,
-        rate: ColdRateLimiter,
+        cold_limiter: ColdRateLimiter,
         client: HttpClient,
         names: HeaderNames,
         clock: Clock,
@@ -83,12 +83,12 @@
         """Expects the upstream's address and its state from heartbeats."""
         self._cold_rate_allowance = cold_rate_allowance or ColdRateAllowance()
         self.counts: Counter[str] = Counter()
-        self.slots = SlotQueue(1, rate, clock)
+        self.slots = SlotQueue(1, cold_limiter, clock)
         self.health_path = "/health"
         self.out_of_service = False
         self.is_version_allowed: Callable[[str], bool] = lambda version: True
         self.on_answer: AnswerListener = lambda request, failed, latency_ms: None
-        self.rate = rate
+        self.cold_limiter = cold_limiter
         self._address = address
         self._local = local
         self._client = client
@@ -103,8 +103,10 @@
     def load(self) -> LoadReport:
         """Returns the current load; the limit of a cold upstream follows its rate."""
         limit = self.slots.limit
-        if self.rate.is_cold:
-            sustainable = int(self.rate.per_s * self._times.overall_ms / MS_PER_S)
+        if self.cold_limiter.is_cold:
+            sustainable = int(
+                self.cold_limiter.per_s * self._times.overall_ms / MS_PER_S
+            )
             limit = max(1, min(limit, sustainable))
         return LoadReport(
             self.slots.running, self.slots.waiting, limit, self._times.overall_ms
@@ -113,7 +115,7 @@
     def set_service(self, service: Service) -> None:
         """Applies the configuration of the upstream's service."""
         self.health_path = service.health_path
-        self.rate.per_s = self._cold_rate_allowance.calls_per_s(
+        self.cold_limiter.per_s = self._cold_rate_allowance.calls_per_s(
             service.cold_calls_per_s
         )
 
@@ -142,7 +144,7 @@
         wait_ms = self._max_wait_ms(request)
         expected_ms = self.slots.expected_wait_ms(request.rank, self._times.overall_ms)
         if expected_ms > wait_ms or not self.slots.acquire(request.rank, wait_ms):
-            reason = reasons.COLD if self.rate.is_cold else reasons.FULL
+            reason = reasons.COLD if self.cold_limiter.is_cold else reasons.FULL
             return self._refuse(request, reason, self._times.overall_ms / 2)
         try:
             outcome = self._run_in_slot(request)
@@ -403,7 +405,7 @@
         return find(exchange.headers, self._names.upstream_id) == current.id
 
     def _is_healthy(self) -> bool:
-        """Returns whether the upstream answers and is the expected one."""
+        """Checks whether the expected upstream answers; updates its cold time."""
         exchange = self._ask_health()
         if exchange is None:
             return False
@@ -430,5 +432,5 @@
                 exchange.close()
         cold = find(exchange.headers, self._names.cold_left_ms)
         if cold is not None and cold.isdigit():
-            self.rate.set_cold(float(cold))
+            self.cold_limiter.set_cold(float(cold))
         return exchange
--- a/tests/gate/test_cold_rate_limiter.py
+++ b/tests/gate/test_cold_rate_limiter.py
@@ -15,16 +15,16 @@
     """A cold upstream gets no more than its rate in any second."""
 
     def test_warm_upstream_is_not_bounded(self) -> None:
-        rate = ColdRateLimiter(VirtualClock(), COLD_CALLS_PER_S)
-        assert all(rate.take() == 0 for _ in range(100))
+        limiter = ColdRateLimiter(VirtualClock(), COLD_CALLS_PER_S)
+        assert all(limiter.take() == 0 for _ in range(100))
 
     def test_calls_in_any_second_stay_within_the_cold_rate(self) -> None:
         clock = VirtualClock()
-        rate = ColdRateLimiter(clock, COLD_CALLS_PER_S)
-        rate.set_cold(60_000)
+        limiter = ColdRateLimiter(clock, COLD_CALLS_PER_S)
+        limiter.set_cold(60_000)
         started: list[float] = []
         for _ in range(1000):
-            if rate.take() == 0:
+            if limiter.take() == 0:
                 started.append(clock.now_ms())
             clock.sleep_ms(10)
         for begin in started:
@@ -33,36 +33,36 @@
 
     def test_calls_before_the_upstream_became_cold_count(self) -> None:
         clock = VirtualClock()
-        rate = ColdRateLimiter(clock, COLD_CALLS_PER_S)
+        limiter = ColdRateLimiter(clock, COLD_CALLS_PER_S)
         for _ in range(20):
-            rate.take()
-        rate.set_cold(3000)
-        delay_ms = rate.take()
+            limiter.take()
+        limiter.set_cold(3000)
+        delay_ms = limiter.take()
         assert delay_ms > 0
         clock.sleep_ms(delay_ms)
-        assert rate.take() == 0
+        assert limiter.take() == 0
 
     def test_calls_of_an_earlier_process_may_still_count(self) -> None:
         clock = VirtualClock()
-        rate = ColdRateLimiter(clock, COLD_CALLS_PER_S)
-        rate.reserve_window()
-        rate.set_cold(3000)
-        assert rate.take() >= 1000
+        limiter = ColdRateLimiter(clock, COLD_CALLS_PER_S)
+        limiter.reserve_window()
+        limiter.set_cold(3000)
+        assert limiter.take() >= 1000
 
     def test_process_age_shortens_the_reserved_window(self) -> None:
         clock = VirtualClock()
         process_age = mock.patch.object(
             VirtualClock, "least_age_ms", return_value=400.0
         )
-        rate = ColdRateLimiter(clock, COLD_CALLS_PER_S)
+        limiter = ColdRateLimiter(clock, COLD_CALLS_PER_S)
         with process_age:
-            rate.reserve_window()
-        rate.set_cold(3000)
-        assert 600 <= rate.take() <= 700
+            limiter.reserve_window()
+        limiter.set_cold(3000)
+        assert 600 <= limiter.take() <= 700
 
 
 class TestColdRateAllowance:
-    """Calls that a cold upstream may get beyond the stated rate."""
+    """Calls that a cold upstream may get beyond the stated limiter."""
 
     def test_bound_is_used_up_to_half_of_its_slack(self) -> None:
         assert ColdRateAllowance(1.5, 5.0).calls_per_s(8.5) == 15.25
--- a/tests/gate/test_slots.py
+++ b/tests/gate/test_slots.py
@@ -95,9 +95,9 @@
 
     def test_calls_wait_for_their_start_in_the_order_of_their_rank(self) -> None:
         clock = VirtualClock()
-        rate = ColdRateLimiter(clock, per_s=4)
-        rate.set_cold(60_000)
-        slots = SlotQueue(6, rate, clock)
+        limiter = ColdRateLimiter(clock, per_s=4)
+        limiter.set_cold(60_000)
+        slots = SlotQueue(6, limiter, clock)
         started: list[tuple[float, int]] = []
 
         def run(rank: int) -> None:
@@ -118,9 +118,9 @@
 
     def test_expected_wait_follows_the_rate(self) -> None:
         clock = VirtualClock()
-        rate = ColdRateLimiter(clock, per_s=4)
-        rate.set_cold(60_000)
-        slots = SlotQueue(6, rate, clock)
+        limiter = ColdRateLimiter(clock, per_s=4)
+        limiter.set_cold(60_000)
+        slots = SlotQueue(6, limiter, clock)
         assert slots.expected_wait_ms(1, 100) == 0
         for _ in range(4):
             assert slots.acquire(1, 0)
