Tell a cancelled waiter from a cancelled call

Only a name changes; behaviour is the same.

Checks: all unit tests, 428 passed; tests/deployment and tests/loopback, 73 collected, not run; make lint passes.

--- a/src/jayswitch/gate/slots.py
+++ b/src/jayswitch/gate/slots.py
@@ -78,7 +78,7 @@
             with eventlet.Timeout(wait_ms / MS_PER_S, False):
                 waiter.wakeup.wait()
         except BaseException:
-            self._cancel(waiter)
+            self._cancel_waiter(waiter)
             raise
         if not waiter.granted:
             self._waiting.remove(waiter)
@@ -127,7 +127,7 @@
         self._grant_scheduled = False
         self.grant_free_slots()
 
-    def _cancel(self, waiter: _Waiter) -> None:
+    def _cancel_waiter(self, waiter: _Waiter) -> None:
         if waiter.granted:
             self.release()
         else:
