--- a/src/jayswitch/gate/local_upstream.py
+++ b/src/jayswitch/gate/local_upstream.py
@@ -1,4 +1,4 @@
-"""What is known at first hand of the upstream on this VM."""
+"""State of the upstream on this VM, as reported by its heartbeats."""
 
 from __future__ import annotations
 
@@ -14,21 +14,21 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
 
-# An upstream that misses this many heartbeats takes no new calls.
+# An upstream that has missed this many heartbeats gets no new calls.
 MISSED_HEARTBEATS = 4
 
 logger = logging.getLogger(__name__)
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
-    """What an upstream says of itself; cold_left_ms is 0 once it is warm."""
+    """Heartbeat of an upstream; cold_left_ms is 0 once the upstream is warm."""
 
     upstream: Upstream
     cold_left_ms: float
 
 
-class HeartbeatVerdict(Enum):
-    """What became of a heartbeat."""
+class HeartbeatResult(Enum):
+    """Result of processing a heartbeat."""
 
     CHANGED = "changed"
     KNOWN = "known"
@@ -37,7 +37,7 @@
 
 
 class LocalUpstream:
-    """Follows one upstream through its incarnations; leaving is final for each."""
+    """Tracks the incarnations of an upstream; one that leaves cannot return."""
 
     def __init__(
         self,
@@ -46,64 +46,64 @@
         clock: Clock,
         on_cold: Callable[[float], None],
     ) -> None:
-        """Takes the service that this VM hosts and where cold times are noted."""
+        """Expects this VM's service and a callback for the remaining cold time."""
         self.current: Upstream | None = None
         self._service = service
-        self._silence_ms = MISSED_HEARTBEATS * heartbeat_ms
+        self._heartbeat_timeout_ms = MISSED_HEARTBEATS * heartbeat_ms
         self._clock = clock
         self._on_cold = on_cold
-        self._heard_ms = float("-inf")
+        self._last_heartbeat_ms = float("-inf")
 
     def restore(self, upstream: Upstream) -> None:
-        """Takes the last state that an earlier process stored.
+        """Restores the last state that an earlier process stored.
 
-        It only guards against going back: the upstream is served again from its
-        first heartbeat on, or once it has been confirmed.
+        The state only guards against stale heartbeats: the upstream becomes usable
+        with its next heartbeat or once it has been confirmed.
         """
         if self.current is None:
             self.current = upstream
 
     def confirm(self) -> None:
-        """Notes that the restored upstream has said itself that it takes calls."""
-        if self._heard_ms == float("-inf"):
-            self._heard_ms = self._clock.now_ms()
+        """Marks the restored upstream as confirmed by its own health answer."""
+        if self._last_heartbeat_ms == float("-inf"):
+            self._last_heartbeat_ms = self._clock.now_ms()
 
     @property
     def usable(self) -> Upstream | None:
-        """Returns the upstream if it takes new calls."""
+        """Returns the upstream if it accepts new calls."""
         current = self.current
         if current is None or current.state is not UpstreamState.READY:
             return None
-        if self._clock.now_ms() - self._heard_ms > self._silence_ms:
+        if self._clock.now_ms() - self._last_heartbeat_ms > self._heartbeat_timeout_ms:
             return None
         return current
 
-    def hear(self, heartbeat: Heartbeat) -> HeartbeatVerdict:
-        """Takes a heartbeat; late ones and those of earlier incarnations are void."""
-        told = heartbeat.upstream
+    def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatResult:
+        """Processes a heartbeat; ignores late ones and those of old incarnations."""
+        reported = heartbeat.upstream
         current = self.current
-        if told.service != self._service:
-            return HeartbeatVerdict.FOREIGN
-        if current is not None and current.same_incarnation(told):
-            return self._hear_same(current, heartbeat)
-        if current is not None and told.started_ms < current.started_ms:
-            return HeartbeatVerdict.STALE
-        self.current = told
-        self._heard(heartbeat)
+        if reported.service != self._service:
+            return HeartbeatResult.FOREIGN
+        if current is not None and current.same_incarnation(reported):
+            return self._handle_same_incarnation(current, heartbeat)
+        if current is not None and reported.started_ms < current.started_ms:
+            return HeartbeatResult.STALE
+        self.current = reported
+        self._record_heartbeat(heartbeat)
         logger.info(
             "upstream started",
             extra={
-                "upstream": told.id,
-                "version": told.version,
-                "state": told.state.value,
-                "started_ms": told.started_ms,
+                "upstream": reported.id,
+                "version": reported.version,
+                "state": reported.state.value,
+                "started_ms": reported.started_ms,
                 "cold_left_ms": heartbeat.cold_left_ms,
             },
         )
-        return HeartbeatVerdict.CHANGED
+        return HeartbeatResult.CHANGED
 
-    def leave(self, upstream_id: str) -> bool:
-        """Notes that an upstream says it ends; tells whether it is the current one."""
+    def deregister(self, upstream_id: str) -> bool:
+        """Marks an upstream as gone; returns whether it is the current one."""
         current = self.current
         if current is None or current.id != upstream_id:
             return False
@@ -112,24 +112,26 @@
             logger.info("upstream deregistered", extra={"upstream": upstream_id})
         return True
 
-    def _hear_same(self, current: Upstream, heartbeat: Heartbeat) -> HeartbeatVerdict:
-        told = heartbeat.upstream
-        if told.sequence <= current.sequence:
-            # A heartbeat that is sent again is answered like the first one.
-            return HeartbeatVerdict.STALE
-        first = self._heard_ms == float("-inf")
-        self._heard(heartbeat)
+    def _handle_same_incarnation(
+        self, current: Upstream, heartbeat: Heartbeat
+    ) -> HeartbeatResult:
+        reported = heartbeat.upstream
+        if reported.sequence <= current.sequence:
+            # A heartbeat that is sent again gets the same reply as the first one.
+            return HeartbeatResult.STALE
+        first = self._last_heartbeat_ms == float("-inf")
+        self._record_heartbeat(heartbeat)
         left = current.state is not UpstreamState.READY
-        state = current.state if left else told.state
-        self.current = msgspec.structs.replace(told, state=state)
-        same = state is current.state and told.version == current.version
+        state = current.state if left else reported.state
+        self.current = msgspec.structs.replace(reported, state=state)
+        same = state is current.state and reported.version == current.version
         if same and not first:
-            return HeartbeatVerdict.KNOWN
+            return HeartbeatResult.KNOWN
         logger.info(
-            "upstream changed", extra={"upstream": told.id, "state": state.value}
+            "upstream changed", extra={"upstream": reported.id, "state": state.value}
         )
-        return HeartbeatVerdict.CHANGED
+        return HeartbeatResult.CHANGED
 
-    def _heard(self, heartbeat: Heartbeat) -> None:
-        self._heard_ms = self._clock.now_ms()
+    def _record_heartbeat(self, heartbeat: Heartbeat) -> None:
+        self._last_heartbeat_ms = self._clock.now_ms()
         self._on_cold(heartbeat.cold_left_ms)
--- a/src/jayswitch/gate/slots.py
+++ b/src/jayswitch/gate/slots.py
@@ -1,4 +1,4 @@
-"""Starts of calls at one upstream: within its slots, and slowly while it is cold."""
+"""Queue for an upstream's slots, rate limited while the upstream is cold."""
 
 from __future__ import annotations
 
@@ -12,120 +12,122 @@
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
-    from jayswitch.gate.start_rate import StartRate
+    from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 
-# Calls that may wait for each slot: beyond it every answer would be late.
-WAITING_PER_SLOT = 4
-# Calls started ahead of a less urgent one that waits, before it gets a turn: a kind of
-# request must be served at least a quarter as often as all of them.
-TURNS_AHEAD = 8
+# Calls that may wait per slot. Answers to any beyond that would be late.
+MAX_WAITING_PER_SLOT = 4
+# Calls granted ahead of a waiting less urgent one before that one gets a turn. Each
+# kind of request must be served at least a quarter as often as all of them.
+MAX_CONSECUTIVE_URGENT_GRANTS = 8
 
 
 class _Waiter:
-    __slots__ = ("granted", "order", "turn")
+    __slots__ = ("granted", "sort_key", "wakeup")
 
-    def __init__(self, order: tuple[int, int]) -> None:
-        self.order = order
-        self.turn = Event()
+    def __init__(self, sort_key: tuple[int, int]) -> None:
+        self.sort_key = sort_key
+        self.wakeup = Event()
         self.granted = False
 
 
 class SlotQueue:
-    """Counts running calls against a limit and queues others by rank.
+    """Limits concurrent calls and queues further ones by rank.
 
-    Urgent calls go first, but leave every ninth turn to a less urgent one. A cold
-    upstream starts calls no faster than it bears; calls wait for that as
-    they wait for a slot, the most urgent first.
+    Urgent calls go first, but every ninth grant goes to a less urgent one. Calls to
+    a cold upstream are also rate limited; they wait for that in the same queue,
+    the most urgent first.
     """
 
-    def __init__(self, limit: int, rate: StartRate, clock: Clock) -> None:
-        """Takes the most calls that may run at once and the rate of starts."""
+    def __init__(self, limit: int, cold_limiter: ColdRateLimiter, clock: Clock) -> None:
+        """Expects the maximum of concurrent calls and the cold rate limiter."""
         self.limit = limit
-        self.rate = rate
-        self._hand_out_planned = False
+        self.cold_limiter = cold_limiter
+        self._grant_scheduled = False
         self.running = 0
         self._clock = clock
         self._serial = 0
-        self._turns_ahead = 0
-        self._waiting: SortedList = SortedList(key=lambda waiter: waiter.order)
+        self._consecutive_urgent_grants = 0
+        self._waiting: SortedList = SortedList(key=lambda waiter: waiter.sort_key)
 
     @property
     def waiting(self) -> int:
-        """Returns how many calls wait for a slot."""
+        """Returns the number of queued calls."""
         return len(self._waiting)
 
     def expected_wait_ms(self, rank: int, service_ms: float) -> float:
-        """Returns how long a call of a rank would wait for a slot."""
-        ahead = sum(1 for waiter in self._waiting if waiter.order[0] <= rank)
-        if self.rate.is_cold:
-            return self.rate.rest_ms() + ahead * MS_PER_S / max(1.0, self.rate.per_s)
+        """Estimates how long a call of the given rank would wait for a slot."""
+        ahead = sum(1 for waiter in self._waiting if waiter.sort_key[0] <= rank)
+        if self.cold_limiter.is_cold:
+            return self.cold_limiter.delay_ms() + ahead * MS_PER_S / max(
+                1.0, self.cold_limiter.per_s
+            )
         if self.running < self.limit and not self._waiting:
             return 0.0
         return (ahead + 0.5) * service_ms / max(1, self.limit)
 
     def acquire(self, rank: int, wait_ms: float) -> bool:
-        """Takes a slot, waiting for at most the given time; False if none came."""
-        if self.running < self.limit and not self._waiting and self._start():
+        """Acquires a slot within the given time; False on timeout or a full queue."""
+        if self.running < self.limit and not self._waiting and self._try_start():
             return True
-        if wait_ms <= 0 or len(self._waiting) >= self.limit * WAITING_PER_SLOT:
+        if wait_ms <= 0 or len(self._waiting) >= self.limit * MAX_WAITING_PER_SLOT:
             return False
         self._serial += 1
         waiter = _Waiter((rank, self._serial))
         self._waiting.add(waiter)
         try:
             with eventlet.Timeout(wait_ms / MS_PER_S, False):
-                waiter.turn.wait()
+                waiter.wakeup.wait()
         except BaseException:
-            self._abandon(waiter)
+            self._cancel_waiter(waiter)
             raise
         if not waiter.granted:
             self._waiting.remove(waiter)
         return waiter.granted
 
     def release(self) -> None:
-        """Returns a slot and hands it to the most urgent call that waits."""
+        """Frees a slot and grants it to the next waiting call."""
         self.running -= 1
-        self.hand_out()
+        self.grant_free_slots()
 
-    def hand_out(self) -> None:
-        """Grants free slots, also after the limit has grown."""
+    def grant_free_slots(self) -> None:
+        """Grants free slots to waiting calls, also after the limit was raised."""
         while self._waiting and self.running < self.limit:
-            if not self._start():
+            if not self._try_start():
                 return
-            waiter = self._next()
+            waiter = self._pop_next()
             waiter.granted = True
-            waiter.turn.send(None)
+            waiter.wakeup.send(None)
 
-    def _next(self) -> _Waiter:
-        """Removes the call whose turn it is."""
+    def _pop_next(self) -> _Waiter:
+        """Removes and returns the next call to be granted a slot."""
         first = self._waiting[0]
-        rank = first.order[0]
+        rank = first.sort_key[0]
         others = self._waiting.bisect_key_right((rank, self._serial))
         if others == len(self._waiting):
-            self._turns_ahead = 0
-        elif self._turns_ahead >= TURNS_AHEAD:
-            self._turns_ahead = 0
+            self._consecutive_urgent_grants = 0
+        elif self._consecutive_urgent_grants >= MAX_CONSECUTIVE_URGENT_GRANTS:
+            self._consecutive_urgent_grants = 0
             return self._waiting.pop(others)
         else:
-            self._turns_ahead += 1
+            self._consecutive_urgent_grants += 1
         return self._waiting.pop(0)
 
-    def _start(self) -> bool:
-        """Takes a slot unless a cold upstream must rest first."""
-        rest_ms = self.rate.take()
-        if rest_ms <= 0:
+    def _try_start(self) -> bool:
+        """Occupies a slot unless the rate limit of a cold upstream is exhausted."""
+        delay_ms = self.cold_limiter.take()
+        if delay_ms <= 0:
             self.running += 1
             return True
-        if not self._hand_out_planned:
-            self._hand_out_planned = True
-            eventlet.spawn_after(rest_ms / MS_PER_S, self._hand_out_later)
+        if not self._grant_scheduled:
+            self._grant_scheduled = True
+            eventlet.spawn_after(delay_ms / MS_PER_S, self._run_scheduled_grant)
         return False
 
-    def _hand_out_later(self) -> None:
-        self._hand_out_planned = False
-        self.hand_out()
+    def _run_scheduled_grant(self) -> None:
+        self._grant_scheduled = False
+        self.grant_free_slots()
 
-    def _abandon(self, waiter: _Waiter) -> None:
+    def _cancel_waiter(self, waiter: _Waiter) -> None:
         if waiter.granted:
             self.release()
         else:
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -1,4 +1,4 @@
-"""Decides which requests the upstream on this VM runs, and hands them over."""
+"""Admission control for the upstream on this VM and forwarding to it."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
 from eventlet.event import Event
 
 from jayswitch.clock import MS_PER_S
+from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 from jayswitch.gate.service_times import ServiceTimes
 from jayswitch.gate.slots import SlotQueue
-from jayswitch.gate.start_rate import StartRate
 from jayswitch.proxy import reasons
 from jayswitch.proxy.exceptions import AnswerCut, ExchangeBroken, NotSent
 from jayswitch.proxy.headers import find
@@ -28,17 +28,17 @@
     from jayswitch.proxy.http_client import Exchange, HttpClient
     from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
 
-# A rejected request may come back when about one running call has ended.
+# Delay before a retry, about the time in which one running call ends.
 LEAVING_RETRY_MS = 200.0
 HEALTH_TIMEOUT_MS = 300.0
-# A rejection or a health answer has a body of a few bytes; longer ones are cut off.
-LONGEST_DISCARD_BYTES = 64 * 1024
+# Bodies of rejections and health checks have a few bytes; longer ones are truncated.
+MAX_DISCARD_BYTES = 64 * 1024
 HEALTH_RETRY_MS = 150.0
-# Part of the slack that is used: requests travel for different times, and those that
-# are under way while the upstream turns cold count too.
-COLD_SLACK_PART = 0.5
-# Less than this is left: the upstream would be stopped before it has answered.
-SHORTEST_RUN_MS = 10.0
+# Share of the slack that is used. The rest covers varying network delay and requests
+# that are in flight when the upstream becomes cold, which count too.
+COLD_SLACK_SHARE = 0.5
+# With less time left the request would be cancelled before the upstream has answered.
+MIN_TIME_LEFT_MS = 10.0
 MOST_URGENT_RANK = 0
 STATUS_OK = 200
 STATUS_MISDIRECTED = 421
@@ -49,46 +49,46 @@
 logger = logging.getLogger(__name__)
 
 
-class ColdBound:
-    """How far a cold upstream's calls may exceed the rate that it states."""
+class ColdRateAllowance:
+    """Allowance by which calls to a cold upstream may exceed its stated rate."""
 
     __slots__ = ("_factor", "_slack")
 
     def __init__(self, factor: float = 1.0, slack: float = 0.0) -> None:
-        """Takes a factor on the rate and calls a second on top."""
+        """Expects a factor on the rate and additional calls per second."""
         self._factor = factor
         self._slack = slack
 
     def calls_per_s(self, stated_per_s: float) -> float:
-        """Returns the calls that an upstream may be started with in a second."""
-        return stated_per_s * self._factor + self._slack * COLD_SLACK_PART
+        """Returns the number of calls per second that a cold upstream may get."""
+        return stated_per_s * self._factor + self._slack * COLD_SLACK_SHARE
 
 
 class UpstreamGate:
-    """Admits requests to one upstream within what it bears.
+    """Admits requests to one upstream within its capacity.
 
-    It alone sends to the upstream, so that what it refuses has not run.
+    Only the gate sends requests to the upstream, so a refused request has not run.
     """
 
     def __init__(
         self,
         address: str,
         local: LocalUpstream,
-        rate: StartRate,
+        cold_limiter: ColdRateLimiter,
         client: HttpClient,
         names: HeaderNames,
         clock: Clock,
-        cold_bound: ColdBound | None = None,
+        cold_rate_allowance: ColdRateAllowance | None = None,
     ) -> None:
-        """Takes the upstream's address and what is known of it."""
-        self._cold_bound = cold_bound or ColdBound()
+        """Expects the upstream's address and its state from heartbeats."""
+        self._cold_rate_allowance = cold_rate_allowance or ColdRateAllowance()
         self.counts: Counter[str] = Counter()
-        self.slots = SlotQueue(1, rate, clock)
+        self.slots = SlotQueue(1, cold_limiter, clock)
         self.health_path = "/health"
         self.out_of_service = False
-        self.may_run: Callable[[str], bool] = lambda version: True
+        self.is_version_allowed: Callable[[str], bool] = lambda version: True
         self.on_answer: AnswerListener = lambda request, failed, latency_ms: None
-        self.rate = rate
+        self.cold_limiter = cold_limiter
         self._address = address
         self._local = local
         self._client = client
@@ -96,51 +96,55 @@
         self._clock = clock
         self._times = ServiceTimes()
         self._suspect = False
-        self._checking = False
-        self._checked = Event()
+        self._check_running = False
+        self._check_done = Event()
 
     @property
     def load(self) -> LoadReport:
-        """Returns the present load; a cold upstream counts for what it bears."""
+        """Returns the current load; the limit of a cold upstream follows its rate."""
         limit = self.slots.limit
-        if self.rate.is_cold:
-            bears = int(self.rate.per_s * self._times.overall_ms / MS_PER_S)
-            limit = max(1, min(limit, bears))
+        if self.cold_limiter.is_cold:
+            sustainable = int(
+                self.cold_limiter.per_s * self._times.overall_ms / MS_PER_S
+            )
+            limit = max(1, min(limit, sustainable))
         return LoadReport(
             self.slots.running, self.slots.waiting, limit, self._times.overall_ms
         )
 
     def set_service(self, service: Service) -> None:
-        """Follows what the configuration says of the upstream's service."""
+        """Applies the configuration of the upstream's service."""
         self.health_path = service.health_path
-        self.rate.per_s = self._cold_bound.calls_per_s(service.cold_calls_per_s)
+        self.cold_limiter.per_s = self._cold_rate_allowance.calls_per_s(
+            service.cold_calls_per_s
+        )
 
     def resize(self) -> None:
-        """Follows the slots of the present upstream."""
+        """Applies the number of slots of the current upstream."""
         current = self._local.current
         if current is not None and current.slots != self.slots.limit:
             self.slots.limit = max(1, current.slots)
-            self.slots.hand_out()
+            self.slots.grant_free_slots()
 
     def restart(self) -> None:
-        """Forgets the connections and times of an earlier incarnation."""
+        """Discards connections and service times of the previous incarnation."""
         self._client.forget(self._address)
         self._times = ServiceTimes()
         self._suspect = False
         self.resize()
 
     def run(self, request: ForwardedRequest) -> AttemptOutcome:
-        """Runs a request at the upstream, or refuses it."""
+        """Sends a request to the upstream or refuses it."""
         refusal = self._refusal(request)
         if refusal == reasons.SUSPECT:
-            self._await_check(self._longest_wait_ms(request))
+            self._wait_for_health_check(self._max_wait_ms(request))
             refusal = self._refusal(request)
         if refusal is not None:
             return self._refuse(request, refusal)
-        wait_ms = self._longest_wait_ms(request)
+        wait_ms = self._max_wait_ms(request)
         expected_ms = self.slots.expected_wait_ms(request.rank, self._times.overall_ms)
         if expected_ms > wait_ms or not self.slots.acquire(request.rank, wait_ms):
-            reason = reasons.COLD if self.rate.is_cold else reasons.FULL
+            reason = reasons.COLD if self.cold_limiter.is_cold else reasons.FULL
             return self._refuse(request, reason, self._times.overall_ms / 2)
         try:
             outcome = self._run_in_slot(request)
@@ -160,26 +164,26 @@
             return reasons.OTHER_UPSTREAM
         if request.version and current.version != request.version:
             return reasons.OTHER_UPSTREAM
-        if not self.may_run(current.version):
+        if not self.is_version_allowed(current.version):
             return reasons.WITHDRAWN
         if self.out_of_service:
             return reasons.EVACUATED
         if self._suspect:
             return reasons.SUSPECT
-        if request.left_ms(self._clock) < SHORTEST_RUN_MS:
+        if request.left_ms(self._clock) < MIN_TIME_LEFT_MS:
             return reasons.TOO_LATE
         return None
 
-    def _longest_wait_ms(self, request: ForwardedRequest) -> float:
-        """Returns the wait after which the answer would miss its objective.
+    def _max_wait_ms(self, request: ForwardedRequest) -> float:
+        """Returns the longest wait with which the latency objective is still met.
 
-        The most urgent requests wait as long as an answer can still come: others
-        that have run already depend on them.
+        The most urgent requests may wait until their deadline, because requests
+        that have already run depend on them.
         """
         until_ms = min(request.objective_ms, request.deadline_ms)
         if request.rank <= MOST_URGENT_RANK:
             until_ms = request.deadline_ms
-        service_ms = self._times.of_route(request.route)
+        service_ms = self._times.for_route(request.route)
         return max(0.0, until_ms - self._clock.now_ms() - service_ms)
 
     def _run_in_slot(self, request: ForwardedRequest) -> AttemptOutcome:
@@ -204,17 +208,17 @@
                 self._headers(request, current, left_ms),
                 request.body or None,
             )
-            return self._take_answer(request, exchange, started_ms)
+            return self._process_answer(request, exchange, started_ms)
         except NotSent as error:
             self._suspect_upstream(error.cause)
             return self._refuse(request, reasons.NOT_REACHED, LEAVING_RETRY_MS)
         except ExchangeBroken as error:
             self._suspect_upstream(error.cause)
-            return self._broken(request, error.cause, started_ms)
+            return self._outcome_unknown(request, error.cause, started_ms)
         except eventlet.Timeout as expired:
             if expired is not timeout:
                 raise
-            return self._broken(request, "its time ran out", started_ms, True)
+            return self._outcome_unknown(request, "its time ran out", started_ms, True)
         except BaseException:
             if exchange is not None:
                 exchange.close()
@@ -234,15 +238,17 @@
             headers.append(("Content-Length", str(request.body_length)))
         return headers
 
-    def _take_answer(
+    def _process_answer(
         self, request: ForwardedRequest, exchange: Exchange, started_ms: float
     ) -> AttemptOutcome:
         names = self._names
         echoed = find(exchange.headers, names.request_id)
         if echoed not in (None, request.request_id):
-            # A late answer of an earlier request, whatever it says of that one.
+            # A late answer to an earlier request, whatever its outcome.
             exchange.close()
-            return self._broken(request, "the answer is another request's", started_ms)
+            return self._outcome_unknown(
+                request, "the answer is another request's", started_ms
+            )
         not_run = find(exchange.headers, names.not_run) is not None
         misdirected = exchange.status == STATUS_MISDIRECTED
         if misdirected or not_run:
@@ -256,15 +262,15 @@
         signature = find(exchange.headers, names.signature)
         if signature is None or echoed is None:
             exchange.close()
-            reason = "the answer has no signature or no id"
-            return self._broken(request, reason, started_ms)
-        self._note_answer(request, exchange.status, started_ms)
+            reason = "the answer has no signature or no request id"
+            return self._outcome_unknown(request, reason, started_ms)
+        self._record_answer(request, exchange.status, started_ms)
         body = self._read(request, exchange)
         return Answered(
             exchange.status,
             exchange.headers,
             body,
-            self._closer(exchange),
+            self._release_callback(exchange),
             self.load,
         )
 
@@ -279,7 +285,7 @@
         finally:
             timeout.cancel()
 
-    def _closer(self, exchange: Exchange) -> Callable[[], None]:
+    def _release_callback(self, exchange: Exchange) -> Callable[[], None]:
         def close() -> None:
             exchange.close()
             self.slots.release()
@@ -288,23 +294,23 @@
 
     def _discard(self, exchange: Exchange) -> None:
         try:
-            exchange.read_whole(LONGEST_DISCARD_BYTES)
+            exchange.read_whole(MAX_DISCARD_BYTES)
         except AnswerCut:
             self.counts["rejections_cut"] += 1
         finally:
             exchange.close()
 
-    def _note_answer(
+    def _record_answer(
         self, request: ForwardedRequest, status: int, started_ms: float
     ) -> None:
         latency_ms = self._clock.now_ms() - started_ms
         failed = status >= STATUS_SERVER_ERROR
         self.counts["upstream_errors" if failed else "answered"] += 1
         if not failed:
-            self._times.note(request.route, latency_ms)
+            self._times.record(request.route, latency_ms)
         self.on_answer(request, failed, latency_ms)
 
-    def _broken(
+    def _outcome_unknown(
         self,
         request: ForwardedRequest,
         reason: str,
@@ -314,9 +320,9 @@
         latency_ms = self._clock.now_ms() - started_ms
         self.counts["timed_out" if timed_out else "broken"] += 1
         if timed_out:
-            # A lost answer says nothing about a version, a late one does.
+            # A late answer counts against the version; a lost one does not.
             self.on_answer(request, True, latency_ms)
-            self._times.note(request.route, latency_ms)
+            self._times.record(request.route, latency_ms)
         logger.warning(
             "upstream gave no whole answer",
             extra={
@@ -354,16 +360,16 @@
     # Health
 
     def _suspect_upstream(self, reason: str) -> None:
-        """Checks who is at the address before anything else is sent there.
+        """Starts a health check and holds back requests until it has succeeded.
 
-        A broken connection may mean a new incarnation, which is cold.
+        A broken connection may indicate a new incarnation, which is cold.
         """
         self._client.forget(self._address)
         self._suspect = True
         logger.warning("upstream suspected", extra={"reason": reason})
-        if not self._checking:
-            self._checking = True
-            self._checked = Event()
+        if not self._check_running:
+            self._check_running = True
+            self._check_done = Event()
             eventlet.spawn(self._check_health)
 
     def _check_health(self) -> None:
@@ -376,20 +382,21 @@
                 self._clock.sleep_ms(HEALTH_RETRY_MS)
             self._suspect = False
         finally:
-            self._checking = False
-            self._checked.send(None)
+            self._check_running = False
+            self._check_done.send(None)
 
-    def _await_check(self, wait_ms: float) -> None:
-        """Waits for the end of a health check, which takes a few milliseconds."""
-        longest_ms = min(wait_ms, HEALTH_TIMEOUT_MS)
-        if self._checking and longest_ms > 0:
-            with eventlet.Timeout(longest_ms / MS_PER_S, False):
-                self._checked.wait()
+    def _wait_for_health_check(self, wait_ms: float) -> None:
+        """Waits for a running health check, which takes a few milliseconds."""
+        timeout_ms = min(wait_ms, HEALTH_TIMEOUT_MS)
+        if self._check_running and timeout_ms > 0:
+            with eventlet.Timeout(timeout_ms / MS_PER_S, False):
+                self._check_done.wait()
 
     def confirm_restored(self) -> bool:
-        """Asks whether the upstream that an earlier process knew is still there.
+        """Checks whether the upstream restored from the stored state still runs.
 
-        It saves waiting for the next heartbeat. Anything but a plain yes is a no.
+        This avoids waiting for the next heartbeat. Only a successful answer with
+        the expected upstream id confirms it.
         """
         exchange = self._ask_health()
         current = self._local.current
@@ -398,13 +405,13 @@
         return find(exchange.headers, self._names.upstream_id) == current.id
 
     def _is_healthy(self) -> bool:
-        """Asks the upstream who it is and whether it is cold."""
+        """Checks whether the expected upstream answers; updates its cold time."""
         exchange = self._ask_health()
         if exchange is None:
             return False
         current = self._local.current
         upstream_id = find(exchange.headers, self._names.upstream_id)
-        # A rejected check still shows that the upstream is there.
+        # A rejection without an upstream id still shows that the upstream runs.
         return upstream_id is None or current is None or upstream_id == current.id
 
     def _ask_health(self) -> Exchange | None:
@@ -425,5 +432,5 @@
                 exchange.close()
         cold = find(exchange.headers, self._names.cold_left_ms)
         if cold is not None and cold.isdigit():
-            self.rate.set_cold(float(cold))
+            self.cold_limiter.set_cold(float(cold))
         return exchange
--- a/tests/gate/test_admission.py
+++ b/tests/gate/test_admission.py
@@ -1,25 +1,25 @@
-"""Tests of admission: bounds and fairness between priorities."""
+"""Tests of the admission queue and the concurrency limiter."""
 
 from __future__ import annotations
 
 import eventlet
 
 from jayswitch.clock import VirtualClock
-from jayswitch.gate.admission import Admission
-from jayswitch.gate.limiter import Limiter
+from jayswitch.gate.admission import AdmissionQueue
+from jayswitch.gate.concurrency_limiter import ConcurrencyLimiter
 
 
-class TestAdmission:
-    """Running calls stay below the limit; no priority starves."""
+class TestAdmissionQueue:
+    """Running calls stay within the limit and no priority starves."""
 
-    def test_bulk_calls_leave_slots_to_short_reads(self) -> None:
-        admission = Admission(lambda: 6)
+    def test_bulk_calls_leave_slots_to_other_priorities(self) -> None:
+        admission = AdmissionQueue(lambda: 6)
         taken = [admission.acquire("bulk", 0) for _ in range(6)]
         assert taken.count(True) == 3
         assert admission.acquire("high", 0)
 
     def test_high_priority_goes_first(self) -> None:
-        admission = Admission(lambda: 2)
+        admission = AdmissionQueue(lambda: 2)
         order: list[str] = []
         assert admission.acquire("normal", 0) and admission.acquire("normal", 0)
 
@@ -38,7 +38,7 @@
 
     def test_bulk_gets_its_turn_under_constant_high_load(self) -> None:
         clock = VirtualClock()
-        admission = Admission(lambda: 4)
+        admission = AdmissionQueue(lambda: 4)
         done: list[str] = []
 
         def work(priority: str) -> None:
@@ -55,7 +55,7 @@
 
     def test_waiting_is_bounded_and_ends(self) -> None:
         clock = VirtualClock()
-        admission = Admission(lambda: 1)
+        admission = AdmissionQueue(lambda: 1)
         assert admission.acquire("normal", 0)
         before = clock.now_ms()
         assert not admission.acquire("normal", 50)
@@ -63,22 +63,24 @@
         assert admission.waiting == 0
 
 
-class TestLimiter:
-    """The limit follows what the upstream has borne."""
+class TestConcurrencyLimiter:
+    """The limit adapts to the outcomes of calls."""
 
-    def succeed(self, limiter: Limiter, count: int, latency_ms: float = 5.0) -> None:
-        """Reports answers at full use of the limit."""
+    def succeed(
+        self, limiter: ConcurrencyLimiter, count: int, latency_ms: float = 5.0
+    ) -> None:
+        """Reports successful answers at full utilisation of the limit."""
         for _ in range(count):
             limiter.on_success("read", latency_ms, limiter.limit)
 
-    def test_cold_upstream_starts_with_little(self) -> None:
-        limiter = Limiter(20, 10_000, VirtualClock())
+    def test_cold_upstream_starts_with_a_low_limit(self) -> None:
+        limiter = ConcurrencyLimiter(20, 10_000, VirtualClock())
         self.succeed(limiter, 500)
         assert limiter.limit <= 2
 
     def test_limit_reaches_the_slots_after_the_warm_up_time(self) -> None:
         clock = VirtualClock()
-        limiter = Limiter(20, 10_000, clock)
+        limiter = ConcurrencyLimiter(20, 10_000, clock)
         for _ in range(100):
             clock.sleep_ms(110)
             self.succeed(limiter, 20)
@@ -86,15 +88,15 @@
 
     def test_overload_shrinks_the_limit(self) -> None:
         clock = VirtualClock()
-        limiter = Limiter(20, 0, clock)
+        limiter = ConcurrencyLimiter(20, 0, clock)
         self.succeed(limiter, 2000)
         assert limiter.limit == 20
         limiter.on_overload()
         assert limiter.limit == 12
 
-    def test_run_of_slow_answers_restarts_the_ramp(self) -> None:
+    def test_consecutive_slow_answers_restart_the_ramp(self) -> None:
         clock = VirtualClock()
-        limiter = Limiter(20, 1000, clock)
+        limiter = ConcurrencyLimiter(20, 1000, clock)
         for _ in range(40):
             clock.sleep_ms(100)
             self.succeed(limiter, 30)
--- a/tests/gate/test_slots.py
+++ b/tests/gate/test_slots.py
@@ -1,21 +1,21 @@
-"""Tests of the queue for an upstream's slots."""
+"""Tests of the queue for the slots of an upstream."""
 
 from __future__ import annotations
 
 import eventlet
 
 from jayswitch.clock import VirtualClock
-from jayswitch.gate.slots import WAITING_PER_SLOT, SlotQueue
-from jayswitch.gate.start_rate import StartRate
+from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
+from jayswitch.gate.slots import MAX_WAITING_PER_SLOT, SlotQueue
 from jayswitch.proxy.exceptions import CallerGone
 
 
 def _slots(limit: int) -> SlotQueue:
     clock = VirtualClock()
-    return SlotQueue(limit, StartRate(clock), clock)
+    return SlotQueue(limit, ColdRateLimiter(clock), clock)
 
 
-def _acquire_until_gone(slots: SlotQueue, seen: list[str]) -> None:
+def _acquire_until_caller_is_gone(slots: SlotQueue, seen: list[str]) -> None:
     try:
         slots.acquire(1, 1000)
     except CallerGone:
@@ -23,7 +23,7 @@
 
 
 class TestSlotQueue:
-    """Never more than the limit runs; the most urgent call goes first."""
+    """Concurrency stays within the limit and urgent calls go first."""
 
     def test_limit_holds_and_waiting_ends(self) -> None:
         slots = _slots(2)
@@ -53,7 +53,7 @@
         slots = _slots(1)
         assert slots.acquire(1, 0)
         seen: list[str] = []
-        task = eventlet.spawn(_acquire_until_gone, slots, seen)
+        task = eventlet.spawn(_acquire_until_caller_is_gone, slots, seen)
         eventlet.sleep(0)
         eventlet.spawn_after(0, task.throw, CallerGone())
         eventlet.sleep(0.001)
@@ -66,7 +66,7 @@
         slots = _slots(1)
         assert slots.acquire(1, 0)
         seen: list[str] = []
-        task = eventlet.spawn(_acquire_until_gone, slots, seen)
+        task = eventlet.spawn(_acquire_until_caller_is_gone, slots, seen)
         eventlet.sleep(0)
         eventlet.spawn_after(0, task.throw, CallerGone())
         eventlet.spawn_after(0, slots.release)
@@ -76,7 +76,7 @@
     def test_waiting_is_bounded(self) -> None:
         slots = _slots(1)
         assert slots.acquire(1, 0)
-        for _ in range(WAITING_PER_SLOT):
+        for _ in range(MAX_WAITING_PER_SLOT):
             eventlet.spawn(slots.acquire, 1, 1000)
         eventlet.sleep(0)
         assert not slots.acquire(1, 1000)
@@ -91,13 +91,13 @@
 
 
 class TestColdStarts:
-    """While the upstream is cold, the most urgent calls use what it bears."""
+    """While the upstream is cold, urgent calls are started first."""
 
     def test_calls_wait_for_their_start_in_the_order_of_their_rank(self) -> None:
         clock = VirtualClock()
-        rate = StartRate(clock, per_s=4)
-        rate.set_cold(60_000)
-        slots = SlotQueue(6, rate, clock)
+        limiter = ColdRateLimiter(clock, per_s=4)
+        limiter.set_cold(60_000)
+        slots = SlotQueue(6, limiter, clock)
         started: list[tuple[float, int]] = []
 
         def run(rank: int) -> None:
@@ -118,9 +118,9 @@
 
     def test_expected_wait_follows_the_rate(self) -> None:
         clock = VirtualClock()
-        rate = StartRate(clock, per_s=4)
-        rate.set_cold(60_000)
-        slots = SlotQueue(6, rate, clock)
+        limiter = ColdRateLimiter(clock, per_s=4)
+        limiter.set_cold(60_000)
+        slots = SlotQueue(6, limiter, clock)
         assert slots.expected_wait_ms(1, 100) == 0
         for _ in range(4):
             assert slots.acquire(1, 0)
--- a/tests/scenarios/test_controls.py
+++ b/tests/scenarios/test_controls.py
@@ -12,14 +12,14 @@
 import pytest
 
 from jayswitch.config.replica import ConfigReplica
+from jayswitch.gate.concurrency_limiter import ConcurrencyLimiter
 from jayswitch.gate.gate import Gate
-from jayswitch.gate.ledger import RequestLedger
-from jayswitch.gate.limiter import Limiter
+from jayswitch.gate.request_states import RequestStateStore
 from jayswitch.gate.upstream import Announcement
 from jayswitch.membership.link import Link
 from jayswitch.node.node import Node
 from jayswitch.rollout.watcher import MoveWatcher
-from jayswitch.routing.request import Attempts
+from jayswitch.routing.request import RequestAttempts
 from jayswitch.routing.router import Router
 from jayswitch.routing.table import RoutingTable, UpstreamDirectory, VersionSplit
 from jayswitch.standins.upstream import UpstreamBehaviour
@@ -192,23 +192,23 @@
 
 def forget_requests(patch: pytest.MonkeyPatch) -> None:
     """The gate remembers no request."""
-    patch.setattr(RequestLedger, "fate", lambda self, request_id: None)
+    patch.setattr(RequestStateStore, "state_of", lambda self, request_id: None)
 
 
 def retry_everything(patch: pytest.MonkeyPatch) -> None:
     """The router takes every method for idempotent."""
-    patch.setattr(Attempts, "idempotent", property(lambda self: True))
+    patch.setattr(RequestAttempts, "idempotent", property(lambda self: True))
 
 
 def call_late_calls_not_run(patch: pytest.MonkeyPatch) -> None:
     """The router says "not run" of whatever it cancelled."""
-    original = Attempts.note
+    original = RequestAttempts.record_failure
 
-    def note(self: Attempts, node: str, outcome: object) -> None:
+    def record_failure(self: RequestAttempts, node: str, outcome: object) -> None:
         original(self, node, outcome)
         self.may_have_run = False
 
-    patch.setattr(Attempts, "note", note)
+    patch.setattr(RequestAttempts, "record_failure", record_failure)
 
 
 def ignore_data_centres(patch: pytest.MonkeyPatch) -> None:
@@ -224,7 +224,7 @@
 
 def no_ramp(patch: pytest.MonkeyPatch) -> None:
     """The gate admits as many calls as the upstream has slots."""
-    patch.setattr(Limiter, "limit", property(lambda self: self._slots))
+    patch.setattr(ConcurrencyLimiter, "limit", property(lambda self: self._slots))
 
 
 def no_judge(patch: pytest.MonkeyPatch) -> None:
