Rename the parts of the record table after what they hold

HeldRecord, SELF, GONE_KEPT_MS, forget and _defend did not say that they are a stored record, the local source, the retention of tombstones, the discarding of foreign records and the reassertion of own ones. Wire names (gone, origin, incarnation, counter) are as before, and so is the behaviour.

--- a/src/jayswitch/membership/composer.py
+++ b/src/jayswitch/membership/composer.py
@@ -9,7 +9,7 @@
 from jayswitch.messages.generated import SubtreeStatus, Sync
 
 if TYPE_CHECKING:
-    from jayswitch.membership.records import HeldRecord
+    from jayswitch.membership.records import StoredRecord
     from jayswitch.membership.tree import Tree
     from jayswitch.messages.generated import Record
 
@@ -54,16 +54,16 @@
 
     def _records_for(self, link: Link) -> tuple[list[Record], int]:
         records: list[Record] = []
-        for held in self._tree.table.changed_since(link.sent_seq):
+        for stored in self._tree.table.changed_since(link.sent_seq):
             if len(records) >= RECORDS_PER_MESSAGE:
-                return records, held.seq - 1
-            if self._goes_to(link, held):
-                records.append(held.record)
+                return records, stored.seq - 1
+            if self._goes_to(link, stored):
+                records.append(stored.record)
         return records, self._tree.table.seq
 
-    def _goes_to(self, link: Link, held: HeldRecord) -> bool:
-        record = held.record
-        if held.source == link.peer:
+    def _goes_to(self, link: Link, stored: StoredRecord) -> bool:
+        record = stored.record
+        if stored.source == link.peer:
             return False
         if record.kind == KIND_OUTCOMES and link.role is LinkRole.PEER:
             return self._leads_to_judge(link)
@@ -72,9 +72,9 @@
         if link.role is LinkRole.CHILD:
             wanted = record.service in link.interest
             return record.kind == KIND_MEMBER and wanted
-        source_link = self._tree.links_by_peer.get(held.source)
+        source_link = self._tree.links_by_peer.get(stored.source)
         below = source_link is not None and source_link.role is LinkRole.CHILD
-        return not held.source or below
+        return not stored.source or below
 
     def _leads_to_judge(self, link: Link) -> bool:
         """Tells whether outcomes go out on a link between relays.
--- a/src/jayswitch/membership/records.py
+++ b/src/jayswitch/membership/records.py
@@ -14,13 +14,13 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
 
-SELF = ""
-GONE_KEPT_MS = 120_000.0
+LOCAL_SOURCE = ""
+TOMBSTONE_RETENTION_MS = 120_000.0
 
 RecordListener = Callable[[Record], None]
 
 
-class HeldRecord:
+class StoredRecord:
     """A record with the link it came from and its place in the change log."""
 
     __slots__ = ("changed_ms", "orphaned_ms", "record", "seq", "source")
@@ -28,7 +28,7 @@
     def __init__(
         self, record: Record, source: str, seq: int, changed_ms: float
     ) -> None:
-        """Takes the name of the node that sent the record; SELF for our own."""
+        """Takes the name of the node that sent the record; LOCAL_SOURCE for our own."""
         self.record = record
         self.source = source
         self.seq = seq
@@ -36,12 +36,12 @@
         self.orphaned_ms: float | None = None
 
     @property
-    def orphaned(self) -> bool:
+    def is_orphaned(self) -> bool:
         """Tells whether the link that the record came from has been lost."""
         return self.orphaned_ms is not None
 
 
-def version_of(record: Record) -> tuple[int, int, bool]:
+def record_version(record: Record) -> tuple[int, int, bool]:
     """Returns what orders two versions of a record; a removal follows its version."""
     return record.incarnation, record.counter, record.gone
 
@@ -56,7 +56,7 @@
         self.incarnation = clock.wall_ms()
         self._clock = clock
         self._counter = 0
-        self._held_by_key: dict[str, HeldRecord] = {}
+        self._stored_by_key: dict[str, StoredRecord] = {}
         self._listeners: list[RecordListener] = []
 
     def on_change(self, listener: RecordListener) -> None:
@@ -75,14 +75,14 @@
             service=service,
             payload=payload,
         )
-        self._store(record, SELF)
+        self._store(record, LOCAL_SOURCE)
 
     def republish_own(self) -> None:
         """Raises the version of every own record, so that it spreads anew."""
-        for held in list(self._held_by_key.values()):
-            if held.source == SELF and held.record.origin == self.node:
-                if not held.record.gone:
-                    self._republish(held.record)
+        for stored in list(self._stored_by_key.values()):
+            if stored.source == LOCAL_SOURCE and stored.record.origin == self.node:
+                if not stored.record.gone:
+                    self._republish(stored.record)
 
     def merge(self, record: Record, source: str) -> bool:
         """Takes a record from another node; tells whether anything changed.
@@ -90,40 +90,42 @@
         An own record that others hold a later version of, or hold for gone, is
         published again above that version.
         """
-        held = self._held_by_key.get(record.key)
+        stored = self._stored_by_key.get(record.key)
         if record.origin == self.node and record.kind != KIND_MARK:
-            return self._defend(record, held)
-        if held is None:
+            return self._reassert_own(record, stored)
+        if stored is None:
             if record.gone:
                 return False
             self._store(record, source)
             return True
         if record.kind == KIND_MARK:
             return False
-        if version_of(record) > version_of(held.record):
+        if record_version(record) > record_version(stored.record):
             self._store(record, source)
             return True
-        if held.orphaned and version_of(record) == version_of(held.record):
-            held.source = source
-            held.orphaned_ms = None
+        if stored.is_orphaned and record_version(record) == record_version(
+            stored.record
+        ):
+            stored.source = source
+            stored.orphaned_ms = None
         return False
 
-    def remove(self, key: str, source: str = SELF) -> None:
+    def remove(self, key: str, source: str = LOCAL_SOURCE) -> None:
         """Marks a record as gone and spreads that, except to the source."""
-        held = self._held_by_key.get(key)
-        if held is not None and not held.record.gone:
-            self._store(msgspec.structs.replace(held.record, gone=True), source)
+        stored = self._stored_by_key.get(key)
+        if stored is not None and not stored.record.gone:
+            self._store(msgspec.structs.replace(stored.record, gone=True), source)
 
-    def orphan(self, source: str) -> None:
+    def mark_orphaned(self, source: str) -> None:
         """Notes that the link which records came from has been lost."""
         now_ms = self._clock.now_ms()
-        for held in self._held_by_key.values():
-            known = held.orphaned or held.record.kind == KIND_MARK
-            if held.source == source and not known:
-                held.orphaned_ms = now_ms
+        for stored in self._stored_by_key.values():
+            known = stored.is_orphaned or stored.record.kind == KIND_MARK
+            if stored.source == source and not known:
+                stored.orphaned_ms = now_ms
 
     def remove_orphans(
-        self, wanted: Callable[[HeldRecord], bool], source: str = SELF
+        self, wanted: Callable[[StoredRecord], bool], source: str = LOCAL_SOURCE
     ) -> int:
         """Removes those records of lost links that no other link has brought.
 
@@ -131,63 +133,63 @@
         """
         keys = [
             key
-            for key, held in self._held_by_key.items()
-            if held.orphaned and not held.record.gone and wanted(held)
+            for key, stored in self._stored_by_key.items()
+            if stored.is_orphaned and not stored.record.gone and wanted(stored)
         ]
         for key in keys:
             self.remove(key, source)
         return len(keys)
 
-    def forget(self, unwanted: Callable[[HeldRecord], bool]) -> None:
+    def discard_foreign(self, unwanted: Callable[[StoredRecord], bool]) -> None:
         """Drops foreign records that nobody below this node needs any more."""
-        for key, held in list(self._held_by_key.items()):
-            if held.source != SELF and unwanted(held):
-                del self._held_by_key[key]
+        for key, stored in list(self._stored_by_key.items()):
+            if stored.source != LOCAL_SOURCE and unwanted(stored):
+                del self._stored_by_key[key]
 
-    def purge_gone(self) -> None:
+    def purge_tombstones(self) -> None:
         """Drops removals that every reachable node has heard of by now."""
-        before_ms = self._clock.now_ms() - GONE_KEPT_MS
-        for key, held in list(self._held_by_key.items()):
-            if held.record.gone and held.changed_ms < before_ms:
-                del self._held_by_key[key]
+        before_ms = self._clock.now_ms() - TOMBSTONE_RETENTION_MS
+        for key, stored in list(self._stored_by_key.items()):
+            if stored.record.gone and stored.changed_ms < before_ms:
+                del self._stored_by_key[key]
 
     def get(self, key: str) -> Record | None:
         """Returns the record under a key unless it is gone."""
-        held = self._held_by_key.get(key)
-        if held is None or held.record.gone:
+        stored = self._stored_by_key.get(key)
+        if stored is None or stored.record.gone:
             return None
-        return held.record
+        return stored.record
 
     def by_kind(self, kind: str) -> Iterator[Record]:
         """Iterates over the records of a kind that are not gone."""
-        for held in list(self._held_by_key.values()):
-            if held.record.kind == kind and not held.record.gone:
-                yield held.record
+        for stored in list(self._stored_by_key.values()):
+            if stored.record.kind == kind and not stored.record.gone:
+                yield stored.record
 
-    def changed_since(self, seq: int) -> list[HeldRecord]:
+    def changed_since(self, seq: int) -> list[StoredRecord]:
         """Returns the records changed after a sequence number, oldest first."""
         if seq >= self.seq:
             return []
         changed = []
-        for held in reversed(self._held_by_key.values()):
-            if held.seq <= seq:
+        for stored in reversed(self._stored_by_key.values()):
+            if stored.seq <= seq:
                 break
-            changed.append(held)
+            changed.append(stored)
         changed.reverse()
         return changed
 
     def __len__(self) -> int:
         """Returns how many records are held, removals included."""
-        return len(self._held_by_key)
+        return len(self._stored_by_key)
 
-    def _defend(self, record: Record, held: HeldRecord | None) -> bool:
-        own = held.record if held is not None else None
-        if own is not None and version_of(record) <= version_of(own):
+    def _reassert_own(self, record: Record, stored: StoredRecord | None) -> bool:
+        own = stored.record if stored is not None else None
+        if own is not None and record_version(record) <= record_version(own):
             return False
         self.incarnation = max(self.incarnation, record.incarnation)
         self._counter = max(self._counter, record.counter)
         if own is None:
-            self._store(msgspec.structs.replace(record, gone=True), SELF)
+            self._store(msgspec.structs.replace(record, gone=True), LOCAL_SOURCE)
         else:
             self._republish(own)
         return True
@@ -197,7 +199,7 @@
         record = msgspec.structs.replace(
             own, incarnation=self.incarnation, counter=self._counter
         )
-        self._store(record, SELF)
+        self._store(record, LOCAL_SOURCE)
 
     def _store(self, record: Record, source: str) -> None:
         self.seq += 1
@@ -206,7 +208,7 @@
         record.service = sys.intern(record.service)
         now_ms = self._clock.now_ms()
         # Inserted anew, so that the dictionary stays in the order of changes.
-        self._held_by_key.pop(record.key, None)
-        self._held_by_key[record.key] = HeldRecord(record, source, self.seq, now_ms)
+        self._stored_by_key.pop(record.key, None)
+        self._stored_by_key[record.key] = StoredRecord(record, source, self.seq, now_ms)
         for listener in self._listeners:
             listener(record)
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
     from jayswitch.config.replica import ConfigReplica
-    from jayswitch.membership.records import HeldRecord, RecordTable
+    from jayswitch.membership.records import RecordTable, StoredRecord
     from jayswitch.messages.codec import AnyMessage
     from jayswitch.transport.interface import Transport
 
@@ -241,7 +241,7 @@
         logger.info("link ended", extra={"peer": link.peer, "role": link.role.value})
         self._transport.forget(link.address)
         if not self._stopped:
-            self.table.orphan(link.peer)
+            self.table.mark_orphaned(link.peer)
             eventlet.spawn(self._remove_orphans_later, link)
 
     def _remove_orphans_later(self, link: Link) -> None:
@@ -249,7 +249,9 @@
             other.wants_resend = other.role is LinkRole.PEER
         self.clock.sleep_ms(ORPHAN_HEARTBEATS * self.interval_ms)
         if link.role is not LinkRole.PARENT:
-            removed = self.table.remove_orphans(lambda held: held.source == link.peer)
+            removed = self.table.remove_orphans(
+                lambda stored: stored.source == link.peer
+            )
             self.counts["records_removed"] += removed
 
     def _run_link(self, link: Link) -> None:
@@ -278,19 +280,21 @@
             self.counts["pauses"] += 1
         if link.is_silent(now_ms, self.interval_ms):
             if link.role is LinkRole.PEER:
-                self.table.orphan(link.peer)
+                self.table.mark_orphaned(link.peer)
                 return
             self.drop_link(link)
 
     def _clean_up(self) -> None:
         while not self._stopped:
             self.clock.sleep_ms(10 * self.interval_ms)
-            self.table.purge_gone()
+            self.table.purge_tombstones()
             if self.is_relay:
                 self._remove_old_orphans()
             else:
                 interest = self.interest
-                self.table.forget(lambda held: self._is_unwanted(held, interest))
+                self.table.discard_foreign(
+                    lambda stored: self._is_unwanted(stored, interest)
+                )
 
     def _remove_old_orphans(self) -> None:
         """Removes what no relay or child has brought again for some heartbeats.
@@ -299,16 +303,16 @@
         """
         before_ms = self.clock.now_ms() - REJOIN_HEARTBEATS * self.interval_ms
         removed = self.table.remove_orphans(
-            lambda held: held.source not in self.links_by_peer
-            and held.orphaned_ms is not None
-            and held.orphaned_ms < before_ms
+            lambda stored: stored.source not in self.links_by_peer
+            and stored.orphaned_ms is not None
+            and stored.orphaned_ms < before_ms
         )
         self.counts["records_removed"] += removed
 
-    def _is_unwanted(self, held: HeldRecord, interest: frozenset[str]) -> bool:
-        if held.record.kind == KIND_MARK or held.record.service in interest:
+    def _is_unwanted(self, stored: StoredRecord, interest: frozenset[str]) -> bool:
+        if stored.record.kind == KIND_MARK or stored.record.service in interest:
             return False
-        source = self.links_by_peer.get(held.source)
+        source = self.links_by_peer.get(stored.source)
         return source is None or source.role is not LinkRole.CHILD
 
     # Sending
@@ -396,7 +400,7 @@
         if link.note_heard(sync, self.clock.now_ms()):
             link.nudge()
             if known_session:
-                self.table.orphan(link.peer)
+                self.table.mark_orphaned(link.peer)
         if sync.resend:
             link.resend_all()
             link.nudge()
@@ -416,13 +420,13 @@
 
     def _finish_transfer(self, link: Link, sync: Sync) -> None:
         """Removes what the peer no longer has, once it has sent everything."""
-        self.table.remove_orphans(lambda held: held.source == link.peer, link.peer)
+        self.table.remove_orphans(lambda stored: stored.source == link.peer, link.peer)
         if link.role is not LinkRole.PARENT:
             return
         settled = frozenset(sync.settled)
         self.table.remove_orphans(
-            lambda held: held.record.service in settled
-            and held.source not in self.links_by_peer,
+            lambda stored: stored.record.service in settled
+            and stored.source not in self.links_by_peer,
             link.peer,
         )
         if settled != link.settled:
--- a/tests/membership/test_records.py
+++ b/tests/membership/test_records.py
@@ -53,8 +53,8 @@
     def exchange(self, giver: str, taker: str) -> None:
         """Sends everything that one table holds to another."""
         if giver != taker:
-            for held in self.tables[giver].changed_since(0):
-                self.tables[taker].merge(held.record, giver)
+            for stored in self.tables[giver].changed_since(0):
+                self.tables[taker].merge(stored.record, giver)
 
     @rule(name=NODE)
     def mark(self, name: str) -> None:
