Rename the links of the tree after what they do

nudge, note_heard, farewell, judge and _judge_silence were figures of speech. They are now trigger_sync, record_received, disconnect_message, evaluator_node and _check_liveness; composer.py, which builds Sync messages, is sync_builder.py. Fields of Sync keep their names; behaviour is the same.

--- a/src/jayswitch/membership/link.py
+++ b/src/jayswitch/membership/link.py
@@ -14,7 +14,7 @@
     from jayswitch.clock import Clock
     from jayswitch.messages.generated import Sync
 
-EVERYTHING = "*"
+ALL_SERVICES = "*"
 NO_INTEREST = "-"
 MISSED_HEARTBEATS = 3.5
 
@@ -35,14 +35,14 @@
         "address",
         "behind_since_ms",
         "claim_slot",
-        "wants_resend",
+        "resend_requested",
         "closed",
         "data_centre",
         "heard_ms",
         "hops",
         "interest",
         "interest_sent",
-        "nudged",
+        "sync_triggered",
         "peer",
         "peer_session",
         "peer_version",
@@ -80,14 +80,14 @@
         self.subtree = SubtreeStatus(nodes=0, lowest_version=0)
         self.hops = 0
         self.claim_slot = -1
-        self.wants_resend = False
+        self.resend_requested = False
         self.closed = False
-        self.nudged = Event()
+        self.sync_triggered = Event()
 
-    def nudge(self) -> None:
+    def trigger_sync(self) -> None:
         """Wakes the link's task before its next heartbeat."""
-        if not self.nudged.ready():
-            self.nudged.send(None)
+        if not self.sync_triggered.ready():
+            self.sync_triggered.send(None)
 
     def resend_all(self) -> None:
         """Sends the peer every record again, for example for a new interest."""
@@ -98,7 +98,7 @@
         """Tells whether the peer has missed so many heartbeats that it seems gone."""
         return now_ms - self.heard_ms > MISSED_HEARTBEATS * interval_ms
 
-    def note_sent(self, now_ms: float) -> None:
+    def record_sent(self, now_ms: float) -> None:
         """Starts to wait for confirmation, unless it already waits for an earlier one.
 
         The wait is counted from the oldest message, so that new ones cannot put off
@@ -126,7 +126,7 @@
         self.sent_seq = self.acked_seq
         self.sent_version = self.peer_version
 
-    def note_heard(self, sync: Sync, now_ms: float) -> bool:
+    def record_received(self, sync: Sync, now_ms: float) -> bool:
         """Takes over the counters of a message; tells whether its session is new."""
         self.heard_ms = now_ms
         is_new = sync.session != self.peer_session
--- a/src/jayswitch/membership/relay.py
+++ b/src/jayswitch/membership/relay.py
@@ -300,4 +300,4 @@
         self._random.shuffle(children)
         for number, link in zip(self._vacant_slots(), children):
             link.claim_slot = number
-            link.nudge()
+            link.trigger_sync()
--- a/src/jayswitch/membership/composer.py
+++ b/src/jayswitch/membership/sync_builder.py
@@ -17,14 +17,14 @@
 RECORDS_PER_MESSAGE = 400
 
 
-class SyncComposer:
+class SyncBuilder:
     """Chooses the records, entries and interests that a peer still needs."""
 
     def __init__(self, tree: Tree) -> None:
         """Takes the tree whose links it writes for."""
         self._tree = tree
 
-    def compose(self, link: Link) -> Sync:
+    def build(self, link: Link) -> Sync:
         """Returns the next message for a link."""
         records, reached = self._records_for(link)
         complete = reached >= self._tree.table.seq
@@ -43,12 +43,12 @@
             subtree=self._tree.subtree(),
             snapshot=b"",
             claim_slot=link.claim_slot,
-            resend=link.wants_resend,
+            resend=link.resend_requested,
         )
         if link.role is LinkRole.CHILD and complete:
             sync.settled = self._settled_for(link)
         if link.role is LinkRole.PARENT:
-            self._state_interest(link, sync)
+            self._add_interest(link, sync)
         self._add_configuration(link, sync)
         return sync
 
@@ -57,16 +57,16 @@
         for stored in self._tree.table.changed_since(link.sent_seq):
             if len(records) >= RECORDS_PER_MESSAGE:
                 return records, stored.seq - 1
-            if self._goes_to(link, stored):
+            if self._should_send(link, stored):
                 records.append(stored.record)
         return records, self._tree.table.seq
 
-    def _goes_to(self, link: Link, stored: StoredRecord) -> bool:
+    def _should_send(self, link: Link, stored: StoredRecord) -> bool:
         record = stored.record
         if stored.source == link.peer:
             return False
         if record.kind == KIND_OUTCOMES and link.role is LinkRole.PEER:
-            return self._leads_to_judge(link)
+            return self._leads_to_evaluator(link)
         if record.kind == KIND_MARK or link.role is LinkRole.PEER:
             return True
         if link.role is LinkRole.CHILD:
@@ -76,25 +76,25 @@
         below = source_link is not None and source_link.role is LinkRole.CHILD
         return not stored.source or below
 
-    def _leads_to_judge(self, link: Link) -> bool:
+    def _leads_to_evaluator(self, link: Link) -> bool:
         """Tells whether outcomes go out on a link between relays.
 
         They go to the judge, or to siblings, one of which is linked to it. Where
         the judge is silent or unknown they go to every relay, and each may judge.
         """
-        if self._tree.judge == self._tree.node:
+        if self._tree.evaluator_node == self._tree.node:
             return False
-        if self.is_judge_lost():
+        if self.is_evaluator_unreachable():
             return True
-        if self._tree.judge in self._tree.links_by_peer:
-            return link.peer == self._tree.judge
+        if self._tree.evaluator_node in self._tree.links_by_peer:
+            return link.peer == self._tree.evaluator_node
         return link.data_centre == self._tree.data_centre
 
-    def is_judge_lost(self) -> bool:
+    def is_evaluator_unreachable(self) -> bool:
         """Tells whether no judge is known, or the link to it is silent."""
-        if not self._tree.judge:
+        if not self._tree.evaluator_node:
             return True
-        link = self._tree.links_by_peer.get(self._tree.judge)
+        link = self._tree.links_by_peer.get(self._tree.evaluator_node)
         if link is None:
             return False
         return link.is_silent(self._tree.clock.now_ms(), self._tree.interval_ms)
@@ -107,7 +107,7 @@
             return []
         return sorted(link.interest & parent.settled)
 
-    def _state_interest(self, link: Link, sync: Sync) -> None:
+    def _add_interest(self, link: Link, sync: Sync) -> None:
         interest = self._tree.interest
         if interest != link.interest_sent:
             sync.interest = sorted(interest) or [NO_INTEREST]
@@ -134,7 +134,7 @@
             now_ms - link.behind_since_ms > LAGGING_HEARTBEATS * self._tree.interval_ms
         )
 
-    def farewell(self) -> Sync:
+    def disconnect_message(self) -> Sync:
         """Returns the message that ends a link."""
         return Sync(
             node=self._tree.node,
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -14,9 +14,9 @@
 from eventlet.event import Event
 
 from jayswitch.clock import MS_PER_S
-from jayswitch.membership.composer import SyncComposer
-from jayswitch.membership.link import EVERYTHING, NO_INTEREST, Link, LinkRole
+from jayswitch.membership.link import ALL_SERVICES, NO_INTEREST, Link, LinkRole
 from jayswitch.membership.member import KIND_MARK
+from jayswitch.membership.sync_builder import SyncBuilder
 from jayswitch.messages.generated import Join, JoinReply, SubtreeStatus, Sync
 
 if TYPE_CHECKING:
@@ -32,9 +32,9 @@
 PAUSE_HEARTBEATS = 2.0
 REJOIN_HEARTBEATS = 10.0
 JOIN_TIMEOUT_MS = 1000.0
-JOIN_REDIRECTS = 12
+MAX_JOIN_REDIRECTS = 12
 MAX_HOPS = 16
-LAGGING_NAMES = 8
+MAX_LAGGING_ENTRIES = 8
 SEND_TIMEOUT_MS = 300.0
 REDIRECT_CHOICES = 3
 
@@ -58,7 +58,7 @@
     ) -> None:
         """Takes the node's own parts; the tree starts with start()."""
         self.is_relay = False
-        self.judge = ""
+        self.evaluator_node = ""
         self.links_by_peer: dict[str, Link] = {}
         self.counts: Counter[str] = Counter()
         self.on_claim_request: Callable[[int], None] = lambda slot: None
@@ -74,12 +74,12 @@
         self._own_interest: frozenset[str] = frozenset()
         self._join_attempt = ""
         self._join_reply: Event = Event()
-        self._composer = SyncComposer(self)
+        self._sync_builder = SyncBuilder(self)
         self._stopped = False
         self._parent_lost_ms = float("-inf")
         self._last_hops = MAX_HOPS
-        replica.on_change(lambda state: self.nudge())
-        table.on_change(lambda record: self.nudge())
+        replica.on_change(lambda state: self.trigger_sync())
+        table.on_change(lambda record: self.trigger_sync())
 
     @property
     def address(self) -> str:
@@ -134,24 +134,26 @@
         """Tells every peer that this node leaves, and ends all links."""
         self._stopped = True
         for link in list(self.links_by_peer.values()):
-            self._transport.send(link.address, self._composer.farewell(), 0)
+            self._transport.send(
+                link.address, self._sync_builder.disconnect_message(), 0
+            )
             self.drop_link(link)
 
-    def is_judge_lost(self) -> bool:
+    def is_evaluator_unreachable(self) -> bool:
         """Tells whether no judge of moves is known, or the link to it is silent."""
-        return self._composer.is_judge_lost()
+        return self._sync_builder.is_evaluator_unreachable()
 
-    def nudge(self) -> None:
+    def trigger_sync(self) -> None:
         """Sends what is new on every link without waiting for the heartbeat."""
         for link in self.links_by_peer.values():
-            link.nudge()
+            link.trigger_sync()
 
     def set_own_interest(self, services: Iterable[str]) -> None:
         """Sets the services that this node itself routes to."""
         wanted = frozenset(services)
         if wanted != self._own_interest:
             self._own_interest = wanted
-            self.nudge()
+            self.trigger_sync()
 
     def is_settled(self, services: Iterable[str]) -> bool:
         """Tells whether every known member of the services has arrived."""
@@ -175,14 +177,14 @@
             status.lagging.extend(link.subtree.lagging)
             if link.peer_version < own_version:
                 status.lagging.append(f"{link.peer} at {link.peer_version}: behind")
-        status.lagging = status.lagging[:LAGGING_NAMES]
+        status.lagging = status.lagging[:MAX_LAGGING_ENTRIES]
         return status
 
     # Joining
 
     def join(self, address: str) -> bool:
         """Asks a node, and those it redirects to, to become the parent."""
-        for _ in range(JOIN_REDIRECTS):
+        for _ in range(MAX_JOIN_REDIRECTS):
             reply = self._ask_to_join(address)
             if reply is None:
                 return False
@@ -234,7 +236,7 @@
             self._last_hops = self.hops
             self._parent_lost_ms = self.clock.now_ms()
         link.closed = True
-        link.nudge()
+        link.trigger_sync()
         if self.links_by_peer.get(link.peer) is link:
             del self.links_by_peer[link.peer]
         self.counts["links_lost"] += 1
@@ -246,7 +248,7 @@
 
     def _remove_orphans_later(self, link: Link) -> None:
         for other in self.links_by_peer.values():
-            other.wants_resend = other.role is LinkRole.PEER
+            other.resend_requested = other.role is LinkRole.PEER
         self.clock.sleep_ms(ORPHAN_HEARTBEATS * self.interval_ms)
         if link.role is not LinkRole.PARENT:
             removed = self.table.remove_orphans(
@@ -262,17 +264,17 @@
                 self._send_sync(link)
             before_ms = self.clock.now_ms()
             self._wait_for_heartbeat(link)
-            self._judge_silence(link, self.clock.now_ms() - before_ms)
+            self._check_liveness(link, self.clock.now_ms() - before_ms)
 
     def _wait_for_heartbeat(self, link: Link) -> None:
         jitter = self._random.uniform(0.9, 1.1)
         with eventlet.Timeout(self.interval_ms * jitter / MS_PER_S, False):
-            link.nudged.wait()
-        if link.nudged.ready():
+            link.sync_triggered.wait()
+        if link.sync_triggered.ready():
             self.clock.sleep_ms(COALESCE_MS)
-            link.nudged = Event()
+            link.sync_triggered = Event()
 
-    def _judge_silence(self, link: Link, waited_ms: float) -> None:
+    def _check_liveness(self, link: Link, waited_ms: float) -> None:
         now_ms = self.clock.now_ms()
         if waited_ms > PAUSE_HEARTBEATS * self.interval_ms:
             # This process was paused, so the peer's silence proves nothing.
@@ -322,7 +324,7 @@
         if link.is_overdue(now_ms, RESEND_HEARTBEATS * self.interval_ms):
             link.rewind()
             self.counts["resends"] += 1
-        sync = self._composer.compose(link)
+        sync = self._sync_builder.build(link)
         if not self._transport.send(link.address, sync, SEND_TIMEOUT_MS):
             self.counts["syncs_unsent"] += 1
             return
@@ -331,13 +333,13 @@
         if sync.snapshot:
             link.sent_version = self.replica.version
         link.sent_version += len(sync.entries)
-        link.note_sent(now_ms)
+        link.record_sent(now_ms)
         link.claim_slot = -1
-        link.wants_resend = False
+        link.resend_requested = False
         self.counts["syncs_sent"] += 1
         behind = link.sent_version < self.replica.version
         if not sync.complete or (behind and link.role is not LinkRole.PEER):
-            link.nudge()
+            link.trigger_sync()
 
     # Receiving
 
@@ -374,12 +376,12 @@
                 eventlet.spawn(
                     self._transport.send,
                     message.reply_to,
-                    self._composer.farewell(),
+                    self._sync_builder.disconnect_message(),
                     100.0,
                 )
             return
         if message.bye:
-            self._receive_farewell(link)
+            self._receive_disconnect(link)
             return
         self._receive_sync(link, message)
 
@@ -389,7 +391,7 @@
         is_child = any(link.peer == node for link in self.children)
         return is_child or len(self.children) < self._fan_out
 
-    def _receive_farewell(self, link: Link) -> None:
+    def _receive_disconnect(self, link: Link) -> None:
         if link.role is LinkRole.PEER:
             # A peer that has not yet heard of this relay; the link stays.
             return
@@ -397,13 +399,13 @@
 
     def _receive_sync(self, link: Link, sync: Sync) -> None:
         known_session = link.peer_session
-        if link.note_heard(sync, self.clock.now_ms()):
-            link.nudge()
+        if link.record_received(sync, self.clock.now_ms()):
+            link.trigger_sync()
             if known_session:
                 self.table.mark_orphaned(link.peer)
         if sync.resend:
             link.resend_all()
-            link.nudge()
+            link.trigger_sync()
         if sync.interest:
             self._receive_interest(link, sync)
         for record in sync.records:
@@ -431,14 +433,14 @@
         )
         if settled != link.settled:
             link.settled = settled
-            self.nudge()
+            self.trigger_sync()
 
     def _receive_interest(self, link: Link, sync: Sync) -> None:
-        interest = frozenset(sync.interest) - {NO_INTEREST, EVERYTHING}
+        interest = frozenset(sync.interest) - {NO_INTEREST, ALL_SERVICES}
         if not interest <= link.interest:
             link.resend_all()
         link.interest = interest
-        self.nudge()
+        self.trigger_sync()
 
     def _receive_configuration(self, sync: Sync) -> None:
         if sync.snapshot:
--- a/src/jayswitch/node/node.py
+++ b/src/jayswitch/node/node.py
@@ -297,8 +297,8 @@
 
     def _review_moves(self) -> None:
         tree = self.parts.tree
-        tree.judge = self._find_judge()
-        judges = tree.judge == self.name or tree.is_judge_lost()
+        tree.evaluator_node = self._find_judge()
+        judges = tree.evaluator_node == self.name or tree.is_evaluator_unreachable()
         self.parts.watcher.review(self.parts.replica.state, tree.is_relay and judges)
 
     def _find_judge(self) -> str:
