Rename the steps by which a node takes or leaves a relay slot

_find_place, _invite, _resign and _me did not name the operation; they are now _join_tree, _request_claims, _step_down and _own_slot. All of them are private to RelayRole. Behaviour is the same.

Checks: tests/membership and tests/config 19 passed, mypy clean.

--- a/src/jayswitch/membership/relay.py
+++ b/src/jayswitch/membership/relay.py
@@ -87,7 +87,7 @@
         """Takes this node's description; its slot number is filled in later."""
         self.slots_by_key: dict[str, RelaySlot] = {}
         self.lease = ""
-        self._me = slot
+        self._own_slot = slot
         self._slots = slots
         self._store = store
         self._log = log
@@ -98,7 +98,7 @@
         self._stopped = False
         self._backoff = Backoff(rng)
         tree.on_claim_request = lambda number: eventlet.spawn_n(
-            self._claim_when_asked, number
+            self._handle_claim_request, number
         )
 
     def start(self) -> None:
@@ -124,12 +124,12 @@
                 self._backoff.reset()
                 self._clock.sleep_ms(RETRY_MIN_MS)
                 continue
-            if not self._find_place():
+            if not self._join_tree():
                 self._clock.sleep_ms(self._backoff.next_ms())
 
-    def _find_place(self) -> bool:
+    def _join_tree(self) -> bool:
         if not self._read_slots(self._own_prefix()):
-            return self._join_any(self._known_addresses())
+            return self._join_any(self._candidate_addresses())
         if self._vacant_slots():
             # Spreads the claims of many nodes that find the slots vacant together.
             self._clock.sleep_ms(self._random.uniform(0, CLAIM_JITTER_MS))
@@ -141,7 +141,7 @@
         return self._join_any(self._own_relay_addresses())
 
     def _own_prefix(self) -> str:
-        return f"{RELAY_PREFIX}{self._me.data_centre}/"
+        return f"{RELAY_PREFIX}{self._own_slot.data_centre}/"
 
     def _key(self, number: int) -> str:
         return f"{self._own_prefix()}{number}"
@@ -155,16 +155,16 @@
         return [
             slot.control_address
             for key, slot in self.slots_by_key.items()
-            if key.startswith(prefix) and slot.node != self._me.node
+            if key.startswith(prefix) and slot.node != self._own_slot.node
         ]
 
-    def _known_addresses(self) -> list[str]:
+    def _candidate_addresses(self) -> list[str]:
         addresses = self._own_relay_addresses()
         for record in self._table.by_kind(KIND_MEMBER):
             member = decode_member(record)
-            if member is None or member.node == self._me.node:
+            if member is None or member.node == self._own_slot.node:
                 continue
-            if member.data_centre == self._me.data_centre:
+            if member.data_centre == self._own_slot.data_centre:
                 addresses.append(member.control_address)
         return addresses
 
@@ -194,7 +194,7 @@
 
     # Holding a slot
 
-    def _claim_when_asked(self, number: int) -> None:
+    def _handle_claim_request(self, number: int) -> None:
         if not self._tree.is_relay and not self._stopped:
             self._claim(number)
 
@@ -204,7 +204,7 @@
                 pass
             case _:
                 return False
-        slot = msgspec.structs.replace(self._me, slot=number)
+        slot = msgspec.structs.replace(self._own_slot, slot=number)
         written = self._store.put(
             self._key(number), msgspec.json.encode(slot), 0, lease
         )
@@ -217,17 +217,17 @@
     def _become_relay(self, slot: RelaySlot, lease: str) -> None:
         logger.info("relay slot taken", extra={"slot": slot.slot})
         self._tree.counts["relay_slots_taken"] += 1
-        self._me = slot
+        self._own_slot = slot
         self.lease = lease
         self._tree.is_relay = True
         parent = self._tree.parent
         if parent is not None:
             self._tree.drop_link(parent)
         for task in (self._renew, self._watch_log, self._watch_relays):
-            eventlet.spawn(self._while_holding, lease, task)
+            eventlet.spawn(self._run_while_leased, lease, task)
 
-    def _resign(self) -> None:
-        logger.warning("relay slot lost", extra={"slot": self._me.slot})
+    def _step_down(self) -> None:
+        logger.warning("relay slot lost", extra={"slot": self._own_slot.slot})
         self._tree.counts["relay_slots_lost"] += 1
         self.lease = ""
         self._tree.is_relay = False
@@ -235,7 +235,7 @@
             if link.role is LinkRole.PEER:
                 self._tree.drop_link(link)
 
-    def _while_holding(self, lease: str, task: Callable[[], float]) -> None:
+    def _run_while_leased(self, lease: str, task: Callable[[], float]) -> None:
         """Repeats a task until the lease is lost; it returns its pause in ms."""
         while self.lease == lease and not self._stopped:
             self._clock.sleep_ms(task())
@@ -243,22 +243,22 @@
     def _renew(self) -> float:
         match self._store.keep_alive(self.lease):
             case Failure(LeaseExpired()):
-                self._resign()
+                self._step_down()
         return LEASE_TTL_MS / RENEWALS_PER_TTL * self._random.uniform(0.9, 1.0)
 
     def _watch_log(self) -> float:
         return self._watch("log/", self._catch_up)
 
     def _watch_relays(self) -> float:
-        return self._watch(RELAY_PREFIX, self._review_relays)
+        return self._watch(RELAY_PREFIX, self._refresh_relays)
 
-    def _watch(self, prefix: str, react: Callable[[], bool]) -> float:
+    def _watch(self, prefix: str, on_update: Callable[[], bool]) -> float:
         """Reacts to the present state, then to each change, until a call fails."""
         start = self._store.watch(prefix, -1, 0)
         if isinstance(start, Failure):
             return self._random.uniform(RETRY_MIN_MS, 4 * RETRY_MIN_MS)
         revision = start.unwrap().revision
-        while react() and self.lease and not self._stopped:
+        while on_update() and self.lease and not self._stopped:
             match self._store.watch(prefix, revision, WATCH_TIMEOUT_MS):
                 case Success(batch):
                     revision = batch.revision
@@ -269,32 +269,32 @@
     def _catch_up(self) -> bool:
         return isinstance(self._log.catch_up(), Success)
 
-    def _review_relays(self) -> bool:
+    def _refresh_relays(self) -> bool:
         if not self._read_slots(RELAY_PREFIX):
             return False
-        self._link_to_relays()
-        self._invite()
+        self._update_peer_links()
+        self._request_claims()
         return True
 
-    def _link_to_relays(self) -> None:
+    def _update_peer_links(self) -> None:
         wanted = {slot.node: slot for slot in self.relays if self._is_peer(slot)}
         for link in list(self._tree.links_by_peer.values()):
             if link.role is LinkRole.PEER and link.peer not in wanted:
                 self._tree.drop_link(link)
         for node, slot in wanted.items():
             address = slot.control_address
-            held = self._tree.links_by_peer.get(node)
-            is_peer = held is not None and held.role is LinkRole.PEER
-            if held is None or not is_peer or held.address != address:
+            current = self._tree.links_by_peer.get(node)
+            is_peer = current is not None and current.role is LinkRole.PEER
+            if current is None or not is_peer or current.address != address:
                 self._tree.add_link(node, address, LinkRole.PEER, slot.data_centre)
 
     def _is_peer(self, slot: RelaySlot) -> bool:
-        if slot.node == self._me.node:
+        if slot.node == self._own_slot.node:
             return False
-        same_data_centre = slot.data_centre == self._me.data_centre
-        return same_data_centre or slot.slot == self._me.slot
+        same_data_centre = slot.data_centre == self._own_slot.data_centre
+        return same_data_centre or slot.slot == self._own_slot.slot
 
-    def _invite(self) -> None:
+    def _request_claims(self) -> None:
         """Asks children to take the slots that are vacant in this data centre."""
         children = self._tree.children
         self._random.shuffle(children)
