Rename the steps of checking and appending configuration changes

check, perform, Checked, unsure and _accepted left open what they act on; they are now check_change, apply_change, CheckResult, maybe_written and _apply_accepted. The limits on history, ended moves and recent entries begin with MAX_. Names in the log and in stored states are as before; so is the behaviour.

--- a/src/jayswitch/config/changes.py
+++ b/src/jayswitch/config/changes.py
@@ -46,13 +46,13 @@
     from jayswitch.config.state import AnyChange
 
 ANY_VERSION = -1
-HISTORY_ITEMS = 20
-ENDED_MOVES_KEPT = 64
+MAX_HISTORY_ITEMS = 20
+MAX_ENDED_MOVES = 64
 REASON_ABORTED = "taken back by an operator"
 REASON_REPLACED = "replaced by a later change of the profile"
 
-Checked = Result[None, JayswitchError]
-OK: Checked = Success(None)
+CheckResult = Result[None, JayswitchError]
+OK: CheckResult = Success(None)
 
 
 def apply_entry(
@@ -66,28 +66,28 @@
                 "fetch the entries in between first",
             )
         )
-    checked = check(entry.change, state)
+    checked = check_change(entry.change, state)
     if not is_successful(checked):
         return Failure(checked.failure())
-    following = state.fork(entry.index)
-    perform(entry.change, following, entry)
-    return Success(following)
+    next_state = state.fork(entry.index)
+    apply_change(entry.change, next_state, entry)
+    return Success(next_state)
 
 
 @singledispatch
-def check(change: AnyChange, state: ConfigState) -> Checked:
+def check_change(change: AnyChange, state: ConfigState) -> CheckResult:
     """Tells whether the change may follow the state."""
     raise NotImplementedError(type(change).__name__)
 
 
 @singledispatch
-def perform(change: AnyChange, state: ConfigState, entry: Entry) -> None:
+def apply_change(change: AnyChange, state: ConfigState, entry: Entry) -> None:
     """Makes the change in a forked state; the change has been checked."""
     raise NotImplementedError(type(change).__name__)
 
 
-@check.register
-def _(change: ProfileSet, state: ConfigState) -> Checked:
+@check_change.register
+def _(change: ProfileSet, state: ConfigState) -> CheckResult:
     name = change.profile.name
     checked = check_profile(change.profile)
     if not is_successful(checked):
@@ -108,7 +108,7 @@
     return OK
 
 
-@perform.register
+@apply_change.register
 def _(change: ProfileSet, state: ConfigState, entry: Entry) -> None:
     profile = change.profile
     previous = state.profiles_by_name.get(profile.name)
@@ -121,8 +121,8 @@
     _trim_ended_moves(state)
 
 
-@check.register
-def _(change: ProfileDeleted, state: ConfigState) -> Checked:
+@check_change.register
+def _(change: ProfileDeleted, state: ConfigState) -> CheckResult:
     current = state.profiles_by_name.get(change.name)
     if current is None:
         return Failure(NoSuchObject("profile", change.name))
@@ -144,7 +144,7 @@
     return OK
 
 
-@perform.register
+@apply_change.register
 def _(change: ProfileDeleted, state: ConfigState, entry: Entry) -> None:
     del state.profiles_by_name[change.name]
     for move in state.active_moves():
@@ -152,8 +152,8 @@
             _end_move(move, state, entry.at_ms, False, REASON_REPLACED)
 
 
-@check.register
-def _(change: ServiceSet, state: ConfigState) -> Checked:
+@check_change.register
+def _(change: ServiceSet, state: ConfigState) -> CheckResult:
     if not change.service:
         return Failure(
             InvalidChange("the service has no name", "give the service a name")
@@ -163,15 +163,15 @@
     return OK
 
 
-@perform.register
+@apply_change.register
 def _(change: ServiceSet, state: ConfigState, entry: Entry) -> None:
     state.services_by_name[change.service] = ServiceState(
         service=change.service, profile=change.profile
     )
 
 
-@check.register
-def _(change: ServiceDeleted, state: ConfigState) -> Checked:
+@check_change.register
+def _(change: ServiceDeleted, state: ConfigState) -> CheckResult:
     if change.service not in state.services_by_name:
         return Failure(NoSuchObject("service", change.service))
     for profile in state.profiles_by_name.values():
@@ -186,13 +186,13 @@
     return OK
 
 
-@perform.register
+@apply_change.register
 def _(change: ServiceDeleted, state: ConfigState, entry: Entry) -> None:
     del state.services_by_name[change.service]
 
 
-@check.register
-def _(change: DataCentreSet, state: ConfigState) -> Checked:
+@check_change.register
+def _(change: DataCentreSet, state: ConfigState) -> CheckResult:
     current = state.data_centres_by_name.get(change.data_centre)
     found = current.version if current is not None else 0
     if not change.data_centre:
@@ -208,29 +208,29 @@
     return OK
 
 
-@perform.register
+@apply_change.register
 def _(change: DataCentreSet, state: ConfigState, entry: Entry) -> None:
     state.data_centres_by_name[change.data_centre] = DataCentreState(
         data_centre=change.data_centre, out=change.out, version=entry.index
     )
 
 
-@check.register
-def _(change: DriverTaken, state: ConfigState) -> Checked:
+@check_change.register
+def _(change: DriverTaken, state: ConfigState) -> CheckResult:
     if change.epoch != state.driver_epoch + 1:
         return Failure(StaleDriver(change.epoch, state.driver_epoch))
     return OK
 
 
-@perform.register
+@apply_change.register
 def _(change: DriverTaken, state: ConfigState, entry: Entry) -> None:
     state.driver_epoch = change.epoch
     state.driver_node = change.node
 
 
-@check.register
-def _(change: MoveStepped, state: ConfigState) -> Checked:
-    checked = _check_driven(change.move, change.epoch, state)
+@check_change.register
+def _(change: MoveStepped, state: ConfigState) -> CheckResult:
+    checked = _check_driver(change.move, change.epoch, state)
     if not is_successful(checked):
         return checked
     move = state.moves_by_id[change.move]
@@ -252,7 +252,7 @@
     return OK
 
 
-@perform.register
+@apply_change.register
 def _(change: MoveStepped, state: ConfigState, entry: Entry) -> None:
     move = state.moves_by_id[change.move]
     state.moves_by_id[move.id] = msgspec.structs.replace(
@@ -260,9 +260,9 @@
     )
 
 
-@check.register
-def _(change: MoveEnded, state: ConfigState) -> Checked:
-    checked = _check_driven(change.move, change.epoch, state)
+@check_change.register
+def _(change: MoveEnded, state: ConfigState) -> CheckResult:
+    checked = _check_driver(change.move, change.epoch, state)
     if not is_successful(checked):
         return checked
     move = state.moves_by_id[change.move]
@@ -276,7 +276,7 @@
     return OK
 
 
-@perform.register
+@apply_change.register
 def _(change: MoveEnded, state: ConfigState, entry: Entry) -> None:
     move = state.moves_by_id[change.move]
     _end_move(move, state, change.at_ms, change.done, change.reason)
@@ -285,12 +285,12 @@
     _trim_ended_moves(state)
 
 
-@check.register
-def _(change: MoveAborted, state: ConfigState) -> Checked:
+@check_change.register
+def _(change: MoveAborted, state: ConfigState) -> CheckResult:
     return _check_active(change.move, state)
 
 
-@perform.register
+@apply_change.register
 def _(change: MoveAborted, state: ConfigState, entry: Entry) -> None:
     move = state.moves_by_id[change.move]
     _end_move(move, state, change.at_ms, False, REASON_ABORTED)
@@ -298,14 +298,14 @@
     _trim_ended_moves(state)
 
 
-def _check_active(move_id: str, state: ConfigState) -> Checked:
+def _check_active(move_id: str, state: ConfigState) -> CheckResult:
     move = state.moves_by_id.get(move_id)
     if move is None or not move.active:
         return Failure(MoveNotActive(move_id))
     return OK
 
 
-def _check_driven(move_id: str, epoch: int, state: ConfigState) -> Checked:
+def _check_driver(move_id: str, epoch: int, state: ConfigState) -> CheckResult:
     if epoch != state.driver_epoch:
         return Failure(StaleDriver(epoch, state.driver_epoch))
     return _check_active(move_id, state)
@@ -388,12 +388,12 @@
     state.profiles_by_name[profile.name] = ProfileState(
         profile=profile,
         version=entry.index,
-        history=[*history, item][-HISTORY_ITEMS:],
+        history=[*history, item][-MAX_HISTORY_ITEMS:],
     )
 
 
 def _trim_ended_moves(state: ConfigState) -> None:
     ended = [move for move in state.moves_by_id.values() if not move.active]
     ended.sort(key=lambda move: (move.ended_ms, move.id))
-    for move in ended[:-ENDED_MOVES_KEPT]:
+    for move in ended[:-MAX_ENDED_MOVES]:
         del state.moves_by_id[move.id]
--- a/src/jayswitch/config/log.py
+++ b/src/jayswitch/config/log.py
@@ -69,9 +69,9 @@
             if not values:
                 return Success(self._replica.version)
             if not applied:
-                skipped = self._load_snapshot(before)
-                if not isinstance(skipped, Success) or self._replica.version == before:
-                    return skipped
+                loaded = self._load_snapshot(before)
+                if not isinstance(loaded, Success) or self._replica.version == before:
+                    return loaded
 
     def _load_snapshot(self, before: int) -> Result[int, StoreError]:
         found = self._store.get(SNAPSHOT_KEY)
@@ -89,34 +89,34 @@
         the change is in the log; a LogUnavailable failure that this is not known.
         """
         change_id = uuid.uuid4().hex
-        last: JayswitchError | None = None
-        unsure = False
+        last_error: JayswitchError | None = None
+        maybe_written = False
         for _ in range(APPEND_ATTEMPTS):
             caught_up = self.catch_up()
             if isinstance(caught_up, Failure):
                 return Failure(LogUnavailable(change_id, str(caught_up.failure())))
             entry = self._next_entry(change, change_id, author)
-            allowed = apply_entry(self._replica.state, entry)
-            if isinstance(allowed, Failure):
-                return self._not_allowed(change_id, allowed.failure(), unsure)
+            checked = apply_entry(self._replica.state, entry)
+            if isinstance(checked, Failure):
+                return self._reject(change_id, checked.failure(), maybe_written)
             key = log_key(entry.index)
             match self._store.put(key, encode_entry(entry), 0):
                 case Success(_):
-                    return self._accepted(entry)
+                    return self._apply_accepted(entry)
                 case Failure(error):
-                    last = error
-                    unsure = unsure or isinstance(error, StoreUnavailable)
-                    resolved = self._resolve(entry, error)
+                    last_error = error
+                    maybe_written = maybe_written or isinstance(error, StoreUnavailable)
+                    resolved = self._resolve_write(entry, error)
                     if resolved is not None:
                         return resolved
             self._clock.sleep_ms(APPEND_RETRY_MS)
-        return Failure(LogUnavailable(change_id, str(last)))
+        return Failure(LogUnavailable(change_id, str(last_error)))
 
-    def _not_allowed(
-        self, change_id: str, error: JayswitchError, unsure: bool
+    def _reject(
+        self, change_id: str, error: JayswitchError, maybe_written: bool
     ) -> Result[Entry, JayswitchError]:
         """Refuses a change, unless an earlier write of it may still take effect."""
-        if unsure:
+        if maybe_written:
             return Failure(LogUnavailable(change_id, str(error)))
         return Failure(error)
 
@@ -129,11 +129,11 @@
             change=change,
         )
 
-    def _accepted(self, entry: Entry) -> Result[Entry, JayswitchError]:
+    def _apply_accepted(self, entry: Entry) -> Result[Entry, JayswitchError]:
         self._replica.offer(encode_entry(entry))
         return Success(entry)
 
-    def _resolve(
+    def _resolve_write(
         self, entry: Entry, error: StoreError
     ) -> Result[Entry, JayswitchError] | None:
         """Finds out whether an unconfirmed or refused write took effect.
@@ -148,8 +148,10 @@
                     return None
                 case Success(stored):
                     found = decode_entry(stored.value)
-                    mine = found.map(lambda other: other.change_id == entry.change_id)
-                    return self._accepted(entry) if mine.value_or(False) else None
+                    is_own = found.map(lambda other: other.change_id == entry.change_id)
+                    return (
+                        self._apply_accepted(entry) if is_own.value_or(False) else None
+                    )
                 case Failure():
                     self._clock.sleep_ms(CONFIRM_RETRY_MS)
         return Failure(LogUnavailable(entry.change_id, str(error)))
--- a/src/jayswitch/config/replica.py
+++ b/src/jayswitch/config/replica.py
@@ -18,7 +18,7 @@
 from jayswitch.config.state import ConfigState
 from jayswitch.exceptions import JayswitchError
 
-ENTRIES_KEPT = 512
+MAX_RECENT_ENTRIES = 512
 ENTRIES_PER_MESSAGE = 64
 
 logger = logging.getLogger(__name__)
@@ -33,7 +33,7 @@
         """Starts from the empty configuration, version 0."""
         self.state = ConfigState()
         self.rejection: JayswitchError | None = None
-        self._recent: deque[bytes] = deque(maxlen=ENTRIES_KEPT)
+        self._recent: deque[bytes] = deque(maxlen=MAX_RECENT_ENTRIES)
         self._listeners: list[StateListener] = []
 
     @property
@@ -53,10 +53,10 @@
         """
         if entry_index(data) != self.version + 1:
             return False
-        following = decode_entry(data).bind(
+        next_state = decode_entry(data).bind(
             lambda entry: apply_entry(self.state, entry)
         )
-        match following:
+        match next_state:
             case Success(state):
                 self._install(state)
                 self._recent.append(data)
