--- a/tests/config/test_log.py
+++ b/tests/config/test_log.py
@@ -29,7 +29,7 @@
     """Several writers append while the store fails in every way it can."""
 
     @initialize()
-    def build(self) -> None:
+    def set_up_store(self) -> None:
         """Makes one store and a replica for each writer."""
         use_virtual_time()
         self.clock = VirtualClock()
@@ -47,7 +47,7 @@
         self.append(writer, DataCentreSet(data_centre="bunbury", out=out))
 
     @rule(writer=st.integers(0, WRITERS - 1), expected=st.integers(0, 3))
-    def mark_with_expectation(self, writer: int, expected: int) -> None:
+    def mark_with_expected_version(self, writer: int, expected: int) -> None:
         """Appends a change that only one of several racing writers may make."""
         self.append(
             writer,
@@ -55,7 +55,7 @@
         )
 
     @rule(writer=st.integers(0, WRITERS - 1))
-    def declare(self, writer: int) -> None:
+    def declare_service(self, writer: int) -> None:
         """Appends a change with a name of its own."""
         self.number += 1
         self.append(writer, ServiceSet(service=f"s{self.number}"))
@@ -66,7 +66,7 @@
         self.store.faults.lose_answers = share
 
     @rule(down=st.booleans())
-    def turn(self, down: bool) -> None:
+    def set_store_down(self, down: bool) -> None:
         """Turns the store off or on."""
         self.store.faults.down = down
 
@@ -82,7 +82,7 @@
 
     @precondition(lambda self: not self.store.faults.down)
     @rule()
-    def rebuild(self) -> None:
+    def compare_with_new_replica(self) -> None:
         """Checks that a new node reaches the state that the writers have."""
         fresh = ConfigReplica()
         ConfigLog(self.store, fresh, self.clock).catch_up()
@@ -133,14 +133,14 @@
 class DelayedPutStore(MemoryStore):
     """Loses an answer and lets the write take effect only later."""
 
-    delayed: tuple | None = None
+    delayed_write: tuple | None = None
 
     def put(self, key: str, value: bytes, expected: int, lease: str = "") -> object:
         """Holds the first write back."""
-        if self.delayed is None:
-            self.delayed = (key, value, expected, lease)
+        if self.delayed_write is None:
+            self.delayed_write = (key, value, expected, lease)
             return Failure(self._unavailable())
-        super().put(*self.delayed)
+        super().put(*self.delayed_write)
         return super().put(key, value, expected, lease)
 
     def _unavailable(self) -> Exception:
@@ -166,7 +166,7 @@
 class TestCompaction:
     """Snapshots bound the log."""
 
-    def test_new_node_starts_from_the_snapshot(self) -> None:
+    def test_new_replica_starts_from_the_snapshot(self) -> None:
         clock = VirtualClock()
         store = MemoryStore(clock)
         store.faults.writes_per_s = 100_000
@@ -180,7 +180,7 @@
         assert ConfigLog(store, fresh, clock).catch_up().unwrap() == 450
         assert fresh.state == replica.state
 
-    def test_an_older_snapshot_never_replaces_a_newer_one(self) -> None:
+    def test_older_snapshot_does_not_overwrite_a_newer_one(self) -> None:
         clock = VirtualClock()
         store = MemoryStore(clock)
         fast, slow = ConfigReplica(), ConfigReplica()
@@ -215,7 +215,7 @@
         assert replica.rejection.code == "unknown-change"
         assert "upgrade this node" in str(replica.rejection)
 
-    def test_an_older_snapshot_is_refused(self) -> None:
+    def test_older_snapshot_is_rejected(self) -> None:
         clock = VirtualClock()
         store = MemoryStore(clock)
         replica = ConfigReplica()
--- a/tests/membership/test_records.py
+++ b/tests/membership/test_records.py
@@ -18,7 +18,7 @@
     """Nodes publish, restart, suspect each other and exchange records."""
 
     @initialize()
-    def build(self) -> None:
+    def set_up_tables(self) -> None:
         """Makes a table for each node, each with its own record."""
         use_virtual_time()
         self.clock = VirtualClock()
@@ -43,18 +43,18 @@
         self.tables[name] = RecordTable(name, self.clock)
         self.publish(name)
 
-    @rule(suspect=NODE, by=NODE)
-    def suspect(self, suspect: str, by: str) -> None:
+    @rule(suspect=NODE, observer=NODE)
+    def suspect(self, suspect: str, observer: str) -> None:
         """Has one node take another for dead."""
-        if suspect != by:
-            self.tables[by].remove(f"member/{suspect}")
+        if suspect != observer:
+            self.tables[observer].remove(f"member/{suspect}")
 
-    @rule(giver=NODE, taker=NODE)
-    def exchange(self, giver: str, taker: str) -> None:
+    @rule(sender=NODE, receiver=NODE)
+    def exchange(self, sender: str, receiver: str) -> None:
         """Sends everything that one table holds to another."""
-        if giver != taker:
-            for stored in self.tables[giver].changed_since(0):
-                self.tables[taker].merge(stored.record, giver)
+        if sender != receiver:
+            for stored in self.tables[sender].changed_since(0):
+                self.tables[receiver].merge(stored.record, sender)
 
     @rule(name=NODE)
     def mark(self, name: str) -> None:
@@ -67,9 +67,9 @@
         if not hasattr(self, "tables"):
             return
         for _ in range(4):
-            for giver in NODES:
-                for taker in NODES:
-                    self.exchange(giver, taker)
+            for sender in NODES:
+                for receiver in NODES:
+                    self.exchange(sender, receiver)
         marked = {name: t.get("mark/m") is not None for name, t in self.tables.items()}
         assert len(set(marked.values())) == 1, marked
         for name in NODES:
@@ -82,10 +82,10 @@
 TestRecordMachine = RecordMachine.TestCase
 
 
-class TestClockThatWentBack:
+class TestClockMovedBack:
     """A VM that is replaced may start with an earlier clock."""
 
-    def test_later_record_of_an_earlier_life_is_overtaken(self) -> None:
+    def test_new_record_replaces_one_with_a_later_incarnation(self) -> None:
         old = RecordTable("a", VirtualClock(2_000_000_000_000))
         old.publish("member/a", KIND_MEMBER, b"old", "s")
         new = RecordTable("a", VirtualClock(1_000_000_000_000))
