Reword the descriptions and errors of messages

The remedy of undecodable-message asks for compatible releases. Fields, tags and defaults are the same, and so is the behaviour.

--- a/src/jayswitch/messages/codec.py
+++ b/src/jayswitch/messages/codec.py
@@ -1,4 +1,4 @@
-"""MessagePack encoding of the messages between nodes."""
+"""MessagePack codec for the messages between nodes."""
 
 from __future__ import annotations
 
@@ -44,7 +44,7 @@
 
 
 def decode(data: bytes) -> Result[AnyMessage, UndecodableMessage]:
-    """Returns the message, or why the bytes are not one."""
+    """Returns the decoded message, or why the data could not be decoded."""
     try:
         return Success(_decoder.decode(data))
     except (msgspec.DecodeError, RecursionError) as error:
--- a/src/jayswitch/messages/exceptions.py
+++ b/src/jayswitch/messages/exceptions.py
@@ -1,4 +1,4 @@
-"""Errors of the codec."""
+"""Errors of the message codec."""
 
 from __future__ import annotations
 
@@ -6,13 +6,13 @@
 
 
 class UndecodableMessage(JayswitchError):
-    """Bytes from a peer are not a message of this release."""
+    """Data from a peer is not a message that this release can decode."""
 
     code = "undecodable-message"
 
     def __init__(self, reason: str) -> None:
-        """Takes the codec's reason."""
+        """Takes the reason given by the decoder."""
         super().__init__(
             f"a message could not be decoded: {reason}",
-            "check that both nodes run releases that can talk to each other",
+            "check that both nodes run compatible releases",
         )
--- a/src/jayswitch/messages/generated.py
+++ b/src/jayswitch/messages/generated.py
@@ -22,10 +22,10 @@
 
 class Call(Message, kw_only=True):
     """
-    A call handed from the entry node to the gate beside the chosen upstream.
+    A call forwarded from the entry node to the gate of the selected upstream.
     """
 
-    id: Annotated[str, Meta(description="This attempt; answers carry it.")]
+    id: Annotated[str, Meta(description="Id of this attempt, repeated in its answers.")]
     reply_to: str
     service: str
     version: str
@@ -39,7 +39,7 @@
     idempotent: bool
     priority: str
     request_id: Annotated[
-        str, Meta(description="The caller's request; the same for every attempt.")
+        str, Meta(description="Id of the caller's request, the same for every attempt.")
     ]
     profile: Annotated[str, Meta(description="Profile of the entry node.")]
     key: Annotated[
@@ -49,7 +49,7 @@
 
 class Answer(Message, kw_only=True):
     """
-    The upstream's answer; chunks follow when more is set.
+    The upstream's response; Chunk messages follow if more is set.
     """
 
     id: str
@@ -63,7 +63,7 @@
 
 class Chunk(Message, kw_only=True):
     """
-    A later part of an answer's body.
+    A further part of a response body.
     """
 
     id: str
@@ -75,7 +75,7 @@
 
 class Credit(Message, kw_only=True):
     """
-    Permission to send chunks up to a sequence number.
+    Flow control: permits sending chunks up to a sequence number.
     """
 
     id: str
@@ -84,7 +84,7 @@
 
 class Refusal(Message, kw_only=True):
     """
-    The call was not handed to the upstream and will not be.
+    The call was not and will not be sent to the upstream.
     """
 
     id: str
@@ -96,7 +96,7 @@
 
 class Unknown(Message, kw_only=True):
     """
-    The call was handed to the upstream and its outcome is not known.
+    The call was sent to the upstream and its outcome is unknown.
     """
 
     id: str
@@ -105,7 +105,7 @@
 
 class Cancel(Message, kw_only=True):
     """
-    The entry node no longer waits for the call.
+    Cancels a call that the entry node no longer waits for.
     """
 
     id: str
@@ -114,7 +114,7 @@
 
 class Record(Message, kw_only=True):
     """
-    One piece of soft state; (incarnation, counter) orders its versions.
+    A versioned item of soft state; versions are ordered by (incarnation, counter).
     """
 
     key: str
@@ -129,7 +129,7 @@
 
 class SubtreeStatus(Message, kw_only=True):
     """
-    Configuration versions in force below a link.
+    Configuration versions applied in the subtree of the sender.
     """
 
     nodes: int
@@ -139,7 +139,7 @@
 
 class Join(Message, kw_only=True):
     """
-    Asks for a place in the distribution tree.
+    Asks to join the distribution tree as a child of the receiver.
     """
 
     node: str
@@ -150,7 +150,7 @@
 
 class JoinReply(Message, kw_only=True):
     """
-    Accepts a child or names other nodes to ask.
+    Accepts a child or redirects it to other nodes.
     """
 
     node: str
@@ -161,32 +161,39 @@
 
 class Sync(Message, kw_only=True):
     """
-    Heartbeat of a link with the changes that the peer has not acknowledged.
+    Heartbeat of a link, with changes that the peer has not acknowledged.
     """
 
     node: str
     reply_to: str
     session: str
     peer_session: str
-    after: Annotated[int, Meta(description="Sequence number that the records follow.")]
-    seq: Annotated[int, Meta(description="Sequence number that the records reach.")]
+    after: Annotated[
+        int, Meta(description="Sequence number after which the records start.")
+    ]
+    seq: Annotated[
+        int, Meta(description="Sequence number up to which the records extend.")
+    ]
     ack: Annotated[
-        int, Meta(description="Sequence number that the sender has received up to.")
+        int, Meta(description="Highest sequence number that the sender has received.")
     ]
     config_version: int
     snapshot: bytes
     subtree: SubtreeStatus
     hops: int = 0
     complete: Annotated[
-        bool, Meta(description="The records reach the sender's newest state.")
+        bool,
+        Meta(description="Whether the records extend to the sender's newest state."),
     ] = False
     settled: Annotated[
         list[str],
-        Meta(description="Services whose members the sender knows and has sent."),
+        Meta(description="Services of which the sender has sent all known members."),
     ] = field(default_factory=list)
     interest: Annotated[
         list[str],
-        Meta(description="Services the sender wants members of; empty for no change."),
+        Meta(
+            description="Services whose members the sender needs; empty for no change."
+        ),
     ] = field(default_factory=list)
     records: list[Record] = field(default_factory=list)
     entries: list[bytes] = field(default_factory=list)
