Reword the comments and errors of the configuration log

Services "picked" profiles, moves were "taken back" and replicas "moved forward". Doc comments now speak of using, rolling back and versions; errors of move-not-active, invalid-change and log-unavailable name the action to take. One test matches the remedy "select another" instead of "pick another" and checks as much as before. Reasons and summaries that are stored in the replicated state are unchanged, because all releases must build the same state from a log. Behaviour is the same.

--- a/src/jayswitch/config/changes.py
+++ b/src/jayswitch/config/changes.py
@@ -1,4 +1,4 @@
-"""Checks changes against a state and applies them whole."""
+"""Validates configuration changes and applies them atomically."""
 
 from __future__ import annotations
 
@@ -58,12 +58,12 @@
 def apply_entry(
     state: ConfigState, entry: Entry
 ) -> Result[ConfigState, JayswitchError]:
-    """Returns the state after the entry, or the reason why it cannot follow."""
+    """Returns the state after the entry, or why the entry cannot be applied."""
     if entry.index != state.version + 1:
         return Failure(
             InvalidChange(
                 f"entry {entry.index} does not follow version {state.version}",
-                "fetch the entries in between first",
+                "fetch the missing entries first",
             )
         )
     checked = check_change(entry.change, state)
@@ -76,13 +76,13 @@
 
 @singledispatch
 def check_change(change: AnyChange, state: ConfigState) -> CheckResult:
-    """Tells whether the change may follow the state."""
+    """Returns a failure if the change is not valid for the state."""
     raise NotImplementedError(type(change).__name__)
 
 
 @singledispatch
 def apply_change(change: AnyChange, state: ConfigState, entry: Entry) -> None:
-    """Makes the change in a forked state; the change has been checked."""
+    """Applies a validated change to a forked state, in place."""
     raise NotImplementedError(type(change).__name__)
 
 
@@ -136,8 +136,8 @@
         if service.profile == change.name:
             return Failure(
                 InvalidChange(
-                    f"service {service.service!r} picks profile {change.name!r}",
-                    f"pick another with 'jayswitchctl services set {service.service}"
+                    f"service {service.service!r} uses profile {change.name!r}",
+                    f"select another with 'jayswitchctl services set {service.service}"
                     " --profile NAME' first",
                 )
             )
@@ -239,7 +239,7 @@
             InvalidChange(
                 f"move {move.id!r} cannot step from {move.percent}% to"
                 f" {change.percent}%",
-                "a share only grows; end the move to take the version back",
+                "a share only grows; end the move to roll the version back",
             )
         )
     if change.at_ms > move.deadline_ms:
@@ -269,8 +269,8 @@
     if change.done and change.at_ms > move.deadline_ms:
         return Failure(
             InvalidChange(
-                f"move {move.id!r} cannot be done after its deadline",
-                "take the version back and start a new move",
+                f"move {move.id!r} cannot be completed after its deadline",
+                "roll the version back and start a new move",
             )
         )
     return OK
--- a/src/jayswitch/config/codec.py
+++ b/src/jayswitch/config/codec.py
@@ -1,4 +1,4 @@
-"""Encoding of log entries and states, as stored and as sent between nodes."""
+"""Encoding of log entries and states for the store and for messages."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class _IndexOnly(msgspec.Struct):
-    """The index of an entry whose change may be of a later release."""
+    """The index of an entry, readable even if a later release wrote the change."""
 
     index: int
 
@@ -30,7 +30,7 @@
 
 
 def entry_index(data: bytes) -> int:
-    """Returns the index of an encoded entry of any release; -1 if unreadable."""
+    """Returns the index of an entry of any release; -1 if it cannot be decoded."""
     try:
         return _index_decoder.decode(data).index
     except msgspec.DecodeError:
@@ -38,7 +38,7 @@
 
 
 def decode_entry(data: bytes) -> Result[Entry, JayswitchError]:
-    """Returns the entry, or why this release cannot read it."""
+    """Returns the entry, or why this release cannot decode it."""
     try:
         return Success(_entry_decoder.decode(data))
     except msgspec.DecodeError as error:
@@ -46,12 +46,12 @@
 
 
 def encode_state(state: ConfigState) -> bytes:
-    """Returns the state as compressed JSON."""
+    """Returns the state as zlib-compressed JSON."""
     return zlib.compress(msgspec.json.encode(state))
 
 
 def decode_state(data: bytes) -> Result[ConfigState, JayswitchError]:
-    """Returns the state, or why this release cannot read it."""
+    """Returns the state, or why this release cannot decode it."""
     try:
         return Success(_state_decoder.decode(zlib.decompress(data)))
     except (msgspec.DecodeError, zlib.error) as error:
--- a/src/jayswitch/config/exceptions.py
+++ b/src/jayswitch/config/exceptions.py
@@ -1,4 +1,4 @@
-"""Errors of configuration changes."""
+"""Errors raised for configuration changes and log entries."""
 
 from __future__ import annotations
 
@@ -6,20 +6,20 @@
 
 
 class InvalidChange(JayswitchError):
-    """A change contradicts the configuration in force."""
+    """A change is not valid for the current configuration."""
 
     code = "invalid-change"
     status = 422
 
 
 class NoSuchObject(JayswitchError):
-    """A change names something that the configuration lacks."""
+    """A change refers to an object that is not in the configuration."""
 
     code = "no-such-object"
     status = 404
 
     def __init__(self, kind: str, name: str) -> None:
-        """Takes the kind of object, as the command line calls it, and its name."""
+        """Takes the kind of object, as named on the command line, and its name."""
         super().__init__(
             f"there is no {kind} {name!r}",
             f"list what exists with 'jayswitchctl {kind}s list'",
@@ -27,13 +27,13 @@
 
 
 class VersionConflict(JayswitchError):
-    """Another operator changed the object first."""
+    """The object has changed since the version that the change expects."""
 
     code = "version-conflict"
     status = 409
 
     def __init__(self, kind: str, name: str, expected: int, found: int) -> None:
-        """Takes the object and the two configuration versions."""
+        """Takes the object and the expected and the actual version."""
         super().__init__(
             f"{kind} {name!r} is at version {found}, not {expected}:"
             " another operator changed it first",
@@ -42,13 +42,13 @@
 
 
 class StaleDriver(JayswitchError):
-    """A step of a move comes from a driver that has been replaced."""
+    """A driver that has been replaced tried to change a move."""
 
     code = "stale-driver"
     status = 409
 
     def __init__(self, epoch: int, current: int) -> None:
-        """Takes the epoch of the step and the one in force."""
+        """Takes the epoch of the change and the current epoch."""
         super().__init__(
             f"driver epoch {epoch} has been replaced by {current}",
             "stop driving moves until the driver lease is held again",
@@ -56,7 +56,7 @@
 
 
 class MoveNotActive(JayswitchError):
-    """A step names a move that has ended or never began."""
+    """A change refers to a move that has ended or does not exist."""
 
     code = "move-not-active"
     status = 409
@@ -64,13 +64,13 @@
     def __init__(self, move: str) -> None:
         """Takes the move's id."""
         super().__init__(
-            f"move {move!r} is not under way",
-            "look at 'jayswitchctl moves list' for those that are",
+            f"move {move!r} is not active",
+            "list the active moves with 'jayswitchctl moves list'",
         )
 
 
 class UnknownChange(JayswitchError):
-    """An entry of the log cannot be read by this release."""
+    """This release cannot decode a log entry or a snapshot."""
 
     code = "unknown-change"
 
@@ -83,7 +83,7 @@
 
 
 class LogUnavailable(JayswitchError):
-    """The store did not confirm a change, and it is not known to be in the log."""
+    """The store did not confirm a change; the change may or may not be in the log."""
 
     code = "log-unavailable"
     status = 503
@@ -92,5 +92,5 @@
         """Takes the change's id and the store's last error."""
         super().__init__(
             f"change {change_id} was not confirmed: {reason}",
-            "look at the object's history for this id before applying it again",
+            "check the object's history for this id before applying the change again",
         )
--- a/src/jayswitch/config/generated.py
+++ b/src/jayswitch/config/generated.py
@@ -10,7 +10,7 @@
 Changes: TypeAlias = Annotated[
     Any,
     Meta(
-        description="Changes that the entries of the configuration log carry.",
+        description="Changes recorded in the entries of the configuration log.",
         title="Changes",
     ),
 ]
@@ -25,14 +25,14 @@
     expected_version: Annotated[
         int,
         Meta(
-            description="Version of the profile the author saw; 0 for none, -1 to skip the check."
+            description="Expected current version of the profile; 0 if it must not exist, -1 to skip the check."
         ),
     ] = -1
 
 
 class ProfileDeleted(Change, kw_only=True):
     """
-    Deletes a profile that no service picks.
+    Deletes a profile that no service uses.
     """
 
     name: str
@@ -41,7 +41,7 @@
 
 class ServiceSet(Change, kw_only=True):
     """
-    Declares a service and the profile it picks.
+    Declares a service and the profile it uses.
     """
 
     service: str
@@ -50,7 +50,7 @@
 
 class ServiceDeleted(Change, kw_only=True):
     """
-    Removes a service that no route names.
+    Deletes a service that is not a target of any profile.
     """
 
     service: str
@@ -58,7 +58,7 @@
 
 class DataCentreSet(Change, kw_only=True):
     """
-    Marks a data centre in or out of service.
+    Puts a data centre in or out of service.
     """
 
     data_centre: str
@@ -68,7 +68,7 @@
 
 class DriverTaken(Change, kw_only=True):
     """
-    A node takes over driving the moves; earlier drivers may no longer act.
+    Makes a node the driver of moves; changes by earlier drivers are rejected.
     """
 
     node: str
@@ -77,7 +77,7 @@
 
 class MoveStepped(Change, kw_only=True):
     """
-    The driver changes a move's share.
+    Sets the share of calls that a move sends to the new version.
     """
 
     move: str
@@ -88,7 +88,7 @@
 
 class MoveEnded(Change, kw_only=True):
     """
-    A move is done or reversed.
+    Completes a move or rolls it back.
     """
 
     move: str
@@ -100,7 +100,7 @@
 
 class MoveAborted(Change, kw_only=True):
     """
-    An operator takes a move back.
+    Rolls a move back at the request of an operator.
     """
 
     move: str
--- a/src/jayswitch/config/log.py
+++ b/src/jayswitch/config/log.py
@@ -1,4 +1,4 @@
-"""The ordered log of changes in the store, with snapshots that bound its length."""
+"""The ordered log of changes in the store, truncated after snapshots."""
 
 from __future__ import annotations
 
@@ -46,18 +46,21 @@
 
 
 class ConfigLog:
-    """Reads and appends entries; appending is a compare-and-swap on the next key."""
+    """Reads and appends log entries.
+
+    An entry is appended by a compare-and-swap that creates the next key.
+    """
 
     def __init__(self, store: Store, replica: ConfigReplica, clock: Clock) -> None:
-        """Takes the store and the replica that entries read are applied to."""
+        """Takes the store and the replica to which entries are applied."""
         self._store = store
         self._replica = replica
         self._clock = clock
 
     def catch_up(self) -> Result[int, StoreError]:
-        """Applies every entry in the store that the replica lacks.
+        """Applies all entries in the store that the replica has not yet applied.
 
-        Returns the version that the replica then has.
+        Returns the resulting version of the replica.
         """
         while True:
             before = self._replica.version
@@ -83,10 +86,10 @@
         return Success(self._replica.version)
 
     def append(self, change: AnyChange, author: str) -> Result[Entry, JayswitchError]:
-        """Adds a change after checking it against the newest version.
+        """Appends a change after validating it against the newest version.
 
-        A lost answer is resolved by reading the entry back. Success means that
-        the change is in the log; a LogUnavailable failure that this is not known.
+        If the response to the write is lost, the entry is read back. Success means
+        that the change is in the log; LogUnavailable means that this is unknown.
         """
         change_id = uuid.uuid4().hex
         last_error: JayswitchError | None = None
@@ -115,7 +118,7 @@
     def _reject(
         self, change_id: str, error: JayswitchError, maybe_written: bool
     ) -> Result[Entry, JayswitchError]:
-        """Refuses a change, unless an earlier write of it may still take effect."""
+        """Returns the error, or LogUnavailable if an earlier write may take effect."""
         if maybe_written:
             return Failure(LogUnavailable(change_id, str(error)))
         return Failure(error)
@@ -136,11 +139,11 @@
     def _resolve_write(
         self, entry: Entry, error: StoreError
     ) -> Result[Entry, JayswitchError] | None:
-        """Finds out whether an unconfirmed or refused write took effect.
+        """Reads the entry back to find out whether a failed write took effect.
 
-        A refused one may be a repetition of a write whose answer was lost. Returns
-        None when the change is not in the log, so that it may be tried again: a
-        write that is still under way can only take the same key.
+        A write that the store refused may be a retry of one whose response was lost.
+        Returns None if the change is not in the log and may be retried: a write that
+        is still in flight can only create the same key.
         """
         for _ in range(CONFIRM_ATTEMPTS):
             match self._store.get(log_key(entry.index)):
@@ -157,14 +160,16 @@
         return Failure(LogUnavailable(entry.change_id, str(error)))
 
     def save_snapshot(self) -> Result[int, StoreError]:
-        """Stores the replica's state and deletes entries far behind it.
+        """Stores the replica's state and deletes entries well before its version.
 
-        Returns the number of entries deleted.
+        Returns the number of deleted entries.
         """
         state = self._replica.state
         data = encode_state(state)
         if len(data) > MAX_VALUE_BYTES:
-            logger.error("snapshot exceeds the store's limit", extra={"b": len(data)})
+            logger.error(
+                "snapshot exceeds the store's value size limit", extra={"b": len(data)}
+            )
             return Success(0)
         match self._store.get(SNAPSHOT_KEY):
             case Success(stored):
--- a/src/jayswitch/config/replica.py
+++ b/src/jayswitch/config/replica.py
@@ -1,4 +1,4 @@
-"""A node's copy of the configuration; it only moves forward, entry by entry."""
+"""A node's copy of the configuration; its version never decreases."""
 
 from __future__ import annotations
 
@@ -27,10 +27,10 @@
 
 
 class ConfigReplica:
-    """Applies entries in order and keeps the latest ones for other nodes."""
+    """Applies entries in order and caches recent ones for other nodes."""
 
     def __init__(self) -> None:
-        """Starts from the empty configuration, version 0."""
+        """Creates a replica with the empty configuration, version 0."""
         self.state = ConfigState()
         self.rejection: JayswitchError | None = None
         self._recent: deque[bytes] = deque(maxlen=MAX_RECENT_ENTRIES)
@@ -42,14 +42,14 @@
         return self.state.version
 
     def on_change(self, listener: StateListener) -> None:
-        """Calls the listener after each new version."""
+        """Registers a listener that is called after each new version."""
         self._listeners.append(listener)
 
     def offer(self, data: bytes) -> bool:
-        """Applies an encoded entry if it is the next one; tells whether it did.
+        """Applies an encoded entry if it is the next one; returns whether it did.
 
-        An entry that cannot be applied leaves the whole state as it was and is
-        kept as the replica's rejection.
+        If the entry cannot be applied, the state does not change and the error is
+        stored as the replica's rejection.
         """
         if entry_index(data) != self.version + 1:
             return False
@@ -66,7 +66,7 @@
         return False
 
     def offer_snapshot(self, data: bytes) -> bool:
-        """Replaces the state by a later one; tells whether it did."""
+        """Replaces the state if the snapshot is newer; returns whether it did."""
         match decode_state(data):
             case Success(state):
                 if state.version <= self.version:
@@ -79,7 +79,7 @@
         return False
 
     def entries_after(self, version: int) -> list[bytes]:
-        """Returns the next entries after a version; empty if they are not kept."""
+        """Returns the next entries after a version; empty if they are not cached."""
         first = self.version - len(self._recent) + 1
         if version + 1 < first or version >= self.version:
             return []
--- a/src/jayswitch/config/state.py
+++ b/src/jayswitch/config/state.py
@@ -1,4 +1,4 @@
-"""The configuration that a prefix of the log builds."""
+"""The configuration state that results from applying a prefix of the log."""
 
 from __future__ import annotations
 
@@ -36,9 +36,9 @@
 
 
 class Entry(Model):
-    """One change at its place in the log.
+    """A change with its index in the log.
 
-    The change id is unique, so that a writer finds its own entry again.
+    The change id is unique, so that a writer can recognise its own entry.
     """
 
     index: int
@@ -49,7 +49,7 @@
 
 
 class HistoryItem(Model):
-    """Who changed a profile, when and how."""
+    """A past change of a profile, with its author and time."""
 
     version: int
     author: str
@@ -66,7 +66,7 @@
 
 
 class ServiceState(Model):
-    """A declared service and the name of the profile it picks; may be empty."""
+    """A declared service and the name of the profile it uses; may be empty."""
 
     service: str
     profile: str
@@ -81,9 +81,9 @@
 
 
 class Move(Model):
-    """A version of a service taking over from another within one profile.
+    """A gradual change of a service from one version to another in one profile.
 
-    Times are wall-clock milliseconds, as the writers of the entries read them.
+    Times are wall-clock milliseconds from the clocks of the entries' writers.
     """
 
     id: str
@@ -102,14 +102,14 @@
 
     @property
     def active(self) -> bool:
-        """Tells whether the move is still under way."""
+        """Returns whether the move has not ended."""
         return self.ended_ms == 0
 
 
 class ConfigState(Model):
-    """Everything operators have configured, as of one log index.
+    """The whole configuration as of one log index.
 
-    A state is never changed once it is in force; the next version is a new object.
+    A state is immutable once it has been installed; the next version is a new object.
     """
 
     version: int = 0
@@ -123,7 +123,7 @@
     driver_node: str = ""
 
     def fork(self, version: int) -> ConfigState:
-        """Returns a copy at a later version whose collections may be changed."""
+        """Returns a copy with a later version, whose collections may be modified."""
         return ConfigState(
             version=version,
             profiles_by_name=dict(self.profiles_by_name),
@@ -135,12 +135,12 @@
         )
 
     def is_out(self, data_centre: str) -> bool:
-        """Tells whether operators have taken the data centre out of service."""
+        """Returns whether operators have taken the data centre out of service."""
         state = self.data_centres_by_name.get(data_centre)
         return state is not None and state.out
 
     def profile_of(self, service: str) -> Profile | None:
-        """Returns the profile that a service picks, if it picks one."""
+        """Returns the profile that a service uses, if any."""
         picked = self.services_by_name.get(service)
         if picked is None:
             return None
@@ -148,14 +148,14 @@
         return state.profile if state is not None else None
 
     def active_move(self, profile: str, service: str) -> Move | None:
-        """Returns the move under way for a service within a profile."""
+        """Returns the active move of a service in a profile, if any."""
         for move in self.moves_by_id.values():
             if move.active and (move.profile, move.service) == (profile, service):
                 return move
         return None
 
     def active_moves(self) -> list[Move]:
-        """Returns every move under way, in order of their ids."""
+        """Returns the active moves, sorted by id."""
         moves = [move for move in self.moves_by_id.values() if move.active]
         return sorted(moves, key=lambda move: move.id)
 
--- a/tests/config/test_changes.py
+++ b/tests/config/test_changes.py
@@ -1,4 +1,4 @@
-"""Tests of changes: what may follow what, and moves from start to end."""
+"""Tests of the validation of changes and of the life cycle of moves."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 def profile(version: str, service: str = "herdview") -> Profile:
-    """Returns a profile with one route."""
+    """Returns a profile with one route and one target."""
     return Profile(
         name="everyday",
         routes=[Route(name="read", prefix="/herd", service=service)],
@@ -31,10 +31,10 @@
 
 
 class ChangeSequence:
-    """Applies changes one after the other."""
+    """Applies changes in sequence to a state."""
 
     def __init__(self) -> None:
-        """Starts with a service and a profile at v1."""
+        """Declares a service that uses a profile with target version v1."""
         self.state = ConfigState()
         self.apply(ServiceSet(service="herdview"))
         self.apply(ProfileSet(profile=profile("v1")))
@@ -42,7 +42,7 @@
         self.apply(DriverTaken(node="n", epoch=1))
 
     def apply(self, change: object, at_ms: int = 1000) -> ConfigState:
-        """Applies a change or raises its error."""
+        """Applies a change or raises its validation error."""
         entry = Entry(
             index=self.state.version + 1,
             change_id=str(self.state.version),
@@ -52,20 +52,20 @@
         )
         before = msgspec.json.encode(self.state)
         result = apply_entry(self.state, entry)
-        assert msgspec.json.encode(self.state) == before, "a state was changed in place"
+        assert msgspec.json.encode(self.state) == before, "state was modified in place"
         if isinstance(result, Failure):
             raise result.failure()
         self.state = result.unwrap()
         return self.state
 
     def start_move(self) -> str:
-        """Moves to v2; returns the move's id."""
+        """Starts a move to v2; returns its id."""
         self.apply(ProfileSet(profile=profile("v2")))
         return self.state.active_moves()[0].id
 
 
 class TestReferences:
-    """No route points at what the configuration lacks."""
+    """Changes must not leave references to undeclared or deleted objects."""
 
     def test_profile_requires_declared_services(self) -> None:
         with pytest.raises(JayswitchError, match="services set robotdesk"):
@@ -76,7 +76,7 @@
             ChangeSequence().apply(ServiceDeleted(service="herdview"))
 
     def test_profile_in_use_is_not_deleted(self) -> None:
-        with pytest.raises(JayswitchError, match="pick another"):
+        with pytest.raises(JayswitchError, match="select another"):
             ChangeSequence().apply(ProfileDeleted(name="everyday"))
 
     def test_expected_version_must_match(self) -> None:
@@ -86,7 +86,7 @@
 
 
 class TestMoves:
-    """A version takes over step by step, or is taken back by a later entry."""
+    """A move shifts calls to a new version in steps, or is rolled back by an entry."""
 
     def test_new_version_starts_a_move_at_zero_percent(self) -> None:
         sequence = ChangeSequence()
--- a/tests/config/test_log.py
+++ b/tests/config/test_log.py
@@ -1,4 +1,4 @@
-"""Tests of the configuration log against a store with faults."""
+"""Tests of the configuration log with a faulty store."""
 
 from __future__ import annotations
 
@@ -26,11 +26,11 @@
 
 
 class LogMachine(RuleBasedStateMachine):
-    """Several writers append while the store fails in every way it can."""
+    """Several writers append while the store is down or loses responses."""
 
     @initialize()
     def set_up_store(self) -> None:
-        """Makes one store and a replica for each writer."""
+        """Creates one store, and a replica and log for each writer."""
         use_virtual_time()
         self.clock = VirtualClock()
         self.store = MemoryStore(self.clock, seed=5)
@@ -43,12 +43,12 @@
 
     @rule(writer=st.integers(0, WRITERS - 1), out=st.booleans())
     def mark_data_centre(self, writer: int, out: bool) -> None:
-        """Appends a change that no other change contradicts."""
+        """Appends a change that never conflicts with another change."""
         self.append(writer, DataCentreSet(data_centre="bunbury", out=out))
 
     @rule(writer=st.integers(0, WRITERS - 1), expected=st.integers(0, 3))
     def mark_with_expected_version(self, writer: int, expected: int) -> None:
-        """Appends a change that only one of several racing writers may make."""
+        """Appends a change that at most one of several concurrent writers may make."""
         self.append(
             writer,
             DataCentreSet(data_centre="busselton", out=True, expected_version=expected),
@@ -56,34 +56,34 @@
 
     @rule(writer=st.integers(0, WRITERS - 1))
     def declare_service(self, writer: int) -> None:
-        """Appends a change with a name of its own."""
+        """Appends a change with a unique service name."""
         self.number += 1
         self.append(writer, ServiceSet(service=f"s{self.number}"))
 
     @rule(share=st.sampled_from([0.0, 0.3, 1.0]))
     def lose_answers(self, share: float) -> None:
-        """Has the store lose answers after writes took effect."""
+        """Makes the store lose responses to writes that took effect."""
         self.store.faults.lose_answers = share
 
     @rule(down=st.booleans())
     def set_store_down(self, down: bool) -> None:
-        """Turns the store off or on."""
+        """Makes the store unavailable or available."""
         self.store.faults.down = down
 
     @rule(writer=st.integers(0, WRITERS - 1))
     def catch_up(self, writer: int) -> None:
-        """Has one writer read what the others wrote."""
+        """Makes one writer apply the entries of the others."""
         self.logs[writer].catch_up()
 
     @rule(writer=st.integers(0, WRITERS - 1))
     def save_snapshot(self, writer: int) -> None:
-        """Has one writer, which may lag, store its state."""
+        """Makes one writer, which may lag, store a snapshot."""
         self.logs[writer].save_snapshot()
 
     @precondition(lambda self: not self.store.faults.down)
     @rule()
     def compare_with_new_replica(self) -> None:
-        """Checks that a new node reaches the state that the writers have."""
+        """Checks that a new replica reaches the same state as the writers."""
         fresh = ConfigReplica()
         ConfigLog(self.store, fresh, self.clock).catch_up()
         for log in self.logs:
@@ -92,7 +92,7 @@
             assert replica.state == fresh.state
 
     def append(self, writer: int, change: object) -> None:
-        """Appends and remembers what the writer was told."""
+        """Appends a change and records the result that the writer received."""
         match self.logs[writer].append(change, f"writer {writer}"):
             case Success(entry):
                 self.accepted.append(entry.change_id)
@@ -102,7 +102,7 @@
 
     @invariant()
     def accepted_once(self) -> None:
-        """Each accepted change is in the log exactly once."""
+        """Each accepted change is in the log exactly once, and no refused one is."""
         if not hasattr(self, "store"):
             return
         stored = [
@@ -119,7 +119,7 @@
 
     @invariant()
     def never_backwards(self) -> None:
-        """No replica's version ever falls."""
+        """The version of a replica never decreases."""
         if not hasattr(self, "store"):
             return
         for number, replica in enumerate(self.replicas):
@@ -131,12 +131,12 @@
 
 
 class DelayedPutStore(MemoryStore):
-    """Loses an answer and lets the write take effect only later."""
+    """Delays the first write until the next one and loses its response."""
 
     delayed_write: tuple | None = None
 
     def put(self, key: str, value: bytes, expected: int, lease: str = "") -> object:
-        """Holds the first write back."""
+        """Fails the first write, and applies it before the next one."""
         if self.delayed_write is None:
             self.delayed_write = (key, value, expected, lease)
             return Failure(self._unavailable())
@@ -146,11 +146,11 @@
     def _unavailable(self) -> Exception:
         from jayswitch.store.exceptions import StoreUnavailable
 
-        return StoreUnavailable("the answer was lost")
+        return StoreUnavailable("the response was lost")
 
 
 class TestDelayedWrite:
-    """A write that lands after its writer has tried again."""
+    """A write that takes effect while its writer retries must not be duplicated."""
 
     def test_change_is_in_the_log_once(self) -> None:
         clock = VirtualClock()
@@ -164,7 +164,7 @@
 
 
 class TestCompaction:
-    """Snapshots bound the log."""
+    """A snapshot allows older entries to be deleted."""
 
     def test_new_replica_starts_from_the_snapshot(self) -> None:
         clock = VirtualClock()
@@ -197,7 +197,7 @@
 
 
 class TestReplica:
-    """Entries are applied in order, whole, or not at all."""
+    """Entries are applied in order and atomically."""
 
     def test_an_entry_of_a_later_release_is_not_applied_in_part(self) -> None:
         replica = ConfigReplica()
