Reword the comments of records, links and relays

Comments said what nodes tell, hear and know of each other. They now speak of merging, acknowledgement, retransmission, tombstones and leases, with the same reasons. Two log lines about relay slots read "reading relay slots failed" and "undecodable relay slot". Behaviour is the same.

--- a/src/jayswitch/membership/link.py
+++ b/src/jayswitch/membership/link.py
@@ -1,4 +1,4 @@
-"""One link of the distribution tree and what its two ends know of each other."""
+"""State of one link of the distribution tree."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class LinkRole(Enum):
-    """What the node at the other end is to this one."""
+    """Relation of the remote node to this node."""
 
     PARENT = "parent"
     CHILD = "child"
@@ -28,7 +28,11 @@
 
 
 class Link:
-    """State of one link; sequence numbers refer to the two record tables."""
+    """State of one link.
+
+    Sequence numbers sent refer to the local record table, those received to the
+    table of the peer.
+    """
 
     __slots__ = (
         "acked_seq",
@@ -59,7 +63,7 @@
     def __init__(
         self, peer: str, address: str, role: LinkRole, data_centre: str, clock: Clock
     ) -> None:
-        """Starts a session in which nothing has been sent or received."""
+        """Creates a link with a new session id and no messages exchanged."""
         self.peer = peer
         self.address = address
         self.role = role
@@ -85,24 +89,27 @@
         self.sync_triggered = Event()
 
     def trigger_sync(self) -> None:
-        """Wakes the link's task before its next heartbeat."""
+        """Wakes the link's task, so that it sends a Sync before its next heartbeat."""
         if not self.sync_triggered.ready():
             self.sync_triggered.send(None)
 
     def resend_all(self) -> None:
-        """Sends the peer every record again, for example for a new interest."""
+        """Resets the sent position, so that all records are sent again.
+
+        Needed, for example, when the peer's interest grows.
+        """
         self.acked_seq = 0
         self.sent_seq = 0
 
     def is_silent(self, now_ms: float, interval_ms: float) -> bool:
-        """Tells whether the peer has missed so many heartbeats that it seems gone."""
+        """Returns whether nothing has been received for MISSED_HEARTBEATS intervals."""
         return now_ms - self.heard_ms > MISSED_HEARTBEATS * interval_ms
 
     def record_sent(self, now_ms: float) -> None:
-        """Starts to wait for confirmation, unless it already waits for an earlier one.
+        """Starts the acknowledgement timer unless it is already running.
 
-        The wait is counted from the oldest message, so that new ones cannot put off
-        sending it again.
+        The timer runs from the oldest unacknowledged message, so that newer messages
+        cannot delay its retransmission.
         """
         if not self._is_unconfirmed():
             self.unconfirmed_since_ms = None
@@ -110,7 +117,7 @@
             self.unconfirmed_since_ms = now_ms
 
     def is_overdue(self, now_ms: float, after_ms: float) -> bool:
-        """Tells whether the peer has left something unconfirmed for too long."""
+        """Returns whether a message has been unacknowledged for over after_ms."""
         if not self._is_unconfirmed() or self.unconfirmed_since_ms is None:
             self.unconfirmed_since_ms = None
             return False
@@ -121,13 +128,13 @@
         return unacked or self.peer_version < self.sent_version
 
     def rewind(self) -> None:
-        """Sends again what the peer has not acknowledged."""
+        """Resets the sent position to the last acknowledgement, for retransmission."""
         self.unconfirmed_since_ms = None
         self.sent_seq = self.acked_seq
         self.sent_version = self.peer_version
 
     def record_received(self, sync: Sync, now_ms: float) -> bool:
-        """Takes over the counters of a message; tells whether its session is new."""
+        """Updates the link from a Sync; returns whether the peer's session is new."""
         self.heard_ms = now_ms
         is_new = sync.session != self.peer_session
         if is_new:
--- a/src/jayswitch/membership/member.py
+++ b/src/jayswitch/membership/member.py
@@ -1,4 +1,4 @@
-"""What a node tells the others of itself and of the upstream beside it."""
+"""Payloads of the records that a node publishes about itself and its upstream."""
 
 from __future__ import annotations
 
@@ -18,9 +18,9 @@
 
 
 class Member(Model):
-    """A node, its addresses and the upstream that has announced itself to it.
+    """A node, its addresses and the upstream registered with it.
 
-    The slots are the calls that the upstream can run at once.
+    slots is the number of calls that the upstream can run concurrently.
     """
 
     node: str
@@ -37,7 +37,7 @@
 
 
 class DataCentreStatus(Model):
-    """Configuration versions in force below one relay."""
+    """Configuration versions applied in the subtree of one relay."""
 
     node: str
     data_centre: str
@@ -56,7 +56,7 @@
 
 
 def decode_member(record: Record) -> Member | None:
-    """Returns the member in a record; None if this release cannot read it."""
+    """Decodes a member record; returns None if this release cannot decode it."""
     try:
         return _member_decoder.decode(record.payload)
     except msgspec.DecodeError:
@@ -64,7 +64,7 @@
 
 
 def decode_status(record: Record) -> DataCentreStatus | None:
-    """Returns the status in a record; None if this release cannot read it."""
+    """Decodes a status record; returns None if this release cannot decode it."""
     try:
         return _status_decoder.decode(record.payload)
     except msgspec.DecodeError:
--- a/src/jayswitch/membership/records.py
+++ b/src/jayswitch/membership/records.py
@@ -1,4 +1,4 @@
-"""Soft state shared between nodes: records with versions, sources and a change log."""
+"""Soft state replicated between nodes: versioned records and their change order."""
 
 from __future__ import annotations
 
@@ -21,14 +21,14 @@
 
 
 class StoredRecord:
-    """A record with the link it came from and its place in the change log."""
+    """A record with the link that delivered it and its sequence number."""
 
     __slots__ = ("changed_ms", "orphaned_ms", "record", "seq", "source")
 
     def __init__(
         self, record: Record, source: str, seq: int, changed_ms: float
     ) -> None:
-        """Takes the name of the node that sent the record; LOCAL_SOURCE for our own."""
+        """Stores a record from the sending node, or from LOCAL_SOURCE if it is own."""
         self.record = record
         self.source = source
         self.seq = seq
@@ -37,20 +37,20 @@
 
     @property
     def is_orphaned(self) -> bool:
-        """Tells whether the link that the record came from has been lost."""
+        """Returns whether the link that delivered the record has been lost."""
         return self.orphaned_ms is not None
 
 
 def record_version(record: Record) -> tuple[int, int, bool]:
-    """Returns what orders two versions of a record; a removal follows its version."""
+    """Returns the sort key of a version; a tombstone sorts after its version."""
     return record.incarnation, record.counter, record.gone
 
 
 class RecordTable:
-    """Keeps the newest version of each record and the order of changes."""
+    """Stores the newest version of each record, ordered by local change."""
 
     def __init__(self, node: str, clock: Clock) -> None:
-        """Takes the node's name; its incarnation is the time it started."""
+        """Creates an empty table; the start time is the incarnation of own records."""
         self.node = node
         self.seq = 0
         self.incarnation = clock.wall_ms()
@@ -60,11 +60,11 @@
         self._listeners: list[RecordListener] = []
 
     def on_change(self, listener: RecordListener) -> None:
-        """Calls the listener with each record that has changed."""
+        """Registers a listener that is called with each changed record."""
         self._listeners.append(listener)
 
     def publish(self, key: str, kind: str, payload: bytes, service: str = "") -> None:
-        """Stores a new version of a record of this node's own."""
+        """Stores a new version of one of this node's own records."""
         self._counter += 1
         record = Record(
             key=key,
@@ -78,17 +78,17 @@
         self._store(record, LOCAL_SOURCE)
 
     def republish_own(self) -> None:
-        """Raises the version of every own record, so that it spreads anew."""
+        """Raises the version of every own record, so that it is distributed again."""
         for stored in list(self._stored_by_key.values()):
             if stored.source == LOCAL_SOURCE and stored.record.origin == self.node:
                 if not stored.record.gone:
                     self._republish(stored.record)
 
     def merge(self, record: Record, source: str) -> bool:
-        """Takes a record from another node; tells whether anything changed.
+        """Merges a record from another node; returns whether the table changed.
 
-        An own record that others hold a later version of, or hold for gone, is
-        published again above that version.
+        If another node has a later version or a tombstone of an own record, the own
+        record is published again with a higher version.
         """
         stored = self._stored_by_key.get(record.key)
         if record.origin == self.node and record.kind != KIND_MARK:
@@ -111,13 +111,13 @@
         return False
 
     def remove(self, key: str, source: str = LOCAL_SOURCE) -> None:
-        """Marks a record as gone and spreads that, except to the source."""
+        """Replaces a record by a tombstone, which is not sent back to the source."""
         stored = self._stored_by_key.get(key)
         if stored is not None and not stored.record.gone:
             self._store(msgspec.structs.replace(stored.record, gone=True), source)
 
     def mark_orphaned(self, source: str) -> None:
-        """Notes that the link which records came from has been lost."""
+        """Marks the records that a lost link delivered as orphaned."""
         now_ms = self._clock.now_ms()
         for stored in self._stored_by_key.values():
             known = stored.is_orphaned or stored.record.kind == KIND_MARK
@@ -127,9 +127,9 @@
     def remove_orphans(
         self, wanted: Callable[[StoredRecord], bool], source: str = LOCAL_SOURCE
     ) -> int:
-        """Removes those records of lost links that no other link has brought.
+        """Removes the selected orphans, which no other link has delivered since.
 
-        Returns how many there were; the removal is not sent back to the source.
+        Returns their number; the tombstones are not sent back to the source.
         """
         keys = [
             key
@@ -141,27 +141,27 @@
         return len(keys)
 
     def discard_foreign(self, unwanted: Callable[[StoredRecord], bool]) -> None:
-        """Drops foreign records that nobody below this node needs any more."""
+        """Discards records of other nodes that this subtree no longer needs."""
         for key, stored in list(self._stored_by_key.items()):
             if stored.source != LOCAL_SOURCE and unwanted(stored):
                 del self._stored_by_key[key]
 
     def purge_tombstones(self) -> None:
-        """Drops removals that every reachable node has heard of by now."""
+        """Deletes tombstones that every reachable node has received by now."""
         before_ms = self._clock.now_ms() - TOMBSTONE_RETENTION_MS
         for key, stored in list(self._stored_by_key.items()):
             if stored.record.gone and stored.changed_ms < before_ms:
                 del self._stored_by_key[key]
 
     def get(self, key: str) -> Record | None:
-        """Returns the record under a key unless it is gone."""
+        """Returns the record stored under a key; None if it is absent or removed."""
         stored = self._stored_by_key.get(key)
         if stored is None or stored.record.gone:
             return None
         return stored.record
 
     def by_kind(self, kind: str) -> Iterator[Record]:
-        """Iterates over the records of a kind that are not gone."""
+        """Iterates over the records of a kind, without tombstones."""
         for stored in list(self._stored_by_key.values()):
             if stored.record.kind == kind and not stored.record.gone:
                 yield stored.record
@@ -179,7 +179,7 @@
         return changed
 
     def __len__(self) -> int:
-        """Returns how many records are held, removals included."""
+        """Returns the number of stored records, including tombstones."""
         return len(self._stored_by_key)
 
     def _reassert_own(self, record: Record, stored: StoredRecord | None) -> bool:
@@ -203,11 +203,12 @@
 
     def _store(self, record: Record, source: str) -> None:
         self.seq += 1
-        # Many records share these strings.
+        # Interned because many records share the same kinds and services.
         record.kind = sys.intern(record.kind)
         record.service = sys.intern(record.service)
         now_ms = self._clock.now_ms()
-        # Inserted anew, so that the dictionary stays in the order of changes.
+        # Reinserted so that the dictionary stays sorted by sequence number, on which
+        # changed_since relies.
         self._stored_by_key.pop(record.key, None)
         self._stored_by_key[record.key] = StoredRecord(record, source, self.seq, now_ms)
         for listener in self._listeners:
--- a/src/jayswitch/membership/relay.py
+++ b/src/jayswitch/membership/relay.py
@@ -1,4 +1,4 @@
-"""Finds a node its place: relay slots in the store, relays, and the tree below."""
+"""Places a node in the distribution tree, as a relay or below one."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 
 class RelaySlot(Model):
-    """The node that holds a relay slot of a data centre."""
+    """The holder of a relay slot of a data centre, as written to the store."""
 
     node: str
     data_centre: str
@@ -45,12 +45,15 @@
 
 
 class Backoff:
-    """Delays that double up to a limit, each drawn at random below its bound."""
+    """Exponential backoff with jitter, from RETRY_MIN_MS to RETRY_MAX_MS.
+
+    Each delay is drawn from the upper half of the current bound.
+    """
 
     __slots__ = ("_bound_ms", "_random")
 
     def __init__(self, rng: random.Random) -> None:
-        """Takes the source of random numbers."""
+        """Creates a backoff that starts at the shortest delay."""
         self._bound_ms = RETRY_MIN_MS
         self._random = rng
 
@@ -61,16 +64,16 @@
         return delay_ms
 
     def reset(self) -> None:
-        """Starts again from the shortest delay."""
+        """Resets the bound to the shortest delay."""
         self._bound_ms = RETRY_MIN_MS
 
 
 class RelayRole:
-    """Joins the tree as a plain node, or holds a relay slot while its lease lasts.
+    """Joins the tree as an ordinary node, or as a relay while it holds a slot's lease.
 
-    A relay watches the log and is linked to its siblings and to the relays with
-    the same slot in other data centres. Holding a slot is no guarantee of being
-    the only holder; two relays for one slot do no harm.
+    A relay watches the log. It is linked to the other relays of its data centre and
+    to the relays with the same slot in other data centres. Slots are not exclusive:
+    two nodes may act as relay for the same slot, which is harmless.
     """
 
     def __init__(
@@ -84,7 +87,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Takes this node's description; its slot number is filled in later."""
+        """Takes this node's slot record; claiming a slot sets its number."""
         self.slots_by_key: dict[str, RelaySlot] = {}
         self.lease = ""
         self._own_slot = slot
@@ -106,17 +109,17 @@
         eventlet.spawn(self._run)
 
     def stop(self) -> None:
-        """Gives the slot back, so that another node can take it at once."""
+        """Revokes the lease, so that another node can claim the slot immediately."""
         self._stopped = True
         if self.lease:
             self._store.revoke(self.lease)
 
     @property
     def relays(self) -> list[RelaySlot]:
-        """Returns the relays last seen in the store."""
+        """Returns the relays as last read from the store."""
         return list(self.slots_by_key.values())
 
-    # Finding a place
+    # Joining the tree
 
     def _run(self) -> None:
         while not self._stopped:
@@ -131,7 +134,7 @@
         if not self._read_slots(self._own_prefix()):
             return self._join_any(self._candidate_addresses())
         if self._vacant_slots():
-            # Spreads the claims of many nodes that find the slots vacant together.
+            # Jitter, as many nodes may find the slots vacant at the same time.
             self._clock.sleep_ms(self._random.uniform(0, CLAIM_JITTER_MS))
             if not self._read_slots(self._own_prefix()):
                 return False
@@ -178,7 +181,7 @@
                 self._replace_slots(prefix, values)
                 return True
             case Failure(error):
-                logger.debug("relays not read", extra={"reason": str(error)})
+                logger.debug("reading relay slots failed", extra={"reason": str(error)})
         return False
 
     def _replace_slots(self, prefix: str, values: list[StoredValue]) -> None:
@@ -188,11 +191,11 @@
             try:
                 slot = msgspec.json.decode(value.value, type=RelaySlot)
             except msgspec.DecodeError as error:
-                logger.error("unreadable slot", extra={"reason": str(error)})
+                logger.error("undecodable relay slot", extra={"reason": str(error)})
                 continue
             self.slots_by_key[value.key] = slot
 
-    # Holding a slot
+    # Relay slots
 
     def _handle_claim_request(self, number: int) -> None:
         if not self._tree.is_relay and not self._stopped:
@@ -236,7 +239,10 @@
                 self._tree.drop_link(link)
 
     def _run_while_leased(self, lease: str, task: Callable[[], float]) -> None:
-        """Repeats a task until the lease is lost; it returns its pause in ms."""
+        """Runs a task repeatedly until the lease is lost.
+
+        The task returns the delay before its next run in ms.
+        """
         while self.lease == lease and not self._stopped:
             self._clock.sleep_ms(task())
 
@@ -253,7 +259,10 @@
         return self._watch(RELAY_PREFIX, self._refresh_relays)
 
     def _watch(self, prefix: str, on_update: Callable[[], bool]) -> float:
-        """Reacts to the present state, then to each change, until a call fails."""
+        """Calls on_update for the current state and each change until a call fails.
+
+        Returns the delay in ms before the watch is started again.
+        """
         start = self._store.watch(prefix, -1, 0)
         if isinstance(start, Failure):
             return self._random.uniform(RETRY_MIN_MS, 4 * RETRY_MIN_MS)
@@ -295,7 +304,7 @@
         return same_data_centre or slot.slot == self._own_slot.slot
 
     def _request_claims(self) -> None:
-        """Asks children to take the slots that are vacant in this data centre."""
+        """Asks children to claim the vacant slots of this data centre."""
         children = self._tree.children
         self._random.shuffle(children)
         for number, link in zip(self._vacant_slots(), children):
--- a/src/jayswitch/membership/sync_builder.py
+++ b/src/jayswitch/membership/sync_builder.py
@@ -1,4 +1,4 @@
-"""What a node sends on a link of the distribution tree."""
+"""Builds the Sync messages that a node sends on the links of the tree."""
 
 from __future__ import annotations
 
@@ -18,14 +18,14 @@
 
 
 class SyncBuilder:
-    """Chooses the records, entries and interests that a peer still needs."""
+    """Selects the records, log entries and interests that a peer still needs."""
 
     def __init__(self, tree: Tree) -> None:
-        """Takes the tree whose links it writes for."""
+        """Creates a builder for the links of a tree."""
         self._tree = tree
 
     def build(self, link: Link) -> Sync:
-        """Returns the next message for a link."""
+        """Returns the next Sync for a link."""
         records, reached = self._records_for(link)
         complete = reached >= self._tree.table.seq
         sync = Sync(
@@ -77,10 +77,11 @@
         return not stored.source or below
 
     def _leads_to_evaluator(self, link: Link) -> bool:
-        """Tells whether outcomes go out on a link between relays.
+        """Returns whether call outcomes are sent on a link between relays.
 
-        They go to the judge, or to siblings, one of which is linked to it. Where
-        the judge is silent or unknown they go to every relay, and each may judge.
+        They are sent to the evaluator node, or to the relays of the same data centre,
+        one of which is linked to it. If the evaluator is silent or unknown, they are
+        sent to every relay, and each relay may evaluate the moves.
         """
         if self._tree.evaluator_node == self._tree.node:
             return False
@@ -91,7 +92,7 @@
         return link.data_centre == self._tree.data_centre
 
     def is_evaluator_unreachable(self) -> bool:
-        """Tells whether no judge is known, or the link to it is silent."""
+        """Returns whether no evaluator node is known or the link to it is silent."""
         if not self._tree.evaluator_node:
             return True
         link = self._tree.links_by_peer.get(self._tree.evaluator_node)
@@ -118,7 +119,7 @@
         if not link.peer_session or known >= self._tree.replica.version:
             return
         if link.role is LinkRole.PEER and not self._is_lagging(link):
-            # Relays read the log themselves.
+            # Relays read the log from the store; only a lagging one is sent entries.
             return
         sync.entries = self._tree.replica.entries_after(known)
         if not sync.entries:
@@ -126,7 +127,7 @@
             self._tree.counts["snapshots_sent"] += 1
 
     def _is_lagging(self, link: Link) -> bool:
-        """Tells whether a peer has been behind for longer than reading takes."""
+        """Returns whether a peer has lagged for longer than reading the log takes."""
         now_ms = self._tree.clock.now_ms()
         if link.behind_since_ms is None:
             link.behind_since_ms = now_ms
@@ -135,7 +136,7 @@
         )
 
     def disconnect_message(self) -> Sync:
-        """Returns the message that ends a link."""
+        """Returns the Sync that closes a link."""
         return Sync(
             node=self._tree.node,
             reply_to=self._tree.address,
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -1,4 +1,7 @@
-"""The distribution tree: configuration flows down, membership both ways."""
+"""The distribution tree.
+
+Configuration is sent from parents to children, membership in both directions.
+"""
 
 from __future__ import annotations
 
@@ -42,7 +45,7 @@
 
 
 class Tree:
-    """The links of one node and the messages that travel on them."""
+    """Manages the links of one node and handles their messages."""
 
     def __init__(
         self,
@@ -56,7 +59,7 @@
         fan_out: int,
         rng: random.Random,
     ) -> None:
-        """Takes the node's own parts; the tree starts with start()."""
+        """Creates the tree without links; call start() to receive messages."""
         self.is_relay = False
         self.evaluator_node = ""
         self.links_by_peer: dict[str, Link] = {}
@@ -83,7 +86,7 @@
 
     @property
     def address(self) -> str:
-        """Returns the address of this node's control inbox."""
+        """Returns the control address of this node."""
         return self._transport.address
 
     @property
@@ -102,10 +105,10 @@
 
     @property
     def hops(self) -> int:
-        """Returns the distance to the nearest relay; 0 for a relay.
+        """Returns the number of links to the nearest relay; 0 for a relay.
 
-        A node that has just lost its parent keeps its distance for some heartbeats,
-        so that the nodes below it stay while it looks for another.
+        A node that has lost its parent reports its last distance for
+        REJOIN_HEARTBEATS, so that its children stay while it joins another parent.
         """
         if self.is_relay:
             return 0
@@ -119,19 +122,19 @@
 
     @property
     def interest(self) -> frozenset[str]:
-        """Returns the services that this node or one below it routes to."""
+        """Returns the services that this node or its subtree routes to."""
         union = set(self._own_interest)
         for link in self.children:
             union |= link.interest
         return frozenset(union)
 
     def start(self) -> None:
-        """Starts to receive messages and to clean up removals."""
+        """Starts receiving messages and the periodic clean-up."""
         self._transport.listen(self.receive)
         eventlet.spawn(self._clean_up)
 
     def stop(self) -> None:
-        """Tells every peer that this node leaves, and ends all links."""
+        """Notifies every peer and closes all links."""
         self._stopped = True
         for link in list(self.links_by_peer.values()):
             self._transport.send(
@@ -140,11 +143,11 @@
             self.drop_link(link)
 
     def is_evaluator_unreachable(self) -> bool:
-        """Tells whether no judge of moves is known, or the link to it is silent."""
+        """Returns whether no evaluator node is known or the link to it is silent."""
         return self._sync_builder.is_evaluator_unreachable()
 
     def trigger_sync(self) -> None:
-        """Sends what is new on every link without waiting for the heartbeat."""
+        """Sends changes on every link without waiting for the next heartbeat."""
         for link in self.links_by_peer.values():
             link.trigger_sync()
 
@@ -156,14 +159,14 @@
             self.trigger_sync()
 
     def is_settled(self, services: Iterable[str]) -> bool:
-        """Tells whether every known member of the services has arrived."""
+        """Returns whether all known members of the services have been received."""
         if self.is_relay:
             return True
         parent = self.parent
         return parent is not None and parent.settled.issuperset(services)
 
     def subtree(self) -> SubtreeStatus:
-        """Returns the configuration versions in force at and below this node."""
+        """Returns the configuration versions applied in this node's subtree."""
         own_version = self.replica.version
         status = SubtreeStatus(nodes=1, lowest_version=own_version)
         if self.replica.rejection is not None:
@@ -183,7 +186,7 @@
     # Joining
 
     def join(self, address: str) -> bool:
-        """Asks a node, and those it redirects to, to become the parent."""
+        """Joins a node as its child, following redirects; returns the success."""
         for _ in range(MAX_JOIN_REDIRECTS):
             reply = self._ask_to_join(address)
             if reply is None:
@@ -217,7 +220,7 @@
     def add_link(
         self, peer: str, address: str, role: LinkRole, data_centre: str
     ) -> Link:
-        """Starts a link, in place of one to the same peer."""
+        """Starts a link, replacing any existing link to the same peer."""
         previous = self.links_by_peer.get(peer)
         if previous is not None:
             self.drop_link(previous)
@@ -229,7 +232,11 @@
         return link
 
     def drop_link(self, link: Link) -> None:
-        """Ends a link; its records are removed unless they come back in time."""
+        """Closes a link.
+
+        Unless the link was to the parent, its records are removed if no other link
+        delivers them within ORPHAN_HEARTBEATS.
+        """
         if link.closed:
             return
         if link.role is LinkRole.PARENT:
@@ -258,8 +265,8 @@
 
     def _run_link(self, link: Link) -> None:
         while not link.closed and not self._stopped:
-            # A child answers the parent's first message only once it knows that it
-            # has been accepted, so the child speaks first.
+            # The child sends first: until it has received the JoinReply, it has no
+            # link to the parent and would answer a Sync by closing it.
             if link.role is not LinkRole.CHILD or link.peer_session:
                 self._send_sync(link)
             before_ms = self.clock.now_ms()
@@ -277,7 +284,8 @@
     def _check_liveness(self, link: Link, waited_ms: float) -> None:
         now_ms = self.clock.now_ms()
         if waited_ms > PAUSE_HEARTBEATS * self.interval_ms:
-            # This process was paused, so the peer's silence proves nothing.
+            # This process was paused, so the missing heartbeats do not show that the
+            # peer has failed.
             link.heard_ms = now_ms
             self.counts["pauses"] += 1
         if link.is_silent(now_ms, self.interval_ms):
@@ -299,9 +307,10 @@
                 )
 
     def _remove_old_orphans(self) -> None:
-        """Removes what no relay or child has brought again for some heartbeats.
+        """Removes orphans that no link has delivered again for REJOIN_HEARTBEATS.
 
-        A silent peer keeps its link, and its records stay: it may be cut off.
+        The records of a silent peer stay, because its link stays: the network may
+        be partitioned.
         """
         before_ms = self.clock.now_ms() - REJOIN_HEARTBEATS * self.interval_ms
         removed = self.table.remove_orphans(
@@ -345,7 +354,7 @@
 
     @singledispatchmethod
     def receive(self, message: AnyMessage) -> None:
-        """Handles a message from the control inbox."""
+        """Handles a message received at the control address."""
         self.counts["unexpected_messages"] += 1
 
     @receive.register
@@ -393,7 +402,7 @@
 
     def _receive_disconnect(self, link: Link) -> None:
         if link.role is LinkRole.PEER:
-            # A peer that has not yet heard of this relay; the link stays.
+            # The peer has not yet learnt of this relay; the link stays.
             return
         self.drop_link(link)
 
@@ -421,7 +430,7 @@
             self.drop_link(link)
 
     def _finish_transfer(self, link: Link, sync: Sync) -> None:
-        """Removes what the peer no longer has, once it has sent everything."""
+        """Removes records that the peer no longer has, after a complete transfer."""
         self.table.remove_orphans(lambda stored: stored.source == link.peer, link.peer)
         if link.role is not LinkRole.PARENT:
             return
--- a/tests/membership/test_records.py
+++ b/tests/membership/test_records.py
@@ -1,4 +1,4 @@
-"""Tests of the record table: tables that exchange records agree in the end."""
+"""Tests that record tables which exchange records converge."""
 
 from __future__ import annotations
 
@@ -15,11 +15,11 @@
 
 
 class RecordMachine(RuleBasedStateMachine):
-    """Nodes publish, restart, suspect each other and exchange records."""
+    """Nodes publish, restart, remove each other's records and exchange records."""
 
     @initialize()
     def set_up_tables(self) -> None:
-        """Makes a table for each node, each with its own record."""
+        """Creates a table with an own record for each node."""
         use_virtual_time()
         self.clock = VirtualClock()
         self.tables = {name: RecordTable(name, self.clock) for name in NODES}
@@ -30,7 +30,7 @@
 
     @rule(name=NODE)
     def publish(self, name: str) -> None:
-        """Changes a node's own record."""
+        """Publishes a new version of a node's own record."""
         self.number += 1
         payload = str(self.number).encode()
         self.tables[name].publish(f"member/{name}", KIND_MEMBER, payload, "s")
@@ -45,25 +45,25 @@
 
     @rule(suspect=NODE, observer=NODE)
     def suspect(self, suspect: str, observer: str) -> None:
-        """Has one node take another for dead."""
+        """Makes one node remove the record of another, as after a lost link."""
         if suspect != observer:
             self.tables[observer].remove(f"member/{suspect}")
 
     @rule(sender=NODE, receiver=NODE)
     def exchange(self, sender: str, receiver: str) -> None:
-        """Sends everything that one table holds to another."""
+        """Merges all records of one table into another."""
         if sender != receiver:
             for stored in self.tables[sender].changed_since(0):
                 self.tables[receiver].merge(stored.record, sender)
 
     @rule(name=NODE)
     def mark(self, name: str) -> None:
-        """Publishes a mark, which never goes away."""
+        """Publishes a mark, which is never removed."""
         self.tables[name].publish("mark/m", KIND_MARK, b"bad", "s")
         self.marked = True
 
     def teardown(self) -> None:
-        """Checks that all tables agree after they have talked enough."""
+        """Checks that all tables are equal after enough exchanges."""
         if not hasattr(self, "tables"):
             return
         for _ in range(4):
@@ -83,7 +83,11 @@
 
 
 class TestClockMovedBack:
-    """A VM that is replaced may start with an earlier clock."""
+    """A replaced VM may start with an earlier clock.
+
+    The incarnation comes from the clock, so the records of the new process would
+    lose to those of its predecessor that other nodes still store.
+    """
 
     def test_new_record_replaces_one_with_a_later_incarnation(self) -> None:
         old = RecordTable("a", VirtualClock(2_000_000_000_000))
