--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -124,12 +124,12 @@
         entries.append(add(ProfileSet(profile=profile_for(number, "v1"))))
     before = resident_bytes()
     for data in entries:
-        replica.offer(data)
+        replica.apply_if_next(data)
     grown = resident_bytes() - before
     changes = [add(ProfileSet(profile=profile_for(0, "v1"))) for _ in range(CHANGES)]
     started = time.process_time()
     for data in changes:
-        replica.offer(data)
+        replica.apply_if_next(data)
     seconds = time.process_time() - started
     return {
         "bytes_per_service": grown / SERVICES,
--- a/src/jayswitch/config/changes.py
+++ b/src/jayswitch/config/changes.py
@@ -69,7 +69,7 @@
     checked = check_change(entry.change, state)
     if not is_successful(checked):
         return Failure(checked.failure())
-    next_state = state.fork(entry.index)
+    next_state = state.copy_for_version(entry.index)
     apply_change(entry.change, next_state, entry)
     return Success(next_state)
 
@@ -82,7 +82,7 @@
 
 @singledispatch
 def apply_change(change: AnyChange, state: ConfigState, entry: Entry) -> None:
-    """Applies a validated change to a forked state, in place."""
+    """Applies a validated change to a copied state, in place."""
     raise NotImplementedError(type(change).__name__)
 
 
--- a/src/jayswitch/config/log.py
+++ b/src/jayswitch/config/log.py
@@ -68,7 +68,7 @@
             if isinstance(page, Failure):
                 return page
             values = page.unwrap()
-            applied = sum(self._replica.offer(value.value) for value in values)
+            applied = sum(self._replica.apply_if_next(value.value) for value in values)
             if not values:
                 return Success(self._replica.version)
             if not applied:
@@ -82,7 +82,7 @@
             return found
         stored = found.unwrap()
         if stored is not None:
-            self._replica.offer_snapshot(stored.value)
+            self._replica.apply_snapshot(stored.value)
         return Success(self._replica.version)
 
     def append(self, change: AnyChange, author: str) -> Result[Entry, JayswitchError]:
@@ -133,7 +133,7 @@
         )
 
     def _apply_accepted(self, entry: Entry) -> Result[Entry, JayswitchError]:
-        self._replica.offer(encode_entry(entry))
+        self._replica.apply_if_next(encode_entry(entry))
         return Success(entry)
 
     def _resolve_write(
--- a/src/jayswitch/config/replica.py
+++ b/src/jayswitch/config/replica.py
@@ -45,7 +45,7 @@
         """Registers a listener that is called after each new version."""
         self._listeners.append(listener)
 
-    def offer(self, data: bytes) -> bool:
+    def apply_if_next(self, data: bytes) -> bool:
         """Applies an encoded entry if it is the next one; returns whether it did.
 
         If the entry cannot be applied, the state does not change and the error is
@@ -65,7 +65,7 @@
                 self._reject(error)
         return False
 
-    def offer_snapshot(self, data: bytes) -> bool:
+    def apply_snapshot(self, data: bytes) -> bool:
         """Replaces the state if the snapshot is newer; returns whether it did."""
         match decode_state(data):
             case Success(state):
--- a/src/jayswitch/config/state.py
+++ b/src/jayswitch/config/state.py
@@ -122,7 +122,7 @@
     driver_epoch: int = 0
     driver_node: str = ""
 
-    def fork(self, version: int) -> ConfigState:
+    def copy_for_version(self, version: int) -> ConfigState:
         """Returns a copy with a later version, whose collections may be modified."""
         return ConfigState(
             version=version,
@@ -134,7 +134,7 @@
             driver_node=self.driver_node,
         )
 
-    def is_out(self, data_centre: str) -> bool:
+    def is_out_of_service(self, data_centre: str) -> bool:
         """Returns whether operators have taken the data centre out of service."""
         state = self.data_centres_by_name.get(data_centre)
         return state is not None and state.out
--- a/src/jayswitch/embedded/main.py
+++ b/src/jayswitch/embedded/main.py
@@ -60,7 +60,9 @@
 def report(mesh: EmbeddedMesh, traffic: Traffic) -> None:
     """Prints one line on calls, versions and data centres out of service."""
     state = mesh.upstreams[0].process.node.parts.replica.state
-    out = [name for name in mesh.deployment.data_centres if state.is_out(name)]
+    out = [
+        name for name in mesh.deployment.data_centres if state.is_out_of_service(name)
+    ]
     versions = sorted(set(mesh.versions_in_force()))
     print(
         f"calls {traffic.started}  {dict(traffic.outcomes)}"
--- a/src/jayswitch/http/admin_app.py
+++ b/src/jayswitch/http/admin_app.py
@@ -149,7 +149,10 @@
         names = {member.data_centre for member in self._node.members()}
         names |= set(state.data_centres_by_name)
         return [
-            {"data_centre": name, "state": "out" if state.is_out(name) else "in"}
+            {
+                "data_centre": name,
+                "state": "out" if state.is_out_of_service(name) else "in",
+            }
             for name in sorted(names)
         ]
 
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -453,6 +453,6 @@
 
     def _receive_configuration(self, sync: Sync) -> None:
         if sync.snapshot:
-            self.replica.offer_snapshot(sync.snapshot)
+            self.replica.apply_snapshot(sync.snapshot)
         for data in sync.entries:
-            self.replica.offer(data)
+            self.replica.apply_if_next(data)
--- a/src/jayswitch/node/node.py
+++ b/src/jayswitch/node/node.py
@@ -186,7 +186,7 @@
 
     def _on_config(self, state: ConfigState) -> None:
         self.parts.gate.set_out_of_service(
-            state.is_out(self.parts.settings.data_centre)
+            state.is_out_of_service(self.parts.settings.data_centre)
         )
         self._update_interest(state)
         first = self._settling is None
--- a/src/jayswitch/routing/table.py
+++ b/src/jayswitch/routing/table.py
@@ -124,7 +124,7 @@
         return [
             member
             for member in members.values()
-            if member.state == "up" and not config.is_out(member.data_centre)
+            if member.state == "up" and not config.is_out_of_service(member.data_centre)
         ]
 
     def has_version(self, service: str, version: str) -> bool:
--- a/tests/config/test_log.py
+++ b/tests/config/test_log.py
@@ -192,7 +192,7 @@
         fast_log.save_snapshot().unwrap()
         slow_log.save_snapshot().unwrap()
         fresh = ConfigReplica()
-        fresh.offer_snapshot(store.get("snapshot").unwrap().value)
+        fresh.apply_snapshot(store.get("snapshot").unwrap().value)
         assert fresh.version == 2
 
 
@@ -209,7 +209,7 @@
             "at_ms": 1,
             "change": {"type": "ServiceSet", "service": "a", "weight": 3},
         }
-        assert not replica.offer(msgspec.json.encode(entry))
+        assert not replica.apply_if_next(msgspec.json.encode(entry))
         assert replica.state is before
         assert replica.rejection is not None
         assert replica.rejection.code == "unknown-change"
@@ -223,5 +223,5 @@
         log.append(ServiceSet(service="a"), "operator").unwrap()
         old = replica.snapshot()
         log.append(ServiceSet(service="b"), "operator").unwrap()
-        assert not replica.offer_snapshot(old)
+        assert not replica.apply_snapshot(old)
         assert replica.version == 2
--- a/tests/scenarios/test_controls.py
+++ b/tests/scenarios/test_controls.py
@@ -161,7 +161,7 @@
     old = replica.snapshot()
     mesh.mark_data_centre("harvey", False)
     mesh.wait(3)
-    replica.offer_snapshot(old)
+    replica.apply_snapshot(old)
     finish(mesh)
 
 
@@ -260,7 +260,7 @@
         self._install(decode_state(data).unwrap())
         return True
 
-    patch.setattr(ConfigReplica, "offer_snapshot", offer)
+    patch.setattr(ConfigReplica, "apply_snapshot", offer)
 
 
 def crossed_answers(patch: pytest.MonkeyPatch) -> None:
