--- a/src/jayswitch/config/log.py
+++ b/src/jayswitch/config/log.py
@@ -1,4 +1,4 @@
-"""The ordered log of changes in the store, with snapshots that bound its length."""
+"""The ordered log of changes in the store, truncated after snapshots."""
 
 from __future__ import annotations
 
@@ -46,18 +46,21 @@
 
 
 class ConfigLog:
-    """Reads and appends entries; appending is a compare-and-swap on the next key."""
+    """Reads and appends log entries.
+
+    An entry is appended by a compare-and-swap that creates the next key.
+    """
 
     def __init__(self, store: Store, replica: ConfigReplica, clock: Clock) -> None:
-        """Takes the store and the replica that entries read are applied to."""
+        """Takes the store and the replica to which entries are applied."""
         self._store = store
         self._replica = replica
         self._clock = clock
 
     def catch_up(self) -> Result[int, StoreError]:
-        """Applies every entry in the store that the replica lacks.
+        """Applies all entries in the store that the replica has not yet applied.
 
-        Returns the version that the replica then has.
+        Returns the resulting version of the replica.
         """
         while True:
             before = self._replica.version
@@ -65,13 +68,13 @@
             if isinstance(page, Failure):
                 return page
             values = page.unwrap()
-            applied = sum(self._replica.offer(value.value) for value in values)
+            applied = sum(self._replica.apply_if_next(value.value) for value in values)
             if not values:
                 return Success(self._replica.version)
             if not applied:
-                skipped = self._load_snapshot(before)
-                if not isinstance(skipped, Success) or self._replica.version == before:
-                    return skipped
+                loaded = self._load_snapshot(before)
+                if not isinstance(loaded, Success) or self._replica.version == before:
+                    return loaded
 
     def _load_snapshot(self, before: int) -> Result[int, StoreError]:
         found = self._store.get(SNAPSHOT_KEY)
@@ -79,44 +82,44 @@
             return found
         stored = found.unwrap()
         if stored is not None:
-            self._replica.offer_snapshot(stored.value)
+            self._replica.apply_snapshot(stored.value)
         return Success(self._replica.version)
 
     def append(self, change: AnyChange, author: str) -> Result[Entry, JayswitchError]:
-        """Adds a change after checking it against the newest version.
+        """Appends a change after validating it against the newest version.
 
-        A lost answer is resolved by reading the entry back. Success means that
-        the change is in the log; a LogUnavailable failure that this is not known.
+        If the response to the write is lost, the entry is read back. Success means
+        that the change is in the log; LogUnavailable means that this is unknown.
         """
         change_id = uuid.uuid4().hex
-        last: JayswitchError | None = None
-        unsure = False
+        last_error: JayswitchError | None = None
+        maybe_written = False
         for _ in range(APPEND_ATTEMPTS):
             caught_up = self.catch_up()
             if isinstance(caught_up, Failure):
                 return Failure(LogUnavailable(change_id, str(caught_up.failure())))
             entry = self._next_entry(change, change_id, author)
-            allowed = apply_entry(self._replica.state, entry)
-            if isinstance(allowed, Failure):
-                return self._not_allowed(change_id, allowed.failure(), unsure)
+            checked = apply_entry(self._replica.state, entry)
+            if isinstance(checked, Failure):
+                return self._reject(change_id, checked.failure(), maybe_written)
             key = log_key(entry.index)
             match self._store.put(key, encode_entry(entry), 0):
                 case Success(_):
-                    return self._accepted(entry)
+                    return self._apply_accepted(entry)
                 case Failure(error):
-                    last = error
-                    unsure = unsure or isinstance(error, StoreUnavailable)
-                    resolved = self._resolve(entry, error)
+                    last_error = error
+                    maybe_written = maybe_written or isinstance(error, StoreUnavailable)
+                    resolved = self._resolve_write(entry, error)
                     if resolved is not None:
                         return resolved
             self._clock.sleep_ms(APPEND_RETRY_MS)
-        return Failure(LogUnavailable(change_id, str(last)))
+        return Failure(LogUnavailable(change_id, str(last_error)))
 
-    def _not_allowed(
-        self, change_id: str, error: JayswitchError, unsure: bool
+    def _reject(
+        self, change_id: str, error: JayswitchError, maybe_written: bool
     ) -> Result[Entry, JayswitchError]:
-        """Refuses a change, unless an earlier write of it may still take effect."""
-        if unsure:
+        """Returns the error, or LogUnavailable if an earlier write may take effect."""
+        if maybe_written:
             return Failure(LogUnavailable(change_id, str(error)))
         return Failure(error)
 
@@ -129,18 +132,18 @@
             change=change,
         )
 
-    def _accepted(self, entry: Entry) -> Result[Entry, JayswitchError]:
-        self._replica.offer(encode_entry(entry))
+    def _apply_accepted(self, entry: Entry) -> Result[Entry, JayswitchError]:
+        self._replica.apply_if_next(encode_entry(entry))
         return Success(entry)
 
-    def _resolve(
+    def _resolve_write(
         self, entry: Entry, error: StoreError
     ) -> Result[Entry, JayswitchError] | None:
-        """Finds out whether an unconfirmed or refused write took effect.
+        """Reads the entry back to find out whether a failed write took effect.
 
-        A refused one may be a repetition of a write whose answer was lost. Returns
-        None when the change is not in the log, so that it may be tried again: a
-        write that is still under way can only take the same key.
+        A write that the store refused may be a retry of one whose response was lost.
+        Returns None if the change is not in the log and may be retried: a write that
+        is still in flight can only create the same key.
         """
         for _ in range(CONFIRM_ATTEMPTS):
             match self._store.get(log_key(entry.index)):
@@ -148,21 +151,25 @@
                     return None
                 case Success(stored):
                     found = decode_entry(stored.value)
-                    mine = found.map(lambda other: other.change_id == entry.change_id)
-                    return self._accepted(entry) if mine.value_or(False) else None
+                    is_own = found.map(lambda other: other.change_id == entry.change_id)
+                    return (
+                        self._apply_accepted(entry) if is_own.value_or(False) else None
+                    )
                 case Failure():
                     self._clock.sleep_ms(CONFIRM_RETRY_MS)
         return Failure(LogUnavailable(entry.change_id, str(error)))
 
     def save_snapshot(self) -> Result[int, StoreError]:
-        """Stores the replica's state and deletes entries far behind it.
+        """Stores the replica's state and deletes entries well before its version.
 
-        Returns the number of entries deleted.
+        Returns the number of deleted entries.
         """
         state = self._replica.state
         data = encode_state(state)
         if len(data) > MAX_VALUE_BYTES:
-            logger.error("snapshot exceeds the store's limit", extra={"b": len(data)})
+            logger.error(
+                "snapshot exceeds the store's value size limit", extra={"b": len(data)}
+            )
             return Success(0)
         match self._store.get(SNAPSHOT_KEY):
             case Success(stored):
--- a/src/jayswitch/membership/records.py
+++ b/src/jayswitch/membership/records.py
@@ -1,4 +1,4 @@
-"""Soft state shared between nodes: records with versions, sources and a change log."""
+"""Soft state replicated between nodes: versioned records and their change order."""
 
 from __future__ import annotations
 
@@ -14,21 +14,21 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
 
-SELF = ""
-GONE_KEPT_MS = 120_000.0
+LOCAL_SOURCE = ""
+TOMBSTONE_RETENTION_MS = 120_000.0
 
 RecordListener = Callable[[Record], None]
 
 
-class HeldRecord:
-    """A record with the link it came from and its place in the change log."""
+class StoredRecord:
+    """A record with the link that delivered it and its sequence number."""
 
     __slots__ = ("changed_ms", "orphaned_ms", "record", "seq", "source")
 
     def __init__(
         self, record: Record, source: str, seq: int, changed_ms: float
     ) -> None:
-        """Takes the name of the node that sent the record; SELF for our own."""
+        """Stores a record from the sending node, or from LOCAL_SOURCE if it is own."""
         self.record = record
         self.source = source
         self.seq = seq
@@ -36,35 +36,35 @@
         self.orphaned_ms: float | None = None
 
     @property
-    def orphaned(self) -> bool:
-        """Tells whether the link that the record came from has been lost."""
+    def is_orphaned(self) -> bool:
+        """Returns whether the link that delivered the record has been lost."""
         return self.orphaned_ms is not None
 
 
-def version_of(record: Record) -> tuple[int, int, bool]:
-    """Returns what orders two versions of a record; a removal follows its version."""
+def record_version(record: Record) -> tuple[int, int, bool]:
+    """Returns the sort key of a version; a tombstone sorts after its version."""
     return record.incarnation, record.counter, record.gone
 
 
 class RecordTable:
-    """Keeps the newest version of each record and the order of changes."""
+    """Stores the newest version of each record, ordered by local change."""
 
     def __init__(self, node: str, clock: Clock) -> None:
-        """Takes the node's name; its incarnation is the time it started."""
+        """Creates an empty table; the start time is the incarnation of own records."""
         self.node = node
         self.seq = 0
         self.incarnation = clock.wall_ms()
         self._clock = clock
         self._counter = 0
-        self._held_by_key: dict[str, HeldRecord] = {}
+        self._stored_by_key: dict[str, StoredRecord] = {}
         self._listeners: list[RecordListener] = []
 
     def on_change(self, listener: RecordListener) -> None:
-        """Calls the listener with each record that has changed."""
+        """Registers a listener that is called with each changed record."""
         self._listeners.append(listener)
 
     def publish(self, key: str, kind: str, payload: bytes, service: str = "") -> None:
-        """Stores a new version of a record of this node's own."""
+        """Stores a new version of one of this node's own records."""
         self._counter += 1
         record = Record(
             key=key,
@@ -75,119 +75,121 @@
             service=service,
             payload=payload,
         )
-        self._store(record, SELF)
+        self._store(record, LOCAL_SOURCE)
 
     def republish_own(self) -> None:
-        """Raises the version of every own record, so that it spreads anew."""
-        for held in list(self._held_by_key.values()):
-            if held.source == SELF and held.record.origin == self.node:
-                if not held.record.gone:
-                    self._republish(held.record)
+        """Raises the version of every own record, so that it is distributed again."""
+        for stored in list(self._stored_by_key.values()):
+            if stored.source == LOCAL_SOURCE and stored.record.origin == self.node:
+                if not stored.record.gone:
+                    self._republish(stored.record)
 
     def merge(self, record: Record, source: str) -> bool:
-        """Takes a record from another node; tells whether anything changed.
+        """Merges a record from another node; returns whether the table changed.
 
-        An own record that others hold a later version of, or hold for gone, is
-        published again above that version.
+        If another node has a later version or a tombstone of an own record, the own
+        record is published again with a higher version.
         """
-        held = self._held_by_key.get(record.key)
+        stored = self._stored_by_key.get(record.key)
         if record.origin == self.node and record.kind != KIND_MARK:
-            return self._defend(record, held)
-        if held is None:
+            return self._reassert_own(record, stored)
+        if stored is None:
             if record.gone:
                 return False
             self._store(record, source)
             return True
         if record.kind == KIND_MARK:
             return False
-        if version_of(record) > version_of(held.record):
+        if record_version(record) > record_version(stored.record):
             self._store(record, source)
             return True
-        if held.orphaned and version_of(record) == version_of(held.record):
-            held.source = source
-            held.orphaned_ms = None
+        if stored.is_orphaned and record_version(record) == record_version(
+            stored.record
+        ):
+            stored.source = source
+            stored.orphaned_ms = None
         return False
 
-    def remove(self, key: str, source: str = SELF) -> None:
-        """Marks a record as gone and spreads that, except to the source."""
-        held = self._held_by_key.get(key)
-        if held is not None and not held.record.gone:
-            self._store(msgspec.structs.replace(held.record, gone=True), source)
+    def remove(self, key: str, source: str = LOCAL_SOURCE) -> None:
+        """Replaces a record by a tombstone, which is not sent back to the source."""
+        stored = self._stored_by_key.get(key)
+        if stored is not None and not stored.record.gone:
+            self._store(msgspec.structs.replace(stored.record, gone=True), source)
 
-    def orphan(self, source: str) -> None:
-        """Notes that the link which records came from has been lost."""
+    def mark_orphaned(self, source: str) -> None:
+        """Marks the records that a lost link delivered as orphaned."""
         now_ms = self._clock.now_ms()
-        for held in self._held_by_key.values():
-            known = held.orphaned or held.record.kind == KIND_MARK
-            if held.source == source and not known:
-                held.orphaned_ms = now_ms
+        for stored in self._stored_by_key.values():
+            known = stored.is_orphaned or stored.record.kind == KIND_MARK
+            if stored.source == source and not known:
+                stored.orphaned_ms = now_ms
 
     def remove_orphans(
-        self, wanted: Callable[[HeldRecord], bool], source: str = SELF
+        self, wanted: Callable[[StoredRecord], bool], source: str = LOCAL_SOURCE
     ) -> int:
-        """Removes those records of lost links that no other link has brought.
+        """Removes the selected orphans, which no other link has delivered since.
 
-        Returns how many there were; the removal is not sent back to the source.
+        Returns their number; the tombstones are not sent back to the source.
         """
         keys = [
             key
-            for key, held in self._held_by_key.items()
-            if held.orphaned and not held.record.gone and wanted(held)
+            for key, stored in self._stored_by_key.items()
+            if stored.is_orphaned and not stored.record.gone and wanted(stored)
         ]
         for key in keys:
             self.remove(key, source)
         return len(keys)
 
-    def forget(self, unwanted: Callable[[HeldRecord], bool]) -> None:
-        """Drops foreign records that nobody below this node needs any more."""
-        for key, held in list(self._held_by_key.items()):
-            if held.source != SELF and unwanted(held):
-                del self._held_by_key[key]
+    def discard_foreign(self, unwanted: Callable[[StoredRecord], bool]) -> None:
+        """Discards records of other nodes that this subtree no longer needs."""
+        for key, stored in list(self._stored_by_key.items()):
+            if stored.source != LOCAL_SOURCE and unwanted(stored):
+                del self._stored_by_key[key]
 
-    def purge_gone(self) -> None:
-        """Drops removals that every reachable node has heard of by now."""
-        before_ms = self._clock.now_ms() - GONE_KEPT_MS
-        for key, held in list(self._held_by_key.items()):
-            if held.record.gone and held.changed_ms < before_ms:
-                del self._held_by_key[key]
+    def purge_tombstones(self) -> None:
+        """Deletes tombstones that every reachable node has received by now."""
+        before_ms = self._clock.now_ms() - TOMBSTONE_RETENTION_MS
+        for key, stored in list(self._stored_by_key.items()):
+            if stored.record.gone and stored.changed_ms < before_ms:
+                del self._stored_by_key[key]
 
     def get(self, key: str) -> Record | None:
-        """Returns the record under a key unless it is gone."""
-        held = self._held_by_key.get(key)
-        if held is None or held.record.gone:
+        """Returns the record stored under a key; None if it is absent or removed."""
+        stored = self._stored_by_key.get(key)
+        if stored is None or stored.record.gone:
             return None
-        return held.record
+        return stored.record
 
     def by_kind(self, kind: str) -> Iterator[Record]:
-        """Iterates over the records of a kind that are not gone."""
-        for held in list(self._held_by_key.values()):
-            if held.record.kind == kind and not held.record.gone:
-                yield held.record
+        """Iterates over the records of a kind, without tombstones."""
+        for stored in list(self._stored_by_key.values()):
+            if stored.record.kind == kind and not stored.record.gone:
+                yield stored.record
 
-    def changed_since(self, seq: int) -> list[HeldRecord]:
+    def changed_since(self, seq: int) -> list[StoredRecord]:
         """Returns the records changed after a sequence number, oldest first."""
         if seq >= self.seq:
             return []
         changed = []
-        for held in reversed(self._held_by_key.values()):
-            if held.seq <= seq:
+        for stored in reversed(self._stored_by_key.values()):
+            if stored.seq <= seq:
                 break
-            changed.append(held)
+            changed.append(stored)
         changed.reverse()
         return changed
 
     def __len__(self) -> int:
-        """Returns how many records are held, removals included."""
-        return len(self._held_by_key)
+        """Returns the number of stored records, including tombstones."""
+        return len(self._stored_by_key)
 
-    def _defend(self, record: Record, held: HeldRecord | None) -> bool:
-        own = held.record if held is not None else None
-        if own is not None and version_of(record) <= version_of(own):
+    def _reassert_own(self, record: Record, stored: StoredRecord | None) -> bool:
+        own = stored.record if stored is not None else None
+        if own is not None and record_version(record) <= record_version(own):
             return False
         self.incarnation = max(self.incarnation, record.incarnation)
         self._counter = max(self._counter, record.counter)
         if own is None:
-            self._store(msgspec.structs.replace(record, gone=True), SELF)
+            self._store(msgspec.structs.replace(record, gone=True), LOCAL_SOURCE)
         else:
             self._republish(own)
         return True
@@ -197,16 +199,17 @@
         record = msgspec.structs.replace(
             own, incarnation=self.incarnation, counter=self._counter
         )
-        self._store(record, SELF)
+        self._store(record, LOCAL_SOURCE)
 
     def _store(self, record: Record, source: str) -> None:
         self.seq += 1
-        # Many records share these strings.
+        # Interned because many records share the same kinds and services.
         record.kind = sys.intern(record.kind)
         record.service = sys.intern(record.service)
         now_ms = self._clock.now_ms()
-        # Inserted anew, so that the dictionary stays in the order of changes.
-        self._held_by_key.pop(record.key, None)
-        self._held_by_key[record.key] = HeldRecord(record, source, self.seq, now_ms)
+        # Reinserted so that the dictionary stays sorted by sequence number, on which
+        # changed_since relies.
+        self._stored_by_key.pop(record.key, None)
+        self._stored_by_key[record.key] = StoredRecord(record, source, self.seq, now_ms)
         for listener in self._listeners:
             listener(record)
--- a/src/jayswitch/membership/composer.py
+++ b/src/jayswitch/membership/sync_builder.py
@@ -1,4 +1,4 @@
-"""What a node sends on a link of the distribution tree."""
+"""Builds the Sync messages that a node sends on the links of the tree."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from jayswitch.messages.generated import SubtreeStatus, Sync
 
 if TYPE_CHECKING:
-    from jayswitch.membership.records import HeldRecord
+    from jayswitch.membership.records import StoredRecord
     from jayswitch.membership.tree import Tree
     from jayswitch.messages.generated import Record
 
@@ -17,15 +17,15 @@
 RECORDS_PER_MESSAGE = 400
 
 
-class SyncComposer:
-    """Chooses the records, entries and interests that a peer still needs."""
+class SyncBuilder:
+    """Selects the records, log entries and interests that a peer still needs."""
 
     def __init__(self, tree: Tree) -> None:
-        """Takes the tree whose links it writes for."""
+        """Creates a builder for the links of a tree."""
         self._tree = tree
 
-    def compose(self, link: Link) -> Sync:
-        """Returns the next message for a link."""
+    def build(self, link: Link) -> Sync:
+        """Returns the next Sync for a link."""
         records, reached = self._records_for(link)
         complete = reached >= self._tree.table.seq
         sync = Sync(
@@ -43,58 +43,59 @@
             subtree=self._tree.subtree(),
             snapshot=b"",
             claim_slot=link.claim_slot,
-            resend=link.wants_resend,
+            resend=link.resend_requested,
         )
         if link.role is LinkRole.CHILD and complete:
             sync.settled = self._settled_for(link)
         if link.role is LinkRole.PARENT:
-            self._state_interest(link, sync)
+            self._add_interest(link, sync)
         self._add_configuration(link, sync)
         return sync
 
     def _records_for(self, link: Link) -> tuple[list[Record], int]:
         records: list[Record] = []
-        for held in self._tree.table.changed_since(link.sent_seq):
+        for stored in self._tree.table.changed_since(link.sent_seq):
             if len(records) >= RECORDS_PER_MESSAGE:
-                return records, held.seq - 1
-            if self._goes_to(link, held):
-                records.append(held.record)
+                return records, stored.seq - 1
+            if self._should_send(link, stored):
+                records.append(stored.record)
         return records, self._tree.table.seq
 
-    def _goes_to(self, link: Link, held: HeldRecord) -> bool:
-        record = held.record
-        if held.source == link.peer:
+    def _should_send(self, link: Link, stored: StoredRecord) -> bool:
+        record = stored.record
+        if stored.source == link.peer:
             return False
         if record.kind == KIND_OUTCOMES and link.role is LinkRole.PEER:
-            return self._leads_to_judge(link)
+            return self._leads_to_evaluator(link)
         if record.kind == KIND_MARK or link.role is LinkRole.PEER:
             return True
         if link.role is LinkRole.CHILD:
             wanted = record.service in link.interest
             return record.kind == KIND_MEMBER and wanted
-        source_link = self._tree.links_by_peer.get(held.source)
+        source_link = self._tree.links_by_peer.get(stored.source)
         below = source_link is not None and source_link.role is LinkRole.CHILD
-        return not held.source or below
+        return not stored.source or below
 
-    def _leads_to_judge(self, link: Link) -> bool:
-        """Tells whether outcomes go out on a link between relays.
+    def _leads_to_evaluator(self, link: Link) -> bool:
+        """Returns whether call outcomes are sent on a link between relays.
 
-        They go to the judge, or to siblings, one of which is linked to it. Where
-        the judge is silent or unknown they go to every relay, and each may judge.
+        They are sent to the evaluator node, or to the relays of the same data centre,
+        one of which is linked to it. If the evaluator is silent or unknown, they are
+        sent to every relay, and each relay may evaluate the moves.
         """
-        if self._tree.judge == self._tree.node:
+        if self._tree.evaluator_node == self._tree.node:
             return False
-        if self.is_judge_lost():
+        if self.is_evaluator_unreachable():
             return True
-        if self._tree.judge in self._tree.links_by_peer:
-            return link.peer == self._tree.judge
+        if self._tree.evaluator_node in self._tree.links_by_peer:
+            return link.peer == self._tree.evaluator_node
         return link.data_centre == self._tree.data_centre
 
-    def is_judge_lost(self) -> bool:
-        """Tells whether no judge is known, or the link to it is silent."""
-        if not self._tree.judge:
+    def is_evaluator_unreachable(self) -> bool:
+        """Returns whether no evaluator node is known or the link to it is silent."""
+        if not self._tree.evaluator_node:
             return True
-        link = self._tree.links_by_peer.get(self._tree.judge)
+        link = self._tree.links_by_peer.get(self._tree.evaluator_node)
         if link is None:
             return False
         return link.is_silent(self._tree.clock.now_ms(), self._tree.interval_ms)
@@ -107,7 +108,7 @@
             return []
         return sorted(link.interest & parent.settled)
 
-    def _state_interest(self, link: Link, sync: Sync) -> None:
+    def _add_interest(self, link: Link, sync: Sync) -> None:
         interest = self._tree.interest
         if interest != link.interest_sent:
             sync.interest = sorted(interest) or [NO_INTEREST]
@@ -118,7 +119,7 @@
         if not link.peer_session or known >= self._tree.replica.version:
             return
         if link.role is LinkRole.PEER and not self._is_lagging(link):
-            # Relays read the log themselves.
+            # Relays read the log from the store; only a lagging one is sent entries.
             return
         sync.entries = self._tree.replica.entries_after(known)
         if not sync.entries:
@@ -126,7 +127,7 @@
             self._tree.counts["snapshots_sent"] += 1
 
     def _is_lagging(self, link: Link) -> bool:
-        """Tells whether a peer has been behind for longer than reading takes."""
+        """Returns whether a peer has lagged for longer than reading the log takes."""
         now_ms = self._tree.clock.now_ms()
         if link.behind_since_ms is None:
             link.behind_since_ms = now_ms
@@ -134,8 +135,8 @@
             now_ms - link.behind_since_ms > LAGGING_HEARTBEATS * self._tree.interval_ms
         )
 
-    def farewell(self) -> Sync:
-        """Returns the message that ends a link."""
+    def disconnect_message(self) -> Sync:
+        """Returns the Sync that closes a link."""
         return Sync(
             node=self._tree.node,
             reply_to=self._tree.address,
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -1,4 +1,7 @@
-"""The distribution tree: configuration flows down, membership both ways."""
+"""The distribution tree.
+
+Configuration is sent from parents to children, membership in both directions.
+"""
 
 from __future__ import annotations
 
@@ -14,15 +17,15 @@
 from eventlet.event import Event
 
 from jayswitch.clock import MS_PER_S
-from jayswitch.membership.composer import SyncComposer
-from jayswitch.membership.link import EVERYTHING, NO_INTEREST, Link, LinkRole
+from jayswitch.membership.link import ALL_SERVICES, NO_INTEREST, Link, LinkRole
 from jayswitch.membership.member import KIND_MARK
+from jayswitch.membership.sync_builder import SyncBuilder
 from jayswitch.messages.generated import Join, JoinReply, SubtreeStatus, Sync
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
     from jayswitch.config.replica import ConfigReplica
-    from jayswitch.membership.records import HeldRecord, RecordTable
+    from jayswitch.membership.records import RecordTable, StoredRecord
     from jayswitch.messages.codec import AnyMessage
     from jayswitch.transport.interface import Transport
 
@@ -32,9 +35,9 @@
 PAUSE_HEARTBEATS = 2.0
 REJOIN_HEARTBEATS = 10.0
 JOIN_TIMEOUT_MS = 1000.0
-JOIN_REDIRECTS = 12
+MAX_JOIN_REDIRECTS = 12
 MAX_HOPS = 16
-LAGGING_NAMES = 8
+MAX_LAGGING_ENTRIES = 8
 SEND_TIMEOUT_MS = 300.0
 REDIRECT_CHOICES = 3
 
@@ -42,7 +45,7 @@
 
 
 class Tree:
-    """The links of one node and the messages that travel on them."""
+    """Manages the links of one node and handles their messages."""
 
     def __init__(
         self,
@@ -56,9 +59,9 @@
         fan_out: int,
         rng: random.Random,
     ) -> None:
-        """Takes the node's own parts; the tree starts with start()."""
+        """Creates the tree without links; call start() to receive messages."""
         self.is_relay = False
-        self.judge = ""
+        self.evaluator_node = ""
         self.links_by_peer: dict[str, Link] = {}
         self.counts: Counter[str] = Counter()
         self.on_claim_request: Callable[[int], None] = lambda slot: None
@@ -74,16 +77,16 @@
         self._own_interest: frozenset[str] = frozenset()
         self._join_attempt = ""
         self._join_reply: Event = Event()
-        self._composer = SyncComposer(self)
+        self._sync_builder = SyncBuilder(self)
         self._stopped = False
         self._parent_lost_ms = float("-inf")
         self._last_hops = MAX_HOPS
-        replica.on_change(lambda state: self.nudge())
-        table.on_change(lambda record: self.nudge())
+        replica.on_change(lambda state: self.trigger_sync())
+        table.on_change(lambda record: self.trigger_sync())
 
     @property
     def address(self) -> str:
-        """Returns the address of this node's control inbox."""
+        """Returns the control address of this node."""
         return self._transport.address
 
     @property
@@ -102,10 +105,10 @@
 
     @property
     def hops(self) -> int:
-        """Returns the distance to the nearest relay; 0 for a relay.
+        """Returns the number of links to the nearest relay; 0 for a relay.
 
-        A node that has just lost its parent keeps its distance for some heartbeats,
-        so that the nodes below it stay while it looks for another.
+        A node that has lost its parent reports its last distance for
+        REJOIN_HEARTBEATS, so that its children stay while it joins another parent.
         """
         if self.is_relay:
             return 0
@@ -119,49 +122,51 @@
 
     @property
     def interest(self) -> frozenset[str]:
-        """Returns the services that this node or one below it routes to."""
+        """Returns the services that this node or its subtree routes to."""
         union = set(self._own_interest)
         for link in self.children:
             union |= link.interest
         return frozenset(union)
 
     def start(self) -> None:
-        """Starts to receive messages and to clean up removals."""
+        """Starts receiving messages and the periodic clean-up."""
         self._transport.listen(self.receive)
         eventlet.spawn(self._clean_up)
 
     def stop(self) -> None:
-        """Tells every peer that this node leaves, and ends all links."""
+        """Notifies every peer and closes all links."""
         self._stopped = True
         for link in list(self.links_by_peer.values()):
-            self._transport.send(link.address, self._composer.farewell(), 0)
+            self._transport.send(
+                link.address, self._sync_builder.disconnect_message(), 0
+            )
             self.drop_link(link)
 
-    def is_judge_lost(self) -> bool:
-        """Tells whether no judge of moves is known, or the link to it is silent."""
-        return self._composer.is_judge_lost()
+    def is_evaluator_unreachable(self) -> bool:
+        """Returns whether no evaluator node is known or the link to it is silent."""
+        return self._sync_builder.is_evaluator_unreachable()
 
-    def nudge(self) -> None:
-        """Sends what is new on every link without waiting for the heartbeat."""
+    def trigger_sync(self) -> None:
+        """Sends changes on every link without waiting for the next heartbeat."""
         for link in self.links_by_peer.values():
-            link.nudge()
+            link.trigger_sync()
 
     def set_own_interest(self, services: Iterable[str]) -> None:
         """Sets the services that this node itself routes to."""
         wanted = frozenset(services)
         if wanted != self._own_interest:
             self._own_interest = wanted
-            self.nudge()
+            self.trigger_sync()
 
     def is_settled(self, services: Iterable[str]) -> bool:
-        """Tells whether every known member of the services has arrived."""
+        """Returns whether all known members of the services have been received."""
         if self.is_relay:
             return True
         parent = self.parent
         return parent is not None and parent.settled.issuperset(services)
 
     def subtree(self) -> SubtreeStatus:
-        """Returns the configuration versions in force at and below this node."""
+        """Returns the configuration versions applied in this node's subtree."""
         own_version = self.replica.version
         status = SubtreeStatus(nodes=1, lowest_version=own_version)
         if self.replica.rejection is not None:
@@ -175,14 +180,14 @@
             status.lagging.extend(link.subtree.lagging)
             if link.peer_version < own_version:
                 status.lagging.append(f"{link.peer} at {link.peer_version}: behind")
-        status.lagging = status.lagging[:LAGGING_NAMES]
+        status.lagging = status.lagging[:MAX_LAGGING_ENTRIES]
         return status
 
     # Joining
 
     def join(self, address: str) -> bool:
-        """Asks a node, and those it redirects to, to become the parent."""
-        for _ in range(JOIN_REDIRECTS):
+        """Joins a node as its child, following redirects; returns the success."""
+        for _ in range(MAX_JOIN_REDIRECTS):
             reply = self._ask_to_join(address)
             if reply is None:
                 return False
@@ -215,7 +220,7 @@
     def add_link(
         self, peer: str, address: str, role: LinkRole, data_centre: str
     ) -> Link:
-        """Starts a link, in place of one to the same peer."""
+        """Starts a link, replacing any existing link to the same peer."""
         previous = self.links_by_peer.get(peer)
         if previous is not None:
             self.drop_link(previous)
@@ -227,88 +232,98 @@
         return link
 
     def drop_link(self, link: Link) -> None:
-        """Ends a link; its records are removed unless they come back in time."""
+        """Closes a link.
+
+        Unless the link was to the parent, its records are removed if no other link
+        delivers them within ORPHAN_HEARTBEATS.
+        """
         if link.closed:
             return
         if link.role is LinkRole.PARENT:
             self._last_hops = self.hops
             self._parent_lost_ms = self.clock.now_ms()
         link.closed = True
-        link.nudge()
+        link.trigger_sync()
         if self.links_by_peer.get(link.peer) is link:
             del self.links_by_peer[link.peer]
         self.counts["links_lost"] += 1
         logger.info("link ended", extra={"peer": link.peer, "role": link.role.value})
         self._transport.forget(link.address)
         if not self._stopped:
-            self.table.orphan(link.peer)
+            self.table.mark_orphaned(link.peer)
             eventlet.spawn(self._remove_orphans_later, link)
 
     def _remove_orphans_later(self, link: Link) -> None:
         for other in self.links_by_peer.values():
-            other.wants_resend = other.role is LinkRole.PEER
+            other.resend_requested = other.role is LinkRole.PEER
         self.clock.sleep_ms(ORPHAN_HEARTBEATS * self.interval_ms)
         if link.role is not LinkRole.PARENT:
-            removed = self.table.remove_orphans(lambda held: held.source == link.peer)
+            removed = self.table.remove_orphans(
+                lambda stored: stored.source == link.peer
+            )
             self.counts["records_removed"] += removed
 
     def _run_link(self, link: Link) -> None:
         while not link.closed and not self._stopped:
-            # A child answers the parent's first message only once it knows that it
-            # has been accepted, so the child speaks first.
+            # The child sends first: until it has received the JoinReply, it has no
+            # link to the parent and would answer a Sync by closing it.
             if link.role is not LinkRole.CHILD or link.peer_session:
                 self._send_sync(link)
             before_ms = self.clock.now_ms()
             self._wait_for_heartbeat(link)
-            self._judge_silence(link, self.clock.now_ms() - before_ms)
+            self._check_liveness(link, self.clock.now_ms() - before_ms)
 
     def _wait_for_heartbeat(self, link: Link) -> None:
         jitter = self._random.uniform(0.9, 1.1)
         with eventlet.Timeout(self.interval_ms * jitter / MS_PER_S, False):
-            link.nudged.wait()
-        if link.nudged.ready():
+            link.sync_triggered.wait()
+        if link.sync_triggered.ready():
             self.clock.sleep_ms(COALESCE_MS)
-            link.nudged = Event()
+            link.sync_triggered = Event()
 
-    def _judge_silence(self, link: Link, waited_ms: float) -> None:
+    def _check_liveness(self, link: Link, waited_ms: float) -> None:
         now_ms = self.clock.now_ms()
         if waited_ms > PAUSE_HEARTBEATS * self.interval_ms:
-            # This process was paused, so the peer's silence proves nothing.
+            # This process was paused, so the missing heartbeats do not show that the
+            # peer has failed.
             link.heard_ms = now_ms
             self.counts["pauses"] += 1
         if link.is_silent(now_ms, self.interval_ms):
             if link.role is LinkRole.PEER:
-                self.table.orphan(link.peer)
+                self.table.mark_orphaned(link.peer)
                 return
             self.drop_link(link)
 
     def _clean_up(self) -> None:
         while not self._stopped:
             self.clock.sleep_ms(10 * self.interval_ms)
-            self.table.purge_gone()
+            self.table.purge_tombstones()
             if self.is_relay:
                 self._remove_old_orphans()
             else:
                 interest = self.interest
-                self.table.forget(lambda held: self._is_unwanted(held, interest))
+                self.table.discard_foreign(
+                    lambda stored: self._is_unwanted(stored, interest)
+                )
 
     def _remove_old_orphans(self) -> None:
-        """Removes what no relay or child has brought again for some heartbeats.
+        """Removes orphans that no link has delivered again for REJOIN_HEARTBEATS.
 
-        A silent peer keeps its link, and its records stay: it may be cut off.
+        The records of a silent peer stay, because its link stays: the network may
+        be partitioned.
         """
         before_ms = self.clock.now_ms() - REJOIN_HEARTBEATS * self.interval_ms
         removed = self.table.remove_orphans(
-            lambda held: held.source not in self.links_by_peer
-            and held.orphaned_ms is not None
-            and held.orphaned_ms < before_ms
+            lambda stored: stored.source not in self.links_by_peer
+            and stored.orphaned_ms is not None
+            and stored.orphaned_ms < before_ms
         )
         self.counts["records_removed"] += removed
 
-    def _is_unwanted(self, held: HeldRecord, interest: frozenset[str]) -> bool:
-        if held.record.kind == KIND_MARK or held.record.service in interest:
+    def _is_unwanted(self, stored: StoredRecord, interest: frozenset[str]) -> bool:
+        if stored.record.kind == KIND_MARK or stored.record.service in interest:
             return False
-        source = self.links_by_peer.get(held.source)
+        source = self.links_by_peer.get(stored.source)
         return source is None or source.role is not LinkRole.CHILD
 
     # Sending
@@ -318,7 +333,7 @@
         if link.is_overdue(now_ms, RESEND_HEARTBEATS * self.interval_ms):
             link.rewind()
             self.counts["resends"] += 1
-        sync = self._composer.compose(link)
+        sync = self._sync_builder.build(link)
         if not self._transport.send(link.address, sync, SEND_TIMEOUT_MS):
             self.counts["syncs_unsent"] += 1
             return
@@ -327,19 +342,19 @@
         if sync.snapshot:
             link.sent_version = self.replica.version
         link.sent_version += len(sync.entries)
-        link.note_sent(now_ms)
+        link.record_sent(now_ms)
         link.claim_slot = -1
-        link.wants_resend = False
+        link.resend_requested = False
         self.counts["syncs_sent"] += 1
         behind = link.sent_version < self.replica.version
         if not sync.complete or (behind and link.role is not LinkRole.PEER):
-            link.nudge()
+            link.trigger_sync()
 
     # Receiving
 
     @singledispatchmethod
     def receive(self, message: AnyMessage) -> None:
-        """Handles a message from the control inbox."""
+        """Handles a message received at the control address."""
         self.counts["unexpected_messages"] += 1
 
     @receive.register
@@ -370,12 +385,12 @@
                 eventlet.spawn(
                     self._transport.send,
                     message.reply_to,
-                    self._composer.farewell(),
+                    self._sync_builder.disconnect_message(),
                     100.0,
                 )
             return
         if message.bye:
-            self._receive_farewell(link)
+            self._receive_disconnect(link)
             return
         self._receive_sync(link, message)
 
@@ -385,21 +400,21 @@
         is_child = any(link.peer == node for link in self.children)
         return is_child or len(self.children) < self._fan_out
 
-    def _receive_farewell(self, link: Link) -> None:
+    def _receive_disconnect(self, link: Link) -> None:
         if link.role is LinkRole.PEER:
-            # A peer that has not yet heard of this relay; the link stays.
+            # The peer has not yet learnt of this relay; the link stays.
             return
         self.drop_link(link)
 
     def _receive_sync(self, link: Link, sync: Sync) -> None:
         known_session = link.peer_session
-        if link.note_heard(sync, self.clock.now_ms()):
-            link.nudge()
+        if link.record_received(sync, self.clock.now_ms()):
+            link.trigger_sync()
             if known_session:
-                self.table.orphan(link.peer)
+                self.table.mark_orphaned(link.peer)
         if sync.resend:
             link.resend_all()
-            link.nudge()
+            link.trigger_sync()
         if sync.interest:
             self._receive_interest(link, sync)
         for record in sync.records:
@@ -415,29 +430,29 @@
             self.drop_link(link)
 
     def _finish_transfer(self, link: Link, sync: Sync) -> None:
-        """Removes what the peer no longer has, once it has sent everything."""
-        self.table.remove_orphans(lambda held: held.source == link.peer, link.peer)
+        """Removes records that the peer no longer has, after a complete transfer."""
+        self.table.remove_orphans(lambda stored: stored.source == link.peer, link.peer)
         if link.role is not LinkRole.PARENT:
             return
         settled = frozenset(sync.settled)
         self.table.remove_orphans(
-            lambda held: held.record.service in settled
-            and held.source not in self.links_by_peer,
+            lambda stored: stored.record.service in settled
+            and stored.source not in self.links_by_peer,
             link.peer,
         )
         if settled != link.settled:
             link.settled = settled
-            self.nudge()
+            self.trigger_sync()
 
     def _receive_interest(self, link: Link, sync: Sync) -> None:
-        interest = frozenset(sync.interest) - {NO_INTEREST, EVERYTHING}
+        interest = frozenset(sync.interest) - {NO_INTEREST, ALL_SERVICES}
         if not interest <= link.interest:
             link.resend_all()
         link.interest = interest
-        self.nudge()
+        self.trigger_sync()
 
     def _receive_configuration(self, sync: Sync) -> None:
         if sync.snapshot:
-            self.replica.offer_snapshot(sync.snapshot)
+            self.replica.apply_snapshot(sync.snapshot)
         for data in sync.entries:
-            self.replica.offer(data)
+            self.replica.apply_if_next(data)
