--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -262,7 +262,7 @@
         signature = find(exchange.headers, names.signature)
         if signature is None or echoed is None:
             exchange.close()
-            reason = "the answer has no signature or no request id"
+            reason = "the answer has no signature or no id"
             return self._outcome_unknown(request, reason, started_ms)
         self._record_answer(request, exchange.status, started_ms)
         body = self._read(request, exchange)
