--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -15,7 +15,7 @@
 from jayswitch.proxy.exceptions import AnswerCut
 from jayswitch.proxy.headers import find
 from jayswitch.proxy.outcome import Answered, NotRun, OutcomeUnknown
-from jayswitch.rollout.trial import Usual
+from jayswitch.rollout.trial import RouteAverages
 from jayswitch.routing.window_budget import WindowBudget
 
 if TYPE_CHECKING:
@@ -105,7 +105,7 @@
         self._balancer = balancer
         self._budget_terms = budget_terms
         self._budget_by_service: dict[str, WindowBudget] = {}
-        self._usual_by_route: dict[str, Usual] = {}
+        self._usual_by_route: dict[str, RouteAverages] = {}
         self._clock = clock
         self._random = rng
 
@@ -113,7 +113,7 @@
         """Runs a request; NotRun is returned only if it has run nowhere."""
         request.service = route.choose_service(self._random)
         request.route = route.name
-        request.usual = self._usual_by_route.get(route.name, Usual())
+        request.usual = self._usual_by_route.get(route.name, RouteAverages())
         budget = self._budget(request.service)
         budget.note_request()
         progress = _Progress()
@@ -252,8 +252,8 @@
         else:
             return
         elapsed_ms = self._clock.now_ms() - started_ms
-        usual = self._usual_by_route.get(request.route, Usual())
-        self._usual_by_route[request.route] = usual.after(failed, elapsed_ms)
+        usual = self._usual_by_route.get(request.route, RouteAverages())
+        self._usual_by_route[request.route] = usual.updated(failed, elapsed_ms)
 
     def _log(
         self,
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -31,7 +31,7 @@
     NotRun,
     OutcomeUnknown,
 )
-from jayswitch.rollout.trial import Usual
+from jayswitch.rollout.trial import RouteAverages
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
@@ -57,7 +57,7 @@
     route: str
     sender: str
     known: str
-    usual: Usual
+    usual: RouteAverages
     objective_ms: float = 0.0
     rank: int = 0
     repeatable: bool = False
--- a/src/jayswitch/proxy/outcome.py
+++ b/src/jayswitch/proxy/outcome.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from jayswitch.rollout.trial import Usual
+from jayswitch.rollout.trial import RouteAverages
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
@@ -77,7 +77,7 @@
         self.service = ""
         self.version = ""
         self.route = ""
-        self.usual = Usual()
+        self.usual = RouteAverages()
         self.caller_service = ""
         self.origin_vm = ""
         self.last_vm = ""
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -41,7 +41,7 @@
 from jayswitch.proxy.sockets import apply_options
 from jayswitch.proxy.status import LatencyMetrics, StatusApplication
 from jayswitch.rollout.coordinator import MoveCoordinator
-from jayswitch.rollout.trial import TrialJudge, Usual
+from jayswitch.rollout.trial import RouteAverages, TrialEvaluator
 from jayswitch.rollout.versions import VersionRules
 from jayswitch.routing.balancer import Balancer
 from jayswitch.store.follower import Pause, PrefixFollower, carried_bytes
@@ -197,7 +197,7 @@
 
     def _build_moves(self, status: StatusWriter) -> None:
         self.rules = VersionRules(self._rng)
-        self.trial = TrialJudge()
+        self.trial = TrialEvaluator()
         self._trial_published_ms = float("-inf")
         self.coordinator = MoveCoordinator(
             self.settings.vm,
@@ -312,7 +312,7 @@
             assert current is not None
             if previous is None or not previous.same_incarnation(current):
                 self.gate.restart()
-                self.trial = TrialJudge()
+                self.trial = TrialEvaluator()
             self.publisher.publish()
         self.gate.resize()
         if heartbeat.upstream.state is UpstreamState.READY:
@@ -412,7 +412,7 @@
         usual = request.usual
         if self.rate.is_cold:
             # A cold upstream of any version is slow.
-            usual = Usual(0.0, usual.failures)
+            usual = RouteAverages(0.0, usual.failures)
         self.trial.observe(request.route, failed, latency_ms, usual)
         service = self.settings.service
         if self.trial.is_bad and self.rules.withdraw(service, current.version):
--- a/tests/proxy/test_hop.py
+++ b/tests/proxy/test_hop.py
@@ -27,7 +27,7 @@
     NotRun,
     OutcomeUnknown,
 )
-from jayswitch.rollout.trial import Usual
+from jayswitch.rollout.trial import RouteAverages
 
 NAMES = platform_headers()
 LOAD = LoadReport(3, 1, 6, 100.0)
@@ -37,7 +37,7 @@
     request = ForwardedRequest("id-1", "GET", "/a", [("Host", "h")], b"", None)
     request.service, request.version, request.route = "herdview", "v1", "read"
     request.repeatable, request.rank = True, 2
-    request.usual = Usual(120.0, 0.1)
+    request.usual = RouteAverages(120.0, 0.1)
     request.deadline_ms, request.objective_ms = 2000.0, 500.0
     request.caller_service = "robotdesk"
     return request
