Name the comparison of versions by what it computes

"MoveJudge", "RateEvidence", "missing_proof" and the constants PROOF_CALLS, LAST_HOLD_SHARE, APPLY_MS were figurative or vague. The module judge.py is now version_comparison.py with MoveComparison, RouteComparison and RateCusum; a found fault is a regression; the constants say which limit, interval or threshold they are. Methods of the driver and the watcher follow. The key kind "mark", the record's fields and all texts stay.

Only names change; behaviour is the same. Checks: mypy and flake8 pass; tests/rollout, tests/fleet and tests/scenarios/test_controls.py pass.

--- a/src/jayswitch/rollout/driver.py
+++ b/src/jayswitch/rollout/driver.py
@@ -21,21 +21,21 @@
     from jayswitch.config.log import ConfigLog
     from jayswitch.config.replica import ConfigReplica
     from jayswitch.config.state import Move
-    from jayswitch.rollout.judge import MoveJudge
+    from jayswitch.rollout.version_comparison import MoveComparison
     from jayswitch.rollout.watcher import MoveWatcher
     from jayswitch.store.interface import Store
 
 DRIVER_KEY = "driver"
 DRIVER_LEASE_TTL_MS = 5000
-APPLY_MS = 2500.0
-TICK_MS = 400.0
+LEASE_ATTEMPT_INTERVAL_MS = 2500.0
+DRIVE_INTERVAL_MS = 400.0
 STEP_PERCENTS = (25, 50, 90)
 HOLD_SHARE = 0.15
 TRIAL_HOLD_SHARE = 0.3
-HOLD_MIN_MS = 300.0
-HOLD_MAX_MS = 600_000.0
-LAST_HOLD_SHARE = 0.85
-LAST_STEP_SHARE = 0.98
+MIN_HOLD_MS = 300.0
+MAX_HOLD_MS = 600_000.0
+HOLDS_END_SHARE = 0.85
+DECISION_DEADLINE_SHARE = 0.98
 
 logger = logging.getLogger(__name__)
 
@@ -50,7 +50,7 @@
     return None
 
 
-def hold_ms(move: Move) -> float:
+def min_hold_ms(move: Move) -> float:
     """Returns how long the present share has to be held at least.
 
     A share that had to wait for evidence leaves less time to the later ones; they
@@ -58,17 +58,17 @@
     """
     window_ms = move.deadline_ms - move.started_ms
     on_trial = move.percent <= move.trial_percent
-    planned_ms = window_ms * (TRIAL_HOLD_SHARE if on_trial else HOLD_SHARE)
+    planned_hold_ms = window_ms * (TRIAL_HOLD_SHARE if on_trial else HOLD_SHARE)
     steps_left = 1 + sum(percent > move.percent for percent in STEP_PERCENTS)
-    last_ms = move.started_ms + window_ms * LAST_HOLD_SHARE
-    left_ms = (last_ms - move.stepped_ms) / steps_left
-    return min(HOLD_MAX_MS, max(HOLD_MIN_MS, min(planned_ms, left_ms)))
+    holds_end_ms = move.started_ms + window_ms * HOLDS_END_SHARE
+    available_ms = (holds_end_ms - move.stepped_ms) / steps_left
+    return min(MAX_HOLD_MS, max(MIN_HOLD_MS, min(planned_hold_ms, available_ms)))
 
 
-def decide(
+def next_change(
     move: Move,
-    judge: MoveJudge | None,
-    bad_evidence: str,
+    comparison: MoveComparison | None,
+    regression: str,
     has_upstream: Callable[[], bool],
     epoch: int,
     now_ms: int,
@@ -80,28 +80,32 @@
             move=move.id, epoch=epoch, done=done, reason=reason, at_ms=now_ms
         )
 
-    if bad_evidence:
-        return end(False, bad_evidence)
-    missing = judge.missing_proof() if judge is not None else "nothing seen yet"
+    if regression:
+        return end(False, regression)
+    missing = (
+        comparison.missing_evidence() if comparison is not None else "nothing seen yet"
+    )
     window_ms = move.deadline_ms - move.started_ms
-    if now_ms >= move.started_ms + window_ms * LAST_STEP_SHARE:
-        return end(False, _reason_at_deadline(move, has_upstream(), missing))
+    if now_ms >= move.started_ms + window_ms * DECISION_DEADLINE_SHARE:
+        return end(False, _deadline_reason(move, has_upstream(), missing))
     if move.percent == 0:
         if not has_upstream():
             return None
         return MoveStepped(
             move=move.id, epoch=epoch, percent=move.trial_percent, at_ms=now_ms
         )
-    if now_ms - move.stepped_ms < hold_ms(move) or missing:
+    if now_ms - move.stepped_ms < min_hold_ms(move) or missing:
         return None
     percent = next_percent(move)
     if percent is None:
-        assert judge is not None
-        return end(True, f"proved at each share; {judge.step_calls} calls at the last")
+        assert comparison is not None
+        return end(
+            True, f"proved at each share; {comparison.step_calls} calls at the last"
+        )
     return MoveStepped(move=move.id, epoch=epoch, percent=percent, at_ms=now_ms)
 
 
-def _reason_at_deadline(move: Move, has_upstream: bool, missing: str) -> str:
+def _deadline_reason(move: Move, has_upstream: bool, missing: str) -> str:
     if not has_upstream:
         return f"no upstream runs version {move.to_version}"
     if missing:
@@ -162,17 +166,21 @@
     def _run(self) -> None:
         while not self._stopped:
             if not self._is_candidate():
-                self._clock.sleep_ms(APPLY_MS)
+                self._clock.sleep_ms(LEASE_ATTEMPT_INTERVAL_MS)
             elif not self._lease:
-                self._apply()
-                self._clock.sleep_ms(self._random.uniform(APPLY_MS / 2, APPLY_MS))
+                self._try_acquire_lease()
+                self._clock.sleep_ms(
+                    self._random.uniform(
+                        LEASE_ATTEMPT_INTERVAL_MS / 2, LEASE_ATTEMPT_INTERVAL_MS
+                    )
+                )
             else:
                 self._renew()
                 if self._lease and self.is_driving:
-                    self._drive()
-                self._clock.sleep_ms(TICK_MS)
+                    self._advance_moves()
+                self._clock.sleep_ms(DRIVE_INTERVAL_MS)
 
-    def _apply(self) -> None:
+    def _try_acquire_lease(self) -> None:
         match self._store.get(DRIVER_KEY):
             case Success(None):
                 pass
@@ -183,8 +191,8 @@
                 pass
             case _:
                 return
-        held = self._store.put(DRIVER_KEY, self._node.encode(), 0, lease)
-        if isinstance(held, Failure):
+        written = self._store.put(DRIVER_KEY, self._node.encode(), 0, lease)
+        if isinstance(written, Failure):
             self._store.revoke(lease)
             return
         self._lease = lease
@@ -201,7 +209,7 @@
                 logger.info("driving moves", extra={"epoch": epoch})
             case Failure(error):
                 logger.warning("not driving", extra={"reason": str(error)})
-                self._give_up()
+                self._release_lease()
 
     def _renew(self) -> None:
         now_ms = self._clock.now_ms()
@@ -211,36 +219,36 @@
             case Success(_):
                 self._renewed_ms = now_ms
             case Failure(LeaseExpired()):
-                self._give_up()
+                self._release_lease()
 
-    def _give_up(self) -> None:
+    def _release_lease(self) -> None:
         lease, self._lease = self._lease, ""
         self.epoch = 0
         self._store.revoke(lease)
 
-    def _drive(self) -> None:
+    def _advance_moves(self) -> None:
         for move in self._replica.state.active_moves():
-            judge = self._watcher.reported_judge_by_move.get(move.id)
+            comparison = self._watcher.reported_comparison_by_move.get(move.id)
             mark = self._watcher.mark(move.id)
-            change = decide(
+            change = next_change(
                 move,
-                judge,
+                comparison,
                 mark.evidence if mark is not None else "",
                 lambda: self.has_upstream(move.service, move.to_version),
                 self.epoch,
                 self._clock.wall_ms(),
             )
-            if change is not None and not self._write(change):
+            if change is not None and not self._append_change(change):
                 return
         self._save_snapshot()
 
-    def _write(self, change: MoveStepped | MoveEnded) -> bool:
+    def _append_change(self, change: MoveStepped | MoveEnded) -> bool:
         match self._log.append(change, f"driver {self._node}"):
             case Success(_):
                 logger.info("move changed", extra={"change": repr(change)})
                 return True
             case Failure(StaleDriver()):
-                self._give_up()
+                self._release_lease()
             case Failure(error):
                 logger.debug("move not changed", extra={"reason": str(error)})
         return False
--- a/src/jayswitch/rollout/judge.py
+++ b/src/jayswitch/rollout/version_comparison.py
@@ -7,28 +7,28 @@
 
 from jayswitch.rollout.outcomes import LATENCY_BUCKETS, RouteOutcomes
 
-BAD_EVIDENCE = 6.9
+BAD_SCORE = 6.9
 ERROR_RATE_FLOOR = 0.005
-ERROR_RATE_FACTOR = 3.0
-ERROR_RATE_STEP = 0.03
+ERROR_RATE_RAISED_FACTOR = 3.0
+ERROR_RATE_RAISED_BY = 0.03
 SLOW_RATE_FLOOR = 0.05
-SLOW_RATE_FACTOR = 3.0
-SLOW_RATE_STEP = 0.20
+SLOW_RATE_RAISED_FACTOR = 3.0
+SLOW_RATE_RAISED_BY = 0.20
 RATE_CEILING = 0.95
 SLOW_QUANTILE = 0.95
 SLOW_EXTRA_BUCKETS = 1
-MIN_OLD_LATENCIES = 20
+MIN_OLD_LATENCY_SAMPLES = 20
 PRIOR_CALLS = 1.0
-MIN_OLD_CALLS = 3.0
-PROOF_CALLS = 40
-PROOF_ROUTE_CALLS = 5
+MIN_RECENT_OLD_CALLS = 3.0
+MIN_STEP_CALLS = 40
+MIN_STEP_ROUTE_CALLS = 5
 BUSY_ROUTE_CALLS = 20
 HISTORY_DECAY = 0.98
 RECENT_DECAY = 0.8
-DEVIATIONS_WITH_HITS = 2.0
+DEVIATIONS_WITH_RECENT_HITS = 2.0
 
 
-class RateEvidence:
+class RateCusum:
     """A cumulative-sum test of a rate against the same rate of the old version.
 
     The sum grows while the new version's rate looks raised, and falls back to
@@ -37,69 +37,83 @@
     """
 
     __slots__ = (
-        "_factor",
+        "_raised_factor",
         "_floor",
         "_old_calls",
         "_old_hits",
-        "_rates",
+        "_recent_bounds",
         "_recent_calls",
         "_recent_hits",
-        "_step",
-        "_waiting",
+        "_raised_by",
+        "_delayed_counts",
         "score",
     )
 
-    def __init__(self, floor: float, factor: float, step: float, delay: int) -> None:
+    def __init__(
+        self, floor: float, raised_factor: float, raised_by: float, delay: int
+    ) -> None:
         """Takes the lowest rate assumed, what counts as raised, and the delay.
 
         The new version's counts wait for that many intervals, because reports of
         one moment come from many gates at different times; they are then held
         against the old version's highest rate meanwhile.
         """
-        self._waiting: deque[tuple[int, int]] = deque([(0, 0)] * delay)
-        self._rates: deque[float] = deque(maxlen=delay + 1)
+        self._delayed_counts: deque[tuple[int, int]] = deque([(0, 0)] * delay)
+        self._recent_bounds: deque[float] = deque(maxlen=delay + 1)
         self.score = 0.0
         self._floor = floor
-        self._factor = factor
-        self._step = step
+        self._raised_factor = raised_factor
+        self._raised_by = raised_by
         self._old_calls = 0.0
         self._old_hits = 0.0
         self._recent_calls = 0.0
         self._recent_hits = 0.0
 
     @classmethod
-    def for_errors(cls, delay: int) -> RateEvidence:
+    def for_errors(cls, delay: int) -> RateCusum:
         """Returns evidence on the rate of errors."""
-        return cls(ERROR_RATE_FLOOR, ERROR_RATE_FACTOR, ERROR_RATE_STEP, delay)
+        return cls(
+            ERROR_RATE_FLOOR, ERROR_RATE_RAISED_FACTOR, ERROR_RATE_RAISED_BY, delay
+        )
 
     @classmethod
-    def for_slow_answers(cls, delay: int) -> RateEvidence:
+    def for_slow_answers(cls, delay: int) -> RateCusum:
         """Returns evidence on the rate of slow answers."""
-        return cls(SLOW_RATE_FLOOR, SLOW_RATE_FACTOR, SLOW_RATE_STEP, delay)
+        return cls(SLOW_RATE_FLOOR, SLOW_RATE_RAISED_FACTOR, SLOW_RATE_RAISED_BY, delay)
 
     def observe(
         self, old_hits: int, old_calls: int, new_hits: int, new_calls: int
     ) -> None:
         """Takes the counts of one interval from both versions."""
-        usual = self._usual_rate()
-        rate = min(RATE_CEILING, max(usual, self._present(usual, old_hits, old_calls)))
+        long_term_rate = self._long_term_rate()
+        rate = min(
+            RATE_CEILING,
+            max(
+                long_term_rate,
+                self._recent_rate_bound(long_term_rate, old_hits, old_calls),
+            ),
+        )
         self._old_hits = self._old_hits * HISTORY_DECAY + old_hits
         self._old_calls = self._old_calls * HISTORY_DECAY + old_calls
-        self._rates.append(rate)
-        self._waiting.append((new_hits, new_calls))
-        hits, calls = self._waiting.popleft()
-        if self._recent_calls >= MIN_OLD_CALLS:
-            self._weigh(max(self._rates), hits, calls)
-
-    def _weigh(self, rate: float, hits: int, calls: int) -> None:
-        raised = min(RATE_CEILING, max(rate * self._factor, rate + self._step))
+        self._recent_bounds.append(rate)
+        self._delayed_counts.append((new_hits, new_calls))
+        hits, calls = self._delayed_counts.popleft()
+        if self._recent_calls >= MIN_RECENT_OLD_CALLS:
+            self._update_score(max(self._recent_bounds), hits, calls)
+
+    def _update_score(self, rate: float, hits: int, calls: int) -> None:
+        raised = min(
+            RATE_CEILING, max(rate * self._raised_factor, rate + self._raised_by)
+        )
         if raised <= rate:
             return
         gain = hits * math.log(raised / rate)
         loss = (calls - hits) * math.log((1 - raised) / (1 - rate))
         self.score = max(0.0, self.score + gain + loss)
 
-    def _present(self, usual: float, old_hits: int, old_calls: int) -> float:
+    def _recent_rate_bound(
+        self, long_term_rate: float, old_hits: int, old_calls: int
+    ) -> float:
         """Returns an upper estimate of the old version's rate just now.
 
         The fewer calls it had, the higher the estimate, so that an outage which
@@ -108,26 +122,26 @@
         self._recent_hits = self._recent_hits * RECENT_DECAY + old_hits
         self._recent_calls = self._recent_calls * RECENT_DECAY + old_calls
         calls = self._recent_calls + PRIOR_CALLS
-        rate = (self._recent_hits + PRIOR_CALLS * usual) / calls
-        deviations = DEVIATIONS_WITH_HITS if self._recent_hits >= 1 else 1.0
+        rate = (self._recent_hits + PRIOR_CALLS * long_term_rate) / calls
+        deviations = DEVIATIONS_WITH_RECENT_HITS if self._recent_hits >= 1 else 1.0
         return rate + deviations * math.sqrt(rate * (1 - rate) / calls)
 
-    def _usual_rate(self) -> float:
+    def _long_term_rate(self) -> float:
         if not self._old_calls:
             return self._floor
         return max(self._floor, self._old_hits / self._old_calls)
 
 
-class RouteJudge:
+class RouteComparison:
     """Evidence on errors and latency of one route."""
 
-    __slots__ = ("_bad_evidence", "_old", "errors", "new_calls", "old_calls", "slow")
+    __slots__ = ("_bad_score", "_old", "errors", "new_calls", "old_calls", "slow")
 
-    def __init__(self, delay: int, bad_evidence: float) -> None:
+    def __init__(self, delay: int, bad_score: float) -> None:
         """Starts without evidence; the delay is in intervals."""
-        self._bad_evidence = bad_evidence
-        self.errors = RateEvidence.for_errors(delay)
-        self.slow = RateEvidence.for_slow_answers(delay)
+        self._bad_score = bad_score
+        self.errors = RateCusum.for_errors(delay)
+        self.slow = RateCusum.for_slow_answers(delay)
         self.new_calls = 0
         self.old_calls = 0
         self._old = RouteOutcomes()
@@ -145,18 +159,18 @@
         new_slow, new_timed = _slower_than(new, bound)
         self.slow.observe(old_slow, old_timed, new_slow, new_timed)
 
-    def fault(self) -> str:
+    def regression(self) -> str:
         """Returns what is wrong with the new version; empty for nothing."""
-        if self.errors.score >= self._bad_evidence:
+        if self.errors.score >= self._bad_score:
             return f"more errors than the old version (score {self.errors.score:.1f})"
-        if self.slow.score >= self._bad_evidence:
+        if self.slow.score >= self._bad_score:
             return f"slower than the old version (score {self.slow.score:.1f})"
         return ""
 
     def _slow_bucket(self) -> int | None:
         counts = self._old.latency_counts
         total = sum(counts.values())
-        if total < MIN_OLD_LATENCIES:
+        if total < MIN_OLD_LATENCY_SAMPLES:
             return None
         seen = 0
         for bucket in range(LATENCY_BUCKETS):
@@ -172,29 +186,29 @@
     return slow, sum(counts.values())
 
 
-class MoveJudge:
+class MoveComparison:
     """Evidence on one move over all routes."""
 
     __slots__ = (
-        "_bad_evidence",
+        "_bad_score",
         "_delay",
-        "_overall",
+        "_all_routes",
         "_percent",
         "_step_calls",
         "_step_calls_by_route",
         "by_route",
     )
 
-    def __init__(self, delay: int, bad_evidence: float = BAD_EVIDENCE) -> None:
+    def __init__(self, delay: int, bad_score: float = BAD_SCORE) -> None:
         """Starts without evidence.
 
         The delay is in intervals; the evidence is the score, a logarithm of odds,
         from which a version counts as bad.
         """
         self._delay = delay
-        self._bad_evidence = bad_evidence
-        self.by_route: dict[str, RouteJudge] = {}
-        self._overall = RateEvidence.for_errors(delay)
+        self._bad_score = bad_score
+        self.by_route: dict[str, RouteComparison] = {}
+        self._all_routes = RateCusum.for_errors(delay)
         self._percent = 0
         self._step_calls = 0
         self._step_calls_by_route: dict[str, int] = {}
@@ -206,10 +220,10 @@
 
     def observe(self, route: str, old: RouteOutcomes, new: RouteOutcomes) -> None:
         """Takes what both versions did on a route in one interval."""
-        judge = self.by_route.setdefault(
-            route, RouteJudge(self._delay, self._bad_evidence)
+        comparison = self.by_route.setdefault(
+            route, RouteComparison(self._delay, self._bad_score)
         )
-        judge.observe(old, new)
+        comparison.observe(old, new)
         self._step_calls += new.calls
         earlier = self._step_calls_by_route.get(route, 0)
         self._step_calls_by_route[route] = earlier + new.calls
@@ -220,7 +234,7 @@
         Errors on every route show sooner in the sum; latencies are not compared
         there, because routes differ in them.
         """
-        self._overall.observe(old.errors, old.calls, new.errors, new.calls)
+        self._all_routes.observe(old.errors, old.calls, new.errors, new.calls)
 
     def set_percent(self, percent: int) -> None:
         """Counts the proof anew where the share has changed."""
@@ -230,24 +244,26 @@
         self._step_calls = 0
         self._step_calls_by_route.clear()
 
-    def fault(self) -> str:
+    def regression(self) -> str:
         """Returns what is wrong on which route; empty for nothing."""
-        for route, judge in sorted(self.by_route.items()):
-            fault = judge.fault()
-            if fault:
-                return f"route {route!r}: {fault} after {judge.new_calls} calls"
-        if self._overall.score >= self._bad_evidence:
-            score = self._overall.score
+        for route, comparison in sorted(self.by_route.items()):
+            regression = comparison.regression()
+            if regression:
+                return (
+                    f"route {route!r}: {regression} after {comparison.new_calls} calls"
+                )
+        if self._all_routes.score >= self._bad_score:
+            score = self._all_routes.score
             return f"all routes: more errors than the old version (score {score:.1f})"
         return ""
 
-    def missing_proof(self) -> str:
+    def missing_evidence(self) -> str:
         """Returns what still has to be seen at this share; empty for nothing."""
-        if self._step_calls < PROOF_CALLS:
-            return f"{self._step_calls} of {PROOF_CALLS} calls seen"
-        for route, judge in sorted(self.by_route.items()):
+        if self._step_calls < MIN_STEP_CALLS:
+            return f"{self._step_calls} of {MIN_STEP_CALLS} calls seen"
+        for route, comparison in sorted(self.by_route.items()):
             seen = self._step_calls_by_route.get(route, 0)
-            busy = judge.old_calls >= BUSY_ROUTE_CALLS
-            if busy and seen < PROOF_ROUTE_CALLS:
-                return f"route {route!r}: {seen} of {PROOF_ROUTE_CALLS} calls seen"
+            busy = comparison.old_calls >= BUSY_ROUTE_CALLS
+            if busy and seen < MIN_STEP_ROUTE_CALLS:
+                return f"route {route!r}: {seen} of {MIN_STEP_ROUTE_CALLS} calls seen"
         return ""
--- a/src/jayswitch/rollout/watcher.py
+++ b/src/jayswitch/rollout/watcher.py
@@ -9,13 +9,13 @@
 
 from jayswitch.membership.member import KIND_MARK, KIND_OUTCOMES
 from jayswitch.models import Model
-from jayswitch.rollout.judge import MoveJudge
 from jayswitch.rollout.outcomes import (
     KeyedOutcomes,
     OutcomeKey,
     RouteOutcomes,
     decode_outcomes,
 )
+from jayswitch.rollout.version_comparison import MoveComparison
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,13 +26,13 @@
 
 LOCAL = "local"
 LOCAL_DELAY_INTERVALS = 3
-LOCAL_BAD_EVIDENCE = 10.0
+LOCAL_BAD_SCORE = 10.0
 REPORTED_DELAY_INTERVALS = 5
 
 logger = logging.getLogger(__name__)
 
 
-class Mark(Model):
+class BadVersionMark(Model):
     """A version found bad within a move; a mark is never taken back."""
 
     move: str
@@ -56,7 +56,7 @@
         """
         self._base_by_key_by_observer: dict[str, dict[OutcomeKey, RouteOutcomes]] = {}
 
-    def take(self, observer: str, rows: list[KeyedOutcomes]) -> list[KeyedOutcomes]:
+    def update(self, observer: str, rows: list[KeyedOutcomes]) -> list[KeyedOutcomes]:
         """Returns what the observer has counted since it was last asked."""
         base_by_key = self._base_by_key_by_observer.get(observer)
         self._base_by_key_by_observer[observer] = {
@@ -64,16 +64,16 @@
         }
         if base_by_key is None:
             return []
-        nothing = RouteOutcomes()
+        zero = RouteOutcomes()
         return [
             KeyedOutcomes(
                 key=row.key,
-                outcomes=row.outcomes.since(base_by_key.get(row.key, nothing)),
+                outcomes=row.outcomes.since(base_by_key.get(row.key, zero)),
             )
             for row in rows
         ]
 
-    def forget_except(self, observers: set[str]) -> None:
+    def retain_only(self, observers: set[str]) -> None:
         """Drops the bases of observers that are gone."""
         for observer in set(self._base_by_key_by_observer) - observers:
             del self._base_by_key_by_observer[observer]
@@ -91,8 +91,8 @@
         self, node: str, table: RecordTable, own_outcomes: OutcomeCounter
     ) -> None:
         """Takes the outcomes of the calls that entered at this node."""
-        self.reported_judge_by_move: dict[str, MoveJudge] = {}
-        self._local_judge_by_move: dict[str, MoveJudge] = {}
+        self.reported_comparison_by_move: dict[str, MoveComparison] = {}
+        self._local_comparison_by_move: dict[str, MoveComparison] = {}
         self._node = node
         self._table = table
         self._own_outcomes = own_outcomes
@@ -103,12 +103,12 @@
         """Tells whether any node has found the move's new version bad."""
         return self._table.get(mark_key(move_id)) is not None
 
-    def mark(self, move_id: str) -> Mark | None:
+    def mark(self, move_id: str) -> BadVersionMark | None:
         """Returns the mark of a move, if it has one."""
         record = self._table.get(mark_key(move_id))
         if record is None:
             return None
-        return msgspec.msgpack.decode(record.payload, type=Mark)
+        return msgspec.msgpack.decode(record.payload, type=BadVersionMark)
 
     def review(self, config: ConfigState, has_all_reports: bool) -> None:
         """Takes the outcomes since the last review and marks what is bad.
@@ -121,20 +121,20 @@
             KeyedOutcomes(key=key, outcomes=outcomes)
             for key, outcomes in self._own_outcomes.by_key.items()
         ]
-        self._judge(
+        self._compare_versions(
             moves,
             {LOCAL: own_rows},
             self._local_deltas,
-            self._local_judge_by_move,
-            lambda: MoveJudge(LOCAL_DELAY_INTERVALS, LOCAL_BAD_EVIDENCE),
+            self._local_comparison_by_move,
+            lambda: MoveComparison(LOCAL_DELAY_INTERVALS, LOCAL_BAD_SCORE),
         )
         if moves and has_all_reports:
-            self._judge(
+            self._compare_versions(
                 moves,
                 self._reported_rows(),
                 self._reported_deltas,
-                self.reported_judge_by_move,
-                lambda: MoveJudge(REPORTED_DELAY_INTERVALS),
+                self.reported_comparison_by_move,
+                lambda: MoveComparison(REPORTED_DELAY_INTERVALS),
             )
         self._forget_ended(moves)
 
@@ -144,33 +144,36 @@
             for record in self._table.by_kind(KIND_OUTCOMES)
         }
 
-    def _judge(
+    def _compare_versions(
         self,
         moves: list[Move],
         rows_by_observer: dict[str, list[KeyedOutcomes]],
         deltas: OutcomeDeltas,
-        judge_by_move: dict[str, MoveJudge],
-        make_judge: Callable[[], MoveJudge],
+        comparison_by_move: dict[str, MoveComparison],
+        make_comparison: Callable[[], MoveComparison],
     ) -> None:
         by_key: dict[OutcomeKey, RouteOutcomes] = {}
         for observer, rows in rows_by_observer.items():
-            for row in deltas.take(observer, rows):
+            for row in deltas.update(observer, rows):
                 by_key.setdefault(row.key, RouteOutcomes()).add(row.outcomes)
-        deltas.forget_except(set(rows_by_observer))
+        deltas.retain_only(set(rows_by_observer))
         for move in moves:
-            judge = judge_by_move.get(move.id)
-            if judge is None:
+            comparison = comparison_by_move.get(move.id)
+            if comparison is None:
                 # Outcomes from before the move began are no evidence for it.
-                judge_by_move[move.id] = make_judge()
+                comparison_by_move[move.id] = make_comparison()
                 continue
-            judge.set_percent(move.percent)
-            self._observe(move, judge, by_key)
-            fault = judge.fault()
-            if fault and not self.is_marked_bad(move.id):
-                self._mark_bad(move, fault)
-
-    def _observe(
-        self, move: Move, judge: MoveJudge, by_key: dict[OutcomeKey, RouteOutcomes]
+            comparison.set_percent(move.percent)
+            self._observe_move(move, comparison, by_key)
+            regression = comparison.regression()
+            if regression and not self.is_marked_bad(move.id):
+                self._mark_bad(move, regression)
+
+    def _observe_move(
+        self,
+        move: Move,
+        comparison: MoveComparison,
+        by_key: dict[OutcomeKey, RouteOutcomes],
     ) -> None:
         routes = {
             key.route
@@ -183,20 +186,23 @@
             new_key = OutcomeKey(move.profile, move.service, move.to_version, route)
             old = by_key.get(old_key, RouteOutcomes())
             new = by_key.get(new_key, RouteOutcomes())
-            judge.observe(route, old, new)
+            comparison.observe(route, old, new)
             all_old.add(old)
             all_new.add(new)
-        judge.observe_overall(all_old, all_new)
+        comparison.observe_overall(all_old, all_new)
 
-    def _mark_bad(self, move: Move, fault: str) -> None:
-        evidence = f"{move.service} {move.to_version}: {fault}"
-        mark = Mark(move=move.id, node=self._node, evidence=evidence)
+    def _mark_bad(self, move: Move, regression: str) -> None:
+        evidence = f"{move.service} {move.to_version}: {regression}"
+        mark = BadVersionMark(move=move.id, node=self._node, evidence=evidence)
         logger.warning("version marked bad", extra={"evidence": evidence})
         payload = msgspec.msgpack.encode(mark)
         self._table.publish(mark_key(move.id), KIND_MARK, payload, move.service)
 
     def _forget_ended(self, moves: list[Move]) -> None:
         active = {move.id for move in moves}
-        for judges in (self._local_judge_by_move, self.reported_judge_by_move):
-            for move_id in set(judges) - active:
-                del judges[move_id]
+        for comparisons in (
+            self._local_comparison_by_move,
+            self.reported_comparison_by_move,
+        ):
+            for move_id in set(comparisons) - active:
+                del comparisons[move_id]
--- a/tests/rollout/test_judge.py
+++ b/tests/rollout/test_version_comparison.py
@@ -7,9 +7,9 @@
 import pytest
 
 from jayswitch.config.state import Move
-from jayswitch.rollout.driver import decide
-from jayswitch.rollout.judge import MoveJudge
+from jayswitch.rollout.driver import next_change
 from jayswitch.rollout.outcomes import RouteOutcomes
+from jayswitch.rollout.version_comparison import MoveComparison
 
 INTERVALS = 240
 
@@ -22,7 +22,7 @@
     return made
 
 
-def intervals_until_fault(
+def intervals_until_regression(
     seed: int,
     new_errors: float = 0.0,
     new_ms: float = 5.0,
@@ -31,28 +31,28 @@
 ) -> int | None:
     """Returns after how many intervals a fault was found; None for never."""
     rng = random.Random(seed)
-    judge = MoveJudge(5)
+    comparison = MoveComparison(5)
     for interval in range(INTERVALS):
         bad = interval >= bad_from
         old = outcomes(rng, 38, old_errors if bad else 0.0, 5.0)
         errors = new_errors if bad else 0.0
         new = outcomes(rng, 2, errors, new_ms if bad else 5.0)
-        judge.observe("read", old, new)
-        if judge.fault():
+        comparison.observe("read", old, new)
+        if comparison.regression():
             return interval - bad_from
     return None
 
 
-class TestMoveJudge:
+class TestMoveComparison:
     """Bad versions are found soon, good ones are left alone."""
 
     @pytest.mark.parametrize("seed", range(20))
     def test_good_version_is_left_alone(self, seed: int) -> None:
-        assert intervals_until_fault(seed) is None
+        assert intervals_until_regression(seed) is None
 
     @pytest.mark.parametrize("seed", range(20))
     def test_equally_bad_versions_are_left_alone(self, seed: int) -> None:
-        found = intervals_until_fault(seed, 0.3, old_errors=0.3, bad_from=60)
+        found = intervals_until_regression(seed, 0.3, old_errors=0.3, bad_from=60)
         assert found is None
 
     @pytest.mark.parametrize("seed", range(10))
@@ -60,45 +60,47 @@
     def test_failing_version_is_found_within_a_minute(
         self, seed: int, bad_from: int
     ) -> None:
-        found = intervals_until_fault(seed, new_errors=0.2, bad_from=bad_from)
+        found = intervals_until_regression(seed, new_errors=0.2, bad_from=bad_from)
         assert found is not None and found < 120 - bad_from / 4
 
     @pytest.mark.parametrize("seed", range(10))
     def test_slow_version_is_found_within_half_a_minute(self, seed: int) -> None:
-        found = intervals_until_fault(seed, new_ms=20.0)
+        found = intervals_until_regression(seed, new_ms=20.0)
         assert found is not None and found < 60
 
     def test_fault_names_the_route(self) -> None:
         rng = random.Random(1)
-        judge = MoveJudge(1)
+        comparison = MoveComparison(1)
         for _ in range(40):
-            judge.observe("read", outcomes(rng, 20, 0, 5), outcomes(rng, 5, 0, 5))
-            judge.observe("write", outcomes(rng, 20, 0, 5), outcomes(rng, 5, 0.9, 5))
-        assert judge.fault().startswith("route 'write': more errors")
+            comparison.observe("read", outcomes(rng, 20, 0, 5), outcomes(rng, 5, 0, 5))
+            comparison.observe(
+                "write", outcomes(rng, 20, 0, 5), outcomes(rng, 5, 0.9, 5)
+            )
+        assert comparison.regression().startswith("route 'write': more errors")
 
     def test_errors_on_all_routes_add_up(self) -> None:
         rng = random.Random(1)
-        judge = MoveJudge(1)
+        comparison = MoveComparison(1)
         for _ in range(3):
             sums = RouteOutcomes(), RouteOutcomes()
             for route in ("a", "b", "c", "d"):
                 old, new = outcomes(rng, 20, 0, 5), outcomes(rng, 1, 1.0, 5)
-                judge.observe(route, old, new)
+                comparison.observe(route, old, new)
                 sums[0].add(old)
                 sums[1].add(new)
-            judge.observe_overall(*sums)
-        assert judge.fault().startswith("all routes: more errors")
+            comparison.observe_overall(*sums)
+        assert comparison.regression().startswith("all routes: more errors")
 
     def test_route_without_calls_is_no_proof(self) -> None:
         rng = random.Random(1)
-        judge = MoveJudge(1)
+        comparison = MoveComparison(1)
         for _ in range(40):
-            judge.observe("read", outcomes(rng, 20, 0, 5), outcomes(rng, 5, 0, 5))
-            judge.observe("write", outcomes(rng, 20, 0, 5), RouteOutcomes())
-        assert "'write'" in judge.missing_proof()
+            comparison.observe("read", outcomes(rng, 20, 0, 5), outcomes(rng, 5, 0, 5))
+            comparison.observe("write", outcomes(rng, 20, 0, 5), RouteOutcomes())
+        assert "'write'" in comparison.missing_evidence()
 
 
-class TestDecide:
+class TestNextChange:
     """The driver's next step."""
 
     def move(self, **changes: object) -> Move:
@@ -117,16 +119,20 @@
         return Move(**values)
 
     def test_waits_for_an_upstream(self) -> None:
-        assert decide(self.move(), None, "", lambda: False, 1, 1000) is None
+        assert next_change(self.move(), None, "", lambda: False, 1, 1000) is None
 
     def test_starts_with_the_trial_share(self) -> None:
-        step = decide(self.move(), None, "", lambda: True, 1, 1000)
+        step = next_change(self.move(), None, "", lambda: True, 1, 1000)
         assert step.percent == 5
 
     def test_bad_version_is_taken_back_at_once(self) -> None:
-        ended = decide(self.move(percent=50), None, "slower", lambda: True, 1, 1000)
+        ended = next_change(
+            self.move(percent=50), None, "slower", lambda: True, 1, 1000
+        )
         assert not ended.done and ended.reason == "slower"
 
     def test_unproved_version_is_taken_back_at_the_deadline(self) -> None:
-        ended = decide(self.move(percent=5), MoveJudge(1), "", lambda: True, 1, 98_500)
+        ended = next_change(
+            self.move(percent=5), MoveComparison(1), "", lambda: True, 1, 98_500
+        )
         assert not ended.done and "calls seen" in ended.reason
