Name intervals, limits and turns of moves plainly

In the stages and the coordinator, TURN_MS, LONGEST_TURN_MS, PROOF_ANSWERS and SHORTEST_STAGE_MS hid that they are a stagger between proxies and lower or upper limits; _due_ms_by_service also holds keys that are no services. They are REVIEW_STAGGER_MS, MAX_REVIEW_STAGGER_MS, MIN_GOOD_ANSWERS, MIN_STAGE_MS and _due_ms_by_topic now. Stage.from_part is on the list of outer names and stays.

Only names change; behaviour is the same.

--- a/src/jayswitch/rollout/coordinator.py
+++ b/src/jayswitch/rollout/coordinator.py
@@ -29,11 +29,11 @@
     from jayswitch.rollout.versions import VersionRules
     from jayswitch.store.interface import Store
 
-REVIEW_MS = 250.0
+REVIEW_INTERVAL_MS = 250.0
 # Proxies review in the order of their names, each this much later than the one
 # before, so that the next one steps in when the first cannot reach the store.
-TURN_MS = 300.0
-LONGEST_TURN_MS = 2000.0
+REVIEW_STAGGER_MS = 300.0
+MAX_REVIEW_STAGGER_MS = 2000.0
 
 # Returns the key and value under which operators read a move's state.
 StatusWriter = Callable[[str, str, str], tuple[str, bytes]]
@@ -66,7 +66,7 @@
         self._directory = directory
         self._status = status
         self._clock = clock
-        self._due_ms_by_service: dict[str, float] = {}
+        self._due_ms_by_topic: dict[str, float] = {}
         self._stage_ms_by_service: dict[str, tuple[float, float]] = {}
 
     def start(self) -> None:
@@ -75,11 +75,11 @@
 
     def roll_back(self, service: str, reason: str) -> None:
         """Ends a running move at once, trying until the store has taken it."""
-        eventlet.spawn_n(self._roll_back, service, reason)
+        eventlet.spawn_n(self._roll_back_until_stored, service, reason)
 
     def _run(self) -> None:
         while True:
-            self._clock.sleep_ms(REVIEW_MS)
+            self._clock.sleep_ms(REVIEW_INTERVAL_MS)
             try:
                 self._review()
             except Exception:
@@ -87,7 +87,7 @@
 
     def _review(self) -> None:
         for service in self._services_without_baseline():
-            self._after_turn(f"baseline {service}", self._write_baseline, service)
+            self._run_when_due(f"baseline {service}", self._write_baseline, service)
         for order in list(self._orders.move_by_service.values()):
             self._review_order(order)
 
@@ -98,16 +98,16 @@
                 return
             step = Step(RUNNING, 0.0)
         elif move.state != RUNNING:
-            self._due_ms_by_service.pop(order.service, None)
+            self._due_ms_by_topic.pop(order.service, None)
             return
         else:
-            step = next_step(self._view(order, move))
+            step = next_step(self._view_move(order, move))
             if step == Step(move.state, move.share):
-                self._due_ms_by_service.pop(order.service, None)
+                self._due_ms_by_topic.pop(order.service, None)
                 return
-        self._after_turn(order.service, self._write_step, order, step)
+        self._run_when_due(order.service, self._write_step, order, step)
 
-    def _view(self, order: MoveOrder, move: Move) -> MoveView:
+    def _view_move(self, order: MoveOrder, move: Move) -> MoveView:
         now_ms = self._clock.now_ms()
         share, since_ms = self._stage_ms_by_service.get(order.service, (-1.0, now_ms))
         if share != move.share:
@@ -133,23 +133,23 @@
 
     # Taking turns
 
-    def _after_turn(
+    def _run_when_due(
         self, topic: str, action: Callable[..., None], *arguments: object
     ) -> None:
         now_ms = self._clock.now_ms()
-        due_ms = self._due_ms_by_service.setdefault(topic, now_ms + self._turn_ms())
+        due_ms = self._due_ms_by_topic.setdefault(topic, now_ms + self._stagger_ms())
         if now_ms >= due_ms:
-            del self._due_ms_by_service[topic]
+            del self._due_ms_by_topic[topic]
             action(*arguments)
 
-    def _turn_ms(self) -> float:
+    def _stagger_ms(self) -> float:
         active = sorted(
             record.vm
             for record in self._directory.record_by_vm.values()
             if not record.draining
         )
         before = sum(1 for vm in active if vm < self._vm)
-        return min(LONGEST_TURN_MS, before * TURN_MS)
+        return min(MAX_REVIEW_STAGGER_MS, before * REVIEW_STAGGER_MS)
 
     # Writing
 
@@ -201,7 +201,8 @@
                 return True
             case Failure(CasConflict()):
                 logger.info(
-                    "another proxy was first", extra={"service": service, "step": topic}
+                    "another proxy was first",
+                    extra={"service": service, "step": topic},
                 )
                 return True
             case Failure(error):
@@ -211,7 +212,7 @@
                 )
         return False
 
-    def _roll_back(self, service: str, reason: str) -> None:
+    def _roll_back_until_stored(self, service: str, reason: str) -> None:
         logger.warning(
             "version found bad", extra={"service": service, "reason": reason}
         )
@@ -222,7 +223,7 @@
             revision = self._rules.move_revision_by_service[service]
             ended = msgspec.structs.replace(move, state=ROLLED_BACK, share=0.0)
             self._write_move(ended, revision)
-            self._clock.sleep_ms(REVIEW_MS)
+            self._clock.sleep_ms(REVIEW_INTERVAL_MS)
 
 
 def _encode(record: msgspec.Struct) -> bytes:
--- a/src/jayswitch/rollout/stages.py
+++ b/src/jayswitch/rollout/stages.py
@@ -25,12 +25,12 @@
     Stage(0.6, 0.52),
     Stage(1.0, 0.62),
 )
-COMPLETE_FROM_PART = 0.74
+MIN_COMPLETE_PART = 0.74
 # Requests that were sent to the old version's upstreams have ended by then.
-LAST_STAGE_MS = 2000.0
-SHORTEST_STAGE_MS = 900.0
+MIN_LAST_STAGE_MS = 2000.0
+MIN_STAGE_MS = 900.0
 # Good answers that have to be seen before the share grows past the first stage.
-PROOF_ANSWERS = 12
+MIN_GOOD_ANSWERS = 12
 
 
 class MoveView(msgspec.Struct, frozen=True):
@@ -56,20 +56,22 @@
 
 def next_step(view: MoveView) -> Step:
     """Returns the step that is due; the present state and share if none is."""
-    part = view.elapsed_ms / view.duration_ms
-    present = Step(RUNNING, view.share)
+    elapsed_part = view.elapsed_ms / view.duration_ms
+    current = Step(RUNNING, view.share)
     if view.share >= 1.0 and view.upstreams:
-        late = part >= COMPLETE_FROM_PART and view.stage_ms >= LAST_STAGE_MS
-        return Step(COMPLETED, 1.0) if late else present
-    if part >= 1.0:
+        can_complete = (
+            elapsed_part >= MIN_COMPLETE_PART and view.stage_ms >= MIN_LAST_STAGE_MS
+        )
+        return Step(COMPLETED, 1.0) if can_complete else current
+    if elapsed_part >= 1.0:
         return Step(ROLLED_BACK, 0.0)
     if not view.upstreams:
-        return present
-    if view.share > 0 and view.stage_ms < SHORTEST_STAGE_MS:
-        return present
-    if view.share > 0 and view.good_answers < PROOF_ANSWERS:
-        return present
+        return current
+    if view.share > 0 and view.stage_ms < MIN_STAGE_MS:
+        return current
+    if view.share > 0 and view.good_answers < MIN_GOOD_ANSWERS:
+        return current
     upcoming = [stage for stage in STAGES if stage.share > view.share]
-    if part < upcoming[0].from_part:
-        return present
+    if elapsed_part < upcoming[0].from_part:
+        return current
     return Step(RUNNING, upcoming[0].share)
--- a/tests/rollout/test_stages.py
+++ b/tests/rollout/test_stages.py
@@ -15,7 +15,7 @@
 STEP_MS = 250.0
 
 
-def _play(good_per_s: float, upstreams: int = 3) -> list[tuple[float, Step]]:
+def _simulate_move(good_per_s: float, upstreams: int = 3) -> list[tuple[float, Step]]:
     """Returns the steps of a move whose version answers well, with their times."""
     step = Step(RUNNING, 0.0)
     steps: list[tuple[float, Step]] = []
@@ -30,10 +30,10 @@
             good_answers=int(good_per_s * elapsed_ms / 1000),
             upstreams=upstreams,
         )
-        following = next_step(view)
-        if following != step:
-            steps.append((elapsed_ms, following))
-            step, stage_ms = following, 0.0
+        due = next_step(view)
+        if due != step:
+            steps.append((elapsed_ms, due))
+            step, stage_ms = due, 0.0
         elapsed_ms += STEP_MS
         stage_ms += STEP_MS
     return steps
@@ -43,7 +43,7 @@
     """A good version is done in time; one without proof is taken back."""
 
     def test_good_version_is_completed_before_its_deadline(self) -> None:
-        steps = _play(good_per_s=5)
+        steps = _simulate_move(good_per_s=5)
         at_ms, last = steps[-1]
         assert last.state == COMPLETED
         assert at_ms < DURATION_MS
@@ -51,16 +51,16 @@
         assert shares == sorted(shares)
 
     def test_old_upstreams_are_idle_before_they_are_stopped(self) -> None:
-        steps = _play(good_per_s=5)
+        steps = _simulate_move(good_per_s=5)
         at_ms_by_step = {(step.state, step.share): at for at, step in steps}
         full = at_ms_by_step[(RUNNING, 1.0)]
         assert at_ms_by_step[(COMPLETED, 1.0)] - full >= 2000
 
     def test_version_without_good_answers_is_rolled_back(self) -> None:
-        steps = _play(good_per_s=0)
+        steps = _simulate_move(good_per_s=0)
         assert steps[-1][1].state == ROLLED_BACK
         assert max(step.share for _, step in steps) <= 0.05
 
     def test_nothing_moves_without_upstreams(self) -> None:
-        steps = _play(good_per_s=5, upstreams=0)
+        steps = _simulate_move(good_per_s=5, upstreams=0)
         assert [step for _, step in steps] == [Step(ROLLED_BACK, 0.0)]
