Say what the methods of the version rules return

proved(), only_proved(), choose() and may_run() left open what is proved or chosen. They are proved_version(), members_of_proved_version(), choose_members() and may_receive_requests(); hooks of other modules that take them (runner.only_proved, gate.may_run) keep their names.

Only names change; behaviour is the same. Checks: mypy and flake8 pass; tests/rollout and tests/fleet pass.

--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -208,8 +208,8 @@
             status,
             self._clock,
         )
-        self.runner.choose_versions = self.rules.choose
-        self.runner.only_proved = self.rules.only_proved
+        self.runner.choose_versions = self.rules.choose_members
+        self.runner.only_proved = self.rules.members_of_proved_version
         self.runner.on_withdrawn = self.rules.withdraw
         self.runner.is_on_trial = self.rules.is_on_trial
         self.gate.may_run = self._may_run
@@ -399,7 +399,9 @@
 
     def _may_run(self, version: str) -> bool:
         service = self.settings.service
-        return self.rules.may_run(service, version, self.directory.members(service))
+        return self.rules.may_receive_requests(
+            service, version, self.directory.members(service)
+        )
 
     def _judge(
         self, request: ForwardedRequest, failed: bool, latency_ms: float
--- a/src/jayswitch/rollout/coordinator.py
+++ b/src/jayswitch/rollout/coordinator.py
@@ -159,11 +159,11 @@
             for record in self._directory.record_by_vm.values()
             if record.upstream is not None
         }
-        return sorted(services - self._rules.proved_by_service.keys())
+        return sorted(services - self._rules.proved_version_by_service.keys())
 
     def _write_baseline(self, service: str) -> None:
         members = self._directory.members(service)
-        version = self._rules.proved(service, members)
+        version = self._rules.proved_version(service, members)
         if not version:
             return
         write = Write(BASELINE_PREFIX + service, _encode(Baseline(version)), 0)
--- a/src/jayswitch/rollout/versions.py
+++ b/src/jayswitch/rollout/versions.py
@@ -25,9 +25,9 @@
         """Starts without knowledge: a service's only version counts as proved."""
         self.move_by_service: dict[str, Move] = {}
         self.move_revision_by_service: dict[str, int] = {}
-        self.proved_by_service: dict[str, str] = {}
+        self.proved_version_by_service: dict[str, str] = {}
         self.baseline_revision_by_service: dict[str, int] = {}
-        self._withdrawn: set[tuple[str, str, int]] = set()
+        self._withdrawals: set[tuple[str, str, int]] = set()
         self._random = rng
 
     def apply(self, event: WatchEvent) -> None:
@@ -48,25 +48,27 @@
         move = self.move_by_service.get(service)
         if move is None or move.to_version != version or move.state != RUNNING:
             return False
-        mark = (service, version, move.order)
-        if mark in self._withdrawn:
+        withdrawal = (service, version, move.order)
+        if withdrawal in self._withdrawals:
             return False
-        self._withdrawn.add(mark)
+        self._withdrawals.add(withdrawal)
         logger.warning(
             "version withdrawn here", extra={"service": service, "version": version}
         )
         return True
 
-    def proved(self, service: str, members: list[Member]) -> str:
+    def proved_version(self, service: str, members: list[Member]) -> str:
         """Returns the version that gets what a move does not take."""
-        known = self.proved_by_service.get(service)
-        if known is not None or not members:
-            return known or ""
+        stored_version = self.proved_version_by_service.get(service)
+        if stored_version is not None or not members:
+            return stored_version or ""
         return min(members, key=lambda member: member.since_ms).version
 
-    def may_run(self, service: str, version: str, members: list[Member]) -> bool:
+    def may_receive_requests(
+        self, service: str, version: str, members: list[Member]
+    ) -> bool:
         """Tells whether an upstream of a version takes requests at all."""
-        if version == (self.proved(service, members) or version):
+        if version == (self.proved_version(service, members) or version):
             return True
         move = self._running_move(service)
         return move is not None and move.to_version == version and move.share > 0
@@ -76,25 +78,27 @@
         move = self._running_move(service)
         return move is not None and move.to_version == version
 
-    def choose(self, service: str, members: list[Member]) -> list[Member]:
+    def choose_members(self, service: str, members: list[Member]) -> list[Member]:
         """Returns the upstreams that one request may go to."""
         move = self._running_move(service)
         if move is not None and self._random.random() < move.share:
             chosen = [m for m in members if m.version == move.to_version]
             if chosen:
                 return chosen
-        return self.only_proved(service, members)
+        return self.members_of_proved_version(service, members)
 
-    def only_proved(self, service: str, members: list[Member]) -> list[Member]:
+    def members_of_proved_version(
+        self, service: str, members: list[Member]
+    ) -> list[Member]:
         """Returns the upstreams of the proved version."""
-        proved = self.proved(service, members)
-        return [member for member in members if member.version == proved]
+        proved_version = self.proved_version(service, members)
+        return [member for member in members if member.version == proved_version]
 
     def _running_move(self, service: str) -> Move | None:
         move = self.move_by_service.get(service)
         if move is None or move.state != RUNNING:
             return None
-        if (service, move.to_version, move.order) in self._withdrawn:
+        if (service, move.to_version, move.order) in self._withdrawals:
             return None
         return move
 
@@ -121,7 +125,7 @@
         if event.value is None:
             return
         baseline = msgspec.json.decode(event.value, type=Baseline)
-        self.proved_by_service[service] = baseline.version
+        self.proved_version_by_service[service] = baseline.version
         self.baseline_revision_by_service[service] = event.revision
         logger.info(
             "proved version",
--- a/tests/rollout/test_coordinator.py
+++ b/tests/rollout/test_coordinator.py
@@ -97,7 +97,7 @@
         assert fleet.shown() == RUNNING
         fleet.clock.sleep_ms(DURATION_MS - 1000)
         assert fleet.shown() == COMPLETED
-        assert fleet.rules[2].proved_by_service[SERVICE] == "v2"
+        assert fleet.rules[2].proved_version_by_service[SERVICE] == "v2"
 
     def test_share_stays_small_without_proof(self) -> None:
         fleet = Fleet(3)
--- a/tests/rollout/test_versions.py
+++ b/tests/rollout/test_versions.py
@@ -48,34 +48,40 @@
 
     def test_version_without_an_order_gets_nothing(self) -> None:
         rules = _rules()
-        chosen = {m.version for _ in range(200) for m in rules.choose(SERVICE, MEMBERS)}
+        chosen = {
+            m.version
+            for _ in range(200)
+            for m in rules.choose_members(SERVICE, MEMBERS)
+        }
         assert chosen == {"v1"}
-        assert not rules.may_run(SERVICE, "v2", MEMBERS)
+        assert not rules.may_receive_requests(SERVICE, "v2", MEMBERS)
 
     def test_running_move_gets_its_share(self) -> None:
         rules = _rules(share=0.3)
-        versions = [rules.choose(SERVICE, MEMBERS)[0].version for _ in range(2000)]
+        versions = [
+            rules.choose_members(SERVICE, MEMBERS)[0].version for _ in range(2000)
+        ]
         assert 0.25 < versions.count("v2") / len(versions) < 0.35
 
     def test_ended_move_gets_nothing(self) -> None:
         rules = _rules(share=0.0, state="rolled_back")
-        assert not rules.may_run(SERVICE, "v2", MEMBERS)
-        assert {m.version for m in rules.choose(SERVICE, MEMBERS)} == {"v1"}
+        assert not rules.may_receive_requests(SERVICE, "v2", MEMBERS)
+        assert {m.version for m in rules.choose_members(SERVICE, MEMBERS)} == {"v1"}
 
     def test_withdrawal_needs_no_store(self) -> None:
         rules = _rules(share=1.0)
         assert rules.withdraw(SERVICE, "v2")
         assert not rules.withdraw(SERVICE, "v2")
-        assert {m.version for m in rules.choose(SERVICE, MEMBERS)} == {"v1"}
-        assert not rules.may_run(SERVICE, "v2", MEMBERS)
+        assert {m.version for m in rules.choose_members(SERVICE, MEMBERS)} == {"v1"}
+        assert not rules.may_receive_requests(SERVICE, "v2", MEMBERS)
 
     def test_without_knowledge_the_earliest_upstreams_version_is_proved(self) -> None:
         rules = VersionRules(random.Random(1))
-        assert rules.proved(SERVICE, MEMBERS) == "v1"
+        assert rules.proved_version(SERVICE, MEMBERS) == "v1"
 
     def test_upstream_runs_before_any_record_is_known(self) -> None:
         rules = VersionRules(random.Random(1))
-        assert rules.may_run(SERVICE, "v1", [])
+        assert rules.may_receive_requests(SERVICE, "v1", [])
 
     def test_unreadable_records_change_nothing(self) -> None:
         rules = _rules(share=0.3)
