Name the fleet's record keeping by its operations

"Knowledge" exchanges store revisions between proxies: it is RevisionExchange in revision_exchange.py, and describe() is header_value(). The directory's note_failure(), most_take_callers() and _note_absence() say now that a proxy was not reached, how many accept callers and that a record was removed. The publisher's _wanted, _stored, _keep and withdraw() are _requested_writes, _stored_writes, _write_or_renew and revoke_lease().

Only names change; behaviour is the same.

--- a/src/jayswitch/fleet/directory.py
+++ b/src/jayswitch/fleet/directory.py
@@ -36,7 +36,7 @@
         """Takes a change of a proxy's record; unreadable ones are dropped."""
         vm = event.key.removeprefix(NODE_PREFIX)
         if event.value is None:
-            self._note_absence(vm)
+            self._handle_removal(vm)
             return
         try:
             record = msgspec.json.decode(event.value, type=NodeRecord)
@@ -46,7 +46,7 @@
             )
             return
         self.unlisted.discard(vm)
-        self._log_change(vm, record)
+        self._log_record(vm, record)
         self.record_by_vm[vm] = record
         self._members_by_service = None
 
@@ -58,7 +58,7 @@
     def members(self, service: str) -> list[Member]:
         """Returns the upstreams of a service that take new work, of any version."""
         if self._members_by_service is None:
-            self._members_by_service = self._group()
+            self._members_by_service = self._group_by_service()
         return self._members_by_service.get(service, [])
 
     @property
@@ -66,16 +66,20 @@
         """Returns how many proxies are known."""
         return len(self.record_by_vm)
 
-    def most_take_callers(self, data_centre: str) -> bool:
+    def at_least_half_accept_callers(self, data_centre: str) -> bool:
         """Tells whether at least half of a data centre's proxies take new callers.
 
         Otherwise the platform lets callers stay with proxies that are not ready.
         """
-        here = [r for r in self.record_by_vm.values() if r.data_centre == data_centre]
-        taking = [r for r in here if not r.draining and r.vm not in self.unlisted]
-        return 2 * len(taking) >= len(here)
-
-    def _group(self) -> dict[str, list[Member]]:
+        local_records = [
+            r for r in self.record_by_vm.values() if r.data_centre == data_centre
+        ]
+        accepting = [
+            r for r in local_records if not r.draining and r.vm not in self.unlisted
+        ]
+        return 2 * len(accepting) >= len(local_records)
+
+    def _group_by_service(self) -> dict[str, list[Member]]:
         grouped: dict[str, list[Member]] = {}
         for record in self.record_by_vm.values():
             upstream = record.upstream
@@ -86,12 +90,12 @@
             grouped.setdefault(upstream.service, []).append(_member(record))
         return grouped
 
-    def note_failure(self, vm: str) -> None:
+    def report_unreachable(self, vm: str) -> None:
         """Takes a failed attempt to reach a proxy; an unlisted one is forgotten."""
         if vm in self.unlisted:
             self._drop(vm, "unlisted and not reached")
 
-    def _note_absence(self, vm: str) -> None:
+    def _handle_removal(self, vm: str) -> None:
         record = self.record_by_vm.get(vm)
         if record is None:
             return
@@ -111,7 +115,7 @@
         self._members_by_service = None
         logger.info("proxy dropped", extra={"proxy": vm, "reason": reason})
 
-    def _log_change(self, vm: str, record: NodeRecord) -> None:
+    def _log_record(self, vm: str, record: NodeRecord) -> None:
         upstream = record.upstream
         logger.info(
             "proxy record changed",
--- a/src/jayswitch/fleet/publisher.py
+++ b/src/jayswitch/fleet/publisher.py
@@ -22,10 +22,10 @@
     from jayswitch.store.interface import Store
 
 # A VM that lost power is forgotten after this time.
-LEASE_MS = 5000
-RENEW_MS = 1500.0
+LEASE_TTL_MS = 5000
+RENEW_INTERVAL_MS = 1500.0
 # While the store is away: a lapsed record has to be back soon after its return.
-RETRY_MS = 250.0
+RETRY_INTERVAL_MS = 250.0
 
 logger = logging.getLogger(__name__)
 
@@ -53,15 +53,15 @@
         self._last_upstream = last_state
         self._clock = clock
         self._lease = ""
-        self._wanted = 0
-        self._stored = 0
+        self._requested_writes = 0
+        self._stored_writes = 0
         self._changed = Event()
         self._waiters: list[Event] = []
         self._node_revision: int | None = None
         self._last_revision: int | None = None
         self._stopped = False
-        self._last_state = b""
-        self._node_state = b""
+        self._stored_last_data = b""
+        self._stored_node_data = b""
 
     def start(self, on_restore: Callable[[Upstream | None], None]) -> None:
         """Reads what an earlier process left, then keeps the record up to date."""
@@ -69,21 +69,21 @@
 
     def publish(self) -> None:
         """Asks for the record to be written."""
-        self._wanted += 1
+        self._requested_writes += 1
         if not self._changed.ready():
             self._changed.send(None)
 
     def wait_until_stored(self, timeout_ms: float) -> bool:
         """Waits until every change so far is in the store; False on timeout."""
-        wanted = self._wanted
+        requested_writes = self._requested_writes
         with eventlet.Timeout(timeout_ms / MS_PER_S, False):
-            while self._stored < wanted:
+            while self._stored_writes < requested_writes:
                 waiter = Event()
                 self._waiters.append(waiter)
                 waiter.wait()
-        return self._stored >= wanted
+        return self._stored_writes >= requested_writes
 
-    def withdraw(self) -> None:
+    def revoke_lease(self) -> None:
         """Ends the lease at a planned stop, so that others forget the record."""
         self._stopped = True
         if not self._lease:
@@ -93,17 +93,19 @@
                 logger.warning("record not withdrawn", extra={"reason": error.cause})
 
     def _run(self, on_restore: Callable[[Upstream | None], None]) -> None:
-        while not self._restore(on_restore):
-            self._clock.sleep_ms(RETRY_MS)
+        while not self._restore_last_state(on_restore):
+            self._clock.sleep_ms(RETRY_INTERVAL_MS)
         while not self._stopped:
-            if not self._keep():
-                self._clock.sleep_ms(RETRY_MS)
+            if not self._write_or_renew():
+                self._clock.sleep_ms(RETRY_INTERVAL_MS)
                 continue
-            with eventlet.Timeout(RENEW_MS / MS_PER_S, False):
+            with eventlet.Timeout(RENEW_INTERVAL_MS / MS_PER_S, False):
                 self._changed.wait()
             self._changed = Event()
 
-    def _restore(self, on_restore: Callable[[Upstream | None], None]) -> bool:
+    def _restore_last_state(
+        self, on_restore: Callable[[Upstream | None], None]
+    ) -> bool:
         match self._store.get(last_state_key(self._vm)):
             case Failure(error):
                 self._log_failure(error)
@@ -126,51 +128,51 @@
             logger.warning("stored upstream unreadable", extra={"reason": str(error)})
             return None
 
-    def _keep(self) -> bool:
+    def _write_or_renew(self) -> bool:
         """Writes what has changed, or renews the lease; False if neither worked."""
-        if not self._lease and not self._wanted:
+        if not self._lease and not self._requested_writes:
             return True
         if not self._lease:
-            match self._store.grant_lease(LEASE_MS):
+            match self._store.grant_lease(LEASE_TTL_MS):
                 case Failure(error):
                     self._log_failure(error)
                     return False
                 case Success(lease):
                     self._lease = lease
-            self._node_state = b""
-            self._wanted += 1
-        if self._stored < self._wanted:
+            self._stored_node_data = b""
+            self._requested_writes += 1
+        if self._stored_writes < self._requested_writes:
             return self._write()
         match self._store.keep_alive(self._lease):
             case Failure(LeaseExpired()):
                 logger.warning("lease has lapsed", extra={"lease": self._lease})
                 self._lease = ""
                 self._node_revision = None
-                return self._keep()
+                return self._write_or_renew()
             case Failure(error):
                 self._log_failure(error)
                 return False
         return True
 
     def _write(self) -> bool:
-        wanted = self._wanted
+        requested_writes = self._requested_writes
         if self._node_revision is None and not self._read_revisions():
             return False
         writes = []
         node = msgspec.json.encode(self._describe())
-        if node != self._node_state:
+        if node != self._stored_node_data:
             key = node_key(self._vm)
             writes.append(Write(key, node, self._node_revision, self._lease))
         upstream = self._last_upstream()
         last = b"" if upstream is None else msgspec.json.encode(upstream)
-        if last and last != self._last_state:
+        if last and last != self._stored_last_data:
             key = last_state_key(self._vm)
             writes.append(Write(key, last, self._last_revision))
         if writes and not self._commit(writes):
             return False
-        self._node_state = node
-        self._last_state = last
-        self._stored = wanted
+        self._stored_node_data = node
+        self._stored_last_data = last
+        self._stored_writes = requested_writes
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
             waiter.send(None)
@@ -179,7 +181,7 @@
     def _commit(self, writes: list[Write]) -> bool:
         match self._store.commit(writes):
             case Failure(error):
-                return self._note_write_failure(error)
+                return self._handle_write_failure(error)
             case Success(revision):
                 pass
         for write in writes:
@@ -189,7 +191,7 @@
                 self._last_revision = revision
         return True
 
-    def _note_write_failure(self, error: StoreError) -> bool:
+    def _handle_write_failure(self, error: StoreError) -> bool:
         # The write may still take effect; only a new read tells what to expect.
         self._node_revision = None
         if isinstance(error, LeaseExpired):
--- a/src/jayswitch/fleet/knowledge.py
+++ b/src/jayswitch/fleet/revision_exchange.py
@@ -9,7 +9,7 @@
     from jayswitch.store.follower import PrefixFollower
 
 
-class Knowledge:
+class RevisionExchange:
     """Compares the newest change that this proxy knows with that of others.
 
     A watch can fall silent without a sign; a proxy that talks to others learns so.
@@ -29,17 +29,17 @@
         self._followers = followers
         self._address_of = address_of
 
-    def describe(self) -> str:
+    def header_value(self) -> str:
         """Returns the newest change of each prefix as a header value."""
         return ",".join(str(follower.newest_change) for follower in self._followers)
 
-    def compare_with_vm(self, text: str, vm: str) -> None:
+    def compare_with_vm(self, value: str, vm: str) -> None:
         """Takes the description of the proxy on a VM."""
-        self.compare(text, self._address_of(vm))
+        self.compare(value, self._address_of(vm))
 
-    def compare(self, text: str, address: str) -> None:
+    def compare(self, value: str, address: str) -> None:
         """Takes another proxy's description; what cannot be read says nothing."""
-        revisions = text.split(",")
+        revisions = value.split(",")
         if len(revisions) != len(self._followers):
             return
         for follower, revision in zip(self._followers, revisions, strict=True):
--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -228,7 +228,7 @@
         silent = isinstance(outcome, OutcomeUnknown) and load is None
         if unreached or silent:
             self._balancer.suspect(member.node)
-            self._directory.note_failure(member.node)
+            self._directory.report_unreachable(member.node)
         elif not isinstance(outcome, Answered):
             self._balancer.penalize(member.node, REFUSAL_PENALTY_MS)
 
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -35,7 +35,7 @@
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
-    from jayswitch.fleet.knowledge import Knowledge
+    from jayswitch.fleet.revision_exchange import RevisionExchange
     from jayswitch.proxy.headers import HeaderNames
     from jayswitch.proxy.http_client import Exchange, HttpClient
     from jayswitch.proxy.outcome import AttemptOutcome, Headers
@@ -167,7 +167,7 @@
     def __init__(
         self,
         client: HttpClient,
-        knowledge: Knowledge,
+        knowledge: RevisionExchange,
         names: HeaderNames,
         clock: Clock,
     ) -> None:
@@ -189,7 +189,7 @@
                 request.method,
                 request.target,
                 hop_headers(
-                    request, self._knowledge.describe(), self._names, self._clock
+                    request, self._knowledge.header_value(), self._names, self._clock
                 ),
                 request.body or None,
             )
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -33,7 +33,7 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
     from jayswitch.feed.server import FeedServer
-    from jayswitch.fleet.knowledge import Knowledge
+    from jayswitch.fleet.revision_exchange import RevisionExchange
     from jayswitch.gate.upstream_gate import UpstreamGate
     from jayswitch.proxy.headers import HeaderNames
     from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
@@ -59,7 +59,7 @@
         self,
         gate: UpstreamGate,
         feeds: FeedServer,
-        knowledge: Knowledge,
+        knowledge: RevisionExchange,
         names: HeaderNames,
         clock: Clock,
     ) -> None:
@@ -156,7 +156,7 @@
         watch: HangupWatch,
     ) -> Iterator[bytes]:
         headers = answer_headers(outcome.headers)
-        headers += outcome_headers(outcome, self._knowledge.describe())
+        headers += outcome_headers(outcome, self._knowledge.header_value())
         body = send_answer(outcome, environ, headers, start_response)
         try:
             yield from body
@@ -172,7 +172,7 @@
     ) -> Iterable[bytes]:
         self._finish(watch)
         headers = [
-            *outcome_headers(outcome, self._knowledge.describe()),
+            *outcome_headers(outcome, self._knowledge.header_value()),
             ("Content-Length", "0"),
         ]
         start_response(status_line(STATUS_NOT_ANSWERED), headers)
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -18,7 +18,6 @@
 from jayswitch.feed.relays import Relays
 from jayswitch.feed.server import FeedServer
 from jayswitch.fleet.directory import Directory
-from jayswitch.fleet.knowledge import Knowledge
 from jayswitch.fleet.publisher import RecordPublisher
 from jayswitch.fleet.records import (
     NODE_PREFIX,
@@ -27,6 +26,7 @@
     Upstream,
     UpstreamState,
 )
+from jayswitch.fleet.revision_exchange import RevisionExchange
 from jayswitch.gate.local_upstream import Heartbeat, HeartbeatVerdict, LocalUpstream
 from jayswitch.gate.start_rate import StartRate
 from jayswitch.gate.upstream_gate import ColdBound, UpstreamGate
@@ -120,7 +120,7 @@
         self.fleet_follower = PrefixFollower(
             store, SHARED_PREFIX, self._apply_shared, clock, FLEET_PAUSE
         )
-        self.knowledge = Knowledge(
+        self.knowledge = RevisionExchange(
             [self.orders_follower, self.fleet_follower], self.directory.address_of
         )
         self._build_forwarding(names)
@@ -267,7 +267,7 @@
         for server in self._servers:
             server.stop_accepting()
         with eventlet.Timeout(WITHDRAW_MS / MS_PER_S, False):
-            self.publisher.withdraw()
+            self.publisher.revoke_lease()
         self._wait_while(lambda: bool(self.in_flight), ends_ms)
         drained = not self.in_flight
         logger.info("stopped", extra={"drained": drained})
@@ -289,7 +289,7 @@
         They are while few other proxies of the data centre are ready. A VM that
         goes away with its upstream gains nothing by ending sooner.
         """
-        if not self.directory.most_take_callers(self.settings.data_centre):
+        if not self.directory.at_least_half_accept_callers(self.settings.data_centre):
             return True
         current = self.local.current
         return current is not None and current.state is not UpstreamState.READY
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -44,13 +44,13 @@
         directory.apply(_event("a"))
         directory.apply(WatchEvent("jayswitch/nodes/a", None, 2))
         assert _names(directory) == ["a"]
-        directory.note_failure("a")
+        directory.report_unreachable("a")
         assert _names(directory) == []
 
     def test_listed_proxy_survives_a_failure(self) -> None:
         directory = Directory()
         directory.apply(_event("a"))
-        directory.note_failure("a")
+        directory.report_unreachable("a")
         assert _names(directory) == ["a"]
 
     def test_suspected_proxy_is_dropped_with_its_lease(self) -> None:
@@ -65,7 +65,7 @@
         directory.apply(_event("a"))
         directory.apply(WatchEvent("jayswitch/nodes/a", None, 2))
         directory.apply(_event("a"))
-        directory.note_failure("a")
+        directory.report_unreachable("a")
         assert _names(directory) == ["a"]
 
     def test_callers_are_sent_elsewhere_while_half_of_the_proxies_take_them(
@@ -75,15 +75,15 @@
         for vm in ("a", "b", "c"):
             directory.apply(_event(vm))
         directory.apply(_event("a", draining=True))
-        assert directory.most_take_callers("bunbury")
+        assert directory.at_least_half_accept_callers("bunbury")
         directory.apply(_event("b", UpstreamState.GONE, draining=True))
-        assert not directory.most_take_callers("bunbury")
+        assert not directory.at_least_half_accept_callers("bunbury")
 
     def test_proxies_of_other_data_centres_do_not_count(self) -> None:
         directory = Directory()
         directory.apply(_event("a", draining=True))
-        assert not directory.most_take_callers("bunbury")
-        assert directory.most_take_callers("harvey")
+        assert not directory.at_least_half_accept_callers("bunbury")
+        assert directory.at_least_half_accept_callers("harvey")
 
     def test_unreadable_record_is_dropped_and_harms_no_other(self) -> None:
         directory = Directory()
--- a/tests/fleet/test_publisher.py
+++ b/tests/fleet/test_publisher.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from jayswitch.clock import VirtualClock
-from jayswitch.fleet.publisher import LEASE_MS, RecordPublisher
+from jayswitch.fleet.publisher import LEASE_TTL_MS, RecordPublisher
 from jayswitch.fleet.records import NodeRecord, Upstream, UpstreamState
 from jayswitch.standins.memory_store import MemoryStore
 
@@ -59,9 +59,9 @@
     def test_record_lives_while_its_process_does(self) -> None:
         published = Published()
         published.publisher.publish()
-        published.clock.sleep_ms(10 * LEASE_MS)
+        published.clock.sleep_ms(10 * LEASE_TTL_MS)
         assert published.node() is not None
-        published.publisher.withdraw()
+        published.publisher.revoke_lease()
         assert published.node() is None
         assert published.last().state is UpstreamState.READY
 
@@ -83,7 +83,7 @@
         published.publisher.publish()
         published.clock.sleep_ms(100)
         published.store.faults.down = True
-        published.clock.sleep_ms(3 * LEASE_MS)
+        published.clock.sleep_ms(3 * LEASE_TTL_MS)
         published.store.faults.down = False
         published.store._lapse_leases()
         assert published.node() is None
--- a/tests/load/test_large_config_storm.py
+++ b/tests/load/test_large_config_storm.py
@@ -12,8 +12,8 @@
 from jayswitch.feed.relays import Relays
 from jayswitch.feed.server import FeedServer
 from jayswitch.fleet.directory import Directory
-from jayswitch.fleet.knowledge import Knowledge
 from jayswitch.fleet.records import NODE_PREFIX, NodeRecord
+from jayswitch.fleet.revision_exchange import RevisionExchange
 from jayswitch.proxy.process import ORDERS_PAUSE
 from jayswitch.standins.memory_store import MemoryStore
 from jayswitch.store.follower import PrefixFollower, carried_bytes
@@ -61,7 +61,7 @@
         self.directory = Directory()
         self.feeds = DistantFeeds()
         self.turned_away: set[str] = set()
-        self.knowledge_by_vm: dict[str, Knowledge] = {}
+        self.knowledge_by_vm: dict[str, RevisionExchange] = {}
         self.vms = [f"vm-{number:02}" for number in range(VMS)]
         self.change()
         for number, vm in enumerate(self.vms):
@@ -95,7 +95,7 @@
         self.directory.apply(WatchEvent(key, msgspec.json.encode(record), 1))
         follower.start()
         feed.start()
-        self.knowledge_by_vm[vm] = Knowledge([follower])
+        self.knowledge_by_vm[vm] = RevisionExchange([follower])
 
     def _data_centre(self, vm: str) -> str:
         return DATA_CENTRES[self.vms.index(vm) % len(DATA_CENTRES)]
@@ -110,7 +110,7 @@
             self.clock.sleep_ms(self._rng.uniform(0, 2 * REQUEST_INTERVAL_MS))
             other = self._rng.choice(self.vms)
             if other not in self.feeds.silent and vm not in self.feeds.silent:
-                known = self.knowledge_by_vm[other].describe()
+                known = self.knowledge_by_vm[other].header_value()
                 self.knowledge_by_vm[vm].compare(known, other)
 
     def change(self) -> None:
--- a/tests/proxy/test_hop.py
+++ b/tests/proxy/test_hop.py
@@ -8,7 +8,7 @@
 import pytest
 
 from jayswitch.clock import VirtualClock
-from jayswitch.fleet.knowledge import Knowledge
+from jayswitch.fleet.revision_exchange import RevisionExchange
 from jayswitch.platform.headers import platform_headers
 from jayswitch.proxy.exceptions import AnswerCut, MalformedRequest, NotSent
 from jayswitch.proxy.headers import HOP_OUTCOME, HOP_REQUEST
@@ -79,7 +79,7 @@
 def _send(result: FakeExchange | Exception) -> object:
     client = HopClient(
         FakeClient(result),  # type: ignore[arg-type]
-        Knowledge([]),
+        RevisionExchange([]),
         NAMES,
         VirtualClock(),
     )
