Reword the texts of fleet

Doc comments told stories (a lease that "hangs", a proxy that "the store turns away", an observer that "learns so") and log lines were terse ("record not written"). They now name the operation and its reason; log lines say what failed. Tests name the behaviour that they check, and the fixture of the publisher is PublisherFixture.

Behaviour is the same.

--- a/src/jayswitch/fleet/__init__.py
+++ b/src/jayswitch/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""What the proxies of a fleet tell each other through the platform's store."""
+"""Records that the proxies of a fleet share through the platform's store."""
--- a/src/jayswitch/fleet/directory.py
+++ b/src/jayswitch/fleet/directory.py
@@ -1,4 +1,4 @@
-"""The proxies of the fleet and which of their upstreams may get new work."""
+"""Directory of the fleet's proxies and of the upstreams that accept new requests."""
 
 from __future__ import annotations
 
@@ -20,12 +20,12 @@
 class Directory:
     """Upstreams by service, as their proxies have published them.
 
-    A record whose lease has lapsed may belong to a proxy that the store turns away
-    and that serves all the same. It is kept until an attempt to reach it fails.
+    A lease can expire because the proxy cannot reach the store, although it still
+    serves requests. Its record is therefore kept until an attempt to reach it fails.
     """
 
     def __init__(self, vm: str = "") -> None:
-        """Takes this VM, whose upstream is used until its proxy ends."""
+        """Takes the local VM, whose upstream stays a member while its proxy drains."""
         self._vm = vm
         self.record_by_vm: dict[str, NodeRecord] = {}
         self.unlisted: set[str] = set()
@@ -33,7 +33,9 @@
         self._members_by_service: dict[str, list[Member]] | None = None
 
     def apply(self, event: WatchEvent) -> None:
-        """Takes a change of a proxy's record; unreadable ones are dropped."""
+        """Applies a change of a proxy's record; records that cannot be decoded are
+        ignored.
+        """
         vm = event.key.removeprefix(NODE_PREFIX)
         if event.value is None:
             self._handle_removal(vm)
@@ -42,7 +44,7 @@
             record = msgspec.json.decode(event.value, type=NodeRecord)
         except msgspec.MsgspecError as error:
             logger.warning(
-                "record unreadable", extra={"proxy": vm, "reason": str(error)}
+                "cannot decode proxy record", extra={"proxy": vm, "reason": str(error)}
             )
             return
         self.unlisted.discard(vm)
@@ -51,25 +53,27 @@
         self._members_by_service = None
 
     def address_of(self, vm: str) -> str:
-        """Returns where the proxy on a VM takes calls; empty if it is not known."""
+        """Returns the address of the proxy on a VM; empty if the VM is unknown."""
         record = self.record_by_vm.get(vm)
         return record.address if record is not None else ""
 
     def members(self, service: str) -> list[Member]:
-        """Returns the upstreams of a service that take new work, of any version."""
+        """Returns the upstreams of all versions of a service that accept new
+        requests.
+        """
         if self._members_by_service is None:
             self._members_by_service = self._group_by_service()
         return self._members_by_service.get(service, [])
 
     @property
     def size(self) -> int:
-        """Returns how many proxies are known."""
+        """Returns the number of known proxies."""
         return len(self.record_by_vm)
 
     def at_least_half_accept_callers(self, data_centre: str) -> bool:
-        """Tells whether at least half of a data centre's proxies take new callers.
+        """Returns whether at least half of a data centre's proxies accept callers.
 
-        Otherwise the platform lets callers stay with proxies that are not ready.
+        Otherwise the platform keeps callers at proxies that are not ready.
         """
         local_records = [
             r for r in self.record_by_vm.values() if r.data_centre == data_centre
@@ -91,9 +95,9 @@
         return grouped
 
     def report_unreachable(self, vm: str) -> None:
-        """Takes a failed attempt to reach a proxy; an unlisted one is forgotten."""
+        """Reports a failed attempt to reach a proxy; removes it if it is unlisted."""
         if vm in self.unlisted:
-            self._drop(vm, "unlisted and not reached")
+            self._drop(vm, "unlisted and unreachable")
 
     def _handle_removal(self, vm: str) -> None:
         record = self.record_by_vm.get(vm)
@@ -102,9 +106,9 @@
         upstream = record.upstream
         ready = upstream is not None and upstream.state is UpstreamState.READY
         if record.draining or not ready:
-            self._drop(vm, "it has ended as planned")
+            self._drop(vm, "planned stop")
         elif self.is_suspected(vm):
-            self._drop(vm, "its lease has lapsed and it was not reached")
+            self._drop(vm, "lease expired and proxy unreachable")
         else:
             self.unlisted.add(vm)
             logger.info("proxy unlisted", extra={"proxy": vm})
--- a/src/jayswitch/fleet/publisher.py
+++ b/src/jayswitch/fleet/publisher.py
@@ -1,4 +1,4 @@
-"""Keeps a proxy's record in the store, under a lease that it renews."""
+"""Publishes a proxy's record to the store under a lease and renews the lease."""
 
 from __future__ import annotations
 
@@ -21,20 +21,22 @@
     from jayswitch.store.exceptions import StoreError
     from jayswitch.store.interface import Store
 
-# A VM that lost power is forgotten after this time.
+# The record of a VM that lost power expires after this time.
 LEASE_TTL_MS = 5000
 RENEW_INTERVAL_MS = 1500.0
-# While the store is away: a lapsed record has to be back soon after its return.
+# While the store is unavailable; short, because an expired record must be
+# restored soon after the store returns.
 RETRY_INTERVAL_MS = 250.0
 
 logger = logging.getLogger(__name__)
 
 
 class RecordPublisher:
-    """Writes the newest record and tells when it is stored.
+    """Writes the newest record and reports when it has been stored.
 
-    The record hangs on a lease; the last state of the upstream is written in the
-    same transaction without one, for the process that comes after this one.
+    The record is bound to a lease. The last state of the upstream is written in the
+    same transaction without a lease, so that the next process on this VM can
+    restore it.
     """
 
     def __init__(
@@ -45,7 +47,7 @@
         last_state: Callable[[], Upstream | None],
         clock: Clock,
     ) -> None:
-        """Takes functions that return what should be stored now."""
+        """Takes functions that return the current record and upstream state."""
         self.restored = False
         self._store = store
         self._vm = vm
@@ -64,17 +66,19 @@
         self._stored_node_data = b""
 
     def start(self, on_restore: Callable[[Upstream | None], None]) -> None:
-        """Reads what an earlier process left, then keeps the record up to date."""
+        """Restores the state of an earlier process, then keeps the record up to
+        date.
+        """
         eventlet.spawn(self._run, on_restore)
 
     def publish(self) -> None:
-        """Asks for the record to be written."""
+        """Requests a write of the record."""
         self._requested_writes += 1
         if not self._changed.ready():
             self._changed.send(None)
 
     def wait_until_stored(self, timeout_ms: float) -> bool:
-        """Waits until every change so far is in the store; False on timeout."""
+        """Waits until all changes made so far are stored; returns False on timeout."""
         requested_writes = self._requested_writes
         with eventlet.Timeout(timeout_ms / MS_PER_S, False):
             while self._stored_writes < requested_writes:
@@ -84,13 +88,17 @@
         return self._stored_writes >= requested_writes
 
     def revoke_lease(self) -> None:
-        """Ends the lease at a planned stop, so that others forget the record."""
+        """Stops publishing and revokes the lease, which removes the record at a
+        planned stop.
+        """
         self._stopped = True
         if not self._lease:
             return
         match self._store.revoke(self._lease):
             case Failure(error):
-                logger.warning("record not withdrawn", extra={"reason": error.cause})
+                logger.warning(
+                    "failed to revoke record lease", extra={"reason": error.cause}
+                )
 
     def _run(self, on_restore: Callable[[Upstream | None], None]) -> None:
         while not self._restore_last_state(on_restore):
@@ -125,11 +133,13 @@
         try:
             return msgspec.json.decode(data, type=Upstream)
         except msgspec.MsgspecError as error:
-            logger.warning("stored upstream unreadable", extra={"reason": str(error)})
+            logger.warning(
+                "cannot decode stored upstream state", extra={"reason": str(error)}
+            )
             return None
 
     def _write_or_renew(self) -> bool:
-        """Writes what has changed, or renews the lease; False if neither worked."""
+        """Writes pending changes or renews the lease; returns False on failure."""
         if not self._lease and not self._requested_writes:
             return True
         if not self._lease:
@@ -145,7 +155,7 @@
             return self._write()
         match self._store.keep_alive(self._lease):
             case Failure(LeaseExpired()):
-                logger.warning("lease has lapsed", extra={"lease": self._lease})
+                logger.warning("record lease expired", extra={"lease": self._lease})
                 self._lease = ""
                 self._node_revision = None
                 return self._write_or_renew()
@@ -192,7 +202,8 @@
         return True
 
     def _handle_write_failure(self, error: StoreError) -> bool:
-        # The write may still take effect; only a new read tells what to expect.
+        # The write may still take effect, so the revisions that the next write
+        # expects have to be read again.
         self._node_revision = None
         if isinstance(error, LeaseExpired):
             self._lease = ""
@@ -214,4 +225,6 @@
         return True
 
     def _log_failure(self, error: StoreError) -> None:
-        logger.warning("record not written", extra={"reason": error.cause})
+        logger.warning(
+            "failed to access proxy record in store", extra={"reason": error.cause}
+        )
--- a/src/jayswitch/fleet/records.py
+++ b/src/jayswitch/fleet/records.py
@@ -1,4 +1,4 @@
-"""Records that proxies keep in the platform's store."""
+"""Records that proxies publish in the platform's store."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class UpstreamState(Enum):
-    """Whether an upstream takes new work."""
+    """Whether an upstream accepts new requests."""
 
     READY = "ready"
     LEAVING = "leaving"
@@ -22,9 +22,9 @@
 
 
 class Upstream(msgspec.Struct):
-    """One incarnation of an upstream, as its heartbeats described it.
+    """One incarnation of an upstream, as reported by its heartbeats.
 
-    started_ms is the Unix time of its start, sequence counts its heartbeats.
+    started_ms is the Unix time of its start; sequence counts its heartbeats.
     """
 
     id: str
@@ -36,19 +36,19 @@
     sequence: int = 0
 
     def same_incarnation(self, other: Upstream) -> bool:
-        """Tells whether both describe the same start of the same upstream."""
+        """Returns whether both have the same id and start time."""
         return self.id == other.id and self.started_ms == other.started_ms
 
 
 class VersionCounts(msgspec.Struct):
-    """Answers that an upstream of a version on trial has given so far."""
+    """Numbers of good and bad answers of an upstream whose version is on trial."""
 
     good: int = 0
     bad: int = 0
 
 
 class NodeRecord(msgspec.Struct):
-    """A proxy, where it takes calls of other proxies, and its upstream."""
+    """A proxy, its address for requests of other proxies, and its upstream."""
 
     vm: str
     data_centre: str
@@ -58,15 +58,15 @@
     upstream: Upstream | None = None
     draining: bool = False
     trial: VersionCounts | None = None
-    # Bandwidth of the VM's link; wide ones carry more for others.
+    # Bandwidth of the VM's link; proxies on faster links are preferred as relays.
     link_mbit_per_s: float = 0.0
 
 
 class Move(msgspec.Struct):
-    """How far the traffic of a service has moved to another version.
+    """Progress of moving a service's traffic to another version.
 
-    The order is the revision of the operator's request; share is the part of the
-    requests that goes to the new version.
+    order is the store revision of the operator's request; share is the fraction of
+    requests that is routed to the new version.
     """
 
     service: str
@@ -77,7 +77,7 @@
 
 
 class Baseline(msgspec.Struct):
-    """The version of a service that has proved itself."""
+    """The proved version of a service: it receives the requests no move takes."""
 
     version: str
 
@@ -88,5 +88,5 @@
 
 
 def last_state_key(vm: str) -> str:
-    """Returns the key that outlives the proxy: the last state of its upstream."""
+    """Returns the key of the upstream's last state, which outlives the proxy."""
     return LAST_STATE_PREFIX + vm
--- a/src/jayswitch/fleet/revision_exchange.py
+++ b/src/jayswitch/fleet/revision_exchange.py
@@ -1,4 +1,4 @@
-"""How far proxies have followed the store, told along with each request."""
+"""Exchange of store revisions between proxies in the headers of each request."""
 
 from __future__ import annotations
 
@@ -10,9 +10,10 @@
 
 
 class RevisionExchange:
-    """Compares the newest change that this proxy knows with that of others.
+    """Compares the newest store revisions of this proxy with those of its peers.
 
-    A watch can fall silent without a sign; a proxy that talks to others learns so.
+    A watch can stop delivering events without an error. Peers that report a newer
+    revision reveal that this proxy has fallen behind.
     """
 
     __slots__ = ("_address_of", "_followers")
@@ -22,23 +23,26 @@
         followers: list[PrefixFollower],
         address_of: Callable[[str], str] = lambda vm: "",
     ) -> None:
-        """Takes the followers in an order that all proxies share.
+        """Takes the followers, in the same order on every proxy.
 
-        The function returns the address of the proxy on a VM, or nothing.
+        address_of returns the address of the proxy on a VM, or an empty string.
         """
         self._followers = followers
         self._address_of = address_of
 
     def header_value(self) -> str:
-        """Returns the newest change of each prefix as a header value."""
+        """Returns the newest revision of each prefix as a header value."""
         return ",".join(str(follower.newest_change) for follower in self._followers)
 
     def compare_with_vm(self, value: str, vm: str) -> None:
-        """Takes the description of the proxy on a VM."""
+        """Compares the revisions with the header value of the proxy on a VM."""
         self.compare(value, self._address_of(vm))
 
     def compare(self, value: str, address: str) -> None:
-        """Takes another proxy's description; what cannot be read says nothing."""
+        """Compares the revisions with a peer's header value.
+
+        Values that cannot be parsed are ignored.
+        """
         revisions = value.split(",")
         if len(revisions) != len(self._followers):
             return
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -1,4 +1,4 @@
-"""Tests of which proxies are known and used."""
+"""Tests of which proxies the directory lists and uses."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 class TestDirectory:
-    """A lapsed lease alone does not end the use of a proxy."""
+    """An expired lease alone does not remove a proxy; an unreachable one goes."""
 
     def test_only_ready_upstreams_are_members(self) -> None:
         directory = Directory()
@@ -33,13 +33,13 @@
         directory.apply(_event("c", draining=True))
         assert _names(directory) == ["a"]
 
-    def test_own_upstream_is_used_until_the_proxy_ends(self) -> None:
+    def test_own_upstream_stays_a_member_while_the_proxy_drains(self) -> None:
         directory = Directory("a")
         directory.apply(_event("a", draining=True))
         directory.apply(_event("b", draining=True))
         assert _names(directory) == ["a"]
 
-    def test_proxy_that_the_store_turns_away_is_used_until_it_fails(self) -> None:
+    def test_proxy_with_an_expired_lease_is_used_until_it_is_unreachable(self) -> None:
         directory = Directory()
         directory.apply(_event("a"))
         directory.apply(WatchEvent("jayswitch/nodes/a", None, 2))
@@ -47,7 +47,7 @@
         directory.report_unreachable("a")
         assert _names(directory) == []
 
-    def test_listed_proxy_survives_a_failure(self) -> None:
+    def test_listed_proxy_is_kept_after_a_failed_attempt(self) -> None:
         directory = Directory()
         directory.apply(_event("a"))
         directory.report_unreachable("a")
@@ -60,7 +60,7 @@
         directory.apply(WatchEvent("jayswitch/nodes/a", None, 2))
         assert _names(directory) == []
 
-    def test_proxy_that_is_back_is_listed_again(self) -> None:
+    def test_proxy_that_publishes_again_is_listed_again(self) -> None:
         directory = Directory()
         directory.apply(_event("a"))
         directory.apply(WatchEvent("jayswitch/nodes/a", None, 2))
@@ -85,7 +85,7 @@
         assert not directory.at_least_half_accept_callers("bunbury")
         assert directory.at_least_half_accept_callers("harvey")
 
-    def test_unreadable_record_is_dropped_and_harms_no_other(self) -> None:
+    def test_undecodable_record_is_ignored_and_others_are_kept(self) -> None:
         directory = Directory()
         directory.apply(_event("a"))
         directory.apply(WatchEvent("jayswitch/nodes/b", b"{", 2))
--- a/tests/fleet/test_publisher.py
+++ b/tests/fleet/test_publisher.py
@@ -1,4 +1,4 @@
-"""Tests of keeping a record in the store through outages and restarts."""
+"""Tests of publishing a record through store outages and process restarts."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from jayswitch.standins.memory_store import MemoryStore
 
 
-class Published:
+class PublisherFixture:
     """A store and a publisher of one record."""
 
     def __init__(self, store: MemoryStore | None = None) -> None:
@@ -49,75 +49,75 @@
 
 
 class TestPublisher:
-    """What was acknowledged is in the store, and stays there."""
-
-    def test_nothing_is_written_before_there_is_something(self) -> None:
-        published = Published()
-        published.clock.sleep_ms(5000)
-        assert published.node() is None
-
-    def test_record_lives_while_its_process_does(self) -> None:
-        published = Published()
-        published.publisher.publish()
-        published.clock.sleep_ms(10 * LEASE_TTL_MS)
-        assert published.node() is not None
-        published.publisher.revoke_lease()
-        assert published.node() is None
-        assert published.last().state is UpstreamState.READY
+    """Acknowledged changes are in the store and survive outages."""
+
+    def test_nothing_is_written_before_the_first_publish(self) -> None:
+        fixture = PublisherFixture()
+        fixture.clock.sleep_ms(5000)
+        assert fixture.node() is None
+
+    def test_record_is_kept_until_the_lease_is_revoked(self) -> None:
+        fixture = PublisherFixture()
+        fixture.publisher.publish()
+        fixture.clock.sleep_ms(10 * LEASE_TTL_MS)
+        assert fixture.node() is not None
+        fixture.publisher.revoke_lease()
+        assert fixture.node() is None
+        assert fixture.last().state is UpstreamState.READY
 
     def test_waiting_ends_only_when_the_change_is_stored(self) -> None:
-        published = Published()
-        published.publisher.publish()
-        assert published.publisher.wait_until_stored(500)
-        published.store.faults.down = True
-        published.leave()
-        assert not published.publisher.wait_until_stored(500)
-        published.store.faults.down = False
-        assert published.publisher.wait_until_stored(1000)
-        assert published.last().state is UpstreamState.LEAVING
-
-    def test_lapsed_record_is_back_within_two_seconds_of_the_stores_return(
+        fixture = PublisherFixture()
+        fixture.publisher.publish()
+        assert fixture.publisher.wait_until_stored(500)
+        fixture.store.faults.down = True
+        fixture.leave()
+        assert not fixture.publisher.wait_until_stored(500)
+        fixture.store.faults.down = False
+        assert fixture.publisher.wait_until_stored(1000)
+        assert fixture.last().state is UpstreamState.LEAVING
+
+    def test_expired_record_is_restored_within_two_seconds_of_the_stores_return(
         self,
     ) -> None:
-        published = Published()
-        published.publisher.publish()
-        published.clock.sleep_ms(100)
-        published.store.faults.down = True
-        published.clock.sleep_ms(3 * LEASE_TTL_MS)
-        published.store.faults.down = False
-        published.store._lapse_leases()
-        assert published.node() is None
-        published.clock.sleep_ms(2000)
-        assert published.node() is not None
-
-    def test_lost_answers_do_not_stop_it(self) -> None:
-        published = Published(MemoryStore(VirtualClock(), seed=3))
-        published.store.faults.lose_answers = 0.5
-        published.store._random = random.Random(3)
-        published.publisher.publish()
-        published.clock.sleep_ms(1000)
-        published.leave()
-        assert published.publisher.wait_until_stored(20_000)
-        node = published.node()
+        fixture = PublisherFixture()
+        fixture.publisher.publish()
+        fixture.clock.sleep_ms(100)
+        fixture.store.faults.down = True
+        fixture.clock.sleep_ms(3 * LEASE_TTL_MS)
+        fixture.store.faults.down = False
+        fixture.store._lapse_leases()
+        assert fixture.node() is None
+        fixture.clock.sleep_ms(2000)
+        assert fixture.node() is not None
+
+    def test_changes_are_stored_despite_lost_store_answers(self) -> None:
+        fixture = PublisherFixture(MemoryStore(VirtualClock(), seed=3))
+        fixture.store.faults.lose_answers = 0.5
+        fixture.store._random = random.Random(3)
+        fixture.publisher.publish()
+        fixture.clock.sleep_ms(1000)
+        fixture.leave()
+        assert fixture.publisher.wait_until_stored(20_000)
+        node = fixture.node()
         assert node is not None and node.upstream is not None
         assert node.upstream.state is UpstreamState.LEAVING
-        assert published.last().state is UpstreamState.LEAVING
-
-    def test_next_process_learns_the_last_state(self) -> None:
-        published = Published()
-        assert published.restored == [None]
-        published.leave()
-        published.clock.sleep_ms(100)
-        again = Published(published.store)
-        assert again.restored[0] is not None
-        assert again.restored[0].state is UpstreamState.LEAVING
-
-    def test_nothing_is_restored_while_the_store_is_away(self) -> None:
+        assert fixture.last().state is UpstreamState.LEAVING
+
+    def test_next_process_restores_the_last_state(self) -> None:
+        fixture = PublisherFixture()
+        assert fixture.restored == [None]
+        fixture.leave()
+        fixture.clock.sleep_ms(100)
+        restarted = PublisherFixture(fixture.store)
+        assert restarted.restored[0] is not None
+        assert restarted.restored[0].state is UpstreamState.LEAVING
+
+    def test_nothing_is_restored_while_the_store_is_unavailable(self) -> None:
         store = MemoryStore(VirtualClock())
         store.faults.down = True
-        published = Published(store)
-        published.clock.sleep_ms(3000)
-        assert not published.publisher.restored
+        fixture = PublisherFixture(store)
+        fixture.clock.sleep_ms(3000)
+        assert not fixture.publisher.restored
         store.faults.down = False
-        published.clock.sleep_ms(1000)
-        assert published.publisher.restored
+        fixture.clock.sleep_ms(1000)
+        assert fixture.publisher.restored
