Reword the texts of rollout

Doc comments spoke of versions that are "left alone", "taken back" or "held against" each other, and log lines of "step not written" or "not driving". They now use the terms of the field: regression, cumulative-sum test, moving average, stagger, take-over. The reasons and figures behind constants stay.

Behaviour is the same.

--- a/src/jayswitch/rollout/coordinator.py
+++ b/src/jayswitch/rollout/coordinator.py
@@ -1,4 +1,7 @@
-"""Steps the moves of services; any proxy may, and the store takes one of them."""
+"""Advances the moves of services.
+
+Every proxy may write a step; the store accepts only the first one.
+"""
 
 from __future__ import annotations
 
@@ -30,12 +33,13 @@
     from jayswitch.store.interface import Store
 
 REVIEW_INTERVAL_MS = 250.0
-# Proxies review in the order of their names, each this much later than the one
-# before, so that the next one steps in when the first cannot reach the store.
+# Proxies act in the order of their names, each this much later than the previous
+# one, so that the next proxy takes over when the first cannot reach the store.
 REVIEW_STAGGER_MS = 300.0
 MAX_REVIEW_STAGGER_MS = 2000.0
 
-# Returns the key and value under which operators read a move's state.
+# Takes service, state and version; returns the key and value under which operators
+# read a move's state.
 StatusWriter = Callable[[str, str, str], tuple[str, bytes]]
 
 logger = logging.getLogger(__name__)
@@ -44,8 +48,8 @@
 class MoveCoordinator:
     """Decides a move's next step from the fleet's records and writes it.
 
-    Each step expects the revision of the one before, so that proxies that race
-    each other take it once.
+    Each write expects the revision of the previous step, so that a step is stored
+    only once when several proxies race for it.
     """
 
     def __init__(
@@ -58,7 +62,7 @@
         status: StatusWriter,
         clock: Clock,
     ) -> None:
-        """Takes what the decisions rest on."""
+        """Takes the sources of the decisions and the store to write to."""
         self._vm = vm
         self._store = store
         self._orders = orders
@@ -70,11 +74,11 @@
         self._stage_ms_by_service: dict[str, tuple[float, float]] = {}
 
     def start(self) -> None:
-        """Starts the task that reviews moves."""
+        """Starts the background task that reviews moves."""
         eventlet.spawn(self._run)
 
     def roll_back(self, service: str, reason: str) -> None:
-        """Ends a running move at once, trying until the store has taken it."""
+        """Ends a running move at once; retries until the store accepts it."""
         eventlet.spawn_n(self._roll_back_until_stored, service, reason)
 
     def _run(self) -> None:
@@ -83,7 +87,7 @@
             try:
                 self._review()
             except Exception:
-                logger.exception("review of moves failed")
+                logger.exception("failed to review moves")
 
     def _review(self) -> None:
         for service in self._services_without_baseline():
@@ -131,7 +135,7 @@
             upstreams=upstreams,
         )
 
-    # Taking turns
+    # Staggering between proxies
 
     def _run_when_due(
         self, topic: str, action: Callable[..., None], *arguments: object
@@ -151,7 +155,7 @@
         before = sum(1 for vm in active if vm < self._vm)
         return min(MAX_REVIEW_STAGGER_MS, before * REVIEW_STAGGER_MS)
 
-    # Writing
+    # Writes to the store
 
     def _services_without_baseline(self) -> list[str]:
         services = {
@@ -195,19 +199,19 @@
         match self._store.commit(writes):
             case Success(revision):
                 logger.info(
-                    "step written",
+                    "move step stored",
                     extra={"service": service, "step": topic, "revision": revision},
                 )
                 return True
             case Failure(CasConflict()):
                 logger.info(
-                    "another proxy was first",
+                    "move step already stored by another proxy",
                     extra={"service": service, "step": topic},
                 )
                 return True
             case Failure(error):
                 logger.warning(
-                    "step not written",
+                    "failed to store move step",
                     extra={"service": service, "step": topic, "reason": error.cause},
                 )
         return False
--- a/src/jayswitch/rollout/driver.py
+++ b/src/jayswitch/rollout/driver.py
@@ -1,4 +1,7 @@
-"""Drives moves from trial to done or reversed; one node at a time, under a lease."""
+"""Advances moves from their trial step to completion or reversal.
+
+One node at a time does so, under a lease.
+"""
 
 from __future__ import annotations
 
@@ -41,7 +44,7 @@
 
 
 def next_percent(move: Move) -> int | None:
-    """Returns the share after the present one; None if only the end is left."""
+    """Returns the percentage of the next step, or None after the last step."""
     if move.percent == 0:
         return move.trial_percent
     for percent in STEP_PERCENTS:
@@ -51,10 +54,10 @@
 
 
 def min_hold_ms(move: Move) -> float:
-    """Returns how long the present share has to be held at least.
+    """Returns the minimum time for which the current percentage has to be held.
 
-    A share that had to wait for evidence leaves less time to the later ones; they
-    then divide what is left before the deadline.
+    If an earlier step waited long for evidence, the remaining steps share the time
+    that is left before the deadline equally.
     """
     window_ms = move.deadline_ms - move.started_ms
     on_trial = move.percent <= move.trial_percent
@@ -73,7 +76,10 @@
     epoch: int,
     now_ms: int,
 ) -> MoveStepped | MoveEnded | None:
-    """Returns the next change of a move, or None while it has to wait."""
+    """Returns the next change of a move, or None while the move has to wait.
+
+    regression is the evidence against the new version; empty if there is none.
+    """
 
     def end(done: bool, reason: str) -> MoveEnded:
         return MoveEnded(
@@ -114,11 +120,11 @@
 
 
 class MoveDriver:
-    """Holds the driver lease where it can, and then drives every move.
+    """Competes for the driver lease and advances all moves while holding it.
 
-    Safety rests on the log: taking over is an entry with the next epoch, and steps
-    of an earlier epoch are refused. The lease only keeps candidates from taking
-    over from each other.
+    Safety does not depend on the lease but on the log: a take-over is an entry with
+    the next epoch, and the log rejects steps of earlier epochs. The lease only keeps
+    candidates from taking over from each other.
     """
 
     def __init__(
@@ -132,7 +138,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Takes what tells whether this node may drive."""
+        """Takes the collaborators; is_candidate returns whether this node may drive."""
         self.epoch = 0
         self.has_upstream: Callable[[str, str], bool] = lambda service, version: False
         self._lease = ""
@@ -150,15 +156,15 @@
 
     @property
     def is_driving(self) -> bool:
-        """Tells whether this node took over last, as far as it knows."""
+        """Returns whether the latest known take-over is by this node."""
         return bool(self.epoch) and self.epoch == self._replica.state.driver_epoch
 
     def start(self) -> None:
-        """Starts the task that applies for the lease and drives."""
+        """Starts the background task that acquires the lease and advances moves."""
         eventlet.spawn(self._run)
 
     def stop(self) -> None:
-        """Gives the lease back."""
+        """Stops advancing moves and revokes the lease."""
         self._stopped = True
         if self._lease:
             self._store.revoke(self._lease)
@@ -200,15 +206,18 @@
         self._take_over()
 
     def _take_over(self) -> None:
-        # The epoch follows the log's newest one, which append() has read.
+        # The new epoch must follow the newest one in the log, so read that first.
         self._log.catch_up()
         epoch = self._replica.state.driver_epoch + 1
         match self._log.append(DriverTaken(node=self._node, epoch=epoch), self._node):
             case Success(_):
                 self.epoch = epoch
-                logger.info("driving moves", extra={"epoch": epoch})
+                logger.info("took over as driver of moves", extra={"epoch": epoch})
             case Failure(error):
-                logger.warning("not driving", extra={"reason": str(error)})
+                logger.warning(
+                    "failed to take over as driver of moves",
+                    extra={"reason": str(error)},
+                )
                 self._release_lease()
 
     def _renew(self) -> None:
@@ -250,7 +259,9 @@
             case Failure(StaleDriver()):
                 self._release_lease()
             case Failure(error):
-                logger.debug("move not changed", extra={"reason": str(error)})
+                logger.debug(
+                    "failed to append change of move", extra={"reason": str(error)}
+                )
         return False
 
     def _save_snapshot(self) -> None:
--- a/src/jayswitch/rollout/outcomes.py
+++ b/src/jayswitch/rollout/outcomes.py
@@ -1,4 +1,4 @@
-"""Counts of what calls came to, by version and route."""
+"""Counts of call outcomes by version and route."""
 
 from __future__ import annotations
 
@@ -17,14 +17,14 @@
 
 
 def latency_bucket(latency_ms: float) -> int:
-    """Returns the index of the histogram bucket that holds a latency."""
+    """Returns the index of the histogram bucket for a latency."""
     return bisect.bisect_left(BUCKET_BOUNDS_MS, latency_ms)
 
 
 class RouteOutcomes(Model):
     """Calls, errors and a sparse latency histogram of one version and route.
 
-    Latencies are of calls without an error, while the upstream was warm.
+    The histogram holds only calls without an error to an upstream that was warm.
     """
 
     calls: int = 0
@@ -32,7 +32,7 @@
     latency_counts: dict[int, int] = msgspec.field(default_factory=dict)
 
     def record(self, failed: bool, latency_ms: float | None) -> None:
-        """Counts one call; no latency is given where it says nothing."""
+        """Counts one call; the latency is None where it must not be compared."""
         self.calls += 1
         if failed:
             self.errors += 1
@@ -48,7 +48,7 @@
             self.latency_counts[bucket] = self.latency_counts.get(bucket, 0) + count
 
     def since(self, earlier: RouteOutcomes) -> RouteOutcomes:
-        """Returns what has been counted after an earlier copy."""
+        """Returns the difference from an earlier copy."""
         return RouteOutcomes(
             calls=self.calls - earlier.calls,
             errors=self.errors - earlier.errors,
@@ -68,7 +68,7 @@
 
 
 class OutcomeKey(msgspec.Struct, frozen=True, array_like=True):
-    """What outcomes are counted by; the profile is that of the entry node."""
+    """The key of outcome counts; the profile is that of the entry node."""
 
     profile: str
     service: str
@@ -89,7 +89,7 @@
     __slots__ = ("by_key",)
 
     def __init__(self) -> None:
-        """Starts at zero."""
+        """Starts with no outcomes."""
         self.by_key: dict[OutcomeKey, RouteOutcomes] = {}
 
     def record(self, key: OutcomeKey, failed: bool, latency_ms: float | None) -> None:
@@ -113,7 +113,7 @@
 
 
 def decode_outcomes(payload: bytes) -> list[KeyedOutcomes]:
-    """Returns the rows of an outcomes record; none if it cannot be read."""
+    """Returns the rows of an outcomes record; an empty list if decoding fails."""
     try:
         return _rows_decoder.decode(payload)
     except msgspec.DecodeError:
--- a/src/jayswitch/rollout/stages.py
+++ b/src/jayswitch/rollout/stages.py
@@ -1,4 +1,4 @@
-"""When a move of a service to another version takes its next step."""
+"""Schedule of the stages in which a service's traffic moves to another version."""
 
 from __future__ import annotations
 
@@ -10,15 +10,17 @@
 
 
 class Stage(msgspec.Struct, frozen=True):
-    """A share of the requests and the part of the time from which it may begin."""
+    """A share of the requests and the fraction of the move's duration from which
+    the stage may begin.
+    """
 
     share: float
     from_part: float
 
 
-# A bad version may get a tenth of the requests of the whole time: the first stage
-# stays at half of that while most kinds of badness show, and the later ones are
-# short, because there the version gets enough requests to be judged at once.
+# A bad version may receive at most a tenth of all requests of the move. The first
+# stage stays at half of that, because most faults show there. The later stages are
+# short, because there the version receives enough requests to be judged at once.
 STAGES = (
     Stage(0.05, 0.0),
     Stage(0.3, 0.4),
@@ -26,15 +28,15 @@
     Stage(1.0, 0.62),
 )
 MIN_COMPLETE_PART = 0.74
-# Requests that were sent to the old version's upstreams have ended by then.
+# Requests already sent to upstreams of the old version end within this time.
 MIN_LAST_STAGE_MS = 2000.0
 MIN_STAGE_MS = 900.0
-# Good answers that have to be seen before the share grows past the first stage.
+# Good answers required before the share grows past the first stage.
 MIN_GOOD_ANSWERS = 12
 
 
 class MoveView(msgspec.Struct, frozen=True):
-    """What is known of a move when its next step is decided.
+    """The inputs for the decision on a move's next step.
 
     elapsed_ms counts from the order, stage_ms from the last step.
     """
@@ -48,14 +50,14 @@
 
 
 class Step(msgspec.Struct, frozen=True):
-    """The state and share that a move should have."""
+    """The state and the share that a move should have."""
 
     state: str
     share: float
 
 
 def next_step(view: MoveView) -> Step:
-    """Returns the step that is due; the present state and share if none is."""
+    """Returns the step that is due, or the current state and share if none is."""
     elapsed_part = view.elapsed_ms / view.duration_ms
     current = Step(RUNNING, view.share)
     if view.share >= 1.0 and view.upstreams:
--- a/src/jayswitch/rollout/trial.py
+++ b/src/jayswitch/rollout/trial.py
@@ -1,4 +1,4 @@
-"""Judges a version on trial from the answers of one of its upstreams."""
+"""Evaluates a version on trial by the answers of one of its upstreams."""
 
 from __future__ import annotations
 
@@ -8,45 +8,47 @@
 
 from jayswitch.fleet.records import VersionCounts
 
-# Answers that the verdict looks back on, for each route and for all of them.
+# Number of latest answers that are evaluated, per route and over all routes.
 ROUTE_WINDOW = 12
 OVERALL_WINDOW = 24
-# Failures that make a version bad where they are at least MIN_BAD_SHARE of the window,
-# beyond those of the proved version, as when calls that both make are refused.
-# An upstream of either deployment fails at most 4 in 1000 requests by itself.
+# A version is bad from this many failures, if they are also at least this share of
+# the window. Both limits are raised by the failures of the proved version, for
+# example when calls that both versions make are refused. A sound upstream of either
+# deployment fails at most 4 in 1000 requests.
 MIN_BAD_ANSWERS = 3
 MIN_BAD_SHARE = 0.2
-# An answer is slow from this multiple of the proved version's usual latency; a
-# cold upstream takes about twice as long.
+# An answer is slow above this multiple of the proved version's average latency, plus
+# the extra time. A cold upstream takes about twice the average.
 SLOW_FACTOR = 3.5
 SLOW_EXTRA_MS = 60.0
-# About one answer in a hundred of a sound upstream is that slow, and one in a thousand
-# twice as slow: four of the former say as much as three failures.
+# About 1 in 100 answers of a sound upstream is slow and 1 in 1000 is twice as slow.
+# Four slow answers therefore weigh as much as three failures.
 SLOW_ANSWER_WEIGHT = 0.75
 VERY_SLOW_FACTOR = 2.0
-# Upstreams of one service differ in speed, up to twice the usual latency. What the
-# faster answers of an upstream take tells its speed: in most distributions three in
-# ten take less than this part of the average.
+# Upstreams of one service differ in speed, up to twice the average latency. The speed
+# of an upstream is estimated from a low quantile of its latencies: in most
+# distributions 30 % of the answers take less than 0.6 of the average.
 SPEED_QUANTILE = 0.3
 SPEED_QUANTILE_RATIO = 0.6
 MAX_SLOWDOWN = 2.0
 MIN_ANSWERS_FOR_SLOWDOWN = 8
-# Moving averages of the proved version: over about 20 and 10 answers.
+# Smoothing factors of the proved version's moving averages, which span about 20
+# answers for latency and 10 for failures.
 LATENCY_SMOOTHING = 0.05
 FAILURES_SMOOTHING = 0.1
 
 
 class RouteAverages(msgspec.Struct, frozen=True):
-    """What the proved version does on a route, as one sender has seen it.
+    """Moving averages of the proved version on a route, as seen by one sender.
 
-    latency_ms is 0 where it is not known; failures is a share of the answers.
+    latency_ms is 0 if unknown; failures is the share of failed answers.
     """
 
     latency_ms: float = 0.0
     failures: float = 0.0
 
     def updated(self, failed: bool, latency_ms: float) -> RouteAverages:
-        """Returns the moving averages with one more answer."""
+        """Returns the moving averages after one more answer."""
         failures = self.failures + (float(failed) - self.failures) * FAILURES_SMOOTHING
         if failed:
             return RouteAverages(self.latency_ms, failures)
@@ -57,7 +59,7 @@
 
 
 class TrialEvaluator:
-    """Counts good and bad answers of an upstream and finds a version bad."""
+    """Counts good and bad answers of an upstream and decides if its version is bad."""
 
     __slots__ = ("_by_route", "_overall", "_latency_ratios", "counts", "reason")
 
@@ -71,13 +73,13 @@
 
     @property
     def is_bad(self) -> bool:
-        """Tells whether the version has been found bad; that is final."""
+        """Returns whether the version has been found bad; the result is final."""
         return bool(self.reason)
 
     def observe(
         self, route: str, failed: bool, latency_ms: float, expected: RouteAverages
     ) -> None:
-        """Takes one answer and what the proved version usually does on the route."""
+        """Evaluates one answer against the proved version's averages on the route."""
         min_bad_share = MIN_BAD_SHARE + expected.failures
         min_bad_answers = MIN_BAD_ANSWERS + int(expected.failures * OVERALL_WINDOW)
         weight = (
@@ -102,7 +104,7 @@
                 return
 
     def _slowness_weight(self, latency_ms: float, expected_ms: float) -> float:
-        """Returns what one answer's latency says against the version, 0 to 1."""
+        """Returns the weight of an answer's latency against the version, 0 to 1."""
         if expected_ms <= 0:
             return 0.0
         limit_ms = expected_ms * SLOW_FACTOR * self._slowdown() + SLOW_EXTRA_MS
@@ -112,7 +114,7 @@
         return 1.0 if latency_ms > limit_ms * VERY_SLOW_FACTOR else SLOW_ANSWER_WEIGHT
 
     def _slowdown(self) -> float:
-        """Returns how much longer than usual this upstream takes by itself."""
+        """Returns this upstream's own slowdown relative to the average latency."""
         if len(self._latency_ratios) < MIN_ANSWERS_FOR_SLOWDOWN:
             return 1.0
         ratio = sorted(self._latency_ratios)[
--- a/src/jayswitch/rollout/version_comparison.py
+++ b/src/jayswitch/rollout/version_comparison.py
@@ -1,4 +1,4 @@
-"""Compares a new version with the old one at the same time, route by route."""
+"""Compares a new version with the old one over the same intervals, per route."""
 
 from __future__ import annotations
 
@@ -29,11 +29,11 @@
 
 
 class RateCusum:
-    """A cumulative-sum test of a rate against the same rate of the old version.
+    """A cumulative-sum (CUSUM) test of a rate against that of the old version.
 
-    The sum grows while the new version's rate looks raised, and falls back to
-    zero while it does not, so that a version that turns bad late is found as soon
-    as one that is bad from the start.
+    The score grows while the new version's rate looks raised and falls back to zero
+    otherwise, so that a version that turns bad late is detected as quickly as one
+    that is bad from the start.
     """
 
     __slots__ = (
@@ -52,11 +52,13 @@
     def __init__(
         self, floor: float, raised_factor: float, raised_by: float, delay: int
     ) -> None:
-        """Takes the lowest rate assumed, what counts as raised, and the delay.
+        """Takes the lowest assumed rate, the raised rate to detect, and the delay.
 
-        The new version's counts wait for that many intervals, because reports of
-        one moment come from many gates at different times; they are then held
-        against the old version's highest rate meanwhile.
+        A rate counts as raised at raised_factor times the old version's rate, or at
+        raised_by above it if that is higher. The new version's counts are delayed
+        by the given number of intervals, because gates report the same moment at
+        different times. They are then compared with the highest rate of the old
+        version during the delay.
         """
         self._delayed_counts: deque[tuple[int, int]] = deque([(0, 0)] * delay)
         self._recent_bounds: deque[float] = deque(maxlen=delay + 1)
@@ -71,20 +73,20 @@
 
     @classmethod
     def for_errors(cls, delay: int) -> RateCusum:
-        """Returns evidence on the rate of errors."""
+        """Returns a test for the rate of errors."""
         return cls(
             ERROR_RATE_FLOOR, ERROR_RATE_RAISED_FACTOR, ERROR_RATE_RAISED_BY, delay
         )
 
     @classmethod
     def for_slow_answers(cls, delay: int) -> RateCusum:
-        """Returns evidence on the rate of slow answers."""
+        """Returns a test for the rate of slow answers."""
         return cls(SLOW_RATE_FLOOR, SLOW_RATE_RAISED_FACTOR, SLOW_RATE_RAISED_BY, delay)
 
     def observe(
         self, old_hits: int, old_calls: int, new_hits: int, new_calls: int
     ) -> None:
-        """Takes the counts of one interval from both versions."""
+        """Adds the counts of both versions for one interval."""
         long_term_rate = self._long_term_rate()
         rate = min(
             RATE_CEILING,
@@ -114,10 +116,10 @@
     def _recent_rate_bound(
         self, long_term_rate: float, old_hits: int, old_calls: int
     ) -> float:
-        """Returns an upper estimate of the old version's rate just now.
+        """Returns an upper estimate of the old version's recent rate.
 
-        The fewer calls it had, the higher the estimate, so that an outage which
-        both versions share is not held against the new one.
+        The fewer recent calls there are, the higher is the estimate, so that an
+        outage that affects both versions does not count against the new one.
         """
         self._recent_hits = self._recent_hits * RECENT_DECAY + old_hits
         self._recent_calls = self._recent_calls * RECENT_DECAY + old_calls
@@ -133,12 +135,12 @@
 
 
 class RouteComparison:
-    """Evidence on errors and latency of one route."""
+    """Comparison of errors and latency on one route."""
 
     __slots__ = ("_bad_score", "_old", "errors", "new_calls", "old_calls", "slow")
 
     def __init__(self, delay: int, bad_score: float) -> None:
-        """Starts without evidence; the delay is in intervals."""
+        """Starts without observations; the delay is in intervals."""
         self._bad_score = bad_score
         self.errors = RateCusum.for_errors(delay)
         self.slow = RateCusum.for_slow_answers(delay)
@@ -147,7 +149,7 @@
         self._old = RouteOutcomes()
 
     def observe(self, old: RouteOutcomes, new: RouteOutcomes) -> None:
-        """Takes what both versions did in one interval."""
+        """Adds the outcomes of both versions for one interval."""
         self.old_calls += old.calls
         self.new_calls += new.calls
         self.errors.observe(old.errors, old.calls, new.errors, new.calls)
@@ -160,7 +162,7 @@
         self.slow.observe(old_slow, old_timed, new_slow, new_timed)
 
     def regression(self) -> str:
-        """Returns what is wrong with the new version; empty for nothing."""
+        """Returns a description of the regression; empty if there is none."""
         if self.errors.score >= self._bad_score:
             return f"more errors than the old version (score {self.errors.score:.1f})"
         if self.slow.score >= self._bad_score:
@@ -187,7 +189,7 @@
 
 
 class MoveComparison:
-    """Evidence on one move over all routes."""
+    """Comparison of both versions of a move over all routes."""
 
     __slots__ = (
         "_bad_score",
@@ -200,10 +202,10 @@
     )
 
     def __init__(self, delay: int, bad_score: float = BAD_SCORE) -> None:
-        """Starts without evidence.
+        """Starts without observations.
 
-        The delay is in intervals; the evidence is the score, a logarithm of odds,
-        from which a version counts as bad.
+        The delay is in intervals. bad_score is the score, a logarithm of odds, from
+        which a version counts as bad.
         """
         self._delay = delay
         self._bad_score = bad_score
@@ -215,11 +217,11 @@
 
     @property
     def step_calls(self) -> int:
-        """Returns the new version's calls since the share last changed."""
+        """Returns the number of the new version's calls since the last step."""
         return self._step_calls
 
     def observe(self, route: str, old: RouteOutcomes, new: RouteOutcomes) -> None:
-        """Takes what both versions did on a route in one interval."""
+        """Adds the outcomes of both versions on a route for one interval."""
         comparison = self.by_route.setdefault(
             route, RouteComparison(self._delay, self._bad_score)
         )
@@ -229,15 +231,15 @@
         self._step_calls_by_route[route] = earlier + new.calls
 
     def observe_overall(self, old: RouteOutcomes, new: RouteOutcomes) -> None:
-        """Takes the sums over all routes of one interval.
+        """Adds the sums over all routes for one interval.
 
-        Errors on every route show sooner in the sum; latencies are not compared
-        there, because routes differ in them.
+        Errors that affect every route show sooner in the sum. Latencies are not
+        compared there, because they differ between routes.
         """
         self._all_routes.observe(old.errors, old.calls, new.errors, new.calls)
 
     def set_percent(self, percent: int) -> None:
-        """Counts the proof anew where the share has changed."""
+        """Resets the call counts of the step if the percentage has changed."""
         if percent == self._percent:
             return
         self._percent = percent
@@ -245,7 +247,7 @@
         self._step_calls_by_route.clear()
 
     def regression(self) -> str:
-        """Returns what is wrong on which route; empty for nothing."""
+        """Returns a description of the first regression and its route, or empty."""
         for route, comparison in sorted(self.by_route.items()):
             regression = comparison.regression()
             if regression:
@@ -258,7 +260,7 @@
         return ""
 
     def missing_evidence(self) -> str:
-        """Returns what still has to be seen at this share; empty for nothing."""
+        """Returns which calls are still missing at this step; empty if none are."""
         if self._step_calls < MIN_STEP_CALLS:
             return f"{self._step_calls} of {MIN_STEP_CALLS} calls seen"
         for route, comparison in sorted(self.by_route.items()):
--- a/src/jayswitch/rollout/versions.py
+++ b/src/jayswitch/rollout/versions.py
@@ -1,4 +1,4 @@
-"""Which versions of a service may get requests, and how a request picks one."""
+"""Which versions of a service receive requests, and the choice for one request."""
 
 from __future__ import annotations
 
@@ -19,10 +19,14 @@
 
 
 class VersionRules:
-    """The proved version of each service and the moves that are under way."""
+    """The proved version of each service and the running moves."""
 
     def __init__(self, rng: random.Random) -> None:
-        """Starts without knowledge: a service's only version counts as proved."""
+        """Starts without records.
+
+        Until a proved version is known, that of the earliest upstream counts as
+        proved.
+        """
         self.move_by_service: dict[str, Move] = {}
         self.move_revision_by_service: dict[str, int] = {}
         self.proved_version_by_service: dict[str, str] = {}
@@ -31,7 +35,7 @@
         self._random = rng
 
     def apply(self, event: WatchEvent) -> None:
-        """Takes a change of a move or of a proved version."""
+        """Applies a change of a move or of a proved version."""
         try:
             if event.key.startswith(MOVE_PREFIX):
                 self._apply_move(event.key.removeprefix(MOVE_PREFIX), event)
@@ -39,12 +43,16 @@
                 self._apply_baseline(event.key.removeprefix(BASELINE_PREFIX), event)
         except msgspec.MsgspecError as error:
             logger.warning(
-                "shared record unreadable",
+                "cannot decode shared record",
                 extra={"key": event.key, "reason": str(error)},
             )
 
     def withdraw(self, service: str, version: str) -> bool:
-        """Ends a version's share on this proxy; tells whether that is news."""
+        """Stops routing a move's share to a version on this proxy.
+
+        Returns False if no running move leads to the version, or if it has already
+        been withdrawn.
+        """
         move = self.move_by_service.get(service)
         if move is None or move.to_version != version or move.state != RUNNING:
             return False
@@ -58,7 +66,7 @@
         return True
 
     def proved_version(self, service: str, members: list[Member]) -> str:
-        """Returns the version that gets what a move does not take."""
+        """Returns the version that receives the requests a move does not take."""
         stored_version = self.proved_version_by_service.get(service)
         if stored_version is not None or not members:
             return stored_version or ""
@@ -67,19 +75,19 @@
     def may_receive_requests(
         self, service: str, version: str, members: list[Member]
     ) -> bool:
-        """Tells whether an upstream of a version takes requests at all."""
+        """Returns whether upstreams of a version may receive any requests."""
         if version == (self.proved_version(service, members) or version):
             return True
         move = self._running_move(service)
         return move is not None and move.to_version == version and move.share > 0
 
     def is_on_trial(self, service: str, version: str) -> bool:
-        """Tells whether a version's answers are to be judged."""
+        """Returns whether a version's answers have to be evaluated."""
         move = self._running_move(service)
         return move is not None and move.to_version == version
 
     def choose_members(self, service: str, members: list[Member]) -> list[Member]:
-        """Returns the upstreams that one request may go to."""
+        """Returns the upstreams that one request may be sent to."""
         move = self._running_move(service)
         if move is not None and self._random.random() < move.share:
             chosen = [m for m in members if m.version == move.to_version]
--- a/src/jayswitch/rollout/watcher.py
+++ b/src/jayswitch/rollout/watcher.py
@@ -1,4 +1,4 @@
-"""Judges the moves under way from outcomes and marks bad versions."""
+"""Compares the versions of running moves by call outcomes and marks bad versions."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 
 class BadVersionMark(Model):
-    """A version found bad within a move; a mark is never taken back."""
+    """Marks the new version of a move as bad; a mark is never removed."""
 
     move: str
     node: str
@@ -46,18 +46,18 @@
 
 
 class OutcomeDeltas:
-    """Turns cumulative counts of many observers into counts per interval."""
+    """Converts the cumulative counts of many observers into counts per interval."""
 
     def __init__(self) -> None:
-        """Starts without a base.
+        """Starts without base counts.
 
-        What an observer has counted before it is first seen may be of an earlier
-        move, so its first counts are only a base for later ones.
+        The first counts of an observer may include calls of an earlier move, so they
+        serve only as the base for later counts.
         """
         self._base_by_key_by_observer: dict[str, dict[OutcomeKey, RouteOutcomes]] = {}
 
     def update(self, observer: str, rows: list[KeyedOutcomes]) -> list[KeyedOutcomes]:
-        """Returns what the observer has counted since it was last asked."""
+        """Returns the increase of an observer's counts since its last update."""
         base_by_key = self._base_by_key_by_observer.get(observer)
         self._base_by_key_by_observer[observer] = {
             row.key: row.outcomes.copy() for row in rows
@@ -74,23 +74,23 @@
         ]
 
     def retain_only(self, observers: set[str]) -> None:
-        """Drops the bases of observers that are gone."""
+        """Removes the base counts of all other observers."""
         for observer in set(self._base_by_key_by_observer) - observers:
             del self._base_by_key_by_observer[observer]
 
 
 class MoveWatcher:
-    """Judges each move twice: on this node's own calls and on all gates' reports.
+    """Compares the versions of each move twice: by own calls and by gate reports.
 
-    Many nodes judge their own calls, each from few, so they ask for more evidence.
-    The two are never added up, because a call is counted by both its entry node
-    and its gate.
+    Many nodes compare their own calls, each with few samples, so the local
+    comparison requires a higher score. The two sets of counts are never added,
+    because each call is counted by both its entry node and its gate.
     """
 
     def __init__(
         self, node: str, table: RecordTable, own_outcomes: OutcomeCounter
     ) -> None:
-        """Takes the outcomes of the calls that entered at this node."""
+        """Takes the record table and the outcomes of calls that entered here."""
         self.reported_comparison_by_move: dict[str, MoveComparison] = {}
         self._local_comparison_by_move: dict[str, MoveComparison] = {}
         self._node = node
@@ -100,21 +100,21 @@
         self._reported_deltas = OutcomeDeltas()
 
     def is_marked_bad(self, move_id: str) -> bool:
-        """Tells whether any node has found the move's new version bad."""
+        """Returns whether any node has marked the move's new version as bad."""
         return self._table.get(mark_key(move_id)) is not None
 
     def mark(self, move_id: str) -> BadVersionMark | None:
-        """Returns the mark of a move, if it has one."""
+        """Returns the mark of a move's new version, or None."""
         record = self._table.get(mark_key(move_id))
         if record is None:
             return None
         return msgspec.msgpack.decode(record.payload, type=BadVersionMark)
 
     def review(self, config: ConfigState, has_all_reports: bool) -> None:
-        """Takes the outcomes since the last review and marks what is bad.
+        """Evaluates the outcomes since the last review and marks bad versions.
 
-        The gates' reports are judged only where all of them arrive; elsewhere one
-        version's may be missing.
+        Gate reports are evaluated only on a node that receives all of them;
+        elsewhere those of one version may be missing.
         """
         moves = config.active_moves()
         own_rows = [
@@ -160,7 +160,7 @@
         for move in moves:
             comparison = comparison_by_move.get(move.id)
             if comparison is None:
-                # Outcomes from before the move began are no evidence for it.
+                # Outcomes from before the move started must not count towards it.
                 comparison_by_move[move.id] = make_comparison()
                 continue
             comparison.set_percent(move.percent)
--- a/tests/rollout/test_coordinator.py
+++ b/tests/rollout/test_coordinator.py
@@ -1,4 +1,4 @@
-"""Tests of moving a service between versions, with several proxies at it."""
+"""Tests of moving a service between versions with several competing proxies."""
 
 from __future__ import annotations
 
@@ -31,10 +31,10 @@
 
 
 class Fleet:
-    """Proxies that share a store; each coordinates."""
+    """Proxies that share a store, each with its own coordinator."""
 
     def __init__(self, size: int) -> None:
-        """Starts them, with upstreams of two versions."""
+        """Starts the coordinators and publishes an upstream of the old version."""
         self.clock = VirtualClock()
         self.store = MemoryStore(self.clock)
         self.orders = [Orders() for _ in range(size)]
@@ -61,7 +61,7 @@
         return coordinator
 
     def show(self, vm: str, version: str, good: int) -> None:
-        """Publishes an upstream and how many good answers it has given."""
+        """Publishes an upstream with its number of good answers."""
         upstream = Upstream("i", 1, SERVICE, version, 6, UpstreamState.READY)
         record = NodeRecord(
             vm, "bunbury", "swwa", "a:1", 0, upstream, False, VersionCounts(good, 0)
@@ -87,7 +87,7 @@
 
 
 class TestCoordinator:
-    """One story for each order, whoever writes it."""
+    """Each order leads to one consistent move, whichever proxy writes its steps."""
 
     def test_good_version_is_completed_in_time_and_proved(self) -> None:
         fleet = Fleet(3)
@@ -99,7 +99,7 @@
         assert fleet.shown() == COMPLETED
         assert fleet.rules[2].proved_version_by_service[SERVICE] == "v2"
 
-    def test_share_stays_small_without_proof(self) -> None:
+    def test_share_stays_small_without_good_answers(self) -> None:
         fleet = Fleet(3)
         fleet.show("vm-1", "v2", 0)
         fleet.order()
@@ -108,7 +108,7 @@
         fleet.clock.sleep_ms(3000)
         assert fleet.shown() == ROLLED_BACK
 
-    def test_finding_ends_the_move_for_good(self) -> None:
+    def test_rollback_ends_the_move_permanently(self) -> None:
         fleet = Fleet(3)
         fleet.show("vm-1", "v2", 100)
         fleet.order()
@@ -120,7 +120,7 @@
         fleet.clock.sleep_ms(DURATION_MS)
         assert fleet.shown() == ROLLED_BACK
 
-    def test_finding_outlasts_an_outage_of_the_store(self) -> None:
+    def test_rollback_is_stored_after_a_store_outage(self) -> None:
         fleet = Fleet(2)
         fleet.show("vm-1", "v2", 100)
         fleet.order()
@@ -132,7 +132,7 @@
         fleet.clock.sleep_ms(2000)
         assert fleet.shown() == ROLLED_BACK
 
-    def test_next_proxy_steps_in_for_one_that_cannot_write(self) -> None:
+    def test_next_proxy_takes_over_from_one_that_cannot_write(self) -> None:
         fleet = Fleet(3)
         fleet.coordinators[0]._store = MemoryStore(fleet.clock)
         fleet.coordinators[0]._store.faults.down = True  # type: ignore[attr-defined]
--- a/tests/rollout/test_shared_outage.py
+++ b/tests/rollout/test_shared_outage.py
@@ -1,4 +1,4 @@
-"""Tests of an outage that both versions share, with several random sequences."""
+"""Tests of an outage that affects both versions of a service, with several seeds."""
 
 from __future__ import annotations
 
@@ -10,10 +10,10 @@
 
 
 class TestSharedOutage:
-    """Everything fails together: no version is found bad."""
+    """Guards against marking the new version as bad while all upstreams fail."""
 
     @pytest.mark.parametrize("seed", [1, 2, 8, 14])
-    def test_new_version_is_left_alone(self, seed: int) -> None:
+    def test_new_version_is_not_marked_bad(self, seed: int) -> None:
         mesh = Mesh(seed)
         build(mesh, count=4, rate=80)
         new_nodes(mesh, 4, "herdview", "v2")
--- a/tests/rollout/test_stages.py
+++ b/tests/rollout/test_stages.py
@@ -1,4 +1,4 @@
-"""Tests of a move's steps over its time."""
+"""Tests of the steps of a move over its duration."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 def _simulate_move(good_per_s: float, upstreams: int = 3) -> list[tuple[float, Step]]:
-    """Returns the steps of a move whose version answers well, with their times."""
+    """Returns the steps, with their times, of a move with a rate of good answers."""
     step = Step(RUNNING, 0.0)
     steps: list[tuple[float, Step]] = []
     stage_ms = 0.0
@@ -40,7 +40,7 @@
 
 
 class TestSteps:
-    """A good version is done in time; one without proof is taken back."""
+    """A good version completes in time; one without good answers is rolled back."""
 
     def test_good_version_is_completed_before_its_deadline(self) -> None:
         steps = _simulate_move(good_per_s=5)
@@ -50,7 +50,7 @@
         shares = [step.share for _, step in steps]
         assert shares == sorted(shares)
 
-    def test_old_upstreams_are_idle_before_they_are_stopped(self) -> None:
+    def test_old_upstreams_are_idle_before_the_move_completes(self) -> None:
         steps = _simulate_move(good_per_s=5)
         at_ms_by_step = {(step.state, step.share): at for at, step in steps}
         full = at_ms_by_step[(RUNNING, 1.0)]
@@ -61,6 +61,6 @@
         assert steps[-1][1].state == ROLLED_BACK
         assert max(step.share for _, step in steps) <= 0.05
 
-    def test_nothing_moves_without_upstreams(self) -> None:
+    def test_move_without_upstreams_is_rolled_back(self) -> None:
         steps = _simulate_move(good_per_s=5, upstreams=0)
         assert [step for _, step in steps] == [Step(ROLLED_BACK, 0.0)]
--- a/tests/rollout/test_trial.py
+++ b/tests/rollout/test_trial.py
@@ -1,4 +1,4 @@
-"""Tests of judging a version by the answers of one upstream."""
+"""Tests of evaluating a version on trial by the answers of one upstream."""
 
 from __future__ import annotations
 
@@ -8,16 +8,16 @@
 
 EXPECTED_MS = 160.0
 EXPECTED = RouteAverages(EXPECTED_MS, 0.004)
-# The least share of failures among the deployments' bad versions.
+# Lowest failure share of any bad version in the deployments.
 BAD_SHARE = 0.33
-# The greatest share of failures of a sound upstream.
+# Highest failure share of a sound upstream.
 SOUND_FAILURE_SHARE = 0.004
 
 
 class TestTrialEvaluator:
-    """Bad versions are found within a few answers, good ones are left alone."""
+    """Bad versions are found within a few answers, without false positives."""
 
-    def test_failing_version_is_found_within_fifty_bad_answers(self) -> None:
+    def test_failing_version_is_found_within_fifteen_bad_answers(self) -> None:
         for seed in range(50):
             rng = random.Random(seed)
             evaluator = TrialEvaluator()
@@ -51,7 +51,9 @@
             evaluator.observe("read", True, EXPECTED_MS, EXPECTED)
         assert evaluator.is_bad
 
-    def test_good_version_keeps_its_usual_errors_and_spread(self) -> None:
+    def test_good_version_with_usual_errors_and_latency_spread_is_accepted(
+        self,
+    ) -> None:
         found = 0
         for seed in range(50):
             rng = random.Random(seed)
@@ -63,7 +65,7 @@
             found += evaluator.is_bad
         assert found == 0
 
-    def test_good_version_on_upstreams_of_unequal_speed_is_left_alone(self) -> None:
+    def test_good_version_on_upstreams_of_unequal_speed_is_accepted(self) -> None:
         found = 0
         for seed in range(100):
             rng = random.Random(seed)
@@ -88,13 +90,13 @@
                     evaluator.observe("read", False, latency_ms * 8**is_slow, EXPECTED)
                 assert slow < 50
 
-    def test_unknown_usual_latency_says_nothing(self) -> None:
+    def test_unknown_average_latency_is_no_evidence(self) -> None:
         evaluator = TrialEvaluator()
         for _ in range(10):
             evaluator.observe("read", False, 5000, RouteAverages())
         assert not evaluator.is_bad
 
-    def test_failures_that_the_proved_version_has_too_are_not_held_against_it(
+    def test_failures_shared_with_the_proved_version_do_not_count(
         self,
     ) -> None:
         found = 0
@@ -117,7 +119,7 @@
 
 
 class TestRouteAverages:
-    """Averages of what the proved version does."""
+    """Moving averages of the proved version."""
 
     def test_failures_do_not_change_the_latency(self) -> None:
         expected = RouteAverages(160.0, 0.0).updated(True, 5000.0)
--- a/tests/rollout/test_version_comparison.py
+++ b/tests/rollout/test_version_comparison.py
@@ -1,4 +1,4 @@
-"""Tests of the comparison between two versions."""
+"""Tests of the comparison of two versions and of the decisions based on it."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def outcomes(rng: random.Random, calls: int, errors: float, ms: float) -> RouteOutcomes:
-    """Returns random outcomes with an error rate around a latency."""
+    """Returns random outcomes with the given error rate and median latency."""
     made = RouteOutcomes()
     for _ in range(calls):
         made.record(rng.random() < errors, ms * rng.lognormvariate(0, 0.3))
@@ -29,7 +29,7 @@
     old_errors: float = 0.0,
     bad_from: int = 0,
 ) -> int | None:
-    """Returns after how many intervals a fault was found; None for never."""
+    """Returns the number of intervals until a regression was found, or None."""
     rng = random.Random(seed)
     comparison = MoveComparison(5)
     for interval in range(INTERVALS):
@@ -44,14 +44,14 @@
 
 
 class TestMoveComparison:
-    """Bad versions are found soon, good ones are left alone."""
+    """Regressions are found quickly, without false positives for good versions."""
 
     @pytest.mark.parametrize("seed", range(20))
-    def test_good_version_is_left_alone(self, seed: int) -> None:
+    def test_good_version_shows_no_regression(self, seed: int) -> None:
         assert intervals_until_regression(seed) is None
 
     @pytest.mark.parametrize("seed", range(20))
-    def test_equally_bad_versions_are_left_alone(self, seed: int) -> None:
+    def test_equally_bad_versions_show_no_regression(self, seed: int) -> None:
         found = intervals_until_regression(seed, 0.3, old_errors=0.3, bad_from=60)
         assert found is None
 
@@ -68,7 +68,7 @@
         found = intervals_until_regression(seed, new_ms=20.0)
         assert found is not None and found < 60
 
-    def test_fault_names_the_route(self) -> None:
+    def test_regression_names_the_route(self) -> None:
         rng = random.Random(1)
         comparison = MoveComparison(1)
         for _ in range(40):
@@ -91,7 +91,7 @@
             comparison.observe_overall(*sums)
         assert comparison.regression().startswith("all routes: more errors")
 
-    def test_route_without_calls_is_no_proof(self) -> None:
+    def test_route_without_calls_is_missing_evidence(self) -> None:
         rng = random.Random(1)
         comparison = MoveComparison(1)
         for _ in range(40):
@@ -101,10 +101,10 @@
 
 
 class TestNextChange:
-    """The driver's next step."""
+    """The driver's decision on the next change of a move."""
 
     def move(self, **changes: object) -> Move:
-        """Returns a move of 100 s that has just begun."""
+        """Returns a move of 100 s that has just started."""
         values = {
             "id": "m",
             "profile": "p",
@@ -125,13 +125,13 @@
         step = next_change(self.move(), None, "", lambda: True, 1, 1000)
         assert step.percent == 5
 
-    def test_bad_version_is_taken_back_at_once(self) -> None:
+    def test_bad_version_is_reversed_at_once(self) -> None:
         ended = next_change(
             self.move(percent=50), None, "slower", lambda: True, 1, 1000
         )
         assert not ended.done and ended.reason == "slower"
 
-    def test_unproved_version_is_taken_back_at_the_deadline(self) -> None:
+    def test_unproved_version_is_reversed_at_the_deadline(self) -> None:
         ended = next_change(
             self.move(percent=5), MoveComparison(1), "", lambda: True, 1, 98_500
         )
--- a/tests/rollout/test_versions.py
+++ b/tests/rollout/test_versions.py
@@ -1,4 +1,4 @@
-"""Tests of which versions get requests."""
+"""Tests of which versions receive requests."""
 
 from __future__ import annotations
 
@@ -44,7 +44,7 @@
 
 
 class TestChoice:
-    """A version gets its share, and none before an order or after its end."""
+    """A version receives requests only while a move to it is running."""
 
     def test_version_without_an_order_gets_nothing(self) -> None:
         rules = _rules()
@@ -75,11 +75,11 @@
         assert {m.version for m in rules.choose_members(SERVICE, MEMBERS)} == {"v1"}
         assert not rules.may_receive_requests(SERVICE, "v2", MEMBERS)
 
-    def test_without_knowledge_the_earliest_upstreams_version_is_proved(self) -> None:
+    def test_without_records_the_earliest_upstreams_version_is_proved(self) -> None:
         rules = VersionRules(random.Random(1))
         assert rules.proved_version(SERVICE, MEMBERS) == "v1"
 
-    def test_upstream_runs_before_any_record_is_known(self) -> None:
+    def test_upstream_may_receive_requests_before_any_record_is_known(self) -> None:
         rules = VersionRules(random.Random(1))
         assert rules.may_receive_requests(SERVICE, "v1", [])
 
