Shorten doc summaries of rollout and fleet to one line

Some reworded doc comments ran their summary over two lines, and a list of records of any data centre was called local_records. The summaries are single lines now and the list is called records.

--- a/src/jayswitch/fleet/directory.py
+++ b/src/jayswitch/fleet/directory.py
@@ -33,9 +33,7 @@
         self._members_by_service: dict[str, list[Member]] | None = None
 
     def apply(self, event: WatchEvent) -> None:
-        """Applies a change of a proxy's record; records that cannot be decoded are
-        ignored.
-        """
+        """Applies a change of a proxy's record; ignores undecodable records."""
         vm = event.key.removeprefix(NODE_PREFIX)
         if event.value is None:
             self._handle_removal(vm)
@@ -58,9 +56,7 @@
         return record.address if record is not None else ""
 
     def members(self, service: str) -> list[Member]:
-        """Returns the upstreams of all versions of a service that accept new
-        requests.
-        """
+        """Returns a service's upstreams of any version that accept new requests."""
         if self._members_by_service is None:
             self._members_by_service = self._group_by_service()
         return self._members_by_service.get(service, [])
@@ -75,13 +71,11 @@
 
         Otherwise the platform keeps callers at proxies that are not ready.
         """
-        local_records = [
+        records = [
             r for r in self.record_by_vm.values() if r.data_centre == data_centre
         ]
-        accepting = [
-            r for r in local_records if not r.draining and r.vm not in self.unlisted
-        ]
-        return 2 * len(accepting) >= len(local_records)
+        accepting = [r for r in records if not r.draining and r.vm not in self.unlisted]
+        return 2 * len(accepting) >= len(records)
 
     def _group_by_service(self) -> dict[str, list[Member]]:
         grouped: dict[str, list[Member]] = {}
--- a/src/jayswitch/fleet/publisher.py
+++ b/src/jayswitch/fleet/publisher.py
@@ -66,9 +66,7 @@
         self._stored_node_data = b""
 
     def start(self, on_restore: Callable[[Upstream | None], None]) -> None:
-        """Restores the state of an earlier process, then keeps the record up to
-        date.
-        """
+        """Restores an earlier process's state, then keeps the record up to date."""
         eventlet.spawn(self._run, on_restore)
 
     def publish(self) -> None:
@@ -88,8 +86,9 @@
         return self._stored_writes >= requested_writes
 
     def revoke_lease(self) -> None:
-        """Stops publishing and revokes the lease, which removes the record at a
-        planned stop.
+        """Stops publishing and revokes the lease; used at a planned stop.
+
+        Revoking the lease removes the record, so that other proxies forget it.
         """
         self._stopped = True
         if not self._lease:
--- a/src/jayswitch/rollout/stages.py
+++ b/src/jayswitch/rollout/stages.py
@@ -10,8 +10,9 @@
 
 
 class Stage(msgspec.Struct, frozen=True):
-    """A share of the requests and the fraction of the move's duration from which
-    the stage may begin.
+    """A share of the requests, and the fraction of the move from which it may begin.
+
+    from_part is a fraction of the move's duration.
     """
 
     share: float
--- a/src/jayswitch/rollout/watcher.py
+++ b/src/jayswitch/rollout/watcher.py
@@ -33,7 +33,7 @@
 
 
 class BadVersionMark(Model):
-    """Marks the new version of a move as bad; a mark is never removed."""
+    """The finding that a move's new version is bad; a mark is never removed."""
 
     move: str
     node: str
