Keep the name bad_evidence in the driver

The parameter holds the evidence of a mark, which names service and version as well; it is bad_evidence again.

Only a name changes; behaviour is the same.

--- a/src/jayswitch/rollout/driver.py
+++ b/src/jayswitch/rollout/driver.py
@@ -71,14 +71,14 @@
 def next_change(
     move: Move,
     comparison: MoveComparison | None,
-    regression: str,
+    bad_evidence: str,
     has_upstream: Callable[[], bool],
     epoch: int,
     now_ms: int,
 ) -> MoveStepped | MoveEnded | None:
     """Returns the next change of a move, or None while the move has to wait.
 
-    regression is the evidence against the new version; empty if there is none.
+    bad_evidence is the evidence against the new version; empty if there is none.
     """
 
     def end(done: bool, reason: str) -> MoveEnded:
@@ -86,8 +86,8 @@
             move=move.id, epoch=epoch, done=done, reason=reason, at_ms=now_ms
         )
 
-    if regression:
-        return end(False, regression)
+    if bad_evidence:
+        return end(False, bad_evidence)
     missing = (
         comparison.missing_evidence() if comparison is not None else "nothing seen yet"
     )
