--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -31,11 +31,11 @@
     NotRun,
     OutcomeUnknown,
 )
-from jayswitch.rollout.trial import Usual
+from jayswitch.rollout.trial import RouteAverages
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
-    from jayswitch.fleet.knowledge import Knowledge
+    from jayswitch.fleet.revision_exchange import RevisionExchange
     from jayswitch.proxy.headers import HeaderNames
     from jayswitch.proxy.http_client import Exchange, HttpClient
     from jayswitch.proxy.outcome import AttemptOutcome, Headers
@@ -57,7 +57,7 @@
     route: str
     sender: str
     known: str
-    usual: Usual
+    usual: RouteAverages
     objective_ms: float = 0.0
     rank: int = 0
     repeatable: bool = False
@@ -167,7 +167,7 @@
     def __init__(
         self,
         client: HttpClient,
-        knowledge: Knowledge,
+        knowledge: RevisionExchange,
         names: HeaderNames,
         clock: Clock,
     ) -> None:
@@ -189,7 +189,7 @@
                 request.method,
                 request.target,
                 hop_headers(
-                    request, self._knowledge.describe(), self._names, self._clock
+                    request, self._knowledge.header_value(), self._names, self._clock
                 ),
                 request.body or None,
             )
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -18,7 +18,6 @@
 from jayswitch.feed.relays import Relays
 from jayswitch.feed.server import FeedServer
 from jayswitch.fleet.directory import Directory
-from jayswitch.fleet.knowledge import Knowledge
 from jayswitch.fleet.publisher import RecordPublisher
 from jayswitch.fleet.records import (
     NODE_PREFIX,
@@ -27,6 +26,7 @@
     Upstream,
     UpstreamState,
 )
+from jayswitch.fleet.revision_exchange import RevisionExchange
 from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 from jayswitch.gate.local_upstream import Heartbeat, HeartbeatResult, LocalUpstream
 from jayswitch.gate.upstream_gate import ColdRateAllowance, UpstreamGate
@@ -41,7 +41,7 @@
 from jayswitch.proxy.sockets import apply_options
 from jayswitch.proxy.status import LatencyMetrics, StatusApplication
 from jayswitch.rollout.coordinator import MoveCoordinator
-from jayswitch.rollout.trial import TrialJudge, Usual
+from jayswitch.rollout.trial import RouteAverages, TrialEvaluator
 from jayswitch.rollout.versions import VersionRules
 from jayswitch.routing.balancer import Balancer
 from jayswitch.store.follower import Pause, PrefixFollower, carried_bytes
@@ -120,7 +120,7 @@
         self.fleet_follower = PrefixFollower(
             store, SHARED_PREFIX, self._apply_shared, clock, FLEET_PAUSE
         )
-        self.knowledge = Knowledge(
+        self.knowledge = RevisionExchange(
             [self.orders_follower, self.fleet_follower], self.directory.address_of
         )
         self._build_forwarding(names)
@@ -197,7 +197,7 @@
 
     def _build_moves(self, status: StatusWriter) -> None:
         self.rules = VersionRules(self._rng)
-        self.trial = TrialJudge()
+        self.trial = TrialEvaluator()
         self._trial_published_ms = float("-inf")
         self.coordinator = MoveCoordinator(
             self.settings.vm,
@@ -208,8 +208,8 @@
             status,
             self._clock,
         )
-        self.runner.choose_versions = self.rules.choose
-        self.runner.only_proved = self.rules.only_proved
+        self.runner.choose_versions = self.rules.choose_members
+        self.runner.only_proved = self.rules.members_of_proved_version
         self.runner.on_withdrawn = self.rules.withdraw
         self.runner.is_on_trial = self.rules.is_on_trial
         self.gate.is_version_allowed = self._may_run
@@ -267,7 +267,7 @@
         for server in self._servers:
             server.stop_accepting()
         with eventlet.Timeout(WITHDRAW_MS / MS_PER_S, False):
-            self.publisher.withdraw()
+            self.publisher.revoke_lease()
         self._wait_while(lambda: bool(self.in_flight), ends_ms)
         drained = not self.in_flight
         logger.info("stopped", extra={"drained": drained})
@@ -289,7 +289,7 @@
         They are while few other proxies of the data centre are ready. A VM that
         goes away with its upstream gains nothing by ending sooner.
         """
-        if not self.directory.most_take_callers(self.settings.data_centre):
+        if not self.directory.at_least_half_accept_callers(self.settings.data_centre):
             return True
         current = self.local.current
         return current is not None and current.state is not UpstreamState.READY
@@ -312,7 +312,7 @@
             assert current is not None
             if previous is None or not previous.same_incarnation(current):
                 self.gate.restart()
-                self.trial = TrialJudge()
+                self.trial = TrialEvaluator()
             self.publisher.publish()
         self.gate.resize()
         if heartbeat.upstream.state is UpstreamState.READY:
@@ -399,7 +399,9 @@
 
     def _may_run(self, version: str) -> bool:
         service = self.settings.service
-        return self.rules.may_run(service, version, self.directory.members(service))
+        return self.rules.may_receive_requests(
+            service, version, self.directory.members(service)
+        )
 
     def _judge(
         self, request: ForwardedRequest, failed: bool, latency_ms: float
@@ -412,7 +414,7 @@
         usual = request.usual
         if self.rate.is_cold:
             # A cold upstream of any version is slow.
-            usual = Usual(0.0, usual.failures)
+            usual = RouteAverages(0.0, usual.failures)
         self.trial.observe(request.route, failed, latency_ms, usual)
         service = self.settings.service
         if self.trial.is_bad and self.rules.withdraw(service, current.version):
--- a/src/jayswitch/rollout/coordinator.py
+++ b/src/jayswitch/rollout/coordinator.py
@@ -1,4 +1,7 @@
-"""Steps the moves of services; any proxy may, and the store takes one of them."""
+"""Advances the moves of services.
+
+Every proxy may write a step; the store accepts only the first one.
+"""
 
 from __future__ import annotations
 
@@ -29,13 +32,14 @@
     from jayswitch.rollout.versions import VersionRules
     from jayswitch.store.interface import Store
 
-REVIEW_MS = 250.0
-# Proxies review in the order of their names, each this much later than the one
-# before, so that the next one steps in when the first cannot reach the store.
-TURN_MS = 300.0
-LONGEST_TURN_MS = 2000.0
+REVIEW_INTERVAL_MS = 250.0
+# Proxies act in the order of their names, each this much later than the previous
+# one, so that the next proxy takes over when the first cannot reach the store.
+REVIEW_STAGGER_MS = 300.0
+MAX_REVIEW_STAGGER_MS = 2000.0
 
-# Returns the key and value under which operators read a move's state.
+# Takes service, state and version; returns the key and value under which operators
+# read a move's state.
 StatusWriter = Callable[[str, str, str], tuple[str, bytes]]
 
 logger = logging.getLogger(__name__)
@@ -44,8 +48,8 @@
 class MoveCoordinator:
     """Decides a move's next step from the fleet's records and writes it.
 
-    Each step expects the revision of the one before, so that proxies that race
-    each other take it once.
+    Each write expects the revision of the previous step, so that a step is stored
+    only once when several proxies race for it.
     """
 
     def __init__(
@@ -58,7 +62,7 @@
         status: StatusWriter,
         clock: Clock,
     ) -> None:
-        """Takes what the decisions rest on."""
+        """Takes the sources of the decisions and the store to write to."""
         self._vm = vm
         self._store = store
         self._orders = orders
@@ -66,28 +70,28 @@
         self._directory = directory
         self._status = status
         self._clock = clock
-        self._due_ms_by_service: dict[str, float] = {}
+        self._due_ms_by_topic: dict[str, float] = {}
         self._stage_ms_by_service: dict[str, tuple[float, float]] = {}
 
     def start(self) -> None:
-        """Starts the task that reviews moves."""
+        """Starts the background task that reviews moves."""
         eventlet.spawn(self._run)
 
     def roll_back(self, service: str, reason: str) -> None:
-        """Ends a running move at once, trying until the store has taken it."""
-        eventlet.spawn_n(self._roll_back, service, reason)
+        """Ends a running move at once; retries until the store accepts it."""
+        eventlet.spawn_n(self._roll_back_until_stored, service, reason)
 
     def _run(self) -> None:
         while True:
-            self._clock.sleep_ms(REVIEW_MS)
+            self._clock.sleep_ms(REVIEW_INTERVAL_MS)
             try:
                 self._review()
             except Exception:
-                logger.exception("review of moves failed")
+                logger.exception("failed to review moves")
 
     def _review(self) -> None:
         for service in self._services_without_baseline():
-            self._after_turn(f"baseline {service}", self._write_baseline, service)
+            self._run_when_due(f"baseline {service}", self._write_baseline, service)
         for order in list(self._orders.move_by_service.values()):
             self._review_order(order)
 
@@ -98,16 +102,16 @@
                 return
             step = Step(RUNNING, 0.0)
         elif move.state != RUNNING:
-            self._due_ms_by_service.pop(order.service, None)
+            self._due_ms_by_topic.pop(order.service, None)
             return
         else:
-            step = next_step(self._view(order, move))
+            step = next_step(self._view_move(order, move))
             if step == Step(move.state, move.share):
-                self._due_ms_by_service.pop(order.service, None)
+                self._due_ms_by_topic.pop(order.service, None)
                 return
-        self._after_turn(order.service, self._write_step, order, step)
+        self._run_when_due(order.service, self._write_step, order, step)
 
-    def _view(self, order: MoveOrder, move: Move) -> MoveView:
+    def _view_move(self, order: MoveOrder, move: Move) -> MoveView:
         now_ms = self._clock.now_ms()
         share, since_ms = self._stage_ms_by_service.get(order.service, (-1.0, now_ms))
         if share != move.share:
@@ -131,27 +135,27 @@
             upstreams=upstreams,
         )
 
-    # Taking turns
+    # Staggering between proxies
 
-    def _after_turn(
+    def _run_when_due(
         self, topic: str, action: Callable[..., None], *arguments: object
     ) -> None:
         now_ms = self._clock.now_ms()
-        due_ms = self._due_ms_by_service.setdefault(topic, now_ms + self._turn_ms())
+        due_ms = self._due_ms_by_topic.setdefault(topic, now_ms + self._stagger_ms())
         if now_ms >= due_ms:
-            del self._due_ms_by_service[topic]
+            del self._due_ms_by_topic[topic]
             action(*arguments)
 
-    def _turn_ms(self) -> float:
+    def _stagger_ms(self) -> float:
         active = sorted(
             record.vm
             for record in self._directory.record_by_vm.values()
             if not record.draining
         )
         before = sum(1 for vm in active if vm < self._vm)
-        return min(LONGEST_TURN_MS, before * TURN_MS)
+        return min(MAX_REVIEW_STAGGER_MS, before * REVIEW_STAGGER_MS)
 
-    # Writing
+    # Writes to the store
 
     def _services_without_baseline(self) -> list[str]:
         services = {
@@ -159,11 +163,11 @@
             for record in self._directory.record_by_vm.values()
             if record.upstream is not None
         }
-        return sorted(services - self._rules.proved_by_service.keys())
+        return sorted(services - self._rules.proved_version_by_service.keys())
 
     def _write_baseline(self, service: str) -> None:
         members = self._directory.members(service)
-        version = self._rules.proved(service, members)
+        version = self._rules.proved_version(service, members)
         if not version:
             return
         write = Write(BASELINE_PREFIX + service, _encode(Baseline(version)), 0)
@@ -195,23 +199,24 @@
         match self._store.commit(writes):
             case Success(revision):
                 logger.info(
-                    "step written",
+                    "move step stored",
                     extra={"service": service, "step": topic, "revision": revision},
                 )
                 return True
             case Failure(CasConflict()):
                 logger.info(
-                    "another proxy was first", extra={"service": service, "step": topic}
+                    "move step already stored by another proxy",
+                    extra={"service": service, "step": topic},
                 )
                 return True
             case Failure(error):
                 logger.warning(
-                    "step not written",
+                    "failed to store move step",
                     extra={"service": service, "step": topic, "reason": error.cause},
                 )
         return False
 
-    def _roll_back(self, service: str, reason: str) -> None:
+    def _roll_back_until_stored(self, service: str, reason: str) -> None:
         logger.warning(
             "version found bad", extra={"service": service, "reason": reason}
         )
@@ -222,7 +227,7 @@
             revision = self._rules.move_revision_by_service[service]
             ended = msgspec.structs.replace(move, state=ROLLED_BACK, share=0.0)
             self._write_move(ended, revision)
-            self._clock.sleep_ms(REVIEW_MS)
+            self._clock.sleep_ms(REVIEW_INTERVAL_MS)
 
 
 def _encode(record: msgspec.Struct) -> bytes:
--- a/src/jayswitch/rollout/versions.py
+++ b/src/jayswitch/rollout/versions.py
@@ -1,4 +1,4 @@
-"""Which versions of a service may get requests, and how a request picks one."""
+"""Which versions of a service receive requests, and the choice for one request."""
 
 from __future__ import annotations
 
@@ -19,19 +19,23 @@
 
 
 class VersionRules:
-    """The proved version of each service and the moves that are under way."""
+    """The proved version of each service and the running moves."""
 
     def __init__(self, rng: random.Random) -> None:
-        """Starts without knowledge: a service's only version counts as proved."""
+        """Starts without records.
+
+        Until a proved version is known, that of the earliest upstream counts as
+        proved.
+        """
         self.move_by_service: dict[str, Move] = {}
         self.move_revision_by_service: dict[str, int] = {}
-        self.proved_by_service: dict[str, str] = {}
+        self.proved_version_by_service: dict[str, str] = {}
         self.baseline_revision_by_service: dict[str, int] = {}
-        self._withdrawn: set[tuple[str, str, int]] = set()
+        self._withdrawals: set[tuple[str, str, int]] = set()
         self._random = rng
 
     def apply(self, event: WatchEvent) -> None:
-        """Takes a change of a move or of a proved version."""
+        """Applies a change of a move or of a proved version."""
         try:
             if event.key.startswith(MOVE_PREFIX):
                 self._apply_move(event.key.removeprefix(MOVE_PREFIX), event)
@@ -39,62 +43,70 @@
                 self._apply_baseline(event.key.removeprefix(BASELINE_PREFIX), event)
         except msgspec.MsgspecError as error:
             logger.warning(
-                "shared record unreadable",
+                "cannot decode shared record",
                 extra={"key": event.key, "reason": str(error)},
             )
 
     def withdraw(self, service: str, version: str) -> bool:
-        """Ends a version's share on this proxy; tells whether that is news."""
+        """Stops routing a move's share to a version on this proxy.
+
+        Returns False if no running move leads to the version, or if it has already
+        been withdrawn.
+        """
         move = self.move_by_service.get(service)
         if move is None or move.to_version != version or move.state != RUNNING:
             return False
-        mark = (service, version, move.order)
-        if mark in self._withdrawn:
+        withdrawal = (service, version, move.order)
+        if withdrawal in self._withdrawals:
             return False
-        self._withdrawn.add(mark)
+        self._withdrawals.add(withdrawal)
         logger.warning(
             "version withdrawn here", extra={"service": service, "version": version}
         )
         return True
 
-    def proved(self, service: str, members: list[Member]) -> str:
-        """Returns the version that gets what a move does not take."""
-        known = self.proved_by_service.get(service)
-        if known is not None or not members:
-            return known or ""
+    def proved_version(self, service: str, members: list[Member]) -> str:
+        """Returns the version that receives the requests a move does not take."""
+        stored_version = self.proved_version_by_service.get(service)
+        if stored_version is not None or not members:
+            return stored_version or ""
         return min(members, key=lambda member: member.since_ms).version
 
-    def may_run(self, service: str, version: str, members: list[Member]) -> bool:
-        """Tells whether an upstream of a version takes requests at all."""
-        if version == (self.proved(service, members) or version):
+    def may_receive_requests(
+        self, service: str, version: str, members: list[Member]
+    ) -> bool:
+        """Returns whether upstreams of a version may receive any requests."""
+        if version == (self.proved_version(service, members) or version):
             return True
         move = self._running_move(service)
         return move is not None and move.to_version == version and move.share > 0
 
     def is_on_trial(self, service: str, version: str) -> bool:
-        """Tells whether a version's answers are to be judged."""
+        """Returns whether a version's answers have to be evaluated."""
         move = self._running_move(service)
         return move is not None and move.to_version == version
 
-    def choose(self, service: str, members: list[Member]) -> list[Member]:
-        """Returns the upstreams that one request may go to."""
+    def choose_members(self, service: str, members: list[Member]) -> list[Member]:
+        """Returns the upstreams that one request may be sent to."""
         move = self._running_move(service)
         if move is not None and self._random.random() < move.share:
             chosen = [m for m in members if m.version == move.to_version]
             if chosen:
                 return chosen
-        return self.only_proved(service, members)
+        return self.members_of_proved_version(service, members)
 
-    def only_proved(self, service: str, members: list[Member]) -> list[Member]:
+    def members_of_proved_version(
+        self, service: str, members: list[Member]
+    ) -> list[Member]:
         """Returns the upstreams of the proved version."""
-        proved = self.proved(service, members)
-        return [member for member in members if member.version == proved]
+        proved_version = self.proved_version(service, members)
+        return [member for member in members if member.version == proved_version]
 
     def _running_move(self, service: str) -> Move | None:
         move = self.move_by_service.get(service)
         if move is None or move.state != RUNNING:
             return None
-        if (service, move.to_version, move.order) in self._withdrawn:
+        if (service, move.to_version, move.order) in self._withdrawals:
             return None
         return move
 
@@ -121,7 +133,7 @@
         if event.value is None:
             return
         baseline = msgspec.json.decode(event.value, type=Baseline)
-        self.proved_by_service[service] = baseline.version
+        self.proved_version_by_service[service] = baseline.version
         self.baseline_revision_by_service[service] = event.revision
         logger.info(
             "proved version",
