Call an HTTP response a response in the proxy package

"Answer" stood for HTTP responses in names beside start_response and HttpResponseParser. AnswerParser (answer_parser.py) is ResponseParser (response_parser.py) now, its test file follows, and send_answer, answer_headers, on_answer of the outbound application, failed_answer and HELD_ANSWER_BYTES are renamed alike. The class Answered and the counter answers_cut keep their names, which appear in logs and metrics. Behaviour is unchanged.

--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -34,7 +34,7 @@
 # A refusing upstream is avoided for this long while others take work.
 REFUSAL_PENALTY_MS = 100.0
 # Answers up to this size are read whole before the caller gets their head.
-HELD_ANSWER_BYTES = 1024 * 1024
+MAX_BUFFERED_RESPONSE_BYTES = 1024 * 1024
 # Kept for the way back, so that the answer reaches the caller in time.
 RETURN_MS = 5.0
 STATUS_SERVER_ERROR = 500
@@ -61,7 +61,7 @@
 
     __slots__ = (
         "asked",
-        "failed_answer",
+        "failed_response",
         "last",
         "may_have_run",
         "sent",
@@ -74,7 +74,7 @@
         self.may_have_run = False
         self.timed_out = False
         self.last: NotRun | OutcomeUnknown | None = None
-        self.failed_answer: Answered | None = None
+        self.failed_response: Answered | None = None
 
 
 class AttemptRunner:
@@ -134,8 +134,8 @@
                 members = self._members(request.service, self.only_proved)
             if isinstance(outcome, Answered):
                 if not self._is_worth_repeating(request, route, progress, outcome):
-                    if progress.failed_answer is not None:
-                        progress.failed_answer.close()
+                    if progress.failed_response is not None:
+                        progress.failed_response.close()
                     return outcome
                 self._set_aside(outcome, progress)
             elif not self._may_go_on(request, route, progress, outcome):
@@ -196,7 +196,7 @@
         length = find(outcome.headers, "Content-Length")
         if length is None or not length.isdigit():
             return outcome
-        if int(length) > HELD_ANSWER_BYTES or request.method == "HEAD":
+        if int(length) > MAX_BUFFERED_RESPONSE_BYTES or request.method == "HEAD":
             return outcome
         left_ms = max(1.0, request.left_ms(self._clock) - RETURN_MS)
         timeout = eventlet.Timeout(left_ms / MS_PER_S)
@@ -285,9 +285,9 @@
         request: ForwardedRequest,
         route: Route,
         progress: _Progress,
-        answer: Answered,
+        response: Answered,
     ) -> bool:
-        failed = answer.status >= STATUS_SERVER_ERROR
+        failed = response.status >= STATUS_SERVER_ERROR
         if not failed or not self._may_repeat(request, route, progress):
             return False
         members = self._members(request.service, self.only_proved)
@@ -298,11 +298,11 @@
     def _has_budget(self, service: str) -> bool:
         return self._budget(service).has_room(self._directory.size)
 
-    def _set_aside(self, answer: Answered, progress: _Progress) -> None:
+    def _set_aside(self, response: Answered, progress: _Progress) -> None:
         """Keeps a failure, which the caller gets if nothing better comes."""
-        if progress.failed_answer is not None:
-            progress.failed_answer.close()
-        progress.failed_answer = answer
+        if progress.failed_response is not None:
+            progress.failed_response.close()
+        progress.failed_response = response
         progress.may_have_run = True
         self.counts["repeats"] += 1
 
@@ -330,8 +330,8 @@
         return request.can_be_sent_again and progress.sent < route.max_attempts
 
     def _conclude(self, progress: _Progress) -> AttemptOutcome:
-        if progress.failed_answer is not None:
-            return progress.failed_answer
+        if progress.failed_response is not None:
+            return progress.failed_response
         if progress.may_have_run:
             reason = progress.last.reason if progress.last else reasons.NO_CANDIDATE
             return OutcomeUnknown(reason, progress.timed_out)
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -193,7 +193,7 @@
                 ),
                 request.body or None,
             )
-            return self._outcome(address, request, exchange)
+            return self._read_outcome(address, request, exchange)
         except RequestNotSent:
             return NotRun(reasons.PROXY_UNREACHED, UNREACHED_RETRY_MS)
         except (ExchangeFailed, ResponseTruncated) as error:
@@ -207,7 +207,7 @@
         finally:
             timeout.cancel()
 
-    def _outcome(
+    def _read_outcome(
         self, address: str, request: ForwardedRequest, exchange: Exchange
     ) -> AttemptOutcome:
         try:
@@ -218,7 +218,7 @@
             return OutcomeUnknown(f"the proxy answered {exchange.status} by itself")
         self._knowledge.compare(told.known, address)
         if told.kind is HopKind.ANSWERED:
-            return self._answer(request, exchange, told.load)
+            return self._accept_response(request, exchange, told.load)
         try:
             for _ in exchange.read():
                 continue
@@ -230,7 +230,7 @@
             )
         return OutcomeUnknown(told.reason, told.kind is HopKind.TIMED_OUT, told.load)
 
-    def _answer(
+    def _accept_response(
         self, request: ForwardedRequest, exchange: Exchange, load: LoadReport | None
     ) -> AttemptOutcome:
         echoed = find(exchange.headers, self._names.request_id)
--- a/src/jayswitch/proxy/http_client.py
+++ b/src/jayswitch/proxy/http_client.py
@@ -11,9 +11,9 @@
 from urllib3.connection import HTTPConnection
 
 from jayswitch.clock import MS_PER_S
-from jayswitch.proxy.answer_parser import AnswerParser
 from jayswitch.proxy.exceptions import ExchangeFailed, RequestNotSent, ResponseTruncated
 from jayswitch.proxy.headers import find
+from jayswitch.proxy.response_parser import ResponseParser
 from jayswitch.proxy.sockets import ResetAwareSocket, socket_options
 
 if TYPE_CHECKING:
@@ -57,7 +57,7 @@
         client: HttpClient,
         address: str,
         connection: _Connection,
-        parser: AnswerParser,
+        parser: ResponseParser,
     ) -> None:
         """Takes the answer whose head has been read."""
         self.address = address
@@ -90,7 +90,7 @@
         self._finish()
 
     def read_whole(self, longest: int) -> bytes:
-        """Returns the body; raises ResponseTruncated if it ends early or is too long."""
+        """Returns the body; raises ResponseTruncated if it is cut short or too long."""
         parts = []
         size = 0
         for part in self.read():
@@ -136,12 +136,12 @@
     ) -> Exchange:
         """Sends a request and waits for the head of its answer.
 
-        The target is sent byte for byte. Raises RequestNotSent where nothing was sent and
+        The target is sent byte for byte. Raises RequestNotSent if nothing was sent and
         ExchangeFailed where the request may have arrived. Time limits are the
         caller's; an abandoned call closes its connection.
         """
         connection = self._take(address) or self._connect(address)
-        parser = AnswerParser(method != "HEAD")
+        parser = ResponseParser(method != "HEAD")
         try:
             _write_request(connection.sock, method, target, headers, body)
             while not parser.is_head_complete:
@@ -208,7 +208,7 @@
         return connection
 
 
-def _receive(connection: _Connection, parser: AnswerParser) -> None:
+def _receive(connection: _Connection, parser: ResponseParser) -> None:
     sock: Any = connection.sock
     data = sock.recv(READ_BYTES)
     if data:
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -23,11 +23,11 @@
 from jayswitch.proxy.outcome import Answered, NotRun
 from jayswitch.proxy.protocol import CONNECTION_VARIABLE, TARGET_VARIABLE
 from jayswitch.proxy.wsgi_request import (
-    answer_headers,
     close_connection,
     raw_headers,
     read_body,
-    send_answer,
+    response_headers,
+    send_response,
 )
 
 if TYPE_CHECKING:
@@ -104,7 +104,7 @@
             self._finish(watch)
             raise
         if isinstance(outcome, Answered):
-            return self._answer(outcome, environ, start_response, watch)
+            return self._send_response(outcome, environ, start_response, watch)
         return self._tell(outcome, start_response, watch)
 
     def _feed(
@@ -148,16 +148,16 @@
         request.body, request.body_length = read_body(environ, MAX_BODY_BYTES)
         return request
 
-    def _answer(
+    def _send_response(
         self,
         outcome: Answered,
         environ: dict[str, Any],
         start_response: StartResponse,
         watch: DisconnectWatcher,
     ) -> Iterator[bytes]:
-        headers = answer_headers(outcome.headers)
+        headers = response_headers(outcome.headers)
         headers += outcome_headers(outcome, self._knowledge.describe())
-        body = send_answer(outcome, environ, headers, start_response)
+        body = send_response(outcome, environ, headers, start_response)
         try:
             yield from body
         finally:
--- a/src/jayswitch/proxy/outbound.py
+++ b/src/jayswitch/proxy/outbound.py
@@ -23,11 +23,11 @@
 from jayswitch.proxy.outcome import Answered, ForwardedRequest, NotRun, OutcomeUnknown
 from jayswitch.proxy.protocol import CONNECTION_VARIABLE, TARGET_VARIABLE
 from jayswitch.proxy.wsgi_request import (
-    answer_headers,
     close_connection,
     raw_headers,
     read_body,
-    send_answer,
+    response_headers,
+    send_response,
 )
 
 if TYPE_CHECKING:
@@ -77,7 +77,7 @@
         self.ends_ms = float("inf")
         self.in_flight = 0
         self.counts: Counter[str] = Counter()
-        self.on_answer: Callable[[int, float], None] = lambda status, elapsed_ms: None
+        self.on_response: Callable[[int, float], None] = lambda status, elapsed_ms: None
         self.last_request_ms = float("-inf")
         self._vm = vm
         self._caller_service = caller_service
@@ -108,7 +108,7 @@
             raise
         self._log(environ, outcome, started_ms)
         if isinstance(outcome, Answered):
-            return self._answer(outcome, environ, start_response, watch)
+            return self._send_response(outcome, environ, start_response, watch)
         self._finish(watch)
         return self._tell(outcome, start_response)
 
@@ -180,28 +180,28 @@
         status = STATUS_TIMEOUT if outcome.timed_out else STATUS_BAD_GATEWAY
         return CallerOutcome(status, outcome.reason)
 
-    def _answer(
+    def _send_response(
         self,
-        answer: Answered,
+        response: Answered,
         environ: dict[str, Any],
         start_response: StartResponse,
         watch: DisconnectWatcher,
     ) -> Iterator[bytes]:
-        headers = answer_headers(answer.headers)
+        headers = response_headers(response.headers)
         try:
-            yield from send_answer(answer, environ, headers, start_response)
+            yield from send_response(response, environ, headers, start_response)
         except (ResponseTruncated, JayswitchError) as error:
             self.counts["answers_cut"] += 1
             logger.warning(
                 "answer cut",
                 extra={
-                    "request_id": find(answer.headers, self._names.request_id),
+                    "request_id": find(response.headers, self._names.request_id),
                     "reason": str(error),
                 },
             )
             raise
         finally:
-            answer.close()
+            response.close()
             self._finish(watch)
 
     def _tell(
@@ -226,7 +226,7 @@
     ) -> None:
         elapsed_ms = self._clock.now_ms() - started_ms
         self.counts[str(outcome.status)] += 1
-        self.on_answer(outcome.status, elapsed_ms)
+        self.on_response(outcome.status, elapsed_ms)
         request_id = find(raw_headers(environ), self._names.request_id)
         fields = {
             "request_id": request_id,
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -176,7 +176,7 @@
             settings.vm, settings.service, self.runner, names, clock
         )
         self.latency = LatencyMetrics()
-        self.outbound.on_answer = self.latency.observe_request
+        self.outbound.on_response = self.latency.observe_request
 
     def _build_feeds(self, operator_prefix: str) -> None:
         settings, clock = self.settings, self._clock
--- a/src/jayswitch/proxy/answer_parser.py
+++ b/src/jayswitch/proxy/response_parser.py
@@ -18,7 +18,7 @@
 LONGEST_FRAMING_BYTES = 64 * 1024
 
 
-class AnswerParser:
+class ResponseParser:
     """Collects status, headers and body; the framing is checked by llhttp.
 
     Callers feed what arrives until is_complete and take the body's parts meanwhile.
@@ -76,7 +76,7 @@
             raise ResponseTruncated("its head or framing has no end")
 
     def feed_end(self) -> None:
-        """Notes the end of the stream; raises ResponseTruncated unless it ends the answer."""
+        """Handles end of stream; raises ResponseTruncated if the body is incomplete."""
         if not self.is_head_complete or not self._ends_with_connection():
             raise ResponseTruncated("the connection ended")
         self.is_complete = True
--- a/src/jayswitch/proxy/wsgi_request.py
+++ b/src/jayswitch/proxy/wsgi_request.py
@@ -68,7 +68,7 @@
     environ[CONNECTION_VARIABLE].close_connection = 1
 
 
-def answer_headers(headers: Headers) -> Headers:
+def response_headers(headers: Headers) -> Headers:
     """Returns the headers of an upstream's answer that concern the caller."""
     options = connection_options(headers)
     dropped = ("connection", "keep-alive", "transfer-encoding", "proxy-connection")
@@ -81,22 +81,22 @@
     ]
 
 
-def send_answer(
-    answer: Answered,
+def send_response(
+    response: Answered,
     environ: dict[str, Any],
     headers: Headers,
     start_response: StartResponse,
 ) -> Iterator[bytes]:
     """Starts the answer and returns its body; a cut body closes the connection."""
-    start_response(status_line(answer.status), headers)
-    return _checked_body(answer, environ)
+    start_response(status_line(response.status), headers)
+    return _checked_body(response, environ)
 
 
-def _checked_body(answer: Answered, environ: dict[str, Any]) -> Iterator[bytes]:
-    stated = find(answer.headers, "Content-Length")
-    bodyless = environ["REQUEST_METHOD"] == "HEAD" or answer.status in (204, 304)
+def _checked_body(response: Answered, environ: dict[str, Any]) -> Iterator[bytes]:
+    stated = find(response.headers, "Content-Length")
+    bodyless = environ["REQUEST_METHOD"] == "HEAD" or response.status in (204, 304)
     length = 0
-    for part in answer.body:
+    for part in response.body:
         length += len(part)
         yield part
     if stated is not None and not bodyless and int(stated) != length:
--- a/tests/proxy/test_answer_parser.py
+++ b/tests/proxy/test_response_parser.py
@@ -5,8 +5,8 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from jayswitch.proxy.answer_parser import AnswerParser
 from jayswitch.proxy.exceptions import ResponseTruncated
+from jayswitch.proxy.response_parser import ResponseParser
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nRequest-Id: r-1\r\n"
 WITH_LENGTH = HEAD + b"\r\nwhole body"
@@ -16,13 +16,13 @@
 )
 
 
-def _read(data: bytes, has_body: bool = True) -> AnswerParser:
-    parser = AnswerParser(has_body)
+def _read(data: bytes, has_body: bool = True) -> ResponseParser:
+    parser = ResponseParser(has_body)
     parser.feed(data)
     return parser
 
 
-def _body(parser: AnswerParser) -> bytes:
+def _body(parser: ResponseParser) -> bytes:
     return b"".join(parser.take_body())
 
 
@@ -40,7 +40,7 @@
         self, data: bytes, cuts: st.DataObject
     ) -> None:
         at = cuts.draw(st.lists(st.integers(0, len(data)), max_size=6).map(sorted))
-        parser, body = AnswerParser(), b""
+        parser, body = ResponseParser(), b""
         for begin, end in zip([0, *at], [*at, len(data)], strict=True):
             assert not parser.is_complete or begin == end == len(data)
             parser.feed(data[begin:end])
@@ -81,7 +81,7 @@
 
     def test_end_before_any_byte_is_no_answer(self) -> None:
         with pytest.raises(ResponseTruncated):
-            AnswerParser().feed_end()
+            ResponseParser().feed_end()
 
     @pytest.mark.parametrize(
         "data",
