Name the attempt loop and refusal reasons in terms of retries

The attempt loop asked, held, learnt and set aside, and noted progress; its constants and the reasons of refusals were as vague (FULL, COLD, RETURN_MS). They name retries, buffering, limits and deadlines now; BudgetTerms is RetryBudgetSettings, can_be_sent_again is is_replayable, and left_ms of a request is time_to_deadline_ms. The texts of the reasons, the counters and log fields are unchanged, and so is behaviour. The only uses elsewhere are in the gate and the model.

mypy and flake8 pass; 134 tests of tests/proxy, tests/gate and tests/feed pass.

--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -132,7 +132,7 @@
     def run(self, request: ForwardedRequest) -> AttemptOutcome:
         """Runs a request at the upstream, or refuses it."""
         refusal = self._refusal(request)
-        if refusal == reasons.SUSPECT:
+        if refusal == reasons.HEALTH_CHECK_FAILING:
             self._await_check(self._longest_wait_ms(request))
             refusal = self._refusal(request)
         if refusal is not None:
@@ -140,7 +140,11 @@
         wait_ms = self._longest_wait_ms(request)
         expected_ms = self.slots.expected_wait_ms(request.rank, self._times.overall_ms)
         if expected_ms > wait_ms or not self.slots.acquire(request.rank, wait_ms):
-            reason = reasons.COLD if self.rate.is_cold else reasons.FULL
+            reason = (
+                reasons.COLD_LIMIT_REACHED
+                if self.rate.is_cold
+                else reasons.LIMIT_REACHED
+            )
             return self._refuse(request, reason, self._times.overall_ms / 2)
         try:
             outcome = self._run_in_slot(request)
@@ -165,9 +169,9 @@
         if self.out_of_service:
             return reasons.EVACUATED
         if self._suspect:
-            return reasons.SUSPECT
-        if request.left_ms(self._clock) < SHORTEST_RUN_MS:
-            return reasons.TOO_LATE
+            return reasons.HEALTH_CHECK_FAILING
+        if request.time_to_deadline_ms(self._clock) < SHORTEST_RUN_MS:
+            return reasons.DEADLINE_TOO_NEAR
         return None
 
     def _longest_wait_ms(self, request: ForwardedRequest) -> float:
@@ -193,7 +197,7 @@
     def _send(self, request: ForwardedRequest, current: Upstream) -> AttemptOutcome:
         self.counts["sent"] += 1
         started_ms = self._clock.now_ms()
-        left_ms = request.left_ms(self._clock)
+        left_ms = request.time_to_deadline_ms(self._clock)
         timeout = eventlet.Timeout(left_ms / MS_PER_S)
         exchange = None
         try:
@@ -207,7 +211,7 @@
             return self._take_answer(request, exchange, started_ms)
         except RequestNotSent as error:
             self._suspect_upstream(error.cause)
-            return self._refuse(request, reasons.NOT_REACHED, LEAVING_RETRY_MS)
+            return self._refuse(request, reasons.CONNECTION_REFUSED, LEAVING_RETRY_MS)
         except ExchangeFailed as error:
             self._suspect_upstream(error.cause)
             return self._broken(request, error.cause, started_ms)
@@ -269,7 +273,7 @@
         )
 
     def _read(self, request: ForwardedRequest, exchange: Exchange) -> Iterator[bytes]:
-        left_ms = max(1.0, request.left_ms(self._clock))
+        left_ms = max(1.0, request.time_to_deadline_ms(self._clock))
         timeout = eventlet.Timeout(
             left_ms / MS_PER_S, ResponseTruncated("its time ran out")
         )
@@ -344,7 +348,7 @@
                 "reason": reason,
                 "route": request.route,
                 "rank": request.rank,
-                "left_ms": round(request.left_ms(self._clock)),
+                "left_ms": round(request.time_to_deadline_ms(self._clock)),
                 "running": self.slots.running,
                 "waiting": self.slots.waiting,
                 "limit": self.slots.limit,
--- a/src/jayswitch/model/fleet.py
+++ b/src/jayswitch/model/fleet.py
@@ -21,7 +21,7 @@
 from jayswitch.gate.start_rate import StartRate
 from jayswitch.gate.upstream_gate import UpstreamGate
 from jayswitch.model.upstream import STATUS_SERVER_ERROR, Caller, ModelUpstream
-from jayswitch.proxy.attempts import AttemptRunner, BudgetTerms
+from jayswitch.proxy.attempts import AttemptRunner, RetryBudgetSettings
 from jayswitch.proxy.outcome import Answered, ForwardedRequest, OutcomeUnknown
 from jayswitch.routing.balancer import Balancer
 from jayswitch.store.interface import WatchEvent
@@ -169,7 +169,9 @@
 
     def _runner(self, vm: ModelVm) -> AttemptRunner:
         scenario, clock = self._scenario, self.clock
-        terms = BudgetTerms(scenario.retry_ratio, scenario.retry_slack, BUDGET_WINDOW_S)
+        terms = RetryBudgetSettings(
+            scenario.retry_ratio, scenario.retry_slack, BUDGET_WINDOW_S
+        )
         return AttemptRunner(
             vm.name,
             vm.gate,
--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -28,15 +28,15 @@
     from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
     from jayswitch.routing.balancer import Balancer
 
-# Proxies that may be asked for one request; a refusal there costs a round trip.
-MAX_HOPS = 5
-NO_CANDIDATE_RETRY_MS = 400.0
+# Proxies tried for one request; each refusal costs a round trip.
+MAX_NODES_TRIED = 5
+NO_AVAILABLE_UPSTREAM_RETRY_MS = 400.0
 # A refusing upstream is avoided for this long while others take work.
 REFUSAL_PENALTY_MS = 100.0
 # Answers up to this size are read whole before the caller gets their head.
 MAX_BUFFERED_RESPONSE_BYTES = 1024 * 1024
 # Kept for the way back, so that the answer reaches the caller in time.
-RETURN_MS = 5.0
+RESPONSE_RESERVE_MS = 5.0
 STATUS_SERVER_ERROR = 500
 
 logger = logging.getLogger(__name__)
@@ -44,7 +44,7 @@
 VersionChooser = Callable[[str, "list[Member]"], "list[Member]"]
 
 
-class BudgetTerms:
+class RetryBudgetSettings:
     """The bounds of the retry budget that the fleet shares."""
 
     __slots__ = ("ratio", "slack", "window_s")
@@ -56,24 +56,24 @@
         self.window_s = window_s
 
 
-class _Progress:
+class _AttemptHistory:
     """What has been tried for one request."""
 
     __slots__ = (
-        "asked",
+        "tried_nodes",
         "failed_response",
-        "last",
+        "last_failure",
         "may_have_run",
-        "sent",
+        "attempts_sent",
         "timed_out",
     )
 
     def __init__(self) -> None:
-        self.asked: set[str] = set()
-        self.sent = 0
+        self.tried_nodes: set[str] = set()
+        self.attempts_sent = 0
         self.may_have_run = False
         self.timed_out = False
-        self.last: NotRun | OutcomeUnknown | None = None
+        self.last_failure: NotRun | OutcomeUnknown | None = None
         self.failed_response: Answered | None = None
 
 
@@ -87,11 +87,11 @@
         hops: HopClient,
         directory: Directory,
         balancer: Balancer,
-        budget_terms: BudgetTerms,
+        budget_settings: RetryBudgetSettings,
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Takes the gate on this VM, which is asked without a hop."""
+        """Takes the gate on this VM, which is called without a hop."""
         self.counts: Counter[str] = Counter()
         self.choose_versions: VersionChooser = lambda service, members: members
         self.only_proved: VersionChooser = lambda service, members: members
@@ -103,9 +103,9 @@
         self._hops = hops
         self._directory = directory
         self._balancer = balancer
-        self._budget_terms = budget_terms
-        self._budget_by_service: dict[str, WindowBudget] = {}
-        self._usual_by_route: dict[str, Usual] = {}
+        self._budget_settings = budget_settings
+        self._retry_budget_by_service: dict[str, WindowBudget] = {}
+        self._baseline_by_route: dict[str, Usual] = {}
         self._clock = clock
         self._random = rng
 
@@ -113,34 +113,36 @@
         """Runs a request; NotRun is returned only if it has run nowhere."""
         request.service = route.choose_service(self._random)
         request.route = route.name
-        request.usual = self._usual_by_route.get(route.name, Usual())
-        budget = self._budget(request.service)
+        request.usual = self._baseline_by_route.get(route.name, Usual())
+        budget = self._retry_budget(request.service)
         budget.note_request()
-        progress = _Progress()
+        history = _AttemptHistory()
         members = self._members(request.service, self.choose_versions)
-        while len(progress.asked) < MAX_HOPS:
-            if request.left_ms(self._clock) <= RETURN_MS:
-                progress.timed_out = True
+        while len(history.tried_nodes) < MAX_NODES_TRIED:
+            if request.time_to_deadline_ms(self._clock) <= RESPONSE_RESERVE_MS:
+                history.timed_out = True
                 break
-            member = self._balancer.choose(members, progress.asked)
+            member = self._balancer.choose(members, history.tried_nodes)
             if member is None:
                 break
-            if progress.sent and not budget.take(self._directory.size):
+            if history.attempts_sent and not budget.take(self._directory.size):
                 self.counts["budget_spent"] += 1
                 break
-            outcome = self._try(request, member, progress)
+            outcome = self._run_attempt(request, member, history)
             if self.is_on_trial(request.service, member.version):
                 # Whatever a version on trial did not answer goes to the proved one.
                 members = self._members(request.service, self.only_proved)
             if isinstance(outcome, Answered):
-                if not self._is_worth_repeating(request, route, progress, outcome):
-                    if progress.failed_response is not None:
-                        progress.failed_response.close()
+                if not self._should_retry_failed_response(
+                    request, route, history, outcome
+                ):
+                    if history.failed_response is not None:
+                        history.failed_response.close()
                     return outcome
-                self._set_aside(outcome, progress)
-            elif not self._may_go_on(request, route, progress, outcome):
+                self._keep_failed_response(outcome, history)
+            elif not self._may_try_next(request, route, history, outcome):
                 break
-        return self._conclude(progress)
+        return self._final_outcome(history)
 
     def _members(self, service: str, choose: VersionChooser) -> list[Member]:
         members = [
@@ -150,44 +152,46 @@
         ]
         return choose(service, members)
 
-    def _budget(self, service: str) -> WindowBudget:
-        budget = self._budget_by_service.get(service)
+    def _retry_budget(self, service: str) -> WindowBudget:
+        budget = self._retry_budget_by_service.get(service)
         if budget is None:
-            terms = self._budget_terms
-            budget = WindowBudget(terms.ratio, terms.slack, terms.window_s, self._clock)
-            self._budget_by_service[service] = budget
+            settings = self._budget_settings
+            budget = WindowBudget(
+                settings.ratio, settings.slack, settings.window_s, self._clock
+            )
+            self._retry_budget_by_service[service] = budget
         return budget
 
     # One attempt
 
-    def _try(
-        self, request: ForwardedRequest, member: Member, progress: _Progress
+    def _run_attempt(
+        self, request: ForwardedRequest, member: Member, history: _AttemptHistory
     ) -> AttemptOutcome:
         request.version = member.version
-        progress.asked.add(member.node)
+        history.tried_nodes.add(member.node)
         self._balancer.start(member.node)
         started_ms = self._clock.now_ms()
         try:
-            outcome = self._ask(request, member)
-            outcome = self._hold(request, outcome)
+            outcome = self._dispatch(request, member)
+            outcome = self._buffer_response(request, outcome)
         finally:
             self._balancer.finish(member.node)
-        self._learn(member, outcome)
-        self._learn_version(request, member, outcome, started_ms)
+        self._update_routing(member, outcome)
+        self._update_version_stats(request, member, outcome, started_ms)
         request.last_vm = member.node
-        if progress.asked != {member.node} or not _is_plain(outcome):
-            self._log(request, member, outcome, started_ms)
+        if history.tried_nodes != {member.node} or not _is_success(outcome):
+            self._log_attempt(request, member, outcome, started_ms)
         if not isinstance(outcome, NotRun) or outcome.reached_upstream:
-            progress.sent += 1
+            history.attempts_sent += 1
         return outcome
 
-    def _ask(self, request: ForwardedRequest, member: Member) -> AttemptOutcome:
+    def _dispatch(self, request: ForwardedRequest, member: Member) -> AttemptOutcome:
         if member.node == self._vm:
             return self._gate.run(request)
-        wait_ms = request.left_ms(self._clock) - RETURN_MS
+        wait_ms = request.time_to_deadline_ms(self._clock) - RESPONSE_RESERVE_MS
         return self._hops.send(member.data_address, request, wait_ms)
 
-    def _hold(
+    def _buffer_response(
         self, request: ForwardedRequest, outcome: AttemptOutcome
     ) -> AttemptOutcome:
         """Reads a short answer whole, so that the caller never sees it cut."""
@@ -198,7 +202,9 @@
             return outcome
         if int(length) > MAX_BUFFERED_RESPONSE_BYTES or request.method == "HEAD":
             return outcome
-        left_ms = max(1.0, request.left_ms(self._clock) - RETURN_MS)
+        left_ms = max(
+            1.0, request.time_to_deadline_ms(self._clock) - RESPONSE_RESERVE_MS
+        )
         timeout = eventlet.Timeout(left_ms / MS_PER_S)
         try:
             body = b"".join(outcome.body)
@@ -214,25 +220,25 @@
         if len(body) != int(length):
             return OutcomeUnknown("the answer ended early", load=outcome.load)
         return Answered(
-            outcome.status, outcome.headers, iter([body]), _nothing, outcome.load
+            outcome.status, outcome.headers, iter([body]), _noop, outcome.load
         )
 
-    def _learn(self, member: Member, outcome: AttemptOutcome) -> None:
+    def _update_routing(self, member: Member, outcome: AttemptOutcome) -> None:
         load = outcome.load
         if load is not None:
             in_flight = load.running + load.waiting
             self._balancer.report(member.node, in_flight, load.limit, load.service_ms)
-        unreached = isinstance(outcome, NotRun) and (
-            outcome.reason == reasons.PROXY_UNREACHED
+        unreachable = isinstance(outcome, NotRun) and (
+            outcome.reason == reasons.PROXY_UNREACHABLE
         )
-        silent = isinstance(outcome, OutcomeUnknown) and load is None
-        if unreached or silent:
+        unresponsive = isinstance(outcome, OutcomeUnknown) and load is None
+        if unreachable or unresponsive:
             self._balancer.suspect(member.node)
             self._directory.note_failure(member.node)
         elif not isinstance(outcome, Answered):
             self._balancer.penalize(member.node, REFUSAL_PENALTY_MS)
 
-    def _learn_version(
+    def _update_version_stats(
         self,
         request: ForwardedRequest,
         member: Member,
@@ -252,10 +258,10 @@
         else:
             return
         elapsed_ms = self._clock.now_ms() - started_ms
-        usual = self._usual_by_route.get(request.route, Usual())
-        self._usual_by_route[request.route] = usual.after(failed, elapsed_ms)
+        usual = self._baseline_by_route.get(request.route, Usual())
+        self._baseline_by_route[request.route] = usual.after(failed, elapsed_ms)
 
-    def _log(
+    def _log_attempt(
         self,
         request: ForwardedRequest,
         member: Member,
@@ -280,70 +286,78 @@
 
     # Decisions
 
-    def _is_worth_repeating(
+    def _should_retry_failed_response(
         self,
         request: ForwardedRequest,
         route: Route,
-        progress: _Progress,
+        history: _AttemptHistory,
         response: Answered,
     ) -> bool:
         failed = response.status >= STATUS_SERVER_ERROR
-        if not failed or not self._may_repeat(request, route, progress):
+        if not failed or not self._is_retry_allowed(request, route, history):
             return False
         members = self._members(request.service, self.only_proved)
-        others = [member for member in members if member.node not in progress.asked]
-        in_time = request.left_ms(self._clock) > RETURN_MS
-        return bool(others) and in_time and self._has_budget(request.service)
+        others = [
+            member for member in members if member.node not in history.tried_nodes
+        ]
+        in_time = request.time_to_deadline_ms(self._clock) > RESPONSE_RESERVE_MS
+        return bool(others) and in_time and self._has_retry_budget(request.service)
 
-    def _has_budget(self, service: str) -> bool:
-        return self._budget(service).has_room(self._directory.size)
+    def _has_retry_budget(self, service: str) -> bool:
+        return self._retry_budget(service).has_room(self._directory.size)
 
-    def _set_aside(self, response: Answered, progress: _Progress) -> None:
+    def _keep_failed_response(
+        self, response: Answered, history: _AttemptHistory
+    ) -> None:
         """Keeps a failure, which the caller gets if nothing better comes."""
-        if progress.failed_response is not None:
-            progress.failed_response.close()
-        progress.failed_response = response
-        progress.may_have_run = True
+        if history.failed_response is not None:
+            history.failed_response.close()
+        history.failed_response = response
+        history.may_have_run = True
         self.counts["repeats"] += 1
 
-    def _may_repeat(
-        self, request: ForwardedRequest, route: Route, progress: _Progress
+    def _is_retry_allowed(
+        self, request: ForwardedRequest, route: Route, history: _AttemptHistory
     ) -> bool:
-        if not request.repeatable or not request.can_be_sent_again:
+        if not request.repeatable or not request.is_replayable:
             return False
-        return progress.sent < route.max_attempts
+        return history.attempts_sent < route.max_attempts
 
-    def _may_go_on(
+    def _may_try_next(
         self,
         request: ForwardedRequest,
         route: Route,
-        progress: _Progress,
+        history: _AttemptHistory,
         outcome: NotRun | OutcomeUnknown,
     ) -> bool:
-        progress.last = outcome
+        history.last_failure = outcome
         if isinstance(outcome, OutcomeUnknown):
-            progress.may_have_run = True
-            progress.timed_out = outcome.timed_out
-            return self._may_repeat(request, route, progress)
-        if progress.may_have_run and not request.repeatable:
+            history.may_have_run = True
+            history.timed_out = outcome.timed_out
+            return self._is_retry_allowed(request, route, history)
+        if history.may_have_run and not request.repeatable:
             return False
-        return request.can_be_sent_again and progress.sent < route.max_attempts
-
-    def _conclude(self, progress: _Progress) -> AttemptOutcome:
-        if progress.failed_response is not None:
-            return progress.failed_response
-        if progress.may_have_run:
-            reason = progress.last.reason if progress.last else reasons.NO_CANDIDATE
-            return OutcomeUnknown(reason, progress.timed_out)
-        if isinstance(progress.last, NotRun):
-            return progress.last
-        return NotRun(reasons.NO_CANDIDATE, NO_CANDIDATE_RETRY_MS)
-
-
-def _is_plain(outcome: AttemptOutcome) -> bool:
+        return request.is_replayable and history.attempts_sent < route.max_attempts
+
+    def _final_outcome(self, history: _AttemptHistory) -> AttemptOutcome:
+        if history.failed_response is not None:
+            return history.failed_response
+        if history.may_have_run:
+            reason = (
+                history.last_failure.reason
+                if history.last_failure
+                else reasons.NO_AVAILABLE_UPSTREAM
+            )
+            return OutcomeUnknown(reason, history.timed_out)
+        if isinstance(history.last_failure, NotRun):
+            return history.last_failure
+        return NotRun(reasons.NO_AVAILABLE_UPSTREAM, NO_AVAILABLE_UPSTREAM_RETRY_MS)
+
+
+def _is_success(outcome: AttemptOutcome) -> bool:
     """Tells whether the line on the request says all that there is to say."""
     return isinstance(outcome, Answered) and outcome.status < STATUS_SERVER_ERROR
 
 
-def _nothing() -> None:
+def _noop() -> None:
     return
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -40,7 +40,7 @@
     from jayswitch.proxy.http_client import Exchange, HttpClient
     from jayswitch.proxy.outcome import AttemptOutcome, Headers
 
-UNREACHED_RETRY_MS = 300.0
+UNREACHABLE_RETRY_MS = 300.0
 # Connections between proxies are kept for long: their servers never end idle ones.
 HOP_KEEP_ALIVE = ("Keep-Alive", "timeout=30")
 LONGEST_REASON = 200
@@ -195,7 +195,7 @@
             )
             return self._read_outcome(address, request, exchange)
         except RequestNotSent:
-            return NotRun(reasons.PROXY_UNREACHED, UNREACHED_RETRY_MS)
+            return NotRun(reasons.PROXY_UNREACHABLE, UNREACHABLE_RETRY_MS)
         except (ExchangeFailed, ResponseTruncated) as error:
             return OutcomeUnknown(error.cause)
         except eventlet.Timeout as expired:
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -93,7 +93,7 @@
                 return self._tell(
                     NotRun(reasons.STOPPING, STOPPING_RETRY_MS), start_response, watch
                 )
-            if request.can_be_sent_again:
+            if request.is_replayable:
                 watch.start()
             outcome = self._gate.run(request)
         except CallerDisconnected:
--- a/src/jayswitch/proxy/outbound.py
+++ b/src/jayswitch/proxy/outbound.py
@@ -155,7 +155,7 @@
             return CallerOutcome(
                 STATUS_UNAVAILABLE, reasons.STOPPING, STARTING_RETRY_MS
             )
-        if request.can_be_sent_again:
+        if request.is_replayable:
             watch.start()
         outcome = self._judge(self._runner.run(request, route))
         environ[REQUEST_VARIABLE] = request
--- a/src/jayswitch/proxy/outcome.py
+++ b/src/jayswitch/proxy/outcome.py
@@ -87,11 +87,11 @@
         self.objective_ms = 0.0
 
     @property
-    def can_be_sent_again(self) -> bool:
+    def is_replayable(self) -> bool:
         """Tells whether the body is still there for another attempt."""
         return isinstance(self.body, bytes)
 
-    def left_ms(self, clock: Clock) -> float:
+    def time_to_deadline_ms(self, clock: Clock) -> float:
         """Returns the time until the deadline."""
         return self.deadline_ms - clock.now_ms()
 
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -32,7 +32,7 @@
 from jayswitch.gate.upstream_gate import ColdBound, UpstreamGate
 from jayswitch.http.reasons import status_line
 from jayswitch.http.server import HttpServer
-from jayswitch.proxy.attempts import AttemptRunner, BudgetTerms
+from jayswitch.proxy.attempts import AttemptRunner, RetryBudgetSettings
 from jayswitch.proxy.hop import HopClient
 from jayswitch.proxy.http_client import HttpClient
 from jayswitch.proxy.inbound import InboundApplication
@@ -154,7 +154,7 @@
             settings.data_centre, settings.region, clock, self._rng, settings.vm
         )
         self.directory.is_suspected = self.balancer.is_suspected
-        terms = BudgetTerms(
+        terms = RetryBudgetSettings(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
         self.runner = AttemptRunner(
--- a/tests/proxy/test_attempts.py
+++ b/tests/proxy/test_attempts.py
@@ -13,7 +13,7 @@
 from jayswitch.fleet.directory import Directory
 from jayswitch.fleet.records import NodeRecord, Upstream, UpstreamState, node_key
 from jayswitch.proxy import reasons
-from jayswitch.proxy.attempts import AttemptRunner, BudgetTerms
+from jayswitch.proxy.attempts import AttemptRunner, RetryBudgetSettings
 from jayswitch.proxy.outcome import (
     Answered,
     AttemptOutcome,
@@ -72,7 +72,7 @@
             self.hops,  # type: ignore[arg-type]
             directory,
             Balancer("bunbury", "swwa", self.clock, rng),
-            BudgetTerms(0.2, 60, 10),
+            RetryBudgetSettings(0.2, 60, 10),
             self.clock,
             rng,
         )
@@ -110,7 +110,7 @@
         assert len(caller.hops.asked) == 1
 
     def test_booking_goes_on_after_refusals(self) -> None:
-        caller = Caller(NotRun(reasons.FULL, load=LOAD), ok(), kind=BOOK)
+        caller = Caller(NotRun(reasons.LIMIT_REACHED, load=LOAD), ok(), kind=BOOK)
         assert isinstance(caller.run(), Answered)
         assert len(set(caller.hops.asked)) == 2
 
@@ -121,17 +121,17 @@
 
     def test_refusal_after_an_unknown_outcome_is_no_refusal(self) -> None:
         caller = Caller(
-            OutcomeUnknown("reset", load=LOAD), NotRun(reasons.FULL), kind=READ
+            OutcomeUnknown("reset", load=LOAD), NotRun(reasons.LIMIT_REACHED), kind=READ
         )
         assert isinstance(caller.run(), OutcomeUnknown)
 
     def test_everyone_refusing_is_a_refusal_with_a_time(self) -> None:
-        caller = Caller(NotRun(reasons.FULL, 80.0, load=LOAD), kind=BOOK)
+        caller = Caller(NotRun(reasons.LIMIT_REACHED, 80.0, load=LOAD), kind=BOOK)
         outcome = caller.run()
         assert isinstance(outcome, NotRun) and outcome.retry_after_ms == 80.0
 
     def test_stream_that_was_sent_is_not_sent_again(self) -> None:
-        caller = Caller(NotRun(reasons.FULL, load=LOAD), ok(), kind=READ)
+        caller = Caller(NotRun(reasons.LIMIT_REACHED, load=LOAD), ok(), kind=READ)
         assert isinstance(caller.run(iter([b"part"])), NotRun)
         assert len(caller.hops.asked) == 1
 
@@ -153,7 +153,7 @@
         assert repeats <= 0.2 * 100 + 60 / 3
 
     def test_refusals_cost_no_budget(self) -> None:
-        caller = Caller(NotRun(reasons.FULL, load=LOAD), kind=READ)
+        caller = Caller(NotRun(reasons.LIMIT_REACHED, load=LOAD), kind=READ)
         for _ in range(200):
             caller.run()
         assert len(caller.hops.asked) == 600
@@ -185,6 +185,6 @@
         assert isinstance(outcome, Answered) and outcome.status == 500
 
     def test_failure_is_delivered_if_nothing_better_comes(self) -> None:
-        caller = Caller(ok(500), NotRun(reasons.FULL), kind=READ)
+        caller = Caller(ok(500), NotRun(reasons.LIMIT_REACHED), kind=READ)
         outcome = caller.run()
         assert isinstance(outcome, Answered) and outcome.status == 500
