Name connection reuse and message parsing in the terms of HTTP

The HTTP client kept, took and found connections quiet; limits were called LONGEST_*; the parsers took heads and bodies and noted surplus. Connections are returned and taken from the idle list now, limits are MAX_*, the end of a stream is feed_eof, and check_head is validate_head. The metric connections_opened and its value are unchanged, and so is behaviour.

--- a/src/jayswitch/feed/client.py
+++ b/src/jayswitch/feed/client.py
@@ -65,7 +65,7 @@
         headers = [("Host", address), (FEED_REQUEST, text)]
         exchange = self._client.send(address, "GET", FEED_TARGET, headers, None)
         try:
-            body = exchange.read_whole(LONGEST_ANSWER_BYTES)
+            body = exchange.read_all(LONGEST_ANSWER_BYTES)
         finally:
             exchange.close()
         if exchange.status != STATUS_OK:
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -294,7 +294,7 @@
 
     def _discard(self, exchange: Exchange) -> None:
         try:
-            exchange.read_whole(LONGEST_DISCARD_BYTES)
+            exchange.read_all(LONGEST_DISCARD_BYTES)
         except ResponseTruncated:
             self.counts["rejections_cut"] += 1
         finally:
--- a/src/jayswitch/proxy/http_client.py
+++ b/src/jayswitch/proxy/http_client.py
@@ -24,7 +24,7 @@
 # Kept back from the idle time that a server states, for clocks and travel.
 IDLE_MARGIN_MS = 700.0
 # A connection whose server states no idle time is reused only this long.
-UNSTATED_IDLE_MS = 2500.0
+DEFAULT_IDLE_MS = 2500.0
 # A request with one of these methods and no body states no length either.
 _METHODS_WITHOUT_BODY = frozenset(
     ("GET", "HEAD", "DELETE", "TRACE", "OPTIONS", "CONNECT")
@@ -35,11 +35,11 @@
     """An established connection; requests are written to its socket directly."""
 
     def _new_conn(self) -> Any:
-        plain: Any = super()._new_conn()
-        return ResetAwareSocket.from_green(plain)
+        green_socket: Any = super()._new_conn()
+        return ResetAwareSocket.from_green(green_socket)
 
 
-class _Idle:
+class _IdleConnection:
     __slots__ = ("connection", "until_ms")
 
     def __init__(self, connection: _Connection, until_ms: float) -> None:
@@ -80,23 +80,23 @@
         """Yields the body as it arrives; raises ResponseTruncated if it ends early."""
         parser = self._parser
         while True:
-            yield from parser.take_body()
+            yield from parser.take_body_parts()
             if parser.is_complete:
                 break
             try:
                 _receive(self._connection, parser)
             except OSError as error:
                 raise ResponseTruncated(str(error)) from error
-        self._finish()
+        self._release_connection()
 
-    def read_whole(self, longest: int) -> bytes:
+    def read_all(self, max_bytes: int) -> bytes:
         """Returns the body; raises ResponseTruncated if it is cut short or too long."""
         parts = []
         size = 0
         for part in self.read():
             size += len(part)
-            if size > longest:
-                raise ResponseTruncated(f"the body is longer than {longest} bytes")
+            if size > max_bytes:
+                raise ResponseTruncated(f"the body is longer than {max_bytes} bytes")
             parts.append(part)
         return b"".join(parts)
 
@@ -106,12 +106,12 @@
             self._finished = True
             self._connection.close()
 
-    def _finish(self) -> None:
+    def _release_connection(self) -> None:
         if self._finished:
             return
         self._finished = True
         if self._parser.allows_reuse:
-            self._client.keep(self.address, self._connection, self.headers)
+            self._client.return_connection(self.address, self._connection, self.headers)
         else:
             self._connection.close()
 
@@ -121,10 +121,10 @@
 
     def __init__(self, clock: Clock, connect_timeout_ms: float) -> None:
         """Takes how long a connection may take to be established."""
-        self.opened = 0
+        self.connections_opened = 0
         self._clock = clock
         self._connect_timeout_ms = connect_timeout_ms
-        self._idle_by_address: dict[str, deque[_Idle]] = {}
+        self._idle_by_address: dict[str, deque[_IdleConnection]] = {}
 
     def send(
         self,
@@ -140,7 +140,7 @@
         ExchangeFailed where the request may have arrived. Time limits are the
         caller's; an abandoned call closes its connection.
         """
-        connection = self._take(address) or self._connect(address)
+        connection = self._take_idle_connection(address) or self._connect(address)
         parser = ResponseParser(method != "HEAD")
         try:
             _write_request(connection.sock, method, target, headers, body)
@@ -154,14 +154,16 @@
             raise
         return Exchange(self, address, connection, parser)
 
-    def keep(self, address: str, connection: _Connection, headers: Headers) -> None:
+    def return_connection(
+        self, address: str, connection: _Connection, headers: Headers
+    ) -> None:
         """Keeps a connection for another request, as long as its server does."""
-        idle_ms = _stated_idle_ms(headers)
+        idle_ms = _keep_alive_ms(headers)
         if idle_ms <= 0:
             connection.close()
             return
         idle = self._idle_by_address.setdefault(address, deque())
-        idle.append(_Idle(connection, self._clock.now_ms() + idle_ms))
+        idle.append(_IdleConnection(connection, self._clock.now_ms() + idle_ms))
 
     def forget(self, address: str) -> None:
         """Closes the idle connections to an address."""
@@ -177,12 +179,12 @@
             if not idle:
                 del self._idle_by_address[address]
 
-    def _take(self, address: str) -> _Connection | None:
+    def _take_idle_connection(self, address: str) -> _Connection | None:
         idle = self._idle_by_address.get(address)
         now_ms = self._clock.now_ms()
         while idle:
             newest = idle.pop()
-            if newest.until_ms > now_ms and _is_quiet(newest.connection):
+            if newest.until_ms > now_ms and _is_usable(newest.connection):
                 return newest.connection
             newest.connection.close()
         return None
@@ -204,7 +206,7 @@
             connection.close()
             raise
         connection.sock.settimeout(None)
-        self.opened += 1
+        self.connections_opened += 1
         return connection
 
 
@@ -214,7 +216,7 @@
     if data:
         parser.feed(data)
     else:
-        parser.feed_end()
+        parser.feed_eof()
 
 
 def _write_request(
@@ -228,10 +230,10 @@
     lines += [f"{name}: {value}" for name, value in headers]
     has_length = find(headers, "Content-Length") is not None
     if body is None or isinstance(body, bytes):
-        whole = body or b""
-        if not has_length and (whole or method not in _METHODS_WITHOUT_BODY):
-            lines.append(f"Content-Length: {len(whole)}")
-        sock.sendall(_join_head(lines) + whole)
+        payload = body or b""
+        if not has_length and (payload or method not in _METHODS_WITHOUT_BODY):
+            lines.append(f"Content-Length: {len(payload)}")
+        sock.sendall(_join_head(lines) + payload)
         return
     if not has_length:
         lines.append("Transfer-Encoding: chunked")
@@ -248,14 +250,14 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
 
-def _is_quiet(connection: _Connection) -> bool:
+def _is_usable(connection: _Connection) -> bool:
     """Tells whether an idle connection is open and has received nothing."""
     sock = connection.sock
     if sock is None:
         return False
-    real = getattr(sock, "fd", sock)
+    raw_socket = getattr(sock, "fd", sock)
     try:
-        real.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        raw_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
         return True
     except OSError:
@@ -264,10 +266,10 @@
     return False
 
 
-def _stated_idle_ms(headers: Headers) -> float:
+def _keep_alive_ms(headers: Headers) -> float:
     stated = find(headers, "Keep-Alive") or ""
     for parameter in stated.split(","):
         name, _, value = parameter.strip().partition("=")
         if name.lower() == "timeout" and value.isdigit():
             return int(value) * MS_PER_S - IDLE_MARGIN_MS
-    return UNSTATED_IDLE_MS
+    return DEFAULT_IDLE_MS
--- a/src/jayswitch/proxy/protocol.py
+++ b/src/jayswitch/proxy/protocol.py
@@ -15,19 +15,19 @@
     from jayswitch.proxy.outcome import Headers
 
 # Longer than any header line that the limits of a configuration allow.
-LONGEST_HEADER_LINE = 64 * 1024
-LONGEST_HEADERS = 256 * 1024
-wsgi.MAX_HEADER_LINE = LONGEST_HEADER_LINE
-wsgi.MAX_TOTAL_HEADER_SIZE = LONGEST_HEADERS
+MAX_HEADER_LINE_BYTES = 64 * 1024
+MAX_HEADERS_BYTES = 256 * 1024
+wsgi.MAX_HEADER_LINE = MAX_HEADER_LINE_BYTES
+wsgi.MAX_TOTAL_HEADER_SIZE = MAX_HEADERS_BYTES
 
 CONNECTION_VARIABLE = "jayswitch.connection"
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 TARGET_VARIABLE = "jayswitch.target"
 _TARGET = re.compile(r"/[!-~]*\Z")
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n"
-_CONTROL = re.compile(r"[\r\n\0]")
-_END_OF_HEAD = (b"\r\n", b"\n", b"")
-_SINGLE = ("content-length", "host", "transfer-encoding")
+_FORBIDDEN_IN_VALUE = re.compile(r"[\r\n\0]")
+_HEAD_TERMINATORS = (b"\r\n", b"\n", b"")
+_SINGLETON_HEADERS = ("content-length", "host", "transfer-encoding")
 
 
 class _RequestHead:
@@ -59,12 +59,12 @@
         """Parses the head; answers 400 and closes where it is ambiguous."""
         self.close_connection = True
         lines = [self.raw_requestline]
-        while lines[-1] not in _END_OF_HEAD:
+        while lines[-1] not in _HEAD_TERMINATORS:
             lines.append(self.rfile.readline())
         if not lines[-1]:
             return False
         try:
-            self._take_head(b"".join(lines))
+            self._parse_head(b"".join(lines))
         except MalformedRequest as error:
             self.wfile.write(
                 f"HTTP/1.1 {error.status} Bad Request\r\nConnection: close\r\n"
@@ -74,7 +74,7 @@
             return False
         return True
 
-    def _take_head(self, data: bytes) -> None:
+    def _parse_head(self, data: bytes) -> None:
         head = _RequestHead()
         parser = httptools.HttpRequestParser(head)
         try:
@@ -89,13 +89,13 @@
         self.requestline = f"{self.command} {head.target} {self.request_version}"
         self.target = head.target
         self.raw_headers = head.headers
-        value_by_name = check_head(self.request_version, head.target, head.headers)
+        value_by_name = validate_head(self.request_version, head.target, head.headers)
         # The server asks for this name with a capital.
         value_by_name["Connection"] = value_by_name.get("connection", "")
         self.headers: Any = value_by_name
         options = connection_options(head.headers)
-        keeps = self.request_version == "HTTP/1.1" or "keep-alive" in options
-        self.close_connection = not keeps or "close" in options
+        persistent = self.request_version == "HTTP/1.1" or "keep-alive" in options
+        self.close_connection = not persistent or "close" in options
 
     def get_environ(self) -> dict[str, Any]:
         """Returns what the proxy's applications read, and no more.
@@ -131,7 +131,7 @@
         return environ
 
 
-def check_head(version: str, target: str, headers: Headers) -> dict[str, str]:
+def validate_head(version: str, target: str, headers: Headers) -> dict[str, str]:
     """Returns the headers by lower-case name, the last of each.
 
     Raises MalformedRequest at the first ambiguity of a request's head.
@@ -145,9 +145,9 @@
         lower = name.lower()
         if not _TOKEN.match(name):
             raise MalformedRequest(f"header name {name!r} is not a token")
-        if _CONTROL.search(value):
+        if _FORBIDDEN_IN_VALUE.search(value):
             raise MalformedRequest(f"header {name} holds a control character")
-        if lower in _SINGLE and lower in value_by_name:
+        if lower in _SINGLETON_HEADERS and lower in value_by_name:
             raise MalformedRequest(f"{name} is given more than once")
         value_by_name[lower] = value
     if "host" not in value_by_name:
--- a/src/jayswitch/proxy/response_parser.py
+++ b/src/jayswitch/proxy/response_parser.py
@@ -15,7 +15,7 @@
 FIRST_FINAL_STATUS = 200
 # Heads, trailers and chunk headers may take so much between two parts of a body.
 # The longest head of a sound upstream is a few hundred bytes.
-LONGEST_FRAMING_BYTES = 64 * 1024
+MAX_FRAMING_BYTES = 64 * 1024
 
 
 class ResponseParser:
@@ -33,7 +33,7 @@
         "is_complete",
         "is_head_complete",
         "status",
-        "surplus",
+        "has_surplus_data",
     )
 
     def __init__(self, has_body: bool = True) -> None:
@@ -42,7 +42,7 @@
         self.headers: Headers = []
         self.is_head_complete = False
         self.is_complete = False
-        self.surplus = False
+        self.has_surplus_data = False
         self._framing_bytes = 0
         self._has_body = has_body
         self._parts: list[bytes] = []
@@ -54,7 +54,7 @@
         return (
             self.is_complete
             and self._has_body
-            and not self.surplus
+            and not self.has_surplus_data
             and not self._ends_with_connection()
             and "close" not in connection_options(self.headers)
             and self._parser.get_http_version() == "1.1"
@@ -71,34 +71,34 @@
         except httptools.HttpParserError as error:
             if not self.is_complete:
                 raise ResponseTruncated(f"not HTTP: {error}") from error
-            self.surplus = True
-        if self._framing_bytes > LONGEST_FRAMING_BYTES and not self.is_complete:
+            self.has_surplus_data = True
+        if self._framing_bytes > MAX_FRAMING_BYTES and not self.is_complete:
             raise ResponseTruncated("its head or framing has no end")
 
-    def feed_end(self) -> None:
+    def feed_eof(self) -> None:
         """Handles end of stream; raises ResponseTruncated if the body is incomplete."""
         if not self.is_head_complete or not self._ends_with_connection():
             raise ResponseTruncated("the connection ended")
         self.is_complete = True
 
-    def take_body(self) -> list[bytes]:
+    def take_body_parts(self) -> list[bytes]:
         """Returns the parts of the body that have arrived since the last call."""
         parts, self._parts = self._parts, []
         return parts
 
     def _ends_with_connection(self) -> bool:
-        framed = any(
+        has_framing_header = any(
             name.lower() in ("content-length", "transfer-encoding")
             for name, _ in self.headers
         )
-        return not framed and self.status not in (204, 304)
+        return not has_framing_header and self.status not in (204, 304)
 
     # Called by the parser
 
     def on_message_begin(self) -> None:
         """Notes the first byte of an answer."""
         if self.is_complete:
-            self.surplus = True
+            self.has_surplus_data = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Takes one header."""
--- a/src/jayswitch/proxy/status.py
+++ b/src/jayswitch/proxy/status.py
@@ -93,7 +93,7 @@
             "orders_connected": int(process.orders_follower.connected),
             "orders_feeds": len(process.orders_feed.relay_by_feed),
             "fleet_connected": int(process.fleet_follower.connected),
-            "connections_opened": process.upstream_client.opened,
+            "connections_opened": process.upstream_client.connections_opened,
         }
         for name, value in value_by_name.items():
             text = name.replace("_", " ")
--- a/tests/loopback/test_forwarding.py
+++ b/tests/loopback/test_forwarding.py
@@ -118,8 +118,8 @@
     def test_requests_one_after_another_share_a_connection(self, pair: Pair) -> None:
         for _ in range(10):
             assert exchange(pair.address, request()).status == 200
-        assert pair.near.hop_client.opened == 1
-        assert pair.far.upstream_client.opened == 1
+        assert pair.near.hop_client.connections_opened == 1
+        assert pair.far.upstream_client.connections_opened == 1
 
 
 class TestFraming:
--- a/tests/proxy/test_protocol.py
+++ b/tests/proxy/test_protocol.py
@@ -10,7 +10,7 @@
 from hypothesis import given, strategies as st
 
 from jayswitch.proxy.exceptions import MalformedRequest
-from jayswitch.proxy.protocol import StrictProtocol, check_head
+from jayswitch.proxy.protocol import StrictProtocol, validate_head
 
 HEAD = (
     b"POST /read/a%2fb?q=[1] HTTP/1.1\r\nHost: herd.example\r\n"
@@ -115,7 +115,7 @@
         self, headers: list[tuple[str, str]]
     ) -> None:
         try:
-            found = check_head("HTTP/1.1", "/", [("Host", "h"), *headers])
+            found = validate_head("HTTP/1.1", "/", [("Host", "h"), *headers])
         except MalformedRequest:
             return
         assert found["host"] == "h"
--- a/tests/proxy/test_response_parser.py
+++ b/tests/proxy/test_response_parser.py
@@ -23,7 +23,7 @@
 
 
 def _body(parser: ResponseParser) -> bytes:
-    return b"".join(parser.take_body())
+    return b"".join(parser.take_body_parts())
 
 
 class TestWholeAnswers:
@@ -63,7 +63,7 @@
     def test_answer_without_a_length_ends_with_its_connection(self) -> None:
         parser = _read(b"HTTP/1.1 200 OK\r\n\r\nwhole body")
         assert not parser.is_complete
-        parser.feed_end()
+        parser.feed_eof()
         assert parser.is_complete and not parser.allows_reuse
         assert _body(parser) == b"whole body"
 
@@ -76,12 +76,12 @@
         for length in range(1, len(data)):
             parser = _read(data[:length])
             with pytest.raises(ResponseTruncated):
-                parser.feed_end()
+                parser.feed_eof()
             assert not parser.is_complete
 
     def test_end_before_any_byte_is_no_answer(self) -> None:
         with pytest.raises(ResponseTruncated):
-            ResponseParser().feed_end()
+            ResponseParser().feed_eof()
 
     @pytest.mark.parametrize(
         "data",
@@ -114,7 +114,7 @@
 class TestBytesWithoutEnd:
     """Bytes that never become an answer are given up after a bounded amount."""
 
-    LONGEST_BYTES = 256 * 1024
+    MAX_FED_BYTES = 256 * 1024
 
     @pytest.mark.parametrize(
         ("start", "repeated"),
@@ -134,7 +134,7 @@
         parser = _read(start)
         fed = 0
         with pytest.raises(ResponseTruncated):
-            while fed < self.LONGEST_BYTES:
+            while fed < self.MAX_FED_BYTES:
                 parser.feed(repeated)
                 fed += len(repeated)
 
