Name the request handlers and hop messages after what they do

The applications told, judged, fed and ended; headers were found and forwarded without the noun. They send outcomes, errors and feeds and parse requests now; CallerOutcome is ErrorResponse, HopKind is HopOutcomeKind, find is find_header, and bodies are declared and buffered instead of stated and held. The fields of HopRequest, HopOutcome and the error body travel under the same names as before. Behaviour is unchanged.

--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -16,7 +16,7 @@
 from jayswitch.gate.start_rate import StartRate
 from jayswitch.proxy import reasons
 from jayswitch.proxy.exceptions import ExchangeFailed, RequestNotSent, ResponseTruncated
-from jayswitch.proxy.headers import find
+from jayswitch.proxy.headers import find_header
 from jayswitch.proxy.outcome import Answered, LoadReport, NotRun, OutcomeUnknown
 
 if TYPE_CHECKING:
@@ -242,12 +242,12 @@
         self, request: ForwardedRequest, exchange: Exchange, started_ms: float
     ) -> AttemptOutcome:
         names = self._names
-        echoed = find(exchange.headers, names.request_id)
+        echoed = find_header(exchange.headers, names.request_id)
         if echoed not in (None, request.request_id):
             # A late answer of an earlier request, whatever it says of that one.
             exchange.close()
             return self._broken(request, "the answer is another request's", started_ms)
-        not_run = find(exchange.headers, names.not_run) is not None
+        not_run = find_header(exchange.headers, names.not_run) is not None
         misdirected = exchange.status == STATUS_MISDIRECTED
         if misdirected or not_run:
             self._discard(exchange)
@@ -257,7 +257,7 @@
             return self._refuse(
                 request, reason, self._times.overall_ms / 2, not misdirected
             )
-        signature = find(exchange.headers, names.signature)
+        signature = find_header(exchange.headers, names.signature)
         if signature is None or echoed is None:
             exchange.close()
             reason = "the answer has no signature or no id"
@@ -401,7 +401,7 @@
         current = self._local.current
         if exchange is None or current is None or exchange.status != STATUS_OK:
             return False
-        return find(exchange.headers, self._names.upstream_id) == current.id
+        return find_header(exchange.headers, self._names.upstream_id) == current.id
 
     def _is_healthy(self) -> bool:
         """Asks the upstream who it is and whether it is cold."""
@@ -409,7 +409,7 @@
         if exchange is None:
             return False
         current = self._local.current
-        upstream_id = find(exchange.headers, self._names.upstream_id)
+        upstream_id = find_header(exchange.headers, self._names.upstream_id)
         # A rejected check still shows that the upstream is there.
         return upstream_id is None or current is None or upstream_id == current.id
 
@@ -429,7 +429,7 @@
         finally:
             if exchange is not None:
                 exchange.close()
-        cold = find(exchange.headers, self._names.cold_left_ms)
+        cold = find_header(exchange.headers, self._names.cold_left_ms)
         if cold is not None and cold.isdigit():
             self.rate.set_cold(float(cold))
         return exchange
--- a/src/jayswitch/model/upstream.py
+++ b/src/jayswitch/model/upstream.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING
 
-from jayswitch.proxy.headers import find
+from jayswitch.proxy.headers import find_header
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
@@ -73,13 +73,13 @@
         """Runs a request."""
         self.runs += 1
         kind = self._kind_by_name[target.removeprefix("/")]
-        left_ms = float(find(headers, self._names.time_left_ms) or 0)
+        left_ms = float(find_header(headers, self._names.time_left_ms) or 0)
         until_ms = self._clock.now_ms() + left_ms
         status = STATUS_OK
         if self._random.random() < kind.calls_share:
             status = self._make_calls(kind, until_ms)
         self._clock.sleep_ms(self._work_ms(kind))
-        request_id = find(headers, self._names.request_id) or ""
+        request_id = find_header(headers, self._names.request_id) or ""
         told = [(self._names.request_id, request_id), (self._names.signature, "model")]
         return ModelExchange(status, told)
 
--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -13,7 +13,7 @@
 from jayswitch.clock import MS_PER_S
 from jayswitch.proxy import reasons
 from jayswitch.proxy.exceptions import ResponseTruncated
-from jayswitch.proxy.headers import find
+from jayswitch.proxy.headers import find_header
 from jayswitch.proxy.outcome import Answered, NotRun, OutcomeUnknown
 from jayswitch.rollout.trial import Usual
 from jayswitch.routing.window_budget import WindowBudget
@@ -197,7 +197,7 @@
         """Reads a short answer whole, so that the caller never sees it cut."""
         if not isinstance(outcome, Answered):
             return outcome
-        length = find(outcome.headers, "Content-Length")
+        length = find_header(outcome.headers, "Content-Length")
         if length is None or not length.isdigit():
             return outcome
         if int(length) > MAX_BUFFERED_RESPONSE_BYTES or request.method == "HEAD":
--- a/src/jayswitch/proxy/disconnect.py
+++ b/src/jayswitch/proxy/disconnect.py
@@ -32,7 +32,11 @@
         hub = hubs.get_hub()
         if self._listener is None:
             self._listener = hub.add(
-                hub.READ, self._socket.fileno(), self._on_ready, self._on_ready, _ignore
+                hub.READ,
+                self._socket.fileno(),
+                self._on_readable,
+                self._on_readable,
+                _ignore,
             )
 
     def stop(self) -> None:
@@ -45,7 +49,7 @@
             listener, self._listener = self._listener, None
             hubs.get_hub().remove(listener)
 
-    def _on_ready(self, *_: Any) -> None:
+    def _on_readable(self, *_: Any) -> None:
         self._remove()
         try:
             data = self._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/src/jayswitch/proxy/headers.py
+++ b/src/jayswitch/proxy/headers.py
@@ -47,7 +47,7 @@
     return options
 
 
-def forwardable(
+def forwardable_headers(
     headers: list[tuple[str, str]], dropped: frozenset[str]
 ) -> list[tuple[str, str]]:
     """Returns the headers that concern the other end of the path."""
@@ -62,10 +62,10 @@
     ]
 
 
-def find(headers: list[tuple[str, str]], name: str) -> str | None:
+def find_header(headers: list[tuple[str, str]], name: str) -> str | None:
     """Returns the first value of a header."""
-    wanted = name.lower()
-    for present, value in headers:
-        if present.lower() == wanted:
+    lower_name = name.lower()
+    for candidate, value in headers:
+        if candidate.lower() == lower_name:
             return value
     return None
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -22,7 +22,7 @@
     HOP_OUTCOME,
     HOP_REQUEST,
     INTERNAL_PREFIX,
-    find,
+    find_header,
 )
 from jayswitch.proxy.outcome import (
     Answered,
@@ -43,7 +43,7 @@
 UNREACHABLE_RETRY_MS = 300.0
 # Connections between proxies are kept for long: their servers never end idle ones.
 HOP_KEEP_ALIVE = ("Keep-Alive", "timeout=30")
-LONGEST_REASON = 200
+MAX_REASON_LENGTH = 200
 
 
 class HopRequest(msgspec.Struct, omit_defaults=True):
@@ -63,7 +63,7 @@
     repeatable: bool = False
 
 
-class HopKind(Enum):
+class HopOutcomeKind(Enum):
     """What became of a request at the proxy beside its upstream."""
 
     ANSWERED = "answered"
@@ -75,7 +75,7 @@
 class HopOutcome(msgspec.Struct, omit_defaults=True):
     """What a proxy tells a sender beside the upstream's answer."""
 
-    kind: HopKind
+    kind: HopOutcomeKind
     known: str = ""
     reason: str = ""
     retry_after_ms: float = 0.0
@@ -104,7 +104,7 @@
         repeatable=request.repeatable,
     )
     headers = list(request.headers)
-    headers.append((HOP_REQUEST, _header_text(hop)))
+    headers.append((HOP_REQUEST, _encode_header(hop)))
     headers.append((names.time_left_ms, str(int(request.deadline_ms - now_ms))))
     headers.append((names.caller_service, request.caller_service))
     if request.body_length is not None:
@@ -114,7 +114,7 @@
 
 def read_hop_request(headers: Headers) -> HopRequest:
     """Returns the decisions in a request's headers; raises MalformedRequest."""
-    text = find(headers, HOP_REQUEST) or ""
+    text = find_header(headers, HOP_REQUEST) or ""
     try:
         return _request_decoder.decode(text.encode("latin-1"))
     except msgspec.MsgspecError as error:
@@ -131,9 +131,9 @@
 ) -> ForwardedRequest:
     """Returns the request that another proxy has sent, without its body."""
     now_ms = clock.now_ms()
-    kept = _without_hop_headers(headers, names)
-    request_id = find(headers, names.request_id) or ""
-    request = ForwardedRequest(request_id, method, target, kept, b"", None)
+    forwarded_headers = _without_hop_headers(headers, names)
+    request_id = find_header(headers, names.request_id) or ""
+    request = ForwardedRequest(request_id, method, target, forwarded_headers, b"", None)
     request.service = hop.service
     request.version = hop.version
     request.repeatable = hop.repeatable
@@ -142,23 +142,25 @@
     request.usual = hop.usual
     request.origin_vm = hop.sender
     request.objective_ms = now_ms + hop.objective_ms
-    request.deadline_ms = now_ms + _number(headers, names.time_left_ms)
-    request.caller_service = find(headers, names.caller_service) or ""
+    request.deadline_ms = now_ms + _parse_int_header(headers, names.time_left_ms)
+    request.caller_service = find_header(headers, names.caller_service) or ""
     return request
 
 
 def outcome_headers(outcome: AttemptOutcome, known: str) -> Headers:
     """Returns what a proxy tells the sender beside the upstream's answer."""
-    told = HopOutcome(HopKind.ANSWERED, known, load=outcome.load)
+    hop_outcome = HopOutcome(HopOutcomeKind.ANSWERED, known, load=outcome.load)
     if isinstance(outcome, NotRun):
-        told.kind = HopKind.NOT_RUN
-        told.reason = outcome.reason[:LONGEST_REASON]
-        told.retry_after_ms = outcome.retry_after_ms
-        told.reached_upstream = outcome.reached_upstream
+        hop_outcome.kind = HopOutcomeKind.NOT_RUN
+        hop_outcome.reason = outcome.reason[:MAX_REASON_LENGTH]
+        hop_outcome.retry_after_ms = outcome.retry_after_ms
+        hop_outcome.reached_upstream = outcome.reached_upstream
     elif isinstance(outcome, OutcomeUnknown):
-        told.kind = HopKind.TIMED_OUT if outcome.timed_out else HopKind.UNKNOWN
-        told.reason = outcome.reason[:LONGEST_REASON]
-    return [(HOP_OUTCOME, _header_text(told)), HOP_KEEP_ALIVE]
+        hop_outcome.kind = (
+            HopOutcomeKind.TIMED_OUT if outcome.timed_out else HopOutcomeKind.UNKNOWN
+        )
+        hop_outcome.reason = outcome.reason[:MAX_REASON_LENGTH]
+    return [(HOP_OUTCOME, _encode_header(hop_outcome)), HOP_KEEP_ALIVE]
 
 
 class HopClient:
@@ -211,29 +213,36 @@
         self, address: str, request: ForwardedRequest, exchange: Exchange
     ) -> AttemptOutcome:
         try:
-            text = find(exchange.headers, HOP_OUTCOME) or ""
-            told = _outcome_decoder.decode(text.encode("latin-1"))
+            text = find_header(exchange.headers, HOP_OUTCOME) or ""
+            hop_outcome = _outcome_decoder.decode(text.encode("latin-1"))
         except msgspec.MsgspecError:
             exchange.close()
             return OutcomeUnknown(f"the proxy answered {exchange.status} by itself")
-        self._knowledge.compare(told.known, address)
-        if told.kind is HopKind.ANSWERED:
-            return self._accept_response(request, exchange, told.load)
+        self._knowledge.compare(hop_outcome.known, address)
+        if hop_outcome.kind is HopOutcomeKind.ANSWERED:
+            return self._accept_response(request, exchange, hop_outcome.load)
         try:
             for _ in exchange.read():
                 continue
         finally:
             exchange.close()
-        if told.kind is HopKind.NOT_RUN:
+        if hop_outcome.kind is HopOutcomeKind.NOT_RUN:
             return NotRun(
-                told.reason, told.retry_after_ms, told.reached_upstream, told.load
+                hop_outcome.reason,
+                hop_outcome.retry_after_ms,
+                hop_outcome.reached_upstream,
+                hop_outcome.load,
             )
-        return OutcomeUnknown(told.reason, told.kind is HopKind.TIMED_OUT, told.load)
+        return OutcomeUnknown(
+            hop_outcome.reason,
+            hop_outcome.kind is HopOutcomeKind.TIMED_OUT,
+            hop_outcome.load,
+        )
 
     def _accept_response(
         self, request: ForwardedRequest, exchange: Exchange, load: LoadReport | None
     ) -> AttemptOutcome:
-        echoed = find(exchange.headers, self._names.request_id)
+        echoed = find_header(exchange.headers, self._names.request_id)
         if echoed != request.request_id:
             exchange.close()
             return OutcomeUnknown("the answer is another request's", load=load)
@@ -241,9 +250,9 @@
         return Answered(exchange.status, exchange.headers, exchange.read(), close, load)
 
 
-def _header_text(told: HopRequest | HopOutcome) -> str:
+def _encode_header(message: HopRequest | HopOutcome) -> str:
     """Returns JSON, in which no character can end the header."""
-    return msgspec.json.encode(told).decode("latin-1")
+    return msgspec.json.encode(message).decode("latin-1")
 
 
 def _without_hop_headers(headers: Headers, names: HeaderNames) -> Headers:
@@ -257,6 +266,6 @@
     ]
 
 
-def _number(headers: Headers, name: str) -> int:
-    text = find(headers, name) or "0"
+def _parse_int_header(headers: Headers, name: str) -> int:
+    text = find_header(headers, name) or "0"
     return int(text) if text.lstrip("-").isdigit() else 0
--- a/src/jayswitch/proxy/http_client.py
+++ b/src/jayswitch/proxy/http_client.py
@@ -12,7 +12,7 @@
 
 from jayswitch.clock import MS_PER_S
 from jayswitch.proxy.exceptions import ExchangeFailed, RequestNotSent, ResponseTruncated
-from jayswitch.proxy.headers import find
+from jayswitch.proxy.headers import find_header
 from jayswitch.proxy.response_parser import ResponseParser
 from jayswitch.proxy.sockets import ResetAwareSocket, socket_options
 
@@ -228,7 +228,7 @@
 ) -> None:
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers]
-    has_length = find(headers, "Content-Length") is not None
+    has_length = find_header(headers, "Content-Length") is not None
     if body is None or isinstance(body, bytes):
         payload = body or b""
         if not has_length and (payload or method not in _METHODS_WITHOUT_BODY):
@@ -267,7 +267,7 @@
 
 
 def _keep_alive_ms(headers: Headers) -> float:
-    stated = find(headers, "Keep-Alive") or ""
+    stated = find_header(headers, "Keep-Alive") or ""
     for parameter in stated.split(","):
         name, _, value = parameter.strip().partition("=")
         if name.lower() == "timeout" and value.isdigit():
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -13,7 +13,7 @@
 from jayswitch.proxy import reasons
 from jayswitch.proxy.disconnect import DisconnectWatcher
 from jayswitch.proxy.exceptions import CallerDisconnected, MalformedRequest
-from jayswitch.proxy.headers import find
+from jayswitch.proxy.headers import find_header
 from jayswitch.proxy.hop import (
     HOP_KEEP_ALIVE,
     outcome_headers,
@@ -67,7 +67,7 @@
         self.draining = False
         self.refusing = False
         # Requests that may last longer than this are refused.
-        self.ends_ms = float("inf")
+        self.latest_deadline_ms = float("inf")
         self.in_flight = 0
         self._gate = gate
         self._feeds = feeds
@@ -80,35 +80,39 @@
     ) -> Iterable[bytes]:
         """Serves one request of another proxy."""
         if environ[TARGET_VARIABLE] == FEED_TARGET:
-            wanted = find(raw_headers(environ), FEED_REQUEST)
-            if wanted is not None:
-                return self._feed(wanted, environ, start_response)
+            feed_header = find_header(raw_headers(environ), FEED_REQUEST)
+            if feed_header is not None:
+                return self._serve_feed(feed_header, environ, start_response)
         if self.draining:
             close_connection(environ)
         self.in_flight += 1
-        watch = DisconnectWatcher(environ[CONNECTION_VARIABLE].connection)
+        watcher = DisconnectWatcher(environ[CONNECTION_VARIABLE].connection)
         try:
-            request = self._read(environ)
-            if self.refusing or request.deadline_ms > self.ends_ms:
-                return self._tell(
-                    NotRun(reasons.STOPPING, STOPPING_RETRY_MS), start_response, watch
+            request = self._parse_request(environ)
+            if self.refusing or request.deadline_ms > self.latest_deadline_ms:
+                return self._send_outcome(
+                    NotRun(reasons.STOPPING, STOPPING_RETRY_MS), start_response, watcher
                 )
             if request.is_replayable:
-                watch.start()
+                watcher.start()
             outcome = self._gate.run(request)
         except CallerDisconnected:
-            return self._end(environ, start_response, STATUS_CALLER_DISCONNECTED, watch)
+            return self._send_status_and_close(
+                environ, start_response, STATUS_CALLER_DISCONNECTED, watcher
+            )
         except MalformedRequest:
-            return self._end(environ, start_response, STATUS_BAD_REQUEST, watch)
+            return self._send_status_and_close(
+                environ, start_response, STATUS_BAD_REQUEST, watcher
+            )
         except BaseException:
-            self._finish(watch)
+            self._end_request(watcher)
             raise
         if isinstance(outcome, Answered):
-            return self._send_response(outcome, environ, start_response, watch)
-        return self._tell(outcome, start_response, watch)
+            return self._send_response(outcome, environ, start_response, watcher)
+        return self._send_outcome(outcome, start_response, watcher)
 
-    def _feed(
-        self, wanted: str, environ: dict[str, Any], start_response: StartResponse
+    def _serve_feed(
+        self, feed_header: str, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serves a feed; the stop of this process does not wait for it."""
         body = b""
@@ -117,7 +121,7 @@
             close_connection(environ)
         else:
             try:
-                request = _feed_decoder.decode(wanted.encode("latin-1"))
+                request = _feed_decoder.decode(feed_header.encode("latin-1"))
             except msgspec.MsgspecError as error:
                 logger.warning("feed request unreadable", extra={"reason": str(error)})
                 status = STATUS_BAD_REQUEST
@@ -129,11 +133,11 @@
         start_response(status_line(status), headers)
         return [body]
 
-    def _finish(self, watch: DisconnectWatcher) -> None:
-        watch.stop()
+    def _end_request(self, watcher: DisconnectWatcher) -> None:
+        watcher.stop()
         self.in_flight -= 1
 
-    def _read(self, environ: dict[str, Any]) -> ForwardedRequest:
+    def _parse_request(self, environ: dict[str, Any]) -> ForwardedRequest:
         headers = raw_headers(environ)
         hop = read_hop_request(headers)
         self._knowledge.compare_with_vm(hop.known, hop.sender)
@@ -153,7 +157,7 @@
         outcome: Answered,
         environ: dict[str, Any],
         start_response: StartResponse,
-        watch: DisconnectWatcher,
+        watcher: DisconnectWatcher,
     ) -> Iterator[bytes]:
         headers = response_headers(outcome.headers)
         headers += outcome_headers(outcome, self._knowledge.describe())
@@ -162,15 +166,15 @@
             yield from body
         finally:
             outcome.close()
-            self._finish(watch)
+            self._end_request(watcher)
 
-    def _tell(
+    def _send_outcome(
         self,
         outcome: AttemptOutcome,
         start_response: StartResponse,
-        watch: DisconnectWatcher,
+        watcher: DisconnectWatcher,
     ) -> Iterable[bytes]:
-        self._finish(watch)
+        self._end_request(watcher)
         headers = [
             *outcome_headers(outcome, self._knowledge.describe()),
             ("Content-Length", "0"),
@@ -178,14 +182,14 @@
         start_response(status_line(STATUS_NOT_ANSWERED), headers)
         return [b""]
 
-    def _end(
+    def _send_status_and_close(
         self,
         environ: dict[str, Any],
         start_response: StartResponse,
         status: int,
-        watch: DisconnectWatcher,
+        watcher: DisconnectWatcher,
     ) -> Iterable[bytes]:
-        self._finish(watch)
+        self._end_request(watcher)
         close_connection(environ)
         start_response(status_line(status), [("Content-Length", "0")])
         return [b""]
--- a/src/jayswitch/proxy/outbound.py
+++ b/src/jayswitch/proxy/outbound.py
@@ -19,7 +19,7 @@
     MalformedRequest,
     ResponseTruncated,
 )
-from jayswitch.proxy.headers import find, forwardable
+from jayswitch.proxy.headers import find_header, forwardable_headers
 from jayswitch.proxy.outcome import Answered, ForwardedRequest, NotRun, OutcomeUnknown
 from jayswitch.proxy.protocol import CONNECTION_VARIABLE, TARGET_VARIABLE
 from jayswitch.proxy.wsgi_request import (
@@ -44,13 +44,13 @@
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_TIMEOUT = 504
-STARTING_RETRY_MS = 500.0
+UNAVAILABLE_RETRY_MS = 500.0
 REQUEST_VARIABLE = "jayswitch.request"
 
 logger = logging.getLogger(__name__)
 
 
-class CallerOutcome(msgspec.Struct):
+class ErrorResponse(msgspec.Struct):
     """What is told to a caller in place of an upstream's answer."""
 
     status: int
@@ -74,7 +74,7 @@
         self.draining = False
         self.refusing = False
         # Requests that may last longer than this are refused.
-        self.ends_ms = float("inf")
+        self.latest_deadline_ms = float("inf")
         self.in_flight = 0
         self.counts: Counter[str] = Counter()
         self.on_response: Callable[[int, float], None] = lambda status, elapsed_ms: None
@@ -83,7 +83,7 @@
         self._caller_service = caller_service
         self._runner = runner
         self._names = names
-        self._dropped = names.set_by_proxies()
+        self._removed_headers = names.set_by_proxies()
         self._clock = clock
 
     def __call__(
@@ -94,98 +94,100 @@
         started_ms = self.last_request_ms = self._clock.now_ms()
         if self.draining:
             close_connection(environ)
-        watch = DisconnectWatcher(environ[CONNECTION_VARIABLE].connection)
+        watcher = DisconnectWatcher(environ[CONNECTION_VARIABLE].connection)
         try:
-            outcome = self._serve(environ, watch, started_ms)
+            outcome = self._serve(environ, watcher, started_ms)
         except MalformedRequest as error:
             close_connection(environ)
-            outcome = CallerOutcome(error.status, error.cause)
+            outcome = ErrorResponse(error.status, error.cause)
         except CallerDisconnected:
             close_connection(environ)
-            outcome = CallerOutcome(STATUS_CALLER_DISCONNECTED, "the caller has left")
+            outcome = ErrorResponse(STATUS_CALLER_DISCONNECTED, "the caller has left")
         except BaseException:
-            self._finish(watch)
+            self._end_request(watcher)
             raise
-        self._log(environ, outcome, started_ms)
+        self._log_request(environ, outcome, started_ms)
         if isinstance(outcome, Answered):
-            return self._send_response(outcome, environ, start_response, watch)
-        self._finish(watch)
-        return self._tell(outcome, start_response)
+            return self._send_response(outcome, environ, start_response, watcher)
+        self._end_request(watcher)
+        return self._send_error(outcome, start_response)
 
-    def _finish(self, watch: DisconnectWatcher) -> None:
-        watch.stop()
+    def _end_request(self, watcher: DisconnectWatcher) -> None:
+        watcher.stop()
         self.in_flight -= 1
 
     def _serve(
-        self, environ: dict[str, Any], watch: DisconnectWatcher, started_ms: float
-    ) -> Answered | CallerOutcome:
+        self, environ: dict[str, Any], watcher: DisconnectWatcher, started_ms: float
+    ) -> Answered | ErrorResponse:
         catalog = self.catalog
         if catalog is None or self.refusing:
             close_connection(environ)
             reason = reasons.STOPPING if self.refusing else reasons.STARTING
-            return CallerOutcome(STATUS_UNAVAILABLE, reason, STARTING_RETRY_MS)
+            return ErrorResponse(STATUS_UNAVAILABLE, reason, UNAVAILABLE_RETRY_MS)
         headers = raw_headers(environ)
-        self._check_size(headers, catalog)
+        self._check_header_size(headers, catalog)
         target = environ[TARGET_VARIABLE]
-        host = find(headers, "Host") or ""
+        host = find_header(headers, "Host") or ""
         route = catalog.route_for(_host_name(host), target.partition("?")[0])
         if route is None:
-            return CallerOutcome(STATUS_NOT_FOUND, f"no route of {host} matches")
+            return ErrorResponse(STATUS_NOT_FOUND, f"no route of {host} matches")
         body, length = read_body(environ, catalog.limits.body_bytes)
         request = ForwardedRequest(
-            find(headers, self._names.request_id) or "",
+            find_header(headers, self._names.request_id) or "",
             environ["REQUEST_METHOD"],
             target,
-            forwardable(headers, self._dropped),
+            forwardable_headers(headers, self._removed_headers),
             body,
             length,
         )
-        left = find(headers, self._names.time_left_ms) or ""
+        time_left = find_header(headers, self._names.time_left_ms) or ""
         timeout_ms = route.timeout_ms
-        if left.isdigit():
-            timeout_ms = min(timeout_ms, float(left))
+        if time_left.isdigit():
+            timeout_ms = min(timeout_ms, float(time_left))
         request.deadline_ms = started_ms + timeout_ms
         request.objective_ms = started_ms + route.objective_ms
         request.repeatable = route.kind.repeatable
         request.rank = route.rank
         request.caller_service = self._caller_service
         request.origin_vm = self._vm
-        if request.deadline_ms > self.ends_ms:
+        if request.deadline_ms > self.latest_deadline_ms:
             close_connection(environ)
-            return CallerOutcome(
-                STATUS_UNAVAILABLE, reasons.STOPPING, STARTING_RETRY_MS
+            return ErrorResponse(
+                STATUS_UNAVAILABLE, reasons.STOPPING, UNAVAILABLE_RETRY_MS
             )
         if request.is_replayable:
-            watch.start()
-        outcome = self._judge(self._runner.run(request, route))
+            watcher.start()
+        outcome = self._to_caller_response(self._runner.run(request, route))
         environ[REQUEST_VARIABLE] = request
         return outcome
 
-    def _check_size(self, headers: list[tuple[str, str]], catalog: Catalog) -> None:
+    def _check_header_size(
+        self, headers: list[tuple[str, str]], catalog: Catalog
+    ) -> None:
         size = sum(len(name) + len(value) + 4 for name, value in headers)
         if size > catalog.limits.header_bytes:
             raise MalformedRequest(
                 "the headers are too large", STATUS_HEADERS_TOO_LARGE
             )
 
-    def _judge(self, outcome: AttemptOutcome) -> Answered | CallerOutcome:
+    def _to_caller_response(self, outcome: AttemptOutcome) -> Answered | ErrorResponse:
         """Returns what the caller is told; 503 only if the request has not run."""
         if isinstance(outcome, Answered):
             return outcome
         if isinstance(outcome, NotRun):
-            return CallerOutcome(
+            return ErrorResponse(
                 STATUS_UNAVAILABLE, outcome.reason, outcome.retry_after_ms
             )
         assert isinstance(outcome, OutcomeUnknown)
         status = STATUS_TIMEOUT if outcome.timed_out else STATUS_BAD_GATEWAY
-        return CallerOutcome(status, outcome.reason)
+        return ErrorResponse(status, outcome.reason)
 
     def _send_response(
         self,
         response: Answered,
         environ: dict[str, Any],
         start_response: StartResponse,
-        watch: DisconnectWatcher,
+        watcher: DisconnectWatcher,
     ) -> Iterator[bytes]:
         headers = response_headers(response.headers)
         try:
@@ -195,17 +197,17 @@
             logger.warning(
                 "answer cut",
                 extra={
-                    "request_id": find(response.headers, self._names.request_id),
+                    "request_id": find_header(response.headers, self._names.request_id),
                     "reason": str(error),
                 },
             )
             raise
         finally:
             response.close()
-            self._finish(watch)
+            self._end_request(watcher)
 
-    def _tell(
-        self, outcome: CallerOutcome, start_response: StartResponse
+    def _send_error(
+        self, outcome: ErrorResponse, start_response: StartResponse
     ) -> Iterable[bytes]:
         body = msgspec.json.encode(outcome)
         headers = [
@@ -218,16 +220,16 @@
         start_response(status_line(outcome.status), headers)
         return [body]
 
-    def _log(
+    def _log_request(
         self,
         environ: dict[str, Any],
-        outcome: Answered | CallerOutcome,
+        outcome: Answered | ErrorResponse,
         started_ms: float,
     ) -> None:
         elapsed_ms = self._clock.now_ms() - started_ms
         self.counts[str(outcome.status)] += 1
         self.on_response(outcome.status, elapsed_ms)
-        request_id = find(raw_headers(environ), self._names.request_id)
+        request_id = find_header(raw_headers(environ), self._names.request_id)
         fields = {
             "request_id": request_id,
             "status": outcome.status,
@@ -242,7 +244,7 @@
             fields["version"] = request.version
         if isinstance(outcome, Answered) and outcome.load is not None:
             fields["load"] = outcome.load.encode()
-        if isinstance(outcome, CallerOutcome):
+        if isinstance(outcome, ErrorResponse):
             fields["reason"] = outcome.reason
             fields["retry_after_ms"] = round(outcome.retry_after_ms)
         logger.info("request answered", extra=fields)
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -258,8 +258,10 @@
         self.publisher.publish()
         self._clock.sleep_ms(LEAVE_MS)
         self._wait_while(self._is_in_use, started_ms + grace_ms * REFUSE_LONG_FROM_PART)
-        ends_ms = started_ms + grace_ms - EXIT_MARGIN_MS
-        self.inbound.ends_ms = self.outbound.ends_ms = ends_ms
+        latest_deadline_ms = started_ms + grace_ms - EXIT_MARGIN_MS
+        self.inbound.latest_deadline_ms = self.outbound.latest_deadline_ms = (
+            latest_deadline_ms
+        )
         self._wait_while(self._is_in_use, started_ms + grace_ms * REFUSE_FROM_PART)
         # Whatever still comes would be cut by the end of the process.
         self.inbound.refusing = True
@@ -268,7 +270,7 @@
             server.stop_accepting()
         with eventlet.Timeout(WITHDRAW_MS / MS_PER_S, False):
             self.publisher.withdraw()
-        self._wait_while(lambda: bool(self.in_flight), ends_ms)
+        self._wait_while(lambda: bool(self.in_flight), latest_deadline_ms)
         drained = not self.in_flight
         logger.info("stopped", extra={"drained": drained})
         return drained
--- a/src/jayswitch/proxy/status.py
+++ b/src/jayswitch/proxy/status.py
@@ -115,11 +115,11 @@
         """Serves one request."""
         path = environ["PATH_INFO"]
         if path == "/metrics":
-            body, kind = generate_latest(self._registry), CONTENT_TYPE
+            body, content_type = generate_latest(self._registry), CONTENT_TYPE
         elif path == "/dump":
-            body, kind = self._process.dump(), "application/json"
+            body, content_type = self._process.dump(), "application/json"
         else:
-            body, kind = b"", "text/plain"
-        headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
+            body, content_type = b"", "text/plain"
+        headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
         start_response(status_line(200 if body else 404), headers)
         return [body]
--- a/src/jayswitch/proxy/wsgi_request.py
+++ b/src/jayswitch/proxy/wsgi_request.py
@@ -9,7 +9,7 @@
 
 from jayswitch.http.reasons import status_line
 from jayswitch.proxy.exceptions import MalformedRequest, ResponseTruncated
-from jayswitch.proxy.headers import INTERNAL_PREFIX, connection_options, find
+from jayswitch.proxy.headers import INTERNAL_PREFIX, connection_options, find_header
 from jayswitch.proxy.protocol import CONNECTION_VARIABLE
 
 if TYPE_CHECKING:
@@ -18,7 +18,7 @@
 StartResponse = Callable[..., Any]
 
 # Bodies up to this size are held, so that a request can be sent again.
-HELD_BODY_BYTES = 256 * 1024
+MAX_BUFFERED_BODY_BYTES = 256 * 1024
 READ_BYTES = 64 * 1024
 STATUS_TOO_LARGE = 413
 
@@ -33,7 +33,7 @@
     return "HTTP_TRANSFER_ENCODING" in environ
 
 
-def stated_length(environ: dict[str, Any]) -> int | None:
+def declared_length(environ: dict[str, Any]) -> int | None:
     """Returns the body's length as the caller stated it."""
     length = environ.get("CONTENT_LENGTH")
     return None if length in (None, "") else int(length)
@@ -47,20 +47,25 @@
     Long bodies are returned as an iterator that raises MalformedRequest if the
     caller ends early.
     """
-    length = stated_length(environ)
+    length = declared_length(environ)
     stream = environ["wsgi.input"]
     if length is None and not is_chunked(environ):
         return b"", None
     if length is not None and length > max_bytes:
         raise MalformedRequest("the body is too large", STATUS_TOO_LARGE)
-    if length is not None and length > HELD_BODY_BYTES:
-        return _stream(stream, length, max_bytes), length
-    held = _read(stream, length if length is not None else HELD_BODY_BYTES + 1)
-    if length is not None and len(held) != length:
+    if length is not None and length > MAX_BUFFERED_BODY_BYTES:
+        return _iter_body(stream, length, max_bytes), length
+    buffered = _read_up_to(
+        stream, length if length is not None else MAX_BUFFERED_BODY_BYTES + 1
+    )
+    if length is not None and len(buffered) != length:
         raise MalformedRequest("the body ended early")
-    if length is None and len(held) > HELD_BODY_BYTES:
-        return _prepend(held, _stream(stream, None, max_bytes - len(held))), None
-    return held, len(held)
+    if length is None and len(buffered) > MAX_BUFFERED_BODY_BYTES:
+        return (
+            _prepend(buffered, _iter_body(stream, None, max_bytes - len(buffered))),
+            None,
+        )
+    return buffered, len(buffered)
 
 
 def close_connection(environ: dict[str, Any]) -> None:
@@ -93,17 +98,17 @@
 
 
 def _checked_body(response: Answered, environ: dict[str, Any]) -> Iterator[bytes]:
-    stated = find(response.headers, "Content-Length")
+    declared = find_header(response.headers, "Content-Length")
     bodyless = environ["REQUEST_METHOD"] == "HEAD" or response.status in (204, 304)
     length = 0
     for part in response.body:
         length += len(part)
         yield part
-    if stated is not None and not bodyless and int(stated) != length:
-        raise ResponseTruncated(f"{length} of {stated} bytes came")
+    if declared is not None and not bodyless and int(declared) != length:
+        raise ResponseTruncated(f"{length} of {declared} bytes came")
 
 
-def _read(stream: Any, length: int) -> bytes:
+def _read_up_to(stream: Any, length: int) -> bytes:
     parts = []
     while length > 0:
         part = _read_part(stream, length)
@@ -121,7 +126,7 @@
         raise MalformedRequest(f"the body cannot be read: {error}") from error
 
 
-def _stream(stream: Any, length: int | None, max_bytes: int) -> Iterator[bytes]:
+def _iter_body(stream: Any, length: int | None, max_bytes: int) -> Iterator[bytes]:
     left = length if length is not None else max_bytes + 1
     while left > 0:
         part = _read_part(stream, left)
