Name the proxy process's handlers and timers after their purpose

The process heard, left, described and kept up; timers were LEAVE_MS or QUIET_MS. It handles heartbeats and deregistrations and builds its record now, and each timer names what it bounds. Log lines, counters, the dump's keys and the settings are unchanged, and so is behaviour.

--- a/src/jayswitch/platform/factory.py
+++ b/src/jayswitch/platform/factory.py
@@ -32,5 +32,8 @@
         platform_headers(),
         clock,
     )
-    process.start(HeartbeatApplication(process.hear, process.leave), logs)
+    process.start(
+        HeartbeatApplication(process.handle_heartbeat, process.handle_deregistration),
+        logs,
+    )
     return process
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -60,23 +60,23 @@
 # after a second, so that waiting longer gains nothing.
 HOP_CONNECT_TIMEOUT_MS = 250.0
 # A heartbeat must be answered within a second.
-ACKNOWLEDGE_MS = 800.0
-UPKEEP_MS = 500.0
+ACKNOWLEDGE_TIMEOUT_MS = 800.0
+MAINTENANCE_INTERVAL_MS = 500.0
 # Counts of a version on trial are published at this interval while they change.
-TRIAL_REPORT_MS = 1500.0
+TRIAL_PUBLISH_INTERVAL_MS = 1500.0
 # Readiness is asked for each second, and two misses end new work.
-LEAVE_MS = 2300.0
+READINESS_PROPAGATION_MS = 2300.0
 # From this part of the grace period on, requests whose time ends later than this
 # process are refused, and from the second one on all that still come.
-REFUSE_LONG_FROM_PART = 0.5
-REFUSE_FROM_PART = 0.75
+REFUSE_LONG_REQUESTS_FRACTION = 0.5
+REFUSE_ALL_FRACTION = 0.75
 # Kept of the grace period for closing down.
 EXIT_MARGIN_MS = 350.0
 DRAIN_POLL_MS = 50.0
 # A record that is not withdrawn lapses with its lease.
-WITHDRAW_MS = 250.0
+WITHDRAW_TIMEOUT_MS = 250.0
 # Callers that have gone elsewhere send nothing for this long.
-QUIET_MS = 1000.0
+DRAIN_IDLE_MS = 1000.0
 # A configuration has two seconds to be in force; up to half a second of that brings
 # the changes of a quick succession with fewer calls.
 ORDERS_PAUSE = Pause(250.0, 500.0)
@@ -112,7 +112,7 @@
         self._build_gate(names)
         self.directory = Directory(settings.vm)
         self.publisher = RecordPublisher(
-            store, settings.vm, self._describe, self._last_state, clock
+            store, settings.vm, self._build_record, self._current_upstream, clock
         )
         self.orders_follower = PrefixFollower(
             store, operator_prefix, apply_order, clock, ORDERS_PAUSE
@@ -125,7 +125,7 @@
         )
         self._build_forwarding(names)
         self._build_feeds(operator_prefix)
-        self._build_moves(status)
+        self._build_rollout(status)
         orders.on_change(self._apply_orders)
         self._started_ms = clock.wall_ms()
         self._servers: list[HttpServer] = []
@@ -195,7 +195,7 @@
             clock,
         )
 
-    def _build_moves(self, status: StatusWriter) -> None:
+    def _build_rollout(self, status: StatusWriter) -> None:
         self.rules = VersionRules(self._rng)
         self.trial = TrialJudge()
         self._trial_published_ms = float("-inf")
@@ -213,7 +213,7 @@
         self.runner.on_withdrawn = self.rules.withdraw
         self.runner.is_on_trial = self.rules.is_on_trial
         self.gate.may_run = self._may_run
-        self.gate.on_answer = self._judge
+        self.gate.on_answer = self._record_trial_response
 
     def start(
         self,
@@ -228,13 +228,13 @@
         self._serve(settings.callers_address, self.outbound, StrictProtocol)
         self._serve(settings.proxies_address, self.inbound, StrictProtocol)
         self._serve(settings.heartbeats_address, heartbeats)
-        self._serve(settings.readiness_address, self._readiness)
+        self._serve(settings.readiness_address, self._serve_readiness)
         self.publisher.start(self._restore)
         self.orders_follower.start()
         self.orders_feed.start()
         self.fleet_follower.start()
         self.coordinator.start()
-        eventlet.spawn(self._keep_up)
+        eventlet.spawn(self._run_maintenance)
         logger.info("started", extra={"first_start": settings.first_start})
 
     @property
@@ -256,19 +256,21 @@
         self.inbound.draining = True
         self.outbound.draining = True
         self.publisher.publish()
-        self._clock.sleep_ms(LEAVE_MS)
-        self._wait_while(self._is_in_use, started_ms + grace_ms * REFUSE_LONG_FROM_PART)
+        self._clock.sleep_ms(READINESS_PROPAGATION_MS)
+        self._wait_while(
+            self._is_in_use, started_ms + grace_ms * REFUSE_LONG_REQUESTS_FRACTION
+        )
         latest_deadline_ms = started_ms + grace_ms - EXIT_MARGIN_MS
         self.inbound.latest_deadline_ms = self.outbound.latest_deadline_ms = (
             latest_deadline_ms
         )
-        self._wait_while(self._is_in_use, started_ms + grace_ms * REFUSE_FROM_PART)
+        self._wait_while(self._is_in_use, started_ms + grace_ms * REFUSE_ALL_FRACTION)
         # Whatever still comes would be cut by the end of the process.
         self.inbound.refusing = True
         self.outbound.refusing = True
         for server in self._servers:
             server.stop_accepting()
-        with eventlet.Timeout(WITHDRAW_MS / MS_PER_S, False):
+        with eventlet.Timeout(WITHDRAW_TIMEOUT_MS / MS_PER_S, False):
             self.publisher.withdraw()
         self._wait_while(lambda: bool(self.in_flight), latest_deadline_ms)
         drained = not self.in_flight
@@ -282,8 +284,8 @@
     def _is_in_use(self) -> bool:
         if self._callers_may_return():
             return True
-        quiet_ms = self._clock.now_ms() - self.outbound.last_request_ms
-        return bool(self.in_flight) or quiet_ms < QUIET_MS
+        idle_ms = self._clock.now_ms() - self.outbound.last_request_ms
+        return bool(self.in_flight) or idle_ms < DRAIN_IDLE_MS
 
     def _callers_may_return(self) -> bool:
         """Tells whether callers may still be sent to this VM after it was quiet.
@@ -303,7 +305,7 @@
 
     # The upstream
 
-    def hear(self, heartbeat: Heartbeat) -> bool:
+    def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Takes a heartbeat; tells whether it may be acknowledged."""
         if not self.publisher.restored:
             return False
@@ -319,9 +321,9 @@
         self.gate.resize()
         if heartbeat.upstream.state is UpstreamState.READY:
             return verdict is not HeartbeatVerdict.FOREIGN
-        return self._acknowledge(heartbeat.upstream.id)
+        return self._wait_until_stored(heartbeat.upstream.id)
 
-    def leave(self, upstream_id: str, started_ms: int) -> bool:
+    def handle_deregistration(self, upstream_id: str, started_ms: int) -> bool:
         """Takes a deregistration; tells whether it may be acknowledged."""
         if not self.publisher.restored:
             return False
@@ -330,11 +332,11 @@
             return True
         if self.local.leave(upstream_id):
             self.publisher.publish()
-        return self._acknowledge(upstream_id)
+        return self._wait_until_stored(upstream_id)
 
-    def _acknowledge(self, upstream_id: str) -> bool:
+    def _wait_until_stored(self, upstream_id: str) -> bool:
         """Waits until the state is stored: an acknowledgement outlives this process."""
-        stored = self.publisher.wait_until_stored(ACKNOWLEDGE_MS)
+        stored = self.publisher.wait_until_stored(ACKNOWLEDGE_TIMEOUT_MS)
         logger.info(
             "leaving upstream acknowledged" if stored else "leaving not yet stored",
             extra={"upstream": upstream_id},
@@ -360,15 +362,17 @@
             logger.info("restored upstream confirmed by its health check")
             self.publisher.publish()
 
-    def _describe(self) -> NodeRecord:
+    def _build_record(self) -> NodeRecord:
         settings = self.settings
         current = self.local.current
-        shown = None
+        published_upstream = None
         ready = current is not None and current.state is UpstreamState.READY
         if current is not None:
             # Others need to know whether it takes work, not how it ended.
             state = UpstreamState.READY if ready else UpstreamState.LEAVING
-            shown = msgspec.structs.replace(current, state=state, sequence=0)
+            published_upstream = msgspec.structs.replace(
+                current, state=state, sequence=0
+            )
         return NodeRecord(
             vm=settings.vm,
             data_centre=settings.data_centre,
@@ -376,12 +380,12 @@
             address=settings.proxies_address,
             link_mbit_per_s=settings.link_mbit_per_s,
             started_ms=self._started_ms,
-            upstream=shown,
+            upstream=published_upstream,
             draining=self.draining,
             trial=self.trial.counts if self._is_on_trial() else None,
         )
 
-    def _last_state(self) -> Upstream | None:
+    def _current_upstream(self) -> Upstream | None:
         return self.local.current
 
     # The fleet
@@ -403,7 +407,7 @@
         service = self.settings.service
         return self.rules.may_run(service, version, self.directory.members(service))
 
-    def _judge(
+    def _record_trial_response(
         self, request: ForwardedRequest, failed: bool, latency_ms: float
     ) -> None:
         """Judges the answers of an upstream whose version is on trial."""
@@ -423,15 +427,15 @@
 
     def _publish_trial(self) -> None:
         now_ms = self._clock.now_ms()
-        if now_ms - self._trial_published_ms >= TRIAL_REPORT_MS:
+        if now_ms - self._trial_published_ms >= TRIAL_PUBLISH_INTERVAL_MS:
             self._trial_published_ms = now_ms
             self.publisher.publish()
 
     def _apply_orders(self) -> None:
         catalog = self.orders.catalog
         self.outbound.catalog = catalog
-        out = self.settings.data_centre in self.orders.evacuated
-        self.gate.out_of_service = out
+        data_centre_evacuated = self.settings.data_centre in self.orders.evacuated
+        self.gate.out_of_service = data_centre_evacuated
         if catalog is not None:
             service = catalog.service_by_name.get(self.settings.service)
             if service is not None:
@@ -448,16 +452,16 @@
         server.start()
         self._servers.append(server)
 
-    def _readiness(
+    def _serve_readiness(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         status = STATUS_OK if self.ready else STATUS_UNAVAILABLE
         start_response(status_line(status), [("Content-Length", "0")])
         return [b""]
 
-    def _keep_up(self) -> None:
+    def _run_maintenance(self) -> None:
         while True:
-            self._clock.sleep_ms(UPKEEP_MS)
+            self._clock.sleep_ms(MAINTENANCE_INTERVAL_MS)
             self.upstream_client.close_expired()
             self.hop_client.close_expired()
 
