Name the proxy tests after the behaviour they check

They name retries, outcomes, truncation and framing now; FakeHops is FakeHopClient, FakeClient is FakeHttpClient and Caller is RunnerFixture. Only names and docstrings changed, not what is checked.

--- a/tests/proxy/test_attempts.py
+++ b/tests/proxy/test_attempts.py
@@ -1,4 +1,4 @@
-"""Tests of choosing upstreams and of trying again, without a network."""
+"""Tests of upstream selection and retries, without a network."""
 
 from __future__ import annotations
 
@@ -31,34 +31,34 @@
 
 
 def ok(status: int = 200) -> Answered:
-    """Returns a whole answer."""
+    """Returns a complete response."""
     headers = [("Content-Length", "2")]
     return Answered(status, headers, iter([b"ok"]), lambda: None, LOAD)
 
 
-class FakeHops:
-    """Proxies that answer as told, in turn; it notes who was asked."""
+class FakeHopClient:
+    """Returns scripted outcomes in order and records the addresses called."""
 
     def __init__(self, outcomes: list[AttemptOutcome]) -> None:
-        """Takes the outcomes; the last one is repeated."""
-        self.asked: list[str] = []
+        """Takes the outcomes; the last one is returned again for further calls."""
+        self.addresses: list[str] = []
         self._outcomes = outcomes
 
     def send(
         self, address: str, request: ForwardedRequest, wait_ms: float
     ) -> AttemptOutcome:
         """Returns the next outcome."""
-        self.asked.append(address)
+        self.addresses.append(address)
         return self._outcomes.pop(0) if len(self._outcomes) > 1 else self._outcomes[0]
 
 
-class Caller:
-    """A runner with three upstreams elsewhere."""
+class RunnerFixture:
+    """An attempt runner with three upstreams on other VMs."""
 
     def __init__(self, *outcomes: AttemptOutcome, kind: RouteKind) -> None:
-        """Takes what the upstreams' proxies will say."""
+        """Takes the outcomes that the other proxies return."""
         self.clock = VirtualClock()
-        self.hops = FakeHops(list(outcomes))
+        self.hops = FakeHopClient(list(outcomes))
         rng = random.Random(1)
         directory = Directory()
         for name in ("a", "b", "c"):
@@ -89,7 +89,7 @@
         )
 
     def run(self, body: bytes | Iterator[bytes] = b"") -> AttemptOutcome:
-        """Runs one request."""
+        """Runs one request through the runner."""
         request = ForwardedRequest("id", "GET", "/", [], body, None)
         request.deadline_ms = self.clock.now_ms() + TIMEOUT_MS
         request.objective_ms = self.clock.now_ms() + 500
@@ -98,93 +98,99 @@
 
 
 READ = RouteKind.IDEMPOTENT
-BOOK = RouteKind.NON_IDEMPOTENT
+BOOKING = RouteKind.NON_IDEMPOTENT
 
 
-class TestTruth:
-    """NotRun is said only of what has run nowhere."""
+class TestNotRun:
+    """NotRun is returned only if no upstream has run the request."""
 
-    def test_booking_is_not_tried_again_after_an_unknown_outcome(self) -> None:
-        caller = Caller(OutcomeUnknown("reset", load=LOAD), kind=BOOK)
-        assert isinstance(caller.run(), OutcomeUnknown)
-        assert len(caller.hops.asked) == 1
+    def test_booking_is_not_retried_after_an_unknown_outcome(self) -> None:
+        fixture = RunnerFixture(OutcomeUnknown("reset", load=LOAD), kind=BOOKING)
+        assert isinstance(fixture.run(), OutcomeUnknown)
+        assert len(fixture.hops.addresses) == 1
 
-    def test_booking_goes_on_after_refusals(self) -> None:
-        caller = Caller(NotRun(reasons.LIMIT_REACHED, load=LOAD), ok(), kind=BOOK)
-        assert isinstance(caller.run(), Answered)
-        assert len(set(caller.hops.asked)) == 2
+    def test_booking_is_sent_elsewhere_after_a_refusal(self) -> None:
+        fixture = RunnerFixture(
+            NotRun(reasons.LIMIT_REACHED, load=LOAD), ok(), kind=BOOKING
+        )
+        assert isinstance(fixture.run(), Answered)
+        assert len(set(fixture.hops.addresses)) == 2
 
-    def test_read_is_tried_elsewhere(self) -> None:
-        caller = Caller(OutcomeUnknown("reset", load=LOAD), ok(), kind=READ)
-        assert isinstance(caller.run(), Answered)
-        assert len(set(caller.hops.asked)) == 2
+    def test_read_is_retried_on_another_upstream(self) -> None:
+        fixture = RunnerFixture(OutcomeUnknown("reset", load=LOAD), ok(), kind=READ)
+        assert isinstance(fixture.run(), Answered)
+        assert len(set(fixture.hops.addresses)) == 2
 
-    def test_refusal_after_an_unknown_outcome_is_no_refusal(self) -> None:
-        caller = Caller(
+    def test_refusal_after_an_unknown_outcome_stays_unknown(self) -> None:
+        fixture = RunnerFixture(
             OutcomeUnknown("reset", load=LOAD), NotRun(reasons.LIMIT_REACHED), kind=READ
         )
-        assert isinstance(caller.run(), OutcomeUnknown)
+        assert isinstance(fixture.run(), OutcomeUnknown)
 
-    def test_everyone_refusing_is_a_refusal_with_a_time(self) -> None:
-        caller = Caller(NotRun(reasons.LIMIT_REACHED, 80.0, load=LOAD), kind=BOOK)
-        outcome = caller.run()
+    def test_refusal_by_all_upstreams_carries_retry_after(self) -> None:
+        fixture = RunnerFixture(
+            NotRun(reasons.LIMIT_REACHED, 80.0, load=LOAD), kind=BOOKING
+        )
+        outcome = fixture.run()
         assert isinstance(outcome, NotRun) and outcome.retry_after_ms == 80.0
 
-    def test_stream_that_was_sent_is_not_sent_again(self) -> None:
-        caller = Caller(NotRun(reasons.LIMIT_REACHED, load=LOAD), ok(), kind=READ)
-        assert isinstance(caller.run(iter([b"part"])), NotRun)
-        assert len(caller.hops.asked) == 1
+    def test_streamed_body_is_not_sent_twice(self) -> None:
+        fixture = RunnerFixture(
+            NotRun(reasons.LIMIT_REACHED, load=LOAD), ok(), kind=READ
+        )
+        assert isinstance(fixture.run(iter([b"part"])), NotRun)
+        assert len(fixture.hops.addresses) == 1
 
 
-class TestBounds:
-    """Attempts stay within the route's number, the budget and the time."""
+class TestLimits:
+    """Attempts respect max_attempts, the retry budget and the deadline."""
 
-    def test_no_more_upstreams_run_it_than_the_route_allows(self) -> None:
-        caller = Caller(OutcomeUnknown("reset", load=LOAD), kind=READ)
-        caller.run()
-        assert len(caller.hops.asked) == 2
+    def test_attempts_are_limited_by_the_route(self) -> None:
+        fixture = RunnerFixture(OutcomeUnknown("reset", load=LOAD), kind=READ)
+        fixture.run()
+        assert len(fixture.hops.addresses) == 2
 
-    def test_spent_budget_ends_repeats(self) -> None:
-        caller = Caller(OutcomeUnknown("reset", load=LOAD), kind=READ)
+    def test_exhausted_budget_stops_retries(self) -> None:
+        fixture = RunnerFixture(OutcomeUnknown("reset", load=LOAD), kind=READ)
         for _ in range(100):
-            caller.run()
-        repeats = len(caller.hops.asked) - 100
-        # One proxy of three has a third of the slack, and its own requests' share.
-        assert repeats <= 0.2 * 100 + 60 / 3
+            fixture.run()
+        retries = len(fixture.hops.addresses) - 100
+        # One of three proxies gets a third of the slack plus the ratio of its requests.
+        assert retries <= 0.2 * 100 + 60 / 3
 
-    def test_refusals_cost_no_budget(self) -> None:
-        caller = Caller(NotRun(reasons.LIMIT_REACHED, load=LOAD), kind=READ)
+    def test_refusals_do_not_consume_budget(self) -> None:
+        fixture = RunnerFixture(NotRun(reasons.LIMIT_REACHED, load=LOAD), kind=READ)
         for _ in range(200):
-            caller.run()
-        assert len(caller.hops.asked) == 600
+            fixture.run()
+        assert len(fixture.hops.addresses) == 600
 
-    def test_silent_rest_of_an_answer_ends_with_the_deadline(self) -> None:
-        def silent() -> Iterator[bytes]:
+    def test_stalled_response_body_times_out_at_the_deadline(self) -> None:
+        def stalled() -> Iterator[bytes]:
             yield b"o"
             eventlet.sleep(60)
 
         headers = [("Content-Length", "2")]
-        answer = Answered(200, headers, silent(), lambda: None, LOAD)
-        caller = Caller(answer, kind=BOOK)
-        outcome = caller.run()
+        response = Answered(200, headers, stalled(), lambda: None, LOAD)
+        fixture = RunnerFixture(response, kind=BOOKING)
+        outcome = fixture.run()
         assert isinstance(outcome, OutcomeUnknown) and outcome.timed_out
-        assert caller.clock.now_ms() <= TIMEOUT_MS
+        assert fixture.clock.now_ms() <= TIMEOUT_MS
 
 
-class TestFailures:
-    """A failing answer is repeated where that may help, and kept if it does not."""
+class TestServerErrors:
+    """A 5xx response is retried if possible and returned if no retry succeeds."""
 
-    def test_failed_read_is_repeated(self) -> None:
-        caller = Caller(ok(500), ok(), kind=READ)
-        outcome = caller.run()
+    def test_failed_read_is_retried(self) -> None:
+        fixture = RunnerFixture(ok(500), ok(), kind=READ)
+        outcome = fixture.run()
         assert isinstance(outcome, Answered) and outcome.status == 200
 
-    def test_failed_booking_is_not(self) -> None:
-        caller = Caller(ok(500), ok(), kind=BOOK)
-        outcome = caller.run()
+    def test_failed_booking_is_not_retried(self) -> None:
+        fixture = RunnerFixture(ok(500), ok(), kind=BOOKING)
+        outcome = fixture.run()
         assert isinstance(outcome, Answered) and outcome.status == 500
 
-    def test_failure_is_delivered_if_nothing_better_comes(self) -> None:
-        caller = Caller(ok(500), NotRun(reasons.LIMIT_REACHED), kind=READ)
-        outcome = caller.run()
+    def test_server_error_is_returned_if_no_retry_succeeds(self) -> None:
+        fixture = RunnerFixture(ok(500), NotRun(reasons.LIMIT_REACHED), kind=READ)
+        outcome = fixture.run()
         assert isinstance(outcome, Answered) and outcome.status == 500
--- a/tests/proxy/test_hop.py
+++ b/tests/proxy/test_hop.py
@@ -1,4 +1,4 @@
-"""Tests of the hop between two proxies, without a network."""
+"""Tests of the protocol between two proxies, without a network."""
 
 from __future__ import annotations
 
@@ -48,10 +48,10 @@
 
 
 class FakeExchange:
-    """An answer of another proxy."""
+    """A response from another proxy."""
 
     def __init__(self, headers: Headers, body: Iterator[bytes] = iter(())) -> None:
-        """Takes its head and body."""
+        """Takes the headers and the body."""
         self.status = 503
         self.headers = headers
         self.closed = False
@@ -62,15 +62,15 @@
         return self._body
 
     def close(self) -> None:
-        """Notes that it was closed."""
+        """Records the call."""
         self.closed = True
 
 
-class FakeClient:
-    """Returns an exchange, or raises."""
+class FakeHttpClient:
+    """Returns a given exchange or raises a given error for every request."""
 
     def __init__(self, result: FakeExchange | Exception) -> None:
-        """Takes what each request leads to."""
+        """Takes the result of every request."""
         self.result = result
 
     def send(self, *arguments: object) -> FakeExchange:
@@ -82,7 +82,7 @@
 
 def _send(result: FakeExchange | Exception) -> object:
     client = HopClient(
-        FakeClient(result),  # type: ignore[arg-type]
+        FakeHttpClient(result),  # type: ignore[arg-type]
         Knowledge([]),
         NAMES,
         VirtualClock(),
@@ -90,19 +90,19 @@
     return client.send("a:1", _request(), 1000.0)
 
 
-class TestRequest:
-    """Decisions arrive as they were made."""
+class TestHopRequest:
+    """Routing decisions survive the transfer to another proxy."""
 
-    def test_decisions_travel(self) -> None:
+    def test_decisions_survive_encoding(self) -> None:
         clock = VirtualClock()
         headers = hop_headers(_request(), "7,9", NAMES, clock)
         hop = read_hop_request(headers)
-        got = request_from_hop("GET", "/a", headers, hop, NAMES, clock)
+        received = request_from_hop("GET", "/a", headers, hop, NAMES, clock)
         for name in ("service", "version", "route", "repeatable", "rank", "usual"):
-            assert getattr(got, name) == getattr(_request(), name)
-        assert (got.deadline_ms, got.objective_ms) == (2000.0, 500.0)
-        assert got.caller_service == "robotdesk" and hop.known == "7,9"
-        assert got.headers == [("Host", "h")]
+            assert getattr(received, name) == getattr(_request(), name)
+        assert (received.deadline_ms, received.objective_ms) == (2000.0, 500.0)
+        assert received.caller_service == "robotdesk" and hop.known == "7,9"
+        assert received.headers == [("Host", "h")]
 
     def test_request_without_decisions_is_malformed(self) -> None:
         for headers in ([], [(HOP_REQUEST, "{")]):
@@ -110,54 +110,54 @@
                 read_hop_request(headers)
 
 
-class TestOutcome:
-    """What a proxy says of a request is what the sender learns."""
+class TestHopOutcome:
+    """The sender decodes the outcome that the other proxy reported."""
 
-    def test_refusal_is_not_run(self) -> None:
-        told = NotRun("full", 80.0, True, LOAD)
-        outcome = _send(FakeExchange(outcome_headers(told, "")))
+    def test_refusal_is_decoded_as_not_run(self) -> None:
+        reported = NotRun("full", 80.0, True, LOAD)
+        outcome = _send(FakeExchange(outcome_headers(reported, "")))
         assert isinstance(outcome, NotRun)
         assert (outcome.reason, outcome.retry_after_ms) == ("full", 80.0)
         assert outcome.reached_upstream and outcome.load == LOAD
 
-    def test_unknown_stays_unknown(self) -> None:
-        told = OutcomeUnknown("reset", True, LOAD)
-        outcome = _send(FakeExchange(outcome_headers(told, "")))
+    def test_unknown_outcome_is_decoded_as_unknown(self) -> None:
+        reported = OutcomeUnknown("reset", True, LOAD)
+        outcome = _send(FakeExchange(outcome_headers(reported, "")))
         assert isinstance(outcome, OutcomeUnknown) and outcome.timed_out
 
-    def test_reason_cannot_end_its_header(self) -> None:
-        told = OutcomeUnknown("garbage\r\n\r\nHTTP/1.1 200 OK")
-        (_, text), _ = outcome_headers(told, "")
+    def test_reason_cannot_break_out_of_the_header(self) -> None:
+        reported = OutcomeUnknown("garbage\r\n\r\nHTTP/1.1 200 OK")
+        (_, text), _ = outcome_headers(reported, "")
         assert "\r" not in text and "\n" not in text
 
-    def test_proxy_that_cannot_be_reached_has_run_nothing(self) -> None:
+    def test_unreachable_proxy_yields_not_run(self) -> None:
         assert isinstance(_send(RequestNotSent("a:1", "refused")), NotRun)
 
-    def test_answer_without_an_outcome_says_nothing(self) -> None:
+    def test_response_without_an_outcome_is_unknown(self) -> None:
         assert isinstance(_send(FakeExchange([])), OutcomeUnknown)
         assert isinstance(_send(FakeExchange([(HOP_OUTCOME, "[]")])), OutcomeUnknown)
 
-    def test_refusal_that_is_cut_is_unknown(self) -> None:
-        def cut() -> Iterator[bytes]:
+    def test_truncated_refusal_is_unknown(self) -> None:
+        def truncated() -> Iterator[bytes]:
             raise ResponseTruncated("reset")
             yield b""
 
-        exchange = FakeExchange(outcome_headers(NotRun("full"), ""), cut())
+        exchange = FakeExchange(outcome_headers(NotRun("full"), ""), truncated())
         assert isinstance(_send(exchange), OutcomeUnknown)
         assert exchange.closed
 
-    def test_silent_proxy_is_given_up_and_its_connection_closed(self) -> None:
-        def silent() -> Iterator[bytes]:
+    def test_unresponsive_proxy_times_out_and_its_connection_is_closed(self) -> None:
+        def stalled() -> Iterator[bytes]:
             eventlet.sleep(60)
             yield b""
 
-        exchange = FakeExchange(outcome_headers(NotRun("full"), ""), silent())
+        exchange = FakeExchange(outcome_headers(NotRun("full"), ""), stalled())
         outcome = _send(exchange)
         assert isinstance(outcome, OutcomeUnknown) and outcome.timed_out
         assert exchange.closed
 
-    def test_answer_of_another_request_is_not_taken(self) -> None:
-        told = Answered(200, [], iter(()), lambda: None, LOAD)
-        headers = outcome_headers(told, "")
+    def test_response_to_another_request_is_rejected(self) -> None:
+        reported = Answered(200, [], iter(()), lambda: None, LOAD)
+        headers = outcome_headers(reported, "")
         headers.append((NAMES.request_id, "other"))
         assert isinstance(_send(FakeExchange(headers)), OutcomeUnknown)
--- a/tests/proxy/test_protocol.py
+++ b/tests/proxy/test_protocol.py
@@ -1,4 +1,4 @@
-"""Tests of request heads without a network: fixed ones and random damage."""
+"""Tests of request head parsing, with fixed and randomly corrupted heads."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 def _parse(data: bytes) -> tuple[bool, Any]:
-    """Returns whether a head is accepted, and the protocol object that read it."""
+    """Returns whether a head is accepted, and the protocol object that parsed it."""
     protocol = StrictProtocol.__new__(StrictProtocol)
     stream = io.BytesIO(data)
     protocol.raw_requestline = stream.readline()
@@ -30,9 +30,9 @@
 
 
 class TestFixedHeads:
-    """What is accepted is passed on as it came."""
+    """Accepted heads keep their target and headers unchanged."""
 
-    def test_target_and_headers_keep_their_bytes(self) -> None:
+    def test_target_and_headers_are_unchanged(self) -> None:
         accepted, protocol = _parse(HEAD)
         assert accepted and not protocol.close_connection
         assert protocol.target == "/read/a%2fb?q=[1]"
@@ -47,19 +47,19 @@
             (b"", False),
         ],
     )
-    def test_connection_is_kept_unless_the_caller_ends_it(
+    def test_connection_persists_unless_the_caller_closes_it(
         self, line: bytes, closes: bool
     ) -> None:
         data = HEAD.replace(b"Content-Length: 3\r\n", line)
         accepted, protocol = _parse(data)
         assert accepted and bool(protocol.close_connection) is closes
 
-    def test_connection_of_an_older_version_is_closed(self) -> None:
+    def test_http_1_0_connection_is_closed(self) -> None:
         accepted, protocol = _parse(HEAD.replace(b"HTTP/1.1", b"HTTP/1.0"))
         assert accepted and protocol.close_connection
 
     @pytest.mark.parametrize(
-        "damage",
+        "corruption",
         [
             (b"Content-Length: 3", b"Content-Length: +3"),
             (b"Content-Length: 3", b"Content-Length: 3\r\nContent-Length: 4"),
@@ -77,26 +77,26 @@
         ],
     )
     def test_ambiguous_head_is_rejected_and_closed(
-        self, damage: tuple[bytes, bytes]
+        self, corruption: tuple[bytes, bytes]
     ) -> None:
-        accepted, protocol = _parse(HEAD.replace(*damage))
+        accepted, protocol = _parse(HEAD.replace(*corruption))
         assert not accepted and protocol.close_connection
         assert protocol.wfile.getvalue().startswith(b"HTTP/1.1 400 ")
 
-    def test_head_that_ends_early_is_not_a_request(self) -> None:
+    def test_truncated_head_is_rejected(self) -> None:
         for length in range(1, len(HEAD)):
             assert not _parse(HEAD[:length])[0]
 
 
-class TestRandomDamage:
-    """Whatever a byte is changed to, a head has one reading or none."""
+class TestRandomCorruption:
+    """A corrupted head is either rejected or has exactly one interpretation."""
 
     @given(
         at=st.integers(0, len(HEAD) - 1),
         inserted=st.sampled_from([b"\r", b"\n", b"\r\n", b" ", b":", b"\0", b"\x80"]),
         removed=st.integers(0, 3),
     )
-    def test_accepted_heads_have_one_framing(
+    def test_accepted_head_has_unambiguous_framing(
         self, at: int, inserted: bytes, removed: int
     ) -> None:
         accepted, protocol = _parse(HEAD[:at] + inserted + HEAD[at + removed :])
@@ -111,12 +111,12 @@
             assert not set("\r\n\0") & set(value)
 
     @given(st.lists(st.tuples(st.text(max_size=8), st.text(max_size=8)), max_size=5))
-    def test_check_accepts_only_tokens_with_one_host(
+    def test_validation_accepts_only_token_names_and_one_host(
         self, headers: list[tuple[str, str]]
     ) -> None:
         try:
-            found = validate_head("HTTP/1.1", "/", [("Host", "h"), *headers])
+            value_by_name = validate_head("HTTP/1.1", "/", [("Host", "h"), *headers])
         except MalformedRequest:
             return
-        assert found["host"] == "h"
+        assert value_by_name["host"] == "h"
         assert all(name and name.isascii() for name, _ in headers)
--- a/tests/proxy/test_response_parser.py
+++ b/tests/proxy/test_response_parser.py
@@ -1,4 +1,4 @@
-"""Tests of reading answers, however their bytes are cut up."""
+"""Tests of the response parser with input split at arbitrary points."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nRequest-Id: r-1\r\n"
 WITH_LENGTH = HEAD + b"\r\nwhole body"
-IN_CHUNKS = (
+CHUNKED = (
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"6\r\nwhole \r\n4\r\nbody\r\n0\r\n\r\n"
 )
 
 
-def _read(data: bytes, has_body: bool = True) -> ResponseParser:
+def _parse(data: bytes, has_body: bool = True) -> ResponseParser:
     parser = ResponseParser(has_body)
     parser.feed(data)
     return parser
@@ -26,20 +26,22 @@
     return b"".join(parser.take_body_parts())
 
 
-class TestWholeAnswers:
-    """Answers whose framing says where they end."""
+class TestCompleteResponses:
+    """Responses whose end is determined by their framing."""
 
-    @pytest.mark.parametrize("data", [WITH_LENGTH, IN_CHUNKS])
-    def test_framed_answer_is_whole_and_frees_its_connection(self, data: bytes) -> None:
-        parser = _read(data)
+    @pytest.mark.parametrize("data", [WITH_LENGTH, CHUNKED])
+    def test_framed_response_is_complete_and_connection_is_reusable(
+        self, data: bytes
+    ) -> None:
+        parser = _parse(data)
         assert parser.is_complete and parser.allows_reuse
         assert (parser.status, _body(parser)) == (200, b"whole body")
 
-    @given(data=st.sampled_from([WITH_LENGTH, IN_CHUNKS]), cuts=st.data())
-    def test_cuts_between_packets_change_nothing(
-        self, data: bytes, cuts: st.DataObject
+    @given(data=st.sampled_from([WITH_LENGTH, CHUNKED]), splits=st.data())
+    def test_result_does_not_depend_on_how_input_is_split(
+        self, data: bytes, splits: st.DataObject
     ) -> None:
-        at = cuts.draw(st.lists(st.integers(0, len(data)), max_size=6).map(sorted))
+        at = splits.draw(st.lists(st.integers(0, len(data)), max_size=6).map(sorted))
         parser, body = ResponseParser(), b""
         for begin, end in zip([0, *at], [*at, len(data)], strict=True):
             assert not parser.is_complete or begin == end == len(data)
@@ -47,39 +49,39 @@
             body += _body(parser)
         assert parser.allows_reuse and body == b"whole body"
 
-    def test_interim_answer_is_passed_over(self) -> None:
-        parser = _read(b"HTTP/1.1 100 Continue\r\nX: y\r\n\r\n" + WITH_LENGTH)
+    def test_interim_response_is_skipped(self) -> None:
+        parser = _parse(b"HTTP/1.1 100 Continue\r\nX: y\r\n\r\n" + WITH_LENGTH)
         assert parser.status == 200 and parser.is_complete
         assert ("X", "y") not in parser.headers and _body(parser) == b"whole body"
 
-    def test_answer_to_head_has_no_body(self) -> None:
-        parser = _read(HEAD + b"\r\n", has_body=False)
+    def test_response_to_head_has_no_body(self) -> None:
+        parser = _parse(HEAD + b"\r\n", has_body=False)
         assert parser.is_complete and not parser.allows_reuse
 
     @pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
-    def test_status_without_a_body_is_whole(self, status: bytes) -> None:
-        assert _read(b"HTTP/1.1 " + status + b"\r\n\r\n").allows_reuse
+    def test_bodiless_status_is_complete(self, status: bytes) -> None:
+        assert _parse(b"HTTP/1.1 " + status + b"\r\n\r\n").allows_reuse
 
-    def test_answer_without_a_length_ends_with_its_connection(self) -> None:
-        parser = _read(b"HTTP/1.1 200 OK\r\n\r\nwhole body")
+    def test_response_without_length_ends_at_connection_close(self) -> None:
+        parser = _parse(b"HTTP/1.1 200 OK\r\n\r\nwhole body")
         assert not parser.is_complete
         parser.feed_eof()
         assert parser.is_complete and not parser.allows_reuse
         assert _body(parser) == b"whole body"
 
 
-class TestBrokenAnswers:
-    """Whatever is not an answer, or not the whole of one."""
+class TestInvalidResponses:
+    """Malformed and truncated responses."""
 
-    @pytest.mark.parametrize("data", [WITH_LENGTH, IN_CHUNKS])
-    def test_early_end_is_never_a_whole_answer(self, data: bytes) -> None:
+    @pytest.mark.parametrize("data", [WITH_LENGTH, CHUNKED])
+    def test_truncated_response_is_never_complete(self, data: bytes) -> None:
         for length in range(1, len(data)):
-            parser = _read(data[:length])
+            parser = _parse(data[:length])
             with pytest.raises(ResponseTruncated):
                 parser.feed_eof()
             assert not parser.is_complete
 
-    def test_end_before_any_byte_is_no_answer(self) -> None:
+    def test_eof_before_any_data_raises(self) -> None:
         with pytest.raises(ResponseTruncated):
             ResponseParser().feed_eof()
 
@@ -93,26 +95,26 @@
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
         ],
     )
-    def test_ambiguous_framing_is_no_answer(self, data: bytes) -> None:
+    def test_ambiguous_framing_raises(self, data: bytes) -> None:
         with pytest.raises(ResponseTruncated):
-            _read(data)
+            _parse(data)
 
     @pytest.mark.parametrize("surplus", [b"x", WITH_LENGTH, b"HTTP/1.1 500 No\r\n\r\n"])
-    def test_surplus_bytes_end_the_connection_and_reach_nobody(
+    def test_surplus_bytes_prevent_reuse_and_are_discarded(
         self, surplus: bytes
     ) -> None:
-        parser = _read(WITH_LENGTH + surplus)
+        parser = _parse(WITH_LENGTH + surplus)
         assert parser.is_complete and not parser.allows_reuse
         assert (parser.status, _body(parser)) == (200, b"whole body")
         assert parser.headers.count(("Request-Id", "r-1")) == 1
 
-    def test_closing_server_is_not_asked_again(self) -> None:
-        assert not _read(HEAD + b"Connection: close\r\n\r\nwhole body").allows_reuse
-        assert not _read(WITH_LENGTH.replace(b"1.1", b"1.0")).allows_reuse
+    def test_connection_of_a_closing_server_is_not_reused(self) -> None:
+        assert not _parse(HEAD + b"Connection: close\r\n\r\nwhole body").allows_reuse
+        assert not _parse(WITH_LENGTH.replace(b"1.1", b"1.0")).allows_reuse
 
 
-class TestBytesWithoutEnd:
-    """Bytes that never become an answer are given up after a bounded amount."""
+class TestUnboundedInput:
+    """Framing that never ends is rejected after a bounded number of bytes."""
 
     MAX_FED_BYTES = 256 * 1024
 
@@ -130,16 +132,16 @@
         ],
         ids=["header", "headers", "interim", "chunk-extension", "trailers"],
     )
-    def test_endless_framing_is_cut(self, start: bytes, repeated: bytes) -> None:
-        parser = _read(start)
+    def test_endless_framing_raises(self, start: bytes, repeated: bytes) -> None:
+        parser = _parse(start)
         fed = 0
         with pytest.raises(ResponseTruncated):
             while fed < self.MAX_FED_BYTES:
                 parser.feed(repeated)
                 fed += len(repeated)
 
-    def test_long_body_is_not_cut(self) -> None:
-        parser = _read(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    def test_long_body_is_accepted(self) -> None:
+        parser = _parse(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         for _ in range(1000):
             parser.feed(b"400\r\n" + b"b" * 1024 + b"\r\n")
         assert len(_body(parser)) == 1000 * 1024
