--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -1,4 +1,4 @@
-"""Chooses upstreams for a request and decides whether to try another one."""
+"""Selects an upstream for each attempt and decides whether to retry."""
 
 from __future__ import annotations
 
@@ -28,14 +28,14 @@
     from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
     from jayswitch.routing.balancer import Balancer
 
-# Proxies tried for one request; each refusal costs a round trip.
+# Upper bound on the nodes tried for one request; each refusal costs a round trip.
 MAX_NODES_TRIED = 5
 NO_AVAILABLE_UPSTREAM_RETRY_MS = 400.0
-# A refusing upstream is avoided for this long while others take work.
+# An upstream that refused a request is avoided for this long if others are available.
 REFUSAL_PENALTY_MS = 100.0
-# Answers up to this size are read whole before the caller gets their head.
+# Responses up to this size are buffered before the status line is sent to the caller.
 MAX_BUFFERED_RESPONSE_BYTES = 1024 * 1024
-# Kept for the way back, so that the answer reaches the caller in time.
+# Part of the deadline reserved for returning the response to the caller in time.
 RESPONSE_RESERVE_MS = 5.0
 STATUS_SERVER_ERROR = 500
 
@@ -45,19 +45,19 @@
 
 
 class RetryBudgetSettings:
-    """The bounds of the retry budget that the fleet shares."""
+    """Limits of the retry budget that all proxies of the fleet share."""
 
     __slots__ = ("ratio", "slack", "window_s")
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
-        """Takes repeats per request, repeats on top, and the window in seconds."""
+        """Takes retries per request, additional retries, and the window in seconds."""
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
 
 
 class _AttemptHistory:
-    """What has been tried for one request."""
+    """State of the attempts made for one request."""
 
     __slots__ = (
         "tried_nodes",
@@ -78,7 +78,7 @@
 
 
 class AttemptRunner:
-    """Runs requests: local upstream or another proxy, one attempt after another."""
+    """Runs requests in sequential attempts, on the local upstream or another proxy."""
 
     def __init__(
         self,
@@ -91,7 +91,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Takes the gate on this VM, which is called without a hop."""
+        """Takes the local gate, which serves attempts on this VM without a hop."""
         self.counts: Counter[str] = Counter()
         self.choose_versions: VersionChooser = lambda service, members: members
         self.only_proved: VersionChooser = lambda service, members: members
@@ -110,7 +110,7 @@
         self._random = rng
 
     def run(self, request: ForwardedRequest, route: Route) -> AttemptOutcome:
-        """Runs a request; NotRun is returned only if it has run nowhere."""
+        """Runs a request; returns NotRun only if no upstream has run it."""
         request.service = route.choose_service(self._random)
         request.route = route.name
         request.usual = self._baseline_by_route.get(route.name, Usual())
@@ -130,7 +130,7 @@
                 break
             outcome = self._run_attempt(request, member, history)
             if self.is_on_trial(request.service, member.version):
-                # Whatever a version on trial did not answer goes to the proved one.
+                # Retries after a trial attempt go to the proved version only.
                 members = self._members(request.service, self.only_proved)
             if isinstance(outcome, Answered):
                 if not self._should_retry_failed_response(
@@ -162,7 +162,7 @@
             self._retry_budget_by_service[service] = budget
         return budget
 
-    # One attempt
+    # Single attempt
 
     def _run_attempt(
         self, request: ForwardedRequest, member: Member, history: _AttemptHistory
@@ -194,7 +194,7 @@
     def _buffer_response(
         self, request: ForwardedRequest, outcome: AttemptOutcome
     ) -> AttemptOutcome:
-        """Reads a short answer whole, so that the caller never sees it cut."""
+        """Buffers a short response, so that the caller never receives it truncated."""
         if not isinstance(outcome, Answered):
             return outcome
         length = find_header(outcome.headers, "Content-Length")
@@ -213,7 +213,7 @@
         except eventlet.Timeout as expired:
             if expired is not timeout:
                 raise
-            return OutcomeUnknown("the rest of the answer did not come", True)
+            return OutcomeUnknown("timed out while reading the response body", True)
         finally:
             timeout.cancel()
             outcome.close()
@@ -284,7 +284,7 @@
             fields["reason"] = outcome.reason
         logger.info("attempt ended", extra=fields)
 
-    # Decisions
+    # Retry decisions
 
     def _should_retry_failed_response(
         self,
@@ -309,7 +309,7 @@
     def _keep_failed_response(
         self, response: Answered, history: _AttemptHistory
     ) -> None:
-        """Keeps a failure, which the caller gets if nothing better comes."""
+        """Keeps a 5xx response, which is returned if no later attempt succeeds."""
         if history.failed_response is not None:
             history.failed_response.close()
         history.failed_response = response
@@ -355,7 +355,7 @@
 
 
 def _is_success(outcome: AttemptOutcome) -> bool:
-    """Tells whether the line on the request says all that there is to say."""
+    """Returns whether the log line of the request covers the attempt as well."""
     return isinstance(outcome, Answered) and outcome.status < STATUS_SERVER_ERROR
 
 
--- a/src/jayswitch/proxy/disconnect.py
+++ b/src/jayswitch/proxy/disconnect.py
@@ -1,4 +1,4 @@
-"""Notices that a caller has closed its connection while its request runs."""
+"""Detects that a caller closes its connection while its request is running."""
 
 from __future__ import annotations
 
@@ -12,23 +12,23 @@
 
 
 class DisconnectWatcher:
-    """Raises CallerDisconnected in the serving task when the caller's stream ends.
+    """Raises CallerDisconnected in the serving green thread on end of stream.
 
-    A WSGI server does not read a connection while the application runs, so the
-    descriptor has no other reader meanwhile.
+    The WSGI server does not read from the connection while the application runs, so
+    that the descriptor has no other reader.
     """
 
     __slots__ = ("_listener", "_socket", "_task", "disconnected")
 
     def __init__(self, sock: Any) -> None:
-        """Takes the connection; the current task is the one to interrupt."""
+        """Takes the connection; the current green thread is the one to interrupt."""
         self.disconnected = False
         self._socket = getattr(sock, "fd", sock)
         self._task: greenlet | None = getcurrent()
         self._listener: Any = None
 
     def start(self) -> None:
-        """Begins to watch."""
+        """Registers a read listener for the connection."""
         hub = hubs.get_hub()
         if self._listener is None:
             self._listener = hub.add(
@@ -40,7 +40,7 @@
             )
 
     def stop(self) -> None:
-        """Ends the watch; the server may read the connection again."""
+        """Removes the listener, so that the server may read the connection again."""
         self._task = None
         self._remove()
 
@@ -59,7 +59,7 @@
         except OSError:
             data = b""
         if data:
-            # The next request is already there; its end cannot be told apart.
+            # A pipelined request hides a later end of stream.
             return
         self.disconnected = True
         hubs.get_hub().schedule_call_global(0, self._interrupt)
--- a/src/jayswitch/proxy/generated.py
+++ b/src/jayswitch/proxy/generated.py
@@ -9,16 +9,16 @@
 
 class ProxySettings(Model, kw_only=True):
     """
-    Settings of one proxy beside an upstream.
+    Settings of the proxy on one VM.
     """
 
     vm: Annotated[str, Meta(description="Name of the VM, unique in the fleet.")]
-    data_centre: Annotated[str, Meta(description="Data centre the VM stands in.")]
+    data_centre: Annotated[str, Meta(description="Data centre in which the VM runs.")]
     region: Annotated[str, Meta(description="Region of the data centre.")]
     service: Annotated[
         str,
         Meta(
-            description="Service of the upstream on this VM; its callers act for it too."
+            description="Service of the upstream on this VM, to which the callers on the VM belong too."
         ),
     ]
     upstream_address: Annotated[
@@ -41,51 +41,73 @@
         str, Meta(description="IP and port of the platform's store.")
     ]
     heartbeat_ms: Annotated[
-        int, Meta(description="Interval of an upstream's heartbeats.", ge=1)
+        int,
+        Meta(
+            description="Interval between heartbeats of the upstream in milliseconds.",
+            ge=1,
+        ),
     ]
     retry_ratio: Annotated[
-        float, Meta(description="Repeats that each request allows, over the fleet.")
+        float, Meta(description="Retries allowed per request, across the fleet.")
     ]
     retry_slack: Annotated[
-        float, Meta(description="Repeats allowed on top, over the fleet.")
+        float,
+        Meta(description="Retries allowed in addition to the ratio, across the fleet."),
+    ]
+    retry_window_s: Annotated[
+        float, Meta(description="Window of the retry budget in seconds.")
     ]
-    retry_window_s: Annotated[float, Meta(description="Window of the retry budget.")]
     drain_ms: Annotated[
         int,
-        Meta(description="Time in which a leaving upstream gets no new work any more."),
+        Meta(
+            description="Time in milliseconds within which a leaving upstream must stop receiving new requests."
+        ),
     ]
     grace_s: Annotated[
-        float, Meta(description="Time between the two signals that stop a process.")
+        float,
+        Meta(
+            description="Time in seconds between the two signals that stop a process."
+        ),
     ]
     exposure_share: Annotated[
         float,
-        Meta(description="Share of a service's requests that a bad version may get."),
+        Meta(
+            description="Share of a service's requests that may reach a faulty version."
+        ),
     ]
     exposure_slack: Annotated[
-        float, Meta(description="Requests that a bad version may get on top.")
+        float,
+        Meta(
+            description="Requests that may reach a faulty version in addition to the share."
+        ),
     ]
     config_apply_ms: Annotated[
-        int, Meta(description="Time in which a configuration is in force.")
+        int,
+        Meta(
+            description="Time in milliseconds within which a configuration must be in force."
+        ),
     ]
     first_start: Annotated[
-        bool, Meta(description="Whether the whole fleet starts for the first time.")
+        bool,
+        Meta(description="Whether the whole fleet is starting for the first time."),
     ]
     link_mbit_per_s: Annotated[
         float,
-        Meta(
-            description="Bandwidth of the VM's link in millions of bits a second; 0 if not known."
-        ),
+        Meta(description="Bandwidth of the VM's network link in Mbit/s; 0 if unknown."),
     ] = 0.0
     cold_factor: Annotated[
         float,
         Meta(
-            description="Calls that a cold upstream may get, as a multiple of the rate that its service states."
+            description="Call rate allowed to a cold upstream, as a multiple of its service's configured rate."
         ),
     ] = 1.0
     cold_slack: Annotated[
-        float, Meta(description="Calls a second that a cold upstream may get on top.")
+        float,
+        Meta(
+            description="Calls per second allowed to a cold upstream in addition to that rate."
+        ),
     ] = 0.0
     log_level: Annotated[
         Literal["debug", "info", "warning", "error"],
-        Meta(description="Lowest level that is logged."),
+        Meta(description="Minimum level of log messages."),
     ] = "info"
--- a/src/jayswitch/proxy/headers.py
+++ b/src/jayswitch/proxy/headers.py
@@ -1,4 +1,4 @@
-"""Headers that proxies read, set and exchange."""
+"""Headers that proxies read, set and exchange with each other."""
 
 from __future__ import annotations
 
@@ -6,14 +6,14 @@
 
 from jayswitch.http.headers import end_to_end
 
-# Only between proxies; a caller's headers of these names are dropped.
+# Prefix of headers used between proxies; such headers of callers are dropped.
 INTERNAL_PREFIX = "x-jayswitch-"
 HOP_REQUEST = "X-Jayswitch-Request"
 HOP_OUTCOME = "X-Jayswitch-Outcome"
 
 
 class HeaderNames(msgspec.Struct, frozen=True):
-    """The deployment's names of headers, by what they hold."""
+    """Names of the headers that the deployment uses for each purpose."""
 
     request_id: str
     time_left_ms: str
@@ -26,7 +26,7 @@
     load: str
 
     def set_by_proxies(self) -> frozenset[str]:
-        """Returns the lower-case names that a caller cannot set."""
+        """Returns the lower-case names of headers that callers cannot set."""
         return frozenset(
             name.lower()
             for name in (
@@ -39,7 +39,7 @@
 
 
 def connection_options(headers: list[tuple[str, str]]) -> set[str]:
-    """Returns the lower-case names that Connection headers list."""
+    """Returns the lower-case options listed in Connection headers."""
     options: set[str] = set()
     for name, value in headers:
         if name.lower() == "connection":
@@ -50,7 +50,7 @@
 def forwardable_headers(
     headers: list[tuple[str, str]], dropped: frozenset[str]
 ) -> list[tuple[str, str]]:
-    """Returns the headers that concern the other end of the path."""
+    """Returns the end-to-end headers that are passed on to the upstream."""
     options = connection_options(headers)
     return [
         (name, value)
@@ -63,7 +63,7 @@
 
 
 def find_header(headers: list[tuple[str, str]], name: str) -> str | None:
-    """Returns the first value of a header."""
+    """Returns the first value of a header, ignoring case in its name."""
     lower_name = name.lower()
     for candidate, value in headers:
         if candidate.lower() == lower_name:
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -1,4 +1,4 @@
-"""The hop between two proxies: how a request and its decisions are carried."""
+"""Protocol between two proxies: transfers requests, routing decisions and outcomes."""
 
 from __future__ import annotations
 
@@ -41,15 +41,17 @@
     from jayswitch.proxy.outcome import AttemptOutcome, Headers
 
 UNREACHABLE_RETRY_MS = 300.0
-# Connections between proxies are kept for long: their servers never end idle ones.
+# Proxies reuse connections to each other after long idle times, as their servers
+# never close idle connections.
 HOP_KEEP_ALIVE = ("Keep-Alive", "timeout=30")
 MAX_REASON_LENGTH = 200
 
 
 class HopRequest(msgspec.Struct, omit_defaults=True):
-    """The decisions of a sending proxy, as they travel with a request.
+    """Routing decisions of the sending proxy, sent in a header of the request.
 
-    objective_ms is what is left; known is how far the sender has followed the store.
+    objective_ms is the remaining time; known holds the newest store revisions that
+    the sender has seen.
     """
 
     service: str
@@ -64,7 +66,7 @@
 
 
 class HopOutcomeKind(Enum):
-    """What became of a request at the proxy beside its upstream."""
+    """Result of a request at the proxy that is local to the upstream."""
 
     ANSWERED = "answered"
     NOT_RUN = "not-run"
@@ -73,7 +75,7 @@
 
 
 class HopOutcome(msgspec.Struct, omit_defaults=True):
-    """What a proxy tells a sender beside the upstream's answer."""
+    """Outcome that a proxy reports to the sender along with the response."""
 
     kind: HopOutcomeKind
     known: str = ""
@@ -90,7 +92,7 @@
 def hop_headers(
     request: ForwardedRequest, known: str, names: HeaderNames, clock: Clock
 ) -> Headers:
-    """Returns a request's headers with its decisions, for another proxy."""
+    """Returns the headers for forwarding a request to another proxy."""
     now_ms = clock.now_ms()
     hop = HopRequest(
         service=request.service,
@@ -113,12 +115,12 @@
 
 
 def read_hop_request(headers: Headers) -> HopRequest:
-    """Returns the decisions in a request's headers; raises MalformedRequest."""
+    """Decodes the routing decisions; raises MalformedRequest if they are invalid."""
     text = find_header(headers, HOP_REQUEST) or ""
     try:
         return _request_decoder.decode(text.encode("latin-1"))
     except msgspec.MsgspecError as error:
-        raise MalformedRequest(f"decisions of the sender: {error}") from error
+        raise MalformedRequest(f"invalid {HOP_REQUEST} header: {error}") from error
 
 
 def request_from_hop(
@@ -129,7 +131,7 @@
     names: HeaderNames,
     clock: Clock,
 ) -> ForwardedRequest:
-    """Returns the request that another proxy has sent, without its body."""
+    """Builds the request that another proxy has sent, without its body."""
     now_ms = clock.now_ms()
     forwarded_headers = _without_hop_headers(headers, names)
     request_id = find_header(headers, names.request_id) or ""
@@ -148,7 +150,7 @@
 
 
 def outcome_headers(outcome: AttemptOutcome, known: str) -> Headers:
-    """Returns what a proxy tells the sender beside the upstream's answer."""
+    """Returns the headers that report an outcome to the sending proxy."""
     hop_outcome = HopOutcome(HopOutcomeKind.ANSWERED, known, load=outcome.load)
     if isinstance(outcome, NotRun):
         hop_outcome.kind = HopOutcomeKind.NOT_RUN
@@ -164,7 +166,7 @@
 
 
 class HopClient:
-    """Sends requests to the proxies beside other upstreams."""
+    """Sends requests to the proxies of other VMs."""
 
     def __init__(
         self,
@@ -173,7 +175,7 @@
         names: HeaderNames,
         clock: Clock,
     ) -> None:
-        """Takes the client that keeps the connections."""
+        """Takes the HTTP client that pools the connections to other proxies."""
         self._client = client
         self._knowledge = knowledge
         self._names = names
@@ -182,7 +184,7 @@
     def send(
         self, address: str, request: ForwardedRequest, wait_ms: float
     ) -> AttemptOutcome:
-        """Sends a request to a proxy and waits for what became of it."""
+        """Sends a request to a proxy and waits for its outcome."""
         timeout = eventlet.Timeout(max(1.0, wait_ms) / MS_PER_S)
         exchange = None
         try:
@@ -217,7 +219,9 @@
             hop_outcome = _outcome_decoder.decode(text.encode("latin-1"))
         except msgspec.MsgspecError:
             exchange.close()
-            return OutcomeUnknown(f"the proxy answered {exchange.status} by itself")
+            return OutcomeUnknown(
+                f"the proxy returned status {exchange.status} without an outcome"
+            )
         self._knowledge.compare(hop_outcome.known, address)
         if hop_outcome.kind is HopOutcomeKind.ANSWERED:
             return self._accept_response(request, exchange, hop_outcome.load)
@@ -251,7 +255,7 @@
 
 
 def _encode_header(message: HopRequest | HopOutcome) -> str:
-    """Returns JSON, in which no character can end the header."""
+    """Returns the message as JSON, in which CR and LF are escaped."""
     return msgspec.json.encode(message).decode("latin-1")
 
 
--- a/src/jayswitch/proxy/http_client.py
+++ b/src/jayswitch/proxy/http_client.py
@@ -1,4 +1,4 @@
-"""Keeps connections open and sends each request at most once."""
+"""HTTP client with persistent connections that sends each request at most once."""
 
 from __future__ import annotations
 
@@ -21,18 +21,19 @@
     from jayswitch.proxy.outcome import Headers
 
 READ_BYTES = 64 * 1024
-# Kept back from the idle time that a server states, for clocks and travel.
+# Subtracted from the idle timeout that a server announces, to allow for clock
+# differences and network latency.
 IDLE_MARGIN_MS = 700.0
-# A connection whose server states no idle time is reused only this long.
+# Idle timeout of connections whose server announces none.
 DEFAULT_IDLE_MS = 2500.0
-# A request with one of these methods and no body states no length either.
+# Requests with these methods carry no Content-Length if they have no body.
 _METHODS_WITHOUT_BODY = frozenset(
     ("GET", "HEAD", "DELETE", "TRACE", "OPTIONS", "CONNECT")
 )
 
 
 class _Connection(HTTPConnection):
-    """An established connection; requests are written to its socket directly."""
+    """Establishes the connection; requests are written directly to its socket."""
 
     def _new_conn(self) -> Any:
         green_socket: Any = super()._new_conn()
@@ -40,6 +41,8 @@
 
 
 class _IdleConnection:
+    """A connection that may be reused until it expires."""
+
     __slots__ = ("connection", "until_ms")
 
     def __init__(self, connection: _Connection, until_ms: float) -> None:
@@ -48,7 +51,7 @@
 
 
 class Exchange:
-    """A request that has been sent and its answer."""
+    """A request that has been sent, and its response."""
 
     __slots__ = ("_client", "_connection", "_finished", "_parser", "address")
 
@@ -59,7 +62,7 @@
         connection: _Connection,
         parser: ResponseParser,
     ) -> None:
-        """Takes the answer whose head has been read."""
+        """Takes a parser that has read the head of the response."""
         self.address = address
         self._client = client
         self._connection = connection
@@ -68,16 +71,16 @@
 
     @property
     def status(self) -> int:
-        """Returns the status of the answer."""
+        """Returns the status code of the response."""
         return self._parser.status
 
     @property
     def headers(self) -> Headers:
-        """Returns the headers of the answer."""
+        """Returns the headers of the response."""
         return self._parser.headers
 
     def read(self) -> Iterator[bytes]:
-        """Yields the body as it arrives; raises ResponseTruncated if it ends early."""
+        """Yields the body as it arrives; raises ResponseTruncated if cut short."""
         parser = self._parser
         while True:
             yield from parser.take_body_parts()
@@ -96,12 +99,12 @@
         for part in self.read():
             size += len(part)
             if size > max_bytes:
-                raise ResponseTruncated(f"the body is longer than {max_bytes} bytes")
+                raise ResponseTruncated(f"the response body exceeds {max_bytes} bytes")
             parts.append(part)
         return b"".join(parts)
 
     def close(self) -> None:
-        """Abandons the exchange unless the whole body has been read."""
+        """Closes the connection unless the whole body has been read."""
         if not self._finished:
             self._finished = True
             self._connection.close()
@@ -117,10 +120,10 @@
 
 
 class HttpClient:
-    """Sends requests to addresses, each over a connection of its own."""
+    """Sends requests; each one has a connection exclusively while it runs."""
 
     def __init__(self, clock: Clock, connect_timeout_ms: float) -> None:
-        """Takes how long a connection may take to be established."""
+        """Takes the timeout for establishing a connection."""
         self.connections_opened = 0
         self._clock = clock
         self._connect_timeout_ms = connect_timeout_ms
@@ -134,11 +137,11 @@
         headers: Headers,
         body: bytes | Iterator[bytes] | None,
     ) -> Exchange:
-        """Sends a request and waits for the head of its answer.
+        """Sends a request and waits for the head of its response.
 
-        The target is sent byte for byte. Raises RequestNotSent if nothing was sent and
-        ExchangeFailed where the request may have arrived. Time limits are the
-        caller's; an abandoned call closes its connection.
+        The target is sent unchanged. Raises RequestNotSent if nothing was sent and
+        ExchangeFailed if the request may have arrived. Timeouts are set by the
+        calling code; an exception raised by one closes the connection.
         """
         connection = self._take_idle_connection(address) or self._connect(address)
         parser = ResponseParser(method != "HEAD")
@@ -157,7 +160,7 @@
     def return_connection(
         self, address: str, connection: _Connection, headers: Headers
     ) -> None:
-        """Keeps a connection for another request, as long as its server does."""
+        """Keeps a connection for reuse until its idle timeout has passed."""
         idle_ms = _keep_alive_ms(headers)
         if idle_ms <= 0:
             connection.close()
@@ -171,7 +174,7 @@
             idle.connection.close()
 
     def close_expired(self) -> None:
-        """Closes connections that have been idle for too long."""
+        """Closes the connections whose idle timeout has passed."""
         now_ms = self._clock.now_ms()
         for address, idle in list(self._idle_by_address.items()):
             while idle and idle[0].until_ms <= now_ms:
@@ -251,7 +254,7 @@
 
 
 def _is_usable(connection: _Connection) -> bool:
-    """Tells whether an idle connection is open and has received nothing."""
+    """Returns whether an idle connection is open and has no data to read."""
     sock = connection.sock
     if sock is None:
         return False
@@ -262,7 +265,7 @@
         return True
     except OSError:
         return False
-    # Either the end of the stream or bytes that belong to no request.
+    # Readable means end of stream or data that belongs to no request.
     return False
 
 
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -1,4 +1,4 @@
-"""Takes requests of other proxies for the upstream on this VM."""
+"""Serves requests that other proxies forward to the upstream on this VM."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
     from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
     from jayswitch.proxy.wsgi_request import StartResponse
 
-# The sending proxy has checked the caller's limits already.
+# The sending proxy has already enforced the configured body limit.
 MAX_BODY_BYTES = 1 << 40
 STOPPING_RETRY_MS = 200.0
 STATUS_OK = 200
@@ -53,7 +53,7 @@
 
 
 class InboundApplication:
-    """Passes requests to the gate; every answer says what became of the request."""
+    """Passes requests to the gate; every response carries the request's outcome."""
 
     def __init__(
         self,
@@ -63,10 +63,10 @@
         names: HeaderNames,
         clock: Clock,
     ) -> None:
-        """Takes the gate in front of the upstream."""
+        """Takes the gate that admits requests to the local upstream."""
         self.draining = False
         self.refusing = False
-        # Requests that may last longer than this are refused.
+        # Requests with a later deadline are refused.
         self.latest_deadline_ms = float("inf")
         self.in_flight = 0
         self._gate = gate
@@ -78,7 +78,7 @@
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Serves one request of another proxy."""
+        """Serves one request from another proxy."""
         if environ[TARGET_VARIABLE] == FEED_TARGET:
             feed_header = find_header(raw_headers(environ), FEED_REQUEST)
             if feed_header is not None:
@@ -114,7 +114,7 @@
     def _serve_feed(
         self, feed_header: str, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Serves a feed; the stop of this process does not wait for it."""
+        """Serves a feed request, which is not counted as in flight during shutdown."""
         body = b""
         status = STATUS_NOT_ANSWERED
         if self.draining:
@@ -123,7 +123,9 @@
             try:
                 request = _feed_decoder.decode(feed_header.encode("latin-1"))
             except msgspec.MsgspecError as error:
-                logger.warning("feed request unreadable", extra={"reason": str(error)})
+                logger.warning(
+                    "cannot decode feed request", extra={"reason": str(error)}
+                )
                 status = STATUS_BAD_REQUEST
             else:
                 answer = self._feeds.answer(request)
--- a/src/jayswitch/proxy/outbound.py
+++ b/src/jayswitch/proxy/outbound.py
@@ -1,4 +1,4 @@
-"""Takes requests of callers on this VM and answers each with what is known."""
+"""Serves the requests of callers on this VM."""
 
 from __future__ import annotations
 
@@ -51,7 +51,7 @@
 
 
 class ErrorResponse(msgspec.Struct):
-    """What is told to a caller in place of an upstream's answer."""
+    """Response to a caller if no upstream response is available."""
 
     status: int
     reason: str
@@ -59,7 +59,7 @@
 
 
 class OutboundApplication:
-    """Routes the requests of callers; one task serves each connection."""
+    """Routes the requests of callers; each connection is served by one green thread."""
 
     def __init__(
         self,
@@ -69,11 +69,11 @@
         names: HeaderNames,
         clock: Clock,
     ) -> None:
-        """Takes the service on whose behalf callers on this VM send requests."""
+        """Takes the service that the callers on this VM belong to."""
         self.catalog: Catalog | None = None
         self.draining = False
         self.refusing = False
-        # Requests that may last longer than this are refused.
+        # Requests with a later deadline are refused.
         self.latest_deadline_ms = float("inf")
         self.in_flight = 0
         self.counts: Counter[str] = Counter()
@@ -89,7 +89,7 @@
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Serves one request of a caller."""
+        """Serves one request from a caller."""
         self.in_flight += 1
         started_ms = self.last_request_ms = self._clock.now_ms()
         if self.draining:
@@ -102,7 +102,9 @@
             outcome = ErrorResponse(error.status, error.cause)
         except CallerDisconnected:
             close_connection(environ)
-            outcome = ErrorResponse(STATUS_CALLER_DISCONNECTED, "the caller has left")
+            outcome = ErrorResponse(
+                STATUS_CALLER_DISCONNECTED, "the caller closed the connection"
+            )
         except BaseException:
             self._end_request(watcher)
             raise
@@ -130,7 +132,9 @@
         host = find_header(headers, "Host") or ""
         route = catalog.route_for(_host_name(host), target.partition("?")[0])
         if route is None:
-            return ErrorResponse(STATUS_NOT_FOUND, f"no route of {host} matches")
+            return ErrorResponse(
+                STATUS_NOT_FOUND, f"no route matches the path on host {host}"
+            )
         body, length = read_body(environ, catalog.limits.body_bytes)
         request = ForwardedRequest(
             find_header(headers, self._names.request_id) or "",
@@ -167,11 +171,11 @@
         size = sum(len(name) + len(value) + 4 for name, value in headers)
         if size > catalog.limits.header_bytes:
             raise MalformedRequest(
-                "the headers are too large", STATUS_HEADERS_TOO_LARGE
+                "the request headers are too large", STATUS_HEADERS_TOO_LARGE
             )
 
     def _to_caller_response(self, outcome: AttemptOutcome) -> Answered | ErrorResponse:
-        """Returns what the caller is told; 503 only if the request has not run."""
+        """Maps an outcome to a response; 503 only if the request has not run."""
         if isinstance(outcome, Answered):
             return outcome
         if isinstance(outcome, NotRun):
@@ -251,6 +255,6 @@
 
 
 def _host_name(host: str) -> str:
-    """Returns the host without its port, as routes name it."""
+    """Returns the host in lower case and without its port."""
     name, colon, port = host.rpartition(":")
     return (name if colon and port.isdigit() else host).lower()
--- a/src/jayswitch/proxy/outcome.py
+++ b/src/jayswitch/proxy/outcome.py
@@ -1,4 +1,4 @@
-"""One request on its way to an upstream, and what became of an attempt."""
+"""A forwarded request and the possible outcomes of an attempt to run it."""
 
 from __future__ import annotations
 
@@ -16,9 +16,9 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """The load of one upstream as the proxy beside it sees it.
+    """Load of an upstream as measured by its local proxy.
 
-    service_ms is a moving average of the time that the upstream takes.
+    service_ms is a moving average of the upstream's response time.
     """
 
     running: int
@@ -27,15 +27,15 @@
     service_ms: float
 
     def encode(self) -> str:
-        """Returns the report as text for logs."""
+        """Returns the report as text for log fields."""
         return f"{self.running},{self.waiting},{self.limit},{self.service_ms:.0f}"
 
 
 class ForwardedRequest:
-    """A request with the decisions that travel with it.
+    """A request with its routing decisions.
 
-    deadline_ms and objective_ms are points on the local clock. The body is whole
-    unless it is an iterator, which can be read only once.
+    deadline_ms and objective_ms are timestamps of the local clock. The body is
+    either complete bytes or an iterator, which can be read only once.
     """
 
     __slots__ = (
@@ -67,7 +67,7 @@
         body: bytes | Iterator[bytes],
         body_length: int | None,
     ) -> None:
-        """Takes what the caller sent; the target holds path and query unchanged."""
+        """Takes the caller's request; the target holds path and query unchanged."""
         self.request_id = request_id
         self.method = method
         self.target = target
@@ -88,7 +88,7 @@
 
     @property
     def is_replayable(self) -> bool:
-        """Tells whether the body is still there for another attempt."""
+        """Returns whether the body is available for another attempt."""
         return isinstance(self.body, bytes)
 
     def time_to_deadline_ms(self, clock: Clock) -> float:
@@ -97,10 +97,10 @@
 
 
 class Answered:
-    """An upstream's answer; the body may still be arriving.
+    """An upstream's response, whose body may not have been received yet.
 
-    Reading raises ResponseTruncated where the answer ends early. close() must be called
-    once; it abandons what has not been read.
+    Reading the body raises ResponseTruncated if it is cut short. close() must be
+    called once; it discards the unread part.
     """
 
     __slots__ = ("_close", "body", "headers", "load", "status")
@@ -113,7 +113,7 @@
         close: Callable[[], None],
         load: LoadReport | None = None,
     ) -> None:
-        """Takes the head of the answer and the iterator over its body."""
+        """Takes the head of the response and an iterator over its body."""
         self.status = status
         self.headers = headers
         self.body = body
@@ -121,14 +121,14 @@
         self._close = close
 
     def close(self) -> None:
-        """Ends the exchange."""
+        """Closes the exchange."""
         self._close()
 
 
 class NotRun:
-    """No upstream has run the attempt, and none will.
+    """The attempt has not been run by an upstream and will not be.
 
-    reached_upstream tells whether the upstream itself rejected it.
+    reached_upstream is set if the upstream itself rejected the request.
     """
 
     __slots__ = ("load", "reached_upstream", "reason", "retry_after_ms")
@@ -148,14 +148,14 @@
 
 
 class OutcomeUnknown:
-    """The attempt was handed over and no whole answer came."""
+    """The attempt was sent, but no complete response was received."""
 
     __slots__ = ("load", "reason", "timed_out")
 
     def __init__(
         self, reason: str, timed_out: bool = False, load: LoadReport | None = None
     ) -> None:
-        """Takes what was seen."""
+        """Takes the observed failure."""
         self.reason = reason
         self.timed_out = timed_out
         self.load = load
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -1,4 +1,4 @@
-"""One proxy beside an upstream: its parts, its servers and its planned stop."""
+"""The proxy process of one VM: components, servers and graceful shutdown."""
 
 from __future__ import annotations
 
@@ -56,31 +56,32 @@
     from jayswitch.store.interface import Store, WatchEvent
 
 UPSTREAM_CONNECT_TIMEOUT_MS = 300.0
-# Between data centres a packet takes 1.4 ms; a lost first packet is sent again
-# after a second, so that waiting longer gains nothing.
+# The latency between data centres is 1.4 ms, and a lost SYN is retransmitted only
+# after 1 s, so that a longer timeout would not help.
 HOP_CONNECT_TIMEOUT_MS = 250.0
-# A heartbeat must be answered within a second.
+# A heartbeat must be answered within 1 s.
 ACKNOWLEDGE_TIMEOUT_MS = 800.0
 MAINTENANCE_INTERVAL_MS = 500.0
-# Counts of a version on trial are published at this interval while they change.
+# Minimum interval between publications of the trial counts.
 TRIAL_PUBLISH_INTERVAL_MS = 1500.0
-# Readiness is asked for each second, and two misses end new work.
+# Readiness is polled every second; after two failed polls no new requests are sent.
 READINESS_PROPAGATION_MS = 2300.0
-# From this part of the grace period on, requests whose time ends later than this
-# process are refused, and from the second one on all that still come.
+# Fractions of the grace period after which requests are refused: first those whose
+# deadline is later than the exit of this process, then all new requests.
 REFUSE_LONG_REQUESTS_FRACTION = 0.5
 REFUSE_ALL_FRACTION = 0.75
-# Kept of the grace period for closing down.
+# Part of the grace period reserved for closing the process.
 EXIT_MARGIN_MS = 350.0
 DRAIN_POLL_MS = 50.0
-# A record that is not withdrawn lapses with its lease.
+# A record that cannot be withdrawn in this time expires with its lease.
 WITHDRAW_TIMEOUT_MS = 250.0
-# Callers that have gone elsewhere send nothing for this long.
+# Callers are taken to have switched to other proxies after this long without requests.
 DRAIN_IDLE_MS = 1000.0
-# A configuration has two seconds to be in force; up to half a second of that brings
-# the changes of a quick succession with fewer calls.
+# A configuration must be in force within 2 s; up to 0.5 s of that is spent on
+# batching changes in quick succession, which saves calls to the store.
 ORDERS_PAUSE = Pause(250.0, 500.0)
-# Gates enforce what records say at once, so that others may learn it later.
+# Gates enforce the state in their records immediately, so that other proxies may
+# learn of it later.
 FLEET_PAUSE = Pause(300.0, 900.0)
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
@@ -89,7 +90,7 @@
 
 
 class ProxyProcess:
-    """Serves callers, other proxies and the upstream of one VM."""
+    """Serves the callers and the upstream of one VM, and other proxies."""
 
     def __init__(
         self,
@@ -102,7 +103,7 @@
         names: HeaderNames,
         clock: Clock,
     ) -> None:
-        """Takes the adapters to the platform; binds nothing yet."""
+        """Takes the platform adapters; ports are bound by start()."""
         self.settings = settings
         self.orders = orders
         self.draining = False
@@ -220,7 +221,7 @@
         heartbeats: Callable[..., Iterable[bytes]],
         logs: BoundedLogHandler | None = None,
     ) -> None:
-        """Binds every port and starts every task."""
+        """Binds all ports and starts all background tasks."""
         settings = self.settings
         ip = settings.callers_address.rpartition(":")[0]
         status = StatusApplication(self, logs)
@@ -239,7 +240,7 @@
 
     @property
     def ready(self) -> bool:
-        """Tells whether callers can be served."""
+        """Returns whether callers can be served."""
         return (
             not self.draining
             and self.orders.catalog is not None
@@ -248,7 +249,7 @@
         )
 
     def stop(self) -> bool:
-        """Stops without cutting a request; False if some were still in flight."""
+        """Drains and stops the servers; returns False if requests were cut off."""
         started_ms = self._clock.now_ms()
         grace_ms = self.settings.grace_s * MS_PER_S
         logger.info("draining", extra={"in_flight": self.in_flight})
@@ -265,7 +266,7 @@
             latest_deadline_ms
         )
         self._wait_while(self._is_in_use, started_ms + grace_ms * REFUSE_ALL_FRACTION)
-        # Whatever still comes would be cut by the end of the process.
+        # Requests that arrive from here on might not finish before the process exits.
         self.inbound.refusing = True
         self.outbound.refusing = True
         for server in self._servers:
@@ -288,10 +289,10 @@
         return bool(self.in_flight) or idle_ms < DRAIN_IDLE_MS
 
     def _callers_may_return(self) -> bool:
-        """Tells whether callers may still be sent to this VM after it was quiet.
+        """Returns whether callers may still be sent to this VM after an idle period.
 
-        They are while few other proxies of the data centre are ready. A VM that
-        goes away with its upstream gains nothing by ending sooner.
+        This is the case while few other proxies of the data centre are ready. A VM
+        that stops together with its upstream gains nothing by exiting sooner.
         """
         if not self.directory.most_take_callers(self.settings.data_centre):
             return True
@@ -300,13 +301,13 @@
 
     @property
     def in_flight(self) -> int:
-        """Returns the requests that callers or other proxies wait for."""
+        """Returns the number of requests of callers and other proxies in progress."""
         return self.outbound.in_flight + self.inbound.in_flight
 
-    # The upstream
+    # Local upstream
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
-        """Takes a heartbeat; tells whether it may be acknowledged."""
+        """Applies a heartbeat; returns whether it may be acknowledged."""
         if not self.publisher.restored:
             return False
         previous = self.local.current
@@ -324,7 +325,7 @@
         return self._wait_until_stored(heartbeat.upstream.id)
 
     def handle_deregistration(self, upstream_id: str, started_ms: int) -> bool:
-        """Takes a deregistration; tells whether it may be acknowledged."""
+        """Applies a deregistration; returns whether it may be acknowledged."""
         if not self.publisher.restored:
             return False
         current = self.local.current
@@ -335,10 +336,14 @@
         return self._wait_until_stored(upstream_id)
 
     def _wait_until_stored(self, upstream_id: str) -> bool:
-        """Waits until the state is stored: an acknowledgement outlives this process."""
+        """Waits until the state is stored, so that it survives this process."""
         stored = self.publisher.wait_until_stored(ACKNOWLEDGE_TIMEOUT_MS)
         logger.info(
-            "leaving upstream acknowledged" if stored else "leaving not yet stored",
+            (
+                "leaving upstream acknowledged"
+                if stored
+                else "upstream state not stored in time; not acknowledged"
+            ),
             extra={"upstream": upstream_id},
         )
         return stored
@@ -349,7 +354,7 @@
         self.local.restore(upstream)
         self.rate.reserve_window()
         logger.info(
-            "last state restored",
+            "stored upstream state restored",
             extra={"upstream": upstream.id, "state": upstream.state.value},
         )
         if upstream.state is UpstreamState.READY:
@@ -368,7 +373,7 @@
         published_upstream = None
         ready = current is not None and current.state is UpstreamState.READY
         if current is not None:
-            # Others need to know whether it takes work, not how it ended.
+            # Other proxies need only know whether it accepts requests, not why.
             state = UpstreamState.READY if ready else UpstreamState.LEAVING
             published_upstream = msgspec.structs.replace(
                 current, state=state, sequence=0
@@ -388,7 +393,7 @@
     def _current_upstream(self) -> Upstream | None:
         return self.local.current
 
-    # The fleet
+    # Fleet records
 
     def _apply_shared(self, event: WatchEvent) -> None:
         if event.key.startswith(NODE_PREFIX):
@@ -396,7 +401,7 @@
         else:
             self.rules.apply(event)
 
-    # Moves
+    # Rollout
 
     def _is_on_trial(self) -> bool:
         current = self.local.current
@@ -410,14 +415,14 @@
     def _record_trial_response(
         self, request: ForwardedRequest, failed: bool, latency_ms: float
     ) -> None:
-        """Judges the answers of an upstream whose version is on trial."""
+        """Records a response of the upstream, and evaluates its version if on trial."""
         self.latency.observe_upstream(latency_ms)
         current = self.local.current
         if current is None or not self._is_on_trial():
             return
         usual = request.usual
         if self.rate.is_cold:
-            # A cold upstream of any version is slow.
+            # A cold upstream is slow whatever its version, so latency is not compared.
             usual = Usual(0.0, usual.failures)
         self.trial.observe(request.route, failed, latency_ms, usual)
         service = self.settings.service
@@ -441,7 +446,7 @@
             if service is not None:
                 self.gate.set_service(service)
 
-    # Servers and upkeep
+    # Servers and maintenance
 
     def _serve(self, address: str, application: Any, protocol: Any = None) -> None:
         ip, _, port = address.rpartition(":")
--- a/src/jayswitch/proxy/protocol.py
+++ b/src/jayswitch/proxy/protocol.py
@@ -1,4 +1,4 @@
-"""Strict request framing for eventlet's WSGI server."""
+"""Strict request parsing for eventlet's WSGI server."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from jayswitch.proxy.outcome import Headers
 
-# Longer than any header line that the limits of a configuration allow.
+# Above any header size that a configuration can allow.
 MAX_HEADER_LINE_BYTES = 64 * 1024
 MAX_HEADERS_BYTES = 256 * 1024
 wsgi.MAX_HEADER_LINE = MAX_HEADER_LINE_BYTES
@@ -31,7 +31,7 @@
 
 
 class _RequestHead:
-    """Collects what the parser finds in the head of a request."""
+    """Parser callbacks that collect the target and headers of a request."""
 
     __slots__ = ("headers", "target")
 
@@ -48,15 +48,15 @@
 
 
 class StrictProtocol(wsgi.HttpProtocol):
-    """Rejects requests whose framing two parsers could read differently.
+    """Rejects requests whose framing is ambiguous between HTTP parsers.
 
-    The head is read by llhttp: the standard library's parser takes several times as
-    long. The environment carries this object, so that an application can close the
-    connection after its answer.
+    The head is parsed by llhttp, as the standard library's parser takes several
+    times as long. The WSGI environment holds this object, so that an application can
+    close the connection after its response.
     """
 
     def parse_request(self) -> bool:
-        """Parses the head; answers 400 and closes where it is ambiguous."""
+        """Parses the head; responds with 400 and closes if it is invalid."""
         self.close_connection = True
         lines = [self.raw_requestline]
         while lines[-1] not in _HEAD_TERMINATORS:
@@ -80,17 +80,17 @@
         try:
             parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            # The header concerns this connection alone and is not passed on.
+            # Upgrade is a hop-by-hop header and is not forwarded.
             pass
         except httptools.HttpParserError as error:
-            raise MalformedRequest(f"the head cannot be read: {error}") from error
+            raise MalformedRequest(f"cannot parse the request head: {error}") from error
         self.request_version = f"HTTP/{parser.get_http_version()}"
         self.command = parser.get_method().decode("latin-1")
         self.requestline = f"{self.command} {head.target} {self.request_version}"
         self.target = head.target
         self.raw_headers = head.headers
         value_by_name = validate_head(self.request_version, head.target, head.headers)
-        # The server asks for this name with a capital.
+        # eventlet looks this header up in this spelling.
         value_by_name["Connection"] = value_by_name.get("connection", "")
         self.headers: Any = value_by_name
         options = connection_options(head.headers)
@@ -98,9 +98,10 @@
         self.close_connection = not persistent or "close" in options
 
     def get_environ(self) -> dict[str, Any]:
-        """Returns what the proxy's applications read, and no more.
+        """Returns only the variables that the proxy's applications read.
 
-        The server's own environment costs more than the rest of a plain request.
+        Building eventlet's full environment costs more than the rest of a plain
+        request.
         """
         value_by_name = self.headers
         length = value_by_name.get("content-length")
@@ -132,32 +133,32 @@
 
 
 def validate_head(version: str, target: str, headers: Headers) -> dict[str, str]:
-    """Returns the headers by lower-case name, the last of each.
+    """Returns the last value of each header by its lower-case name.
 
-    Raises MalformedRequest at the first ambiguity of a request's head.
+    Raises MalformedRequest on the first violation or ambiguity in a request's head.
     """
     if version not in ("HTTP/1.1", "HTTP/1.0"):
-        raise MalformedRequest(f"version {version!r} is not supported")
+        raise MalformedRequest(f"HTTP version {version!r} is not supported")
     if not _TARGET.match(target):
-        raise MalformedRequest("the target is not an absolute path")
+        raise MalformedRequest("the request target is not an absolute path")
     value_by_name: dict[str, str] = {}
     for name, value in headers:
         lower = name.lower()
         if not _TOKEN.match(name):
             raise MalformedRequest(f"header name {name!r} is not a token")
         if _FORBIDDEN_IN_VALUE.search(value):
-            raise MalformedRequest(f"header {name} holds a control character")
+            raise MalformedRequest(f"header {name} contains a control character")
         if lower in _SINGLETON_HEADERS and lower in value_by_name:
             raise MalformedRequest(f"{name} is given more than once")
         value_by_name[lower] = value
     if "host" not in value_by_name:
-        raise MalformedRequest("Host is missing")
+        raise MalformedRequest("the Host header is missing")
     length = value_by_name.get("content-length")
     if length is not None and not (length.isascii() and length.isdigit()):
-        raise MalformedRequest("Content-Length is not a whole number")
+        raise MalformedRequest("Content-Length is not a non-negative integer")
     coding = value_by_name.get("transfer-encoding")
     if coding is not None and coding.lower() != "chunked":
         raise MalformedRequest(f"transfer coding {coding!r} is not supported")
     if coding is not None and length is not None:
-        raise MalformedRequest("both a length and a transfer coding are given")
+        raise MalformedRequest("both Content-Length and Transfer-Encoding are given")
     return value_by_name
--- a/src/jayswitch/proxy/reasons.py
+++ b/src/jayswitch/proxy/reasons.py
@@ -1,4 +1,4 @@
-"""Why an attempt was not run, as logs and other proxies see it."""
+"""Reasons why an attempt was not run, for logs and the protocol between proxies."""
 
 NO_UPSTREAM = "no upstream has announced itself here"
 LEAVING = "the upstream is leaving"
--- a/src/jayswitch/proxy/response_parser.py
+++ b/src/jayswitch/proxy/response_parser.py
@@ -1,4 +1,4 @@
-"""Reads the answer to one request from the bytes of its connection."""
+"""Incremental parser for the response to one request."""
 
 from __future__ import annotations
 
@@ -13,15 +13,16 @@
     from jayswitch.proxy.outcome import Headers
 
 FIRST_FINAL_STATUS = 200
-# Heads, trailers and chunk headers may take so much between two parts of a body.
-# The longest head of a sound upstream is a few hundred bytes.
+# Limit on head, trailer and chunk header bytes between two parts of a body. The
+# longest head that a healthy upstream sends is a few hundred bytes.
 MAX_FRAMING_BYTES = 64 * 1024
 
 
 class ResponseParser:
-    """Collects status, headers and body; the framing is checked by llhttp.
+    """Collects status, headers and body; llhttp validates the framing.
 
-    Callers feed what arrives until is_complete and take the body's parts meanwhile.
+    Received data is passed to feed() until is_complete is set; body parts can be
+    taken in between.
     """
 
     __slots__ = (
@@ -37,7 +38,7 @@
     )
 
     def __init__(self, has_body: bool = True) -> None:
-        """Takes whether an answer may have a body, which that to HEAD has not."""
+        """Takes whether the response may have a body; one to HEAD has none."""
         self.status = 0
         self.headers: Headers = []
         self.is_head_complete = False
@@ -50,7 +51,7 @@
 
     @property
     def allows_reuse(self) -> bool:
-        """Tells whether the connection may carry another request afterwards."""
+        """Returns whether the connection may be reused for another request."""
         return (
             self.is_complete
             and self._has_body
@@ -61,28 +62,30 @@
         )
 
     def feed(self, data: bytes) -> None:
-        """Takes bytes as they arrive; raises ResponseTruncated if they are no answer.
+        """Parses received data; raises ResponseTruncated if it is not valid HTTP.
 
-        Bytes behind the end of the answer belong to no request and are dropped.
+        Data after the end of the response belongs to no request and is discarded.
         """
         self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             if not self.is_complete:
-                raise ResponseTruncated(f"not HTTP: {error}") from error
+                raise ResponseTruncated(f"invalid HTTP response: {error}") from error
             self.has_surplus_data = True
         if self._framing_bytes > MAX_FRAMING_BYTES and not self.is_complete:
-            raise ResponseTruncated("its head or framing has no end")
+            raise ResponseTruncated(
+                f"head or framing exceeds {MAX_FRAMING_BYTES} bytes"
+            )
 
     def feed_eof(self) -> None:
         """Handles end of stream; raises ResponseTruncated if the body is incomplete."""
         if not self.is_head_complete or not self._ends_with_connection():
-            raise ResponseTruncated("the connection ended")
+            raise ResponseTruncated("connection closed before the end of the response")
         self.is_complete = True
 
     def take_body_parts(self) -> list[bytes]:
-        """Returns the parts of the body that have arrived since the last call."""
+        """Returns the body parts received since the last call."""
         parts, self._parts = self._parts, []
         return parts
 
@@ -93,21 +96,21 @@
         )
         return not has_framing_header and self.status not in (204, 304)
 
-    # Called by the parser
+    # Callbacks of the llhttp parser
 
     def on_message_begin(self) -> None:
-        """Notes the first byte of an answer."""
+        """Detects data after a complete response."""
         if self.is_complete:
             self.has_surplus_data = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Takes one header."""
+        """Collects one header."""
         if not self.is_complete:
             text = value.decode("latin-1").rstrip(" \t")
             self.headers.append((name.decode("latin-1"), text))
 
     def on_headers_complete(self) -> None:
-        """Notes the end of the head; interim answers are passed over."""
+        """Records the status; the head of an interim (1xx) response is discarded."""
         if self.is_complete:
             return
         self.status = self._parser.get_status_code()
@@ -118,12 +121,12 @@
         self.is_complete = not self._has_body
 
     def on_body(self, body: bytes) -> None:
-        """Takes a part of the body."""
+        """Collects a part of the body."""
         self._framing_bytes = 0
         if not self.is_complete:
             self._parts.append(body)
 
     def on_message_complete(self) -> None:
-        """Notes the end of the body."""
+        """Marks the response complete, except after an interim response."""
         if self.is_head_complete:
             self.is_complete = True
--- a/src/jayswitch/proxy/sockets.py
+++ b/src/jayswitch/proxy/sockets.py
@@ -1,4 +1,4 @@
-"""Socket options that make a silent peer visible."""
+"""Socket options and a socket class that detect failed peers."""
 
 from __future__ import annotations
 
@@ -7,17 +7,17 @@
 
 from eventlet.greenio import GreenSocket
 
-# Unacknowledged bytes end a connection after this time: shorter than the least
-# deadline of a caller in either deployment (1000 ms).
+# A connection is closed if sent data stays unacknowledged for this long, which is
+# less than the shortest caller deadline in either deployment (1000 ms).
 UNACKNOWLEDGED_TIMEOUT_MS = 900
-# Probes notice a peer that lost power while it owes an answer, after 3 s.
+# Keepalive probes detect within 3 s a peer that lost power before responding.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 
 
 def socket_options() -> list[tuple[int, int, int | bytes]]:
-    """Returns options as setsockopt takes them."""
+    """Returns the options as arguments of setsockopt."""
     return [
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
         (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
@@ -29,27 +29,27 @@
 
 
 def apply_options(sock: socket.socket) -> None:
-    """Sets the options on a connection that was accepted."""
+    """Sets the options on an accepted connection."""
     for level, name, value in socket_options():
         sock.setsockopt(level, name, value)
 
 
 class ResetAwareSocket(GreenSocket):
-    """Raises when the peer resets the connection.
+    """Raises OSError if the peer resets the connection.
 
-    Eventlet's own sockets report a reset as the end of the stream, which makes an
-    answer without a length look complete.
+    Eventlet's sockets report a reset as end of stream, which makes a response
+    without Content-Length look complete.
     """
 
     @classmethod
     def from_green(cls, sock: GreenSocket) -> ResetAwareSocket:
-        """Returns the same connection; the given object closes it when collected."""
+        """Wraps a connection; keeps the original, which closes it when collected."""
         aware = cls(sock.fd)
         aware.origin = sock
         return aware
 
     def recv(self, bufsize: int, flags: int = 0) -> bytes:
-        """Reads some bytes; returns none only at the end of the stream."""
+        """Receives data; returns no bytes only at the end of the stream."""
         return self._recv_loop(self._receive, b"", bufsize, flags)
 
     def _receive(self, bufsize: int, flags: int) -> bytes:
--- a/src/jayswitch/proxy/status.py
+++ b/src/jayswitch/proxy/status.py
@@ -1,4 +1,4 @@
-"""Serves a proxy's metrics and a dump of its state."""
+"""Serves the metrics of a proxy and a dump of its state."""
 
 from __future__ import annotations
 
@@ -25,10 +25,10 @@
 
 
 class LatencyMetrics:
-    """Histograms of how long requests and attempts took."""
+    """Latency histograms of requests and upstream responses."""
 
     def __init__(self) -> None:
-        """Makes a registry of its own, so that a test can make several."""
+        """Creates a separate registry, so that tests can create several instances."""
         self.registry = CollectorRegistry()
         self._requests = Histogram(
             "jayswitch_request_seconds",
@@ -45,16 +45,16 @@
         )
 
     def observe_request(self, status: int, elapsed_ms: float) -> None:
-        """Takes one answered request."""
+        """Records the duration of one request."""
         self._requests.labels(str(status)).observe(elapsed_ms / MS_PER_S)
 
     def observe_upstream(self, latency_ms: float) -> None:
-        """Takes one answer of the upstream."""
+        """Records the latency of one upstream response."""
         self._upstream.observe(latency_ms / MS_PER_S)
 
 
 class ProxyCollector:
-    """Reads counters and states of a proxy when they are asked for."""
+    """Collects the counters and gauges of a proxy on each scrape."""
 
     def __init__(self, process: ProxyProcess, logs: BoundedLogHandler | None) -> None:
         """Takes the proxy and the handler that counts log lines."""
@@ -62,7 +62,7 @@
         self._logs = logs
 
     def collect(self) -> Iterable[Metric]:
-        """Returns every metric with its present value."""
+        """Returns all metrics with their current values."""
         process = self._process
         counts_by_name = {
             "jayswitch_outbound": ("Answers to callers.", process.outbound.counts),
@@ -101,10 +101,10 @@
 
 
 class StatusApplication:
-    """Answers /metrics and /dump."""
+    """WSGI application for /metrics and /dump."""
 
     def __init__(self, process: ProxyProcess, logs: BoundedLogHandler | None) -> None:
-        """Takes the proxy whose state is shown."""
+        """Takes the proxy to report on and the handler that counts log lines."""
         self._process = process
         self._registry = process.latency.registry
         self._registry.register(ProxyCollector(process, logs))
--- a/src/jayswitch/proxy/wsgi_request.py
+++ b/src/jayswitch/proxy/wsgi_request.py
@@ -1,4 +1,4 @@
-"""Reads requests from the WSGI environment and writes answers back."""
+"""Reads requests from the WSGI environment and sends responses."""
 
 from __future__ import annotations
 
@@ -17,24 +17,24 @@
 
 StartResponse = Callable[..., Any]
 
-# Bodies up to this size are held, so that a request can be sent again.
+# Bodies up to this size are buffered, so that the request can be retried.
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
 READ_BYTES = 64 * 1024
 STATUS_TOO_LARGE = 413
 
 
 def raw_headers(environ: dict[str, Any]) -> Headers:
-    """Returns the headers in the order and spelling in which they came."""
+    """Returns the headers in their original order and spelling."""
     return environ["headers_raw"]
 
 
 def is_chunked(environ: dict[str, Any]) -> bool:
-    """Tells whether the body comes in chunks."""
+    """Returns whether the body uses chunked transfer coding."""
     return "HTTP_TRANSFER_ENCODING" in environ
 
 
 def declared_length(environ: dict[str, Any]) -> int | None:
-    """Returns the body's length as the caller stated it."""
+    """Returns the Content-Length of the request, if present."""
     length = environ.get("CONTENT_LENGTH")
     return None if length in (None, "") else int(length)
 
@@ -42,24 +42,24 @@
 def read_body(
     environ: dict[str, Any], max_bytes: int
 ) -> tuple[bytes | Iterator[bytes], int | None]:
-    """Returns the body and its length; None where no body or length is stated.
+    """Returns the body and its length, which is None if it is not declared.
 
     Long bodies are returned as an iterator that raises MalformedRequest if the
-    caller ends early.
+    body is cut short.
     """
     length = declared_length(environ)
     stream = environ["wsgi.input"]
     if length is None and not is_chunked(environ):
         return b"", None
     if length is not None and length > max_bytes:
-        raise MalformedRequest("the body is too large", STATUS_TOO_LARGE)
+        raise MalformedRequest("the request body is too large", STATUS_TOO_LARGE)
     if length is not None and length > MAX_BUFFERED_BODY_BYTES:
         return _iter_body(stream, length, max_bytes), length
     buffered = _read_up_to(
         stream, length if length is not None else MAX_BUFFERED_BODY_BYTES + 1
     )
     if length is not None and len(buffered) != length:
-        raise MalformedRequest("the body ended early")
+        raise MalformedRequest("the request body ended early")
     if length is None and len(buffered) > MAX_BUFFERED_BODY_BYTES:
         return (
             _prepend(buffered, _iter_body(stream, None, max_bytes - len(buffered))),
@@ -69,12 +69,12 @@
 
 
 def close_connection(environ: dict[str, Any]) -> None:
-    """Ends the caller's connection behind the present answer."""
+    """Closes the caller's connection after the current response."""
     environ[CONNECTION_VARIABLE].close_connection = 1
 
 
 def response_headers(headers: Headers) -> Headers:
-    """Returns the headers of an upstream's answer that concern the caller."""
+    """Returns the end-to-end headers of an upstream's response."""
     options = connection_options(headers)
     dropped = ("connection", "keep-alive", "transfer-encoding", "proxy-connection")
     return [
@@ -92,7 +92,7 @@
     headers: Headers,
     start_response: StartResponse,
 ) -> Iterator[bytes]:
-    """Starts the answer and returns its body; a cut body closes the connection."""
+    """Starts the response; a truncated body raises, which closes the connection."""
     start_response(status_line(response.status), headers)
     return _checked_body(response, environ)
 
@@ -105,7 +105,7 @@
         length += len(part)
         yield part
     if declared is not None and not bodyless and int(declared) != length:
-        raise ResponseTruncated(f"{length} of {declared} bytes came")
+        raise ResponseTruncated(f"received {length} of {declared} bytes")
 
 
 def _read_up_to(stream: Any, length: int) -> bytes:
@@ -123,7 +123,7 @@
     try:
         return stream.read(min(length, READ_BYTES))
     except (ChunkReadError, OSError) as error:
-        raise MalformedRequest(f"the body cannot be read: {error}") from error
+        raise MalformedRequest(f"cannot read the request body: {error}") from error
 
 
 def _iter_body(stream: Any, length: int | None, max_bytes: int) -> Iterator[bytes]:
@@ -135,9 +135,9 @@
         left -= len(part)
         yield part
     if length is not None and left > 0:
-        raise MalformedRequest("the body ended early")
+        raise MalformedRequest("the request body ended early")
     if length is None and left <= 0:
-        raise MalformedRequest("the body is too large", STATUS_TOO_LARGE)
+        raise MalformedRequest("the request body is too large", STATUS_TOO_LARGE)
 
 
 def _prepend(first: bytes, rest: Iterator[bytes]) -> Iterator[bytes]:
