Call the proved version's statistics so in a forwarded request

"usual" did not say what was usual: it holds the latency and failures of the proved version on a route. ForwardedRequest names it proved_stats; the HTTP client's local "stated" is keep_alive. HopRequest keeps the field usual, which travels between proxies. Behaviour is unchanged.

--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -105,7 +105,7 @@
         self._balancer = balancer
         self._budget_settings = budget_settings
         self._retry_budget_by_service: dict[str, WindowBudget] = {}
-        self._baseline_by_route: dict[str, Usual] = {}
+        self._proved_stats_by_route: dict[str, Usual] = {}
         self._clock = clock
         self._random = rng
 
@@ -113,7 +113,7 @@
         """Runs a request; returns NotRun only if no upstream has run it."""
         request.service = route.choose_service(self._random)
         request.route = route.name
-        request.usual = self._baseline_by_route.get(route.name, Usual())
+        request.proved_stats = self._proved_stats_by_route.get(route.name, Usual())
         budget = self._retry_budget(request.service)
         budget.note_request()
         history = _AttemptHistory()
@@ -258,8 +258,10 @@
         else:
             return
         elapsed_ms = self._clock.now_ms() - started_ms
-        usual = self._baseline_by_route.get(request.route, Usual())
-        self._baseline_by_route[request.route] = usual.after(failed, elapsed_ms)
+        proved_stats = self._proved_stats_by_route.get(request.route, Usual())
+        self._proved_stats_by_route[request.route] = proved_stats.after(
+            failed, elapsed_ms
+        )
 
     def _log_attempt(
         self,
--- a/src/jayswitch/proxy/http_client.py
+++ b/src/jayswitch/proxy/http_client.py
@@ -270,8 +270,8 @@
 
 
 def _keep_alive_ms(headers: Headers) -> float:
-    stated = find_header(headers, "Keep-Alive") or ""
-    for parameter in stated.split(","):
+    keep_alive = find_header(headers, "Keep-Alive") or ""
+    for parameter in keep_alive.split(","):
         name, _, value = parameter.strip().partition("=")
         if name.lower() == "timeout" and value.isdigit():
             return int(value) * MS_PER_S - IDLE_MARGIN_MS
--- a/src/jayswitch/proxy/outcome.py
+++ b/src/jayswitch/proxy/outcome.py
@@ -54,7 +54,7 @@
         "route",
         "service",
         "target",
-        "usual",
+        "proved_stats",
         "version",
     )
 
@@ -77,7 +77,7 @@
         self.service = ""
         self.version = ""
         self.route = ""
-        self.usual = Usual()
+        self.proved_stats = Usual()
         self.caller_service = ""
         self.origin_vm = ""
         self.last_vm = ""
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -420,11 +420,11 @@
         current = self.local.current
         if current is None or not self._is_on_trial():
             return
-        usual = request.usual
+        proved_stats = request.proved_stats
         if self.rate.is_cold:
             # A cold upstream is slow whatever its version, so latency is not compared.
-            usual = Usual(0.0, usual.failures)
-        self.trial.observe(request.route, failed, latency_ms, usual)
+            proved_stats = Usual(0.0, proved_stats.failures)
+        self.trial.observe(request.route, failed, latency_ms, proved_stats)
         service = self.settings.service
         if self.trial.is_bad and self.rules.withdraw(service, current.version):
             self.coordinator.roll_back(service, self.trial.reason)
--- a/tests/proxy/test_hop.py
+++ b/tests/proxy/test_hop.py
@@ -41,7 +41,7 @@
     request = ForwardedRequest("id-1", "GET", "/a", [("Host", "h")], b"", None)
     request.service, request.version, request.route = "herdview", "v1", "read"
     request.repeatable, request.rank = True, 2
-    request.usual = Usual(120.0, 0.1)
+    request.proved_stats = Usual(120.0, 0.1)
     request.deadline_ms, request.objective_ms = 2000.0, 500.0
     request.caller_service = "robotdesk"
     return request
@@ -98,7 +98,14 @@
         headers = hop_headers(_request(), "7,9", NAMES, clock)
         hop = read_hop_request(headers)
         received = request_from_hop("GET", "/a", headers, hop, NAMES, clock)
-        for name in ("service", "version", "route", "repeatable", "rank", "usual"):
+        for name in (
+            "service",
+            "version",
+            "route",
+            "repeatable",
+            "rank",
+            "proved_stats",
+        ):
             assert getattr(received, name) == getattr(_request(), name)
         assert (received.deadline_ms, received.objective_ms) == (2000.0, 500.0)
         assert received.caller_service == "robotdesk" and hop.known == "7,9"
