--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -213,7 +213,7 @@
         except eventlet.Timeout as expired:
             if expired is not timeout:
                 raise
-            return OutcomeUnknown("timed out while reading the response body", True)
+            return OutcomeUnknown("the rest of the answer did not come", True)
         finally:
             timeout.cancel()
             outcome.close()
--- a/src/jayswitch/proxy/exceptions.py
+++ b/src/jayswitch/proxy/exceptions.py
@@ -28,7 +28,7 @@
     def __init__(self, address: str, reason: str) -> None:
         """Takes the address and the connection's error."""
         super().__init__(
-            f"no complete response from {address}: {reason}",
+            f"no whole answer from {address}: {reason}",
             "retry the request only if it is idempotent",
         )
 
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -120,7 +120,7 @@
     try:
         return _request_decoder.decode(text.encode("latin-1"))
     except msgspec.MsgspecError as error:
-        raise MalformedRequest(f"invalid {HOP_REQUEST} header: {error}") from error
+        raise MalformedRequest(f"decisions of the sender: {error}") from error
 
 
 def request_from_hop(
@@ -219,9 +219,7 @@
             hop_outcome = _outcome_decoder.decode(text.encode("latin-1"))
         except msgspec.MsgspecError:
             exchange.close()
-            return OutcomeUnknown(
-                f"the proxy returned status {exchange.status} without an outcome"
-            )
+            return OutcomeUnknown(f"the proxy answered {exchange.status} by itself")
         self._knowledge.compare(hop_outcome.known, address)
         if hop_outcome.kind is HopOutcomeKind.ANSWERED:
             return self._accept_response(request, exchange, hop_outcome.load)
--- a/src/jayswitch/proxy/http_client.py
+++ b/src/jayswitch/proxy/http_client.py
@@ -99,7 +99,7 @@
         for part in self.read():
             size += len(part)
             if size > max_bytes:
-                raise ResponseTruncated(f"the response body exceeds {max_bytes} bytes")
+                raise ResponseTruncated(f"the body is longer than {max_bytes} bytes")
             parts.append(part)
         return b"".join(parts)
 
--- a/src/jayswitch/proxy/outbound.py
+++ b/src/jayswitch/proxy/outbound.py
@@ -132,9 +132,7 @@
         host = find_header(headers, "Host") or ""
         route = catalog.route_for(_host_name(host), target.partition("?")[0])
         if route is None:
-            return ErrorResponse(
-                STATUS_NOT_FOUND, f"no route matches the path on host {host}"
-            )
+            return ErrorResponse(STATUS_NOT_FOUND, f"no route of {host} matches")
         body, length = read_body(environ, catalog.limits.body_bytes)
         request = ForwardedRequest(
             find_header(headers, self._names.request_id) or "",
@@ -171,7 +169,7 @@
         size = sum(len(name) + len(value) + 4 for name, value in headers)
         if size > catalog.limits.header_bytes:
             raise MalformedRequest(
-                "the request headers are too large", STATUS_HEADERS_TOO_LARGE
+                "the headers are too large", STATUS_HEADERS_TOO_LARGE
             )
 
     def _to_caller_response(self, outcome: AttemptOutcome) -> Answered | ErrorResponse:
--- a/src/jayswitch/proxy/protocol.py
+++ b/src/jayswitch/proxy/protocol.py
@@ -83,7 +83,7 @@
             # Upgrade is a hop-by-hop header and is not forwarded.
             pass
         except httptools.HttpParserError as error:
-            raise MalformedRequest(f"cannot parse the request head: {error}") from error
+            raise MalformedRequest(f"the head cannot be read: {error}") from error
         self.request_version = f"HTTP/{parser.get_http_version()}"
         self.command = parser.get_method().decode("latin-1")
         self.requestline = f"{self.command} {head.target} {self.request_version}"
@@ -138,27 +138,27 @@
     Raises MalformedRequest on the first violation or ambiguity in a request's head.
     """
     if version not in ("HTTP/1.1", "HTTP/1.0"):
-        raise MalformedRequest(f"HTTP version {version!r} is not supported")
+        raise MalformedRequest(f"version {version!r} is not supported")
     if not _TARGET.match(target):
-        raise MalformedRequest("the request target is not an absolute path")
+        raise MalformedRequest("the target is not an absolute path")
     value_by_name: dict[str, str] = {}
     for name, value in headers:
         lower = name.lower()
         if not _TOKEN.match(name):
             raise MalformedRequest(f"header name {name!r} is not a token")
         if _FORBIDDEN_IN_VALUE.search(value):
-            raise MalformedRequest(f"header {name} contains a control character")
+            raise MalformedRequest(f"header {name} holds a control character")
         if lower in _SINGLETON_HEADERS and lower in value_by_name:
             raise MalformedRequest(f"{name} is given more than once")
         value_by_name[lower] = value
     if "host" not in value_by_name:
-        raise MalformedRequest("the Host header is missing")
+        raise MalformedRequest("Host is missing")
     length = value_by_name.get("content-length")
     if length is not None and not (length.isascii() and length.isdigit()):
-        raise MalformedRequest("Content-Length is not a non-negative integer")
+        raise MalformedRequest("Content-Length is not a whole number")
     coding = value_by_name.get("transfer-encoding")
     if coding is not None and coding.lower() != "chunked":
         raise MalformedRequest(f"transfer coding {coding!r} is not supported")
     if coding is not None and length is not None:
-        raise MalformedRequest("both Content-Length and Transfer-Encoding are given")
+        raise MalformedRequest("both a length and a transfer coding are given")
     return value_by_name
--- a/src/jayswitch/proxy/response_parser.py
+++ b/src/jayswitch/proxy/response_parser.py
@@ -71,17 +71,15 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             if not self.is_complete:
-                raise ResponseTruncated(f"invalid HTTP response: {error}") from error
+                raise ResponseTruncated(f"not HTTP: {error}") from error
             self.has_surplus_data = True
         if self._framing_bytes > MAX_FRAMING_BYTES and not self.is_complete:
-            raise ResponseTruncated(
-                f"head or framing exceeds {MAX_FRAMING_BYTES} bytes"
-            )
+            raise ResponseTruncated("its head or framing has no end")
 
     def feed_eof(self) -> None:
         """Handles end of stream; raises ResponseTruncated if the body is incomplete."""
         if not self.is_head_complete or not self._ends_with_connection():
-            raise ResponseTruncated("connection closed before the end of the response")
+            raise ResponseTruncated("the connection ended")
         self.is_complete = True
 
     def take_body_parts(self) -> list[bytes]:
--- a/src/jayswitch/proxy/wsgi_request.py
+++ b/src/jayswitch/proxy/wsgi_request.py
@@ -52,14 +52,14 @@
     if length is None and not is_chunked(environ):
         return b"", None
     if length is not None and length > max_bytes:
-        raise MalformedRequest("the request body is too large", STATUS_TOO_LARGE)
+        raise MalformedRequest("the body is too large", STATUS_TOO_LARGE)
     if length is not None and length > MAX_BUFFERED_BODY_BYTES:
         return _iter_body(stream, length, max_bytes), length
     buffered = _read_up_to(
         stream, length if length is not None else MAX_BUFFERED_BODY_BYTES + 1
     )
     if length is not None and len(buffered) != length:
-        raise MalformedRequest("the request body ended early")
+        raise MalformedRequest("the body ended early")
     if length is None and len(buffered) > MAX_BUFFERED_BODY_BYTES:
         return (
             _prepend(buffered, _iter_body(stream, None, max_bytes - len(buffered))),
@@ -105,7 +105,7 @@
         length += len(part)
         yield part
     if declared is not None and not bodyless and int(declared) != length:
-        raise ResponseTruncated(f"received {length} of {declared} bytes")
+        raise ResponseTruncated(f"{length} of {declared} bytes came")
 
 
 def _read_up_to(stream: Any, length: int) -> bytes:
@@ -123,7 +123,7 @@
     try:
         return stream.read(min(length, READ_BYTES))
     except (ChunkReadError, OSError) as error:
-        raise MalformedRequest(f"cannot read the request body: {error}") from error
+        raise MalformedRequest(f"the body cannot be read: {error}") from error
 
 
 def _iter_body(stream: Any, length: int | None, max_bytes: int) -> Iterator[bytes]:
@@ -135,9 +135,9 @@
         left -= len(part)
         yield part
     if length is not None and left > 0:
-        raise MalformedRequest("the request body ended early")
+        raise MalformedRequest("the body ended early")
     if length is None and left <= 0:
-        raise MalformedRequest("the request body is too large", STATUS_TOO_LARGE)
+        raise MalformedRequest("the body is too large", STATUS_TOO_LARGE)
 
 
 def _prepend(first: bytes, rest: Iterator[bytes]) -> Iterator[bytes]:
