--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -15,8 +15,8 @@
 from jayswitch.gate.service_times import ServiceTimes
 from jayswitch.gate.slots import SlotQueue
 from jayswitch.proxy import reasons
-from jayswitch.proxy.exceptions import AnswerCut, ExchangeBroken, NotSent
-from jayswitch.proxy.headers import find
+from jayswitch.proxy.exceptions import ExchangeFailed, RequestNotSent, ResponseTruncated
+from jayswitch.proxy.headers import find_header
 from jayswitch.proxy.outcome import Answered, LoadReport, NotRun, OutcomeUnknown
 
 if TYPE_CHECKING:
@@ -136,7 +136,7 @@
     def run(self, request: ForwardedRequest) -> AttemptOutcome:
         """Sends a request to the upstream or refuses it."""
         refusal = self._refusal(request)
-        if refusal == reasons.SUSPECT:
+        if refusal == reasons.HEALTH_CHECK_FAILING:
             self._wait_for_health_check(self._max_wait_ms(request))
             refusal = self._refusal(request)
         if refusal is not None:
@@ -144,7 +144,11 @@
         wait_ms = self._max_wait_ms(request)
         expected_ms = self.slots.expected_wait_ms(request.rank, self._times.overall_ms)
         if expected_ms > wait_ms or not self.slots.acquire(request.rank, wait_ms):
-            reason = reasons.COLD if self.cold_limiter.is_cold else reasons.FULL
+            reason = (
+                reasons.COLD_LIMIT_REACHED
+                if self.cold_limiter.is_cold
+                else reasons.LIMIT_REACHED
+            )
             return self._refuse(request, reason, self._times.overall_ms / 2)
         try:
             outcome = self._run_in_slot(request)
@@ -169,9 +173,9 @@
         if self.out_of_service:
             return reasons.EVACUATED
         if self._suspect:
-            return reasons.SUSPECT
-        if request.left_ms(self._clock) < MIN_TIME_LEFT_MS:
-            return reasons.TOO_LATE
+            return reasons.HEALTH_CHECK_FAILING
+        if request.time_to_deadline_ms(self._clock) < MIN_TIME_LEFT_MS:
+            return reasons.DEADLINE_TOO_NEAR
         return None
 
     def _max_wait_ms(self, request: ForwardedRequest) -> float:
@@ -197,7 +201,7 @@
     def _send(self, request: ForwardedRequest, current: Upstream) -> AttemptOutcome:
         self.counts["sent"] += 1
         started_ms = self._clock.now_ms()
-        left_ms = request.left_ms(self._clock)
+        left_ms = request.time_to_deadline_ms(self._clock)
         timeout = eventlet.Timeout(left_ms / MS_PER_S)
         exchange = None
         try:
@@ -209,10 +213,10 @@
                 request.body or None,
             )
             return self._process_answer(request, exchange, started_ms)
-        except NotSent as error:
+        except RequestNotSent as error:
             self._suspect_upstream(error.cause)
-            return self._refuse(request, reasons.NOT_REACHED, LEAVING_RETRY_MS)
-        except ExchangeBroken as error:
+            return self._refuse(request, reasons.CONNECTION_REFUSED, LEAVING_RETRY_MS)
+        except ExchangeFailed as error:
             self._suspect_upstream(error.cause)
             return self._outcome_unknown(request, error.cause, started_ms)
         except eventlet.Timeout as expired:
@@ -242,14 +246,14 @@
         self, request: ForwardedRequest, exchange: Exchange, started_ms: float
     ) -> AttemptOutcome:
         names = self._names
-        echoed = find(exchange.headers, names.request_id)
+        echoed = find_header(exchange.headers, names.request_id)
         if echoed not in (None, request.request_id):
             # A late answer to an earlier request, whatever its outcome.
             exchange.close()
             return self._outcome_unknown(
                 request, "the answer is another request's", started_ms
             )
-        not_run = find(exchange.headers, names.not_run) is not None
+        not_run = find_header(exchange.headers, names.not_run) is not None
         misdirected = exchange.status == STATUS_MISDIRECTED
         if misdirected or not_run:
             self._discard(exchange)
@@ -259,7 +263,7 @@
             return self._refuse(
                 request, reason, self._times.overall_ms / 2, not misdirected
             )
-        signature = find(exchange.headers, names.signature)
+        signature = find_header(exchange.headers, names.signature)
         if signature is None or echoed is None:
             exchange.close()
             reason = "the answer has no signature or no id"
@@ -275,11 +279,13 @@
         )
 
     def _read(self, request: ForwardedRequest, exchange: Exchange) -> Iterator[bytes]:
-        left_ms = max(1.0, request.left_ms(self._clock))
-        timeout = eventlet.Timeout(left_ms / MS_PER_S, AnswerCut("its time ran out"))
+        left_ms = max(1.0, request.time_to_deadline_ms(self._clock))
+        timeout = eventlet.Timeout(
+            left_ms / MS_PER_S, ResponseTruncated("its time ran out")
+        )
         try:
             yield from exchange.read()
-        except AnswerCut:
+        except ResponseTruncated:
             self.counts["answers_cut"] += 1
             raise
         finally:
@@ -294,8 +300,8 @@
 
     def _discard(self, exchange: Exchange) -> None:
         try:
-            exchange.read_whole(MAX_DISCARD_BYTES)
-        except AnswerCut:
+            exchange.read_all(MAX_DISCARD_BYTES)
+        except ResponseTruncated:
             self.counts["rejections_cut"] += 1
         finally:
             exchange.close()
@@ -348,7 +354,7 @@
                 "reason": reason,
                 "route": request.route,
                 "rank": request.rank,
-                "left_ms": round(request.left_ms(self._clock)),
+                "left_ms": round(request.time_to_deadline_ms(self._clock)),
                 "running": self.slots.running,
                 "waiting": self.slots.waiting,
                 "limit": self.slots.limit,
@@ -402,7 +408,7 @@
         current = self._local.current
         if exchange is None or current is None or exchange.status != STATUS_OK:
             return False
-        return find(exchange.headers, self._names.upstream_id) == current.id
+        return find_header(exchange.headers, self._names.upstream_id) == current.id
 
     def _is_healthy(self) -> bool:
         """Checks whether the expected upstream answers; updates its cold time."""
@@ -410,7 +416,7 @@
         if exchange is None:
             return False
         current = self._local.current
-        upstream_id = find(exchange.headers, self._names.upstream_id)
+        upstream_id = find_header(exchange.headers, self._names.upstream_id)
         # A rejection without an upstream id still shows that the upstream runs.
         return upstream_id is None or current is None or upstream_id == current.id
 
@@ -424,13 +430,13 @@
                     self._address, "GET", self.health_path, headers, None
                 )
                 self._discard(exchange)
-        except (NotSent, ExchangeBroken, eventlet.Timeout) as error:
+        except (RequestNotSent, ExchangeFailed, eventlet.Timeout) as error:
             logger.info("health check failed", extra={"reason": str(error)})
             return None
         finally:
             if exchange is not None:
                 exchange.close()
-        cold = find(exchange.headers, self._names.cold_left_ms)
+        cold = find_header(exchange.headers, self._names.cold_left_ms)
         if cold is not None and cold.isdigit():
             self.cold_limiter.set_cold(float(cold))
         return exchange
--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -1,4 +1,4 @@
-"""Chooses upstreams for a request and decides whether to try another one."""
+"""Selects an upstream for each attempt and decides whether to retry."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 
 from jayswitch.clock import MS_PER_S
 from jayswitch.proxy import reasons
-from jayswitch.proxy.exceptions import AnswerCut
-from jayswitch.proxy.headers import find
+from jayswitch.proxy.exceptions import ResponseTruncated
+from jayswitch.proxy.headers import find_header
 from jayswitch.proxy.outcome import Answered, NotRun, OutcomeUnknown
 from jayswitch.rollout.trial import RouteAverages
 from jayswitch.routing.sliding_window_budget import SlidingWindowRetryBudget
@@ -28,15 +28,15 @@
     from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
     from jayswitch.routing.balancer import Balancer
 
-# Proxies that may be asked for one request; a refusal there costs a round trip.
-MAX_HOPS = 5
-NO_CANDIDATE_RETRY_MS = 400.0
-# A refusing upstream is avoided for this long while others take work.
+# Upper bound on the nodes tried for one request; each refusal costs a round trip.
+MAX_NODES_TRIED = 5
+NO_AVAILABLE_UPSTREAM_RETRY_MS = 400.0
+# An upstream that refused a request is avoided for this long if others are available.
 REFUSAL_PENALTY_MS = 100.0
-# Answers up to this size are read whole before the caller gets their head.
-HELD_ANSWER_BYTES = 1024 * 1024
-# Kept for the way back, so that the answer reaches the caller in time.
-RETURN_MS = 5.0
+# Responses up to this size are buffered before the status line is sent to the caller.
+MAX_BUFFERED_RESPONSE_BYTES = 1024 * 1024
+# Part of the deadline reserved for returning the response to the caller in time.
+RESPONSE_RESERVE_MS = 5.0
 STATUS_SERVER_ERROR = 500
 
 logger = logging.getLogger(__name__)
@@ -44,41 +44,41 @@
 VersionChooser = Callable[[str, "list[Member]"], "list[Member]"]
 
 
-class BudgetTerms:
-    """The bounds of the retry budget that the fleet shares."""
+class RetryBudgetSettings:
+    """Limits of the retry budget that all proxies of the fleet share."""
 
     __slots__ = ("ratio", "slack", "window_s")
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
-        """Takes repeats per request, repeats on top, and the window in seconds."""
+        """Takes retries per request, additional retries, and the window in seconds."""
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
 
 
-class _Progress:
-    """What has been tried for one request."""
+class _AttemptHistory:
+    """State of the attempts made for one request."""
 
     __slots__ = (
-        "asked",
-        "failed_answer",
-        "last",
+        "tried_nodes",
+        "failed_response",
+        "last_failure",
         "may_have_run",
-        "sent",
+        "attempts_sent",
         "timed_out",
     )
 
     def __init__(self) -> None:
-        self.asked: set[str] = set()
-        self.sent = 0
+        self.tried_nodes: set[str] = set()
+        self.attempts_sent = 0
         self.may_have_run = False
         self.timed_out = False
-        self.last: NotRun | OutcomeUnknown | None = None
-        self.failed_answer: Answered | None = None
+        self.last_failure: NotRun | OutcomeUnknown | None = None
+        self.failed_response: Answered | None = None
 
 
 class AttemptRunner:
-    """Runs requests: local upstream or another proxy, one attempt after another."""
+    """Runs requests in sequential attempts, on the local upstream or another proxy."""
 
     def __init__(
         self,
@@ -87,11 +87,11 @@
         hops: HopClient,
         directory: Directory,
         balancer: Balancer,
-        budget_terms: BudgetTerms,
+        budget_settings: RetryBudgetSettings,
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Takes the gate on this VM, which is asked without a hop."""
+        """Takes the local gate, which serves attempts on this VM without a hop."""
         self.counts: Counter[str] = Counter()
         self.choose_versions: VersionChooser = lambda service, members: members
         self.only_proved: VersionChooser = lambda service, members: members
@@ -103,44 +103,48 @@
         self._hops = hops
         self._directory = directory
         self._balancer = balancer
-        self._budget_terms = budget_terms
-        self._budget_by_service: dict[str, SlidingWindowRetryBudget] = {}
-        self._usual_by_route: dict[str, RouteAverages] = {}
+        self._budget_settings = budget_settings
+        self._retry_budget_by_service: dict[str, SlidingWindowRetryBudget] = {}
+        self._proved_stats_by_route: dict[str, RouteAverages] = {}
         self._clock = clock
         self._random = rng
 
     def run(self, request: ForwardedRequest, route: Route) -> AttemptOutcome:
-        """Runs a request; NotRun is returned only if it has run nowhere."""
+        """Runs a request; returns NotRun only if no upstream has run it."""
         request.service = route.choose_service(self._random)
         request.route = route.name
-        request.usual = self._usual_by_route.get(route.name, RouteAverages())
-        budget = self._budget(request.service)
+        request.proved_stats = self._proved_stats_by_route.get(
+            route.name, RouteAverages()
+        )
+        budget = self._retry_budget(request.service)
         budget.record_request()
-        progress = _Progress()
+        history = _AttemptHistory()
         members = self._members(request.service, self.choose_versions)
-        while len(progress.asked) < MAX_HOPS:
-            if request.left_ms(self._clock) <= RETURN_MS:
-                progress.timed_out = True
+        while len(history.tried_nodes) < MAX_NODES_TRIED:
+            if request.time_to_deadline_ms(self._clock) <= RESPONSE_RESERVE_MS:
+                history.timed_out = True
                 break
-            member = self._balancer.choose(members, progress.asked)
+            member = self._balancer.choose(members, history.tried_nodes)
             if member is None:
                 break
-            if progress.sent and not budget.take(self._directory.size):
+            if history.attempts_sent and not budget.take(self._directory.size):
                 self.counts["budget_spent"] += 1
                 break
-            outcome = self._try(request, member, progress)
+            outcome = self._run_attempt(request, member, history)
             if self.is_on_trial(request.service, member.version):
-                # Whatever a version on trial did not answer goes to the proved one.
+                # Retries after a trial attempt go to the proved version only.
                 members = self._members(request.service, self.only_proved)
             if isinstance(outcome, Answered):
-                if not self._is_worth_repeating(request, route, progress, outcome):
-                    if progress.failed_answer is not None:
-                        progress.failed_answer.close()
+                if not self._should_retry_failed_response(
+                    request, route, history, outcome
+                ):
+                    if history.failed_response is not None:
+                        history.failed_response.close()
                     return outcome
-                self._set_aside(outcome, progress)
-            elif not self._may_go_on(request, route, progress, outcome):
+                self._keep_failed_response(outcome, history)
+            elif not self._may_try_next(request, route, history, outcome):
                 break
-        return self._conclude(progress)
+        return self._final_outcome(history)
 
     def _members(self, service: str, choose: VersionChooser) -> list[Member]:
         members = [
@@ -150,61 +154,63 @@
         ]
         return choose(service, members)
 
-    def _budget(self, service: str) -> SlidingWindowRetryBudget:
-        budget = self._budget_by_service.get(service)
+    def _retry_budget(self, service: str) -> SlidingWindowRetryBudget:
+        budget = self._retry_budget_by_service.get(service)
         if budget is None:
-            terms = self._budget_terms
+            settings = self._budget_settings
             budget = SlidingWindowRetryBudget(
-                terms.ratio, terms.slack, terms.window_s, self._clock
+                settings.ratio, settings.slack, settings.window_s, self._clock
             )
-            self._budget_by_service[service] = budget
+            self._retry_budget_by_service[service] = budget
         return budget
 
-    # One attempt
+    # Single attempt
 
-    def _try(
-        self, request: ForwardedRequest, member: Member, progress: _Progress
+    def _run_attempt(
+        self, request: ForwardedRequest, member: Member, history: _AttemptHistory
     ) -> AttemptOutcome:
         request.version = member.version
-        progress.asked.add(member.node)
+        history.tried_nodes.add(member.node)
         self._balancer.start(member.node)
         started_ms = self._clock.now_ms()
         try:
-            outcome = self._ask(request, member)
-            outcome = self._hold(request, outcome)
+            outcome = self._dispatch(request, member)
+            outcome = self._buffer_response(request, outcome)
         finally:
             self._balancer.finish(member.node)
-        self._learn(member, outcome)
-        self._learn_version(request, member, outcome, started_ms)
+        self._update_routing(member, outcome)
+        self._update_version_stats(request, member, outcome, started_ms)
         request.last_vm = member.node
-        if progress.asked != {member.node} or not _is_plain(outcome):
-            self._log(request, member, outcome, started_ms)
+        if history.tried_nodes != {member.node} or not _is_success(outcome):
+            self._log_attempt(request, member, outcome, started_ms)
         if not isinstance(outcome, NotRun) or outcome.reached_upstream:
-            progress.sent += 1
+            history.attempts_sent += 1
         return outcome
 
-    def _ask(self, request: ForwardedRequest, member: Member) -> AttemptOutcome:
+    def _dispatch(self, request: ForwardedRequest, member: Member) -> AttemptOutcome:
         if member.node == self._vm:
             return self._gate.run(request)
-        wait_ms = request.left_ms(self._clock) - RETURN_MS
+        wait_ms = request.time_to_deadline_ms(self._clock) - RESPONSE_RESERVE_MS
         return self._hops.send(member.data_address, request, wait_ms)
 
-    def _hold(
+    def _buffer_response(
         self, request: ForwardedRequest, outcome: AttemptOutcome
     ) -> AttemptOutcome:
-        """Reads a short answer whole, so that the caller never sees it cut."""
+        """Buffers a short response, so that the caller never receives it truncated."""
         if not isinstance(outcome, Answered):
             return outcome
-        length = find(outcome.headers, "Content-Length")
+        length = find_header(outcome.headers, "Content-Length")
         if length is None or not length.isdigit():
             return outcome
-        if int(length) > HELD_ANSWER_BYTES or request.method == "HEAD":
+        if int(length) > MAX_BUFFERED_RESPONSE_BYTES or request.method == "HEAD":
             return outcome
-        left_ms = max(1.0, request.left_ms(self._clock) - RETURN_MS)
+        left_ms = max(
+            1.0, request.time_to_deadline_ms(self._clock) - RESPONSE_RESERVE_MS
+        )
         timeout = eventlet.Timeout(left_ms / MS_PER_S)
         try:
             body = b"".join(outcome.body)
-        except AnswerCut as error:
+        except ResponseTruncated as error:
             return OutcomeUnknown(error.cause, load=outcome.load)
         except eventlet.Timeout as expired:
             if expired is not timeout:
@@ -216,25 +222,25 @@
         if len(body) != int(length):
             return OutcomeUnknown("the answer ended early", load=outcome.load)
         return Answered(
-            outcome.status, outcome.headers, iter([body]), _nothing, outcome.load
+            outcome.status, outcome.headers, iter([body]), _noop, outcome.load
         )
 
-    def _learn(self, member: Member, outcome: AttemptOutcome) -> None:
+    def _update_routing(self, member: Member, outcome: AttemptOutcome) -> None:
         load = outcome.load
         if load is not None:
             in_flight = load.running + load.waiting
             self._balancer.report(member.node, in_flight, load.limit, load.service_ms)
-        unreached = isinstance(outcome, NotRun) and (
-            outcome.reason == reasons.PROXY_UNREACHED
+        unreachable = isinstance(outcome, NotRun) and (
+            outcome.reason == reasons.PROXY_UNREACHABLE
         )
-        silent = isinstance(outcome, OutcomeUnknown) and load is None
-        if unreached or silent:
+        unresponsive = isinstance(outcome, OutcomeUnknown) and load is None
+        if unreachable or unresponsive:
             self._balancer.suspect(member.node)
             self._directory.report_unreachable(member.node)
         elif not isinstance(outcome, Answered):
             self._balancer.penalize(member.node, REFUSAL_PENALTY_MS)
 
-    def _learn_version(
+    def _update_version_stats(
         self,
         request: ForwardedRequest,
         member: Member,
@@ -254,10 +260,12 @@
         else:
             return
         elapsed_ms = self._clock.now_ms() - started_ms
-        usual = self._usual_by_route.get(request.route, RouteAverages())
-        self._usual_by_route[request.route] = usual.updated(failed, elapsed_ms)
+        proved_stats = self._proved_stats_by_route.get(request.route, RouteAverages())
+        self._proved_stats_by_route[request.route] = proved_stats.updated(
+            failed, elapsed_ms
+        )
 
-    def _log(
+    def _log_attempt(
         self,
         request: ForwardedRequest,
         member: Member,
@@ -280,72 +288,80 @@
             fields["reason"] = outcome.reason
         logger.info("attempt ended", extra=fields)
 
-    # Decisions
+    # Retry decisions
 
-    def _is_worth_repeating(
+    def _should_retry_failed_response(
         self,
         request: ForwardedRequest,
         route: Route,
-        progress: _Progress,
-        answer: Answered,
+        history: _AttemptHistory,
+        response: Answered,
     ) -> bool:
-        failed = answer.status >= STATUS_SERVER_ERROR
-        if not failed or not self._may_repeat(request, route, progress):
+        failed = response.status >= STATUS_SERVER_ERROR
+        if not failed or not self._is_retry_allowed(request, route, history):
             return False
         members = self._members(request.service, self.only_proved)
-        others = [member for member in members if member.node not in progress.asked]
-        in_time = request.left_ms(self._clock) > RETURN_MS
-        return bool(others) and in_time and self._has_budget(request.service)
-
-    def _has_budget(self, service: str) -> bool:
-        return self._budget(service).allows_retry(self._directory.size)
-
-    def _set_aside(self, answer: Answered, progress: _Progress) -> None:
-        """Keeps a failure, which the caller gets if nothing better comes."""
-        if progress.failed_answer is not None:
-            progress.failed_answer.close()
-        progress.failed_answer = answer
-        progress.may_have_run = True
+        others = [
+            member for member in members if member.node not in history.tried_nodes
+        ]
+        in_time = request.time_to_deadline_ms(self._clock) > RESPONSE_RESERVE_MS
+        return bool(others) and in_time and self._has_retry_budget(request.service)
+
+    def _has_retry_budget(self, service: str) -> bool:
+        return self._retry_budget(service).allows_retry(self._directory.size)
+
+    def _keep_failed_response(
+        self, response: Answered, history: _AttemptHistory
+    ) -> None:
+        """Keeps a 5xx response, which is returned if no later attempt succeeds."""
+        if history.failed_response is not None:
+            history.failed_response.close()
+        history.failed_response = response
+        history.may_have_run = True
         self.counts["repeats"] += 1
 
-    def _may_repeat(
-        self, request: ForwardedRequest, route: Route, progress: _Progress
+    def _is_retry_allowed(
+        self, request: ForwardedRequest, route: Route, history: _AttemptHistory
     ) -> bool:
-        if not request.repeatable or not request.can_be_sent_again:
+        if not request.repeatable or not request.is_replayable:
             return False
-        return progress.sent < route.max_attempts
+        return history.attempts_sent < route.max_attempts
 
-    def _may_go_on(
+    def _may_try_next(
         self,
         request: ForwardedRequest,
         route: Route,
-        progress: _Progress,
+        history: _AttemptHistory,
         outcome: NotRun | OutcomeUnknown,
     ) -> bool:
-        progress.last = outcome
+        history.last_failure = outcome
         if isinstance(outcome, OutcomeUnknown):
-            progress.may_have_run = True
-            progress.timed_out = outcome.timed_out
-            return self._may_repeat(request, route, progress)
-        if progress.may_have_run and not request.repeatable:
+            history.may_have_run = True
+            history.timed_out = outcome.timed_out
+            return self._is_retry_allowed(request, route, history)
+        if history.may_have_run and not request.repeatable:
             return False
-        return request.can_be_sent_again and progress.sent < route.max_attempts
-
-    def _conclude(self, progress: _Progress) -> AttemptOutcome:
-        if progress.failed_answer is not None:
-            return progress.failed_answer
-        if progress.may_have_run:
-            reason = progress.last.reason if progress.last else reasons.NO_CANDIDATE
-            return OutcomeUnknown(reason, progress.timed_out)
-        if isinstance(progress.last, NotRun):
-            return progress.last
-        return NotRun(reasons.NO_CANDIDATE, NO_CANDIDATE_RETRY_MS)
+        return request.is_replayable and history.attempts_sent < route.max_attempts
+
+    def _final_outcome(self, history: _AttemptHistory) -> AttemptOutcome:
+        if history.failed_response is not None:
+            return history.failed_response
+        if history.may_have_run:
+            reason = (
+                history.last_failure.reason
+                if history.last_failure
+                else reasons.NO_AVAILABLE_UPSTREAM
+            )
+            return OutcomeUnknown(reason, history.timed_out)
+        if isinstance(history.last_failure, NotRun):
+            return history.last_failure
+        return NotRun(reasons.NO_AVAILABLE_UPSTREAM, NO_AVAILABLE_UPSTREAM_RETRY_MS)
 
 
-def _is_plain(outcome: AttemptOutcome) -> bool:
-    """Tells whether the line on the request says all that there is to say."""
+def _is_success(outcome: AttemptOutcome) -> bool:
+    """Returns whether the log line of the request covers the attempt as well."""
     return isinstance(outcome, Answered) and outcome.status < STATUS_SERVER_ERROR
 
 
-def _nothing() -> None:
+def _noop() -> None:
     return
--- a/src/jayswitch/proxy/hangup.py
+++ b/src/jayswitch/proxy/disconnect.py
@@ -1,4 +1,4 @@
-"""Notices that a caller has closed its connection while its request runs."""
+"""Detects that a caller closes its connection while its request is running."""
 
 from __future__ import annotations
 
@@ -8,35 +8,39 @@
 from eventlet import hubs
 from greenlet import getcurrent, greenlet
 
-from jayswitch.proxy.exceptions import CallerGone
+from jayswitch.proxy.exceptions import CallerDisconnected
 
 
-class HangupWatch:
-    """Raises CallerGone in the serving task when the caller's stream ends.
+class DisconnectWatcher:
+    """Raises CallerDisconnected in the serving green thread on end of stream.
 
-    A WSGI server does not read a connection while the application runs, so the
-    descriptor has no other reader meanwhile.
+    The WSGI server does not read from the connection while the application runs, so
+    that the descriptor has no other reader.
     """
 
-    __slots__ = ("_listener", "_socket", "_task", "gone")
+    __slots__ = ("_listener", "_socket", "_task", "disconnected")
 
     def __init__(self, sock: Any) -> None:
-        """Takes the connection; the current task is the one to interrupt."""
-        self.gone = False
+        """Takes the connection; the current green thread is the one to interrupt."""
+        self.disconnected = False
         self._socket = getattr(sock, "fd", sock)
         self._task: greenlet | None = getcurrent()
         self._listener: Any = None
 
     def start(self) -> None:
-        """Begins to watch."""
+        """Registers a read listener for the connection."""
         hub = hubs.get_hub()
         if self._listener is None:
             self._listener = hub.add(
-                hub.READ, self._socket.fileno(), self._on_ready, self._on_ready, _ignore
+                hub.READ,
+                self._socket.fileno(),
+                self._on_readable,
+                self._on_readable,
+                _ignore,
             )
 
     def stop(self) -> None:
-        """Ends the watch; the server may read the connection again."""
+        """Removes the listener, so that the server may read the connection again."""
         self._task = None
         self._remove()
 
@@ -45,7 +49,7 @@
             listener, self._listener = self._listener, None
             hubs.get_hub().remove(listener)
 
-    def _on_ready(self, *_: Any) -> None:
+    def _on_readable(self, *_: Any) -> None:
         self._remove()
         try:
             data = self._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -55,15 +59,15 @@
         except OSError:
             data = b""
         if data:
-            # The next request is already there; its end cannot be told apart.
+            # A pipelined request hides a later end of stream.
             return
-        self.gone = True
+        self.disconnected = True
         hubs.get_hub().schedule_call_global(0, self._interrupt)
 
     def _interrupt(self) -> None:
         if self._task is not None and not self._task.dead:
             task, self._task = self._task, None
-            task.throw(CallerGone())
+            task.throw(CallerDisconnected())
 
 
 def _ignore(*_: Any) -> None:
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -1,4 +1,4 @@
-"""The hop between two proxies: how a request and its decisions are carried."""
+"""Protocol between two proxies: transfers requests, routing decisions and outcomes."""
 
 from __future__ import annotations
 
@@ -13,16 +13,16 @@
 from jayswitch.http.headers import end_to_end
 from jayswitch.proxy import reasons
 from jayswitch.proxy.exceptions import (
-    AnswerCut,
-    ExchangeBroken,
+    ExchangeFailed,
     MalformedRequest,
-    NotSent,
+    RequestNotSent,
+    ResponseTruncated,
 )
 from jayswitch.proxy.headers import (
     HOP_OUTCOME,
     HOP_REQUEST,
     INTERNAL_PREFIX,
-    find,
+    find_header,
 )
 from jayswitch.proxy.outcome import (
     Answered,
@@ -40,16 +40,18 @@
     from jayswitch.proxy.http_client import Exchange, HttpClient
     from jayswitch.proxy.outcome import AttemptOutcome, Headers
 
-UNREACHED_RETRY_MS = 300.0
-# Connections between proxies are kept for long: their servers never end idle ones.
+UNREACHABLE_RETRY_MS = 300.0
+# Proxies reuse connections to each other after long idle times, as their servers
+# never close idle connections.
 HOP_KEEP_ALIVE = ("Keep-Alive", "timeout=30")
-LONGEST_REASON = 200
+MAX_REASON_LENGTH = 200
 
 
 class HopRequest(msgspec.Struct, omit_defaults=True):
-    """The decisions of a sending proxy, as they travel with a request.
+    """Routing decisions of the sending proxy, sent in a header of the request.
 
-    objective_ms is what is left; known is how far the sender has followed the store.
+    objective_ms is the remaining time; known holds the newest store revisions that
+    the sender has seen; usual holds the proved version's statistics for the route.
     """
 
     service: str
@@ -63,8 +65,8 @@
     repeatable: bool = False
 
 
-class HopKind(Enum):
-    """What became of a request at the proxy beside its upstream."""
+class HopOutcomeKind(Enum):
+    """Result of a request at the proxy that is local to the upstream."""
 
     ANSWERED = "answered"
     NOT_RUN = "not-run"
@@ -73,9 +75,9 @@
 
 
 class HopOutcome(msgspec.Struct, omit_defaults=True):
-    """What a proxy tells a sender beside the upstream's answer."""
+    """Outcome that a proxy reports to the sender along with the response."""
 
-    kind: HopKind
+    kind: HopOutcomeKind
     known: str = ""
     reason: str = ""
     retry_after_ms: float = 0.0
@@ -90,7 +92,7 @@
 def hop_headers(
     request: ForwardedRequest, known: str, names: HeaderNames, clock: Clock
 ) -> Headers:
-    """Returns a request's headers with its decisions, for another proxy."""
+    """Returns the headers for forwarding a request to another proxy."""
     now_ms = clock.now_ms()
     hop = HopRequest(
         service=request.service,
@@ -98,13 +100,13 @@
         route=request.route,
         sender=request.origin_vm,
         known=known,
-        usual=request.usual,
+        usual=request.proved_stats,
         objective_ms=round(request.objective_ms - now_ms),
         rank=request.rank,
         repeatable=request.repeatable,
     )
     headers = list(request.headers)
-    headers.append((HOP_REQUEST, _header_text(hop)))
+    headers.append((HOP_REQUEST, _encode_header(hop)))
     headers.append((names.time_left_ms, str(int(request.deadline_ms - now_ms))))
     headers.append((names.caller_service, request.caller_service))
     if request.body_length is not None:
@@ -113,8 +115,8 @@
 
 
 def read_hop_request(headers: Headers) -> HopRequest:
-    """Returns the decisions in a request's headers; raises MalformedRequest."""
-    text = find(headers, HOP_REQUEST) or ""
+    """Decodes the routing decisions; raises MalformedRequest if they are invalid."""
+    text = find_header(headers, HOP_REQUEST) or ""
     try:
         return _request_decoder.decode(text.encode("latin-1"))
     except msgspec.MsgspecError as error:
@@ -129,40 +131,42 @@
     names: HeaderNames,
     clock: Clock,
 ) -> ForwardedRequest:
-    """Returns the request that another proxy has sent, without its body."""
+    """Builds the request that another proxy has sent, without its body."""
     now_ms = clock.now_ms()
-    kept = _without_hop_headers(headers, names)
-    request_id = find(headers, names.request_id) or ""
-    request = ForwardedRequest(request_id, method, target, kept, b"", None)
+    forwarded_headers = _without_hop_headers(headers, names)
+    request_id = find_header(headers, names.request_id) or ""
+    request = ForwardedRequest(request_id, method, target, forwarded_headers, b"", None)
     request.service = hop.service
     request.version = hop.version
     request.repeatable = hop.repeatable
     request.rank = hop.rank
     request.route = hop.route
-    request.usual = hop.usual
+    request.proved_stats = hop.usual
     request.origin_vm = hop.sender
     request.objective_ms = now_ms + hop.objective_ms
-    request.deadline_ms = now_ms + _number(headers, names.time_left_ms)
-    request.caller_service = find(headers, names.caller_service) or ""
+    request.deadline_ms = now_ms + _parse_int_header(headers, names.time_left_ms)
+    request.caller_service = find_header(headers, names.caller_service) or ""
     return request
 
 
 def outcome_headers(outcome: AttemptOutcome, known: str) -> Headers:
-    """Returns what a proxy tells the sender beside the upstream's answer."""
-    told = HopOutcome(HopKind.ANSWERED, known, load=outcome.load)
+    """Returns the headers that report an outcome to the sending proxy."""
+    hop_outcome = HopOutcome(HopOutcomeKind.ANSWERED, known, load=outcome.load)
     if isinstance(outcome, NotRun):
-        told.kind = HopKind.NOT_RUN
-        told.reason = outcome.reason[:LONGEST_REASON]
-        told.retry_after_ms = outcome.retry_after_ms
-        told.reached_upstream = outcome.reached_upstream
+        hop_outcome.kind = HopOutcomeKind.NOT_RUN
+        hop_outcome.reason = outcome.reason[:MAX_REASON_LENGTH]
+        hop_outcome.retry_after_ms = outcome.retry_after_ms
+        hop_outcome.reached_upstream = outcome.reached_upstream
     elif isinstance(outcome, OutcomeUnknown):
-        told.kind = HopKind.TIMED_OUT if outcome.timed_out else HopKind.UNKNOWN
-        told.reason = outcome.reason[:LONGEST_REASON]
-    return [(HOP_OUTCOME, _header_text(told)), HOP_KEEP_ALIVE]
+        hop_outcome.kind = (
+            HopOutcomeKind.TIMED_OUT if outcome.timed_out else HopOutcomeKind.UNKNOWN
+        )
+        hop_outcome.reason = outcome.reason[:MAX_REASON_LENGTH]
+    return [(HOP_OUTCOME, _encode_header(hop_outcome)), HOP_KEEP_ALIVE]
 
 
 class HopClient:
-    """Sends requests to the proxies beside other upstreams."""
+    """Sends requests to the proxies of other VMs."""
 
     def __init__(
         self,
@@ -171,7 +175,7 @@
         names: HeaderNames,
         clock: Clock,
     ) -> None:
-        """Takes the client that keeps the connections."""
+        """Takes the HTTP client that pools the connections to other proxies."""
         self._client = client
         self._knowledge = knowledge
         self._names = names
@@ -180,7 +184,7 @@
     def send(
         self, address: str, request: ForwardedRequest, wait_ms: float
     ) -> AttemptOutcome:
-        """Sends a request to a proxy and waits for what became of it."""
+        """Sends a request to a proxy and waits for its outcome."""
         timeout = eventlet.Timeout(max(1.0, wait_ms) / MS_PER_S)
         exchange = None
         try:
@@ -193,10 +197,10 @@
                 ),
                 request.body or None,
             )
-            return self._outcome(address, request, exchange)
-        except NotSent:
-            return NotRun(reasons.PROXY_UNREACHED, UNREACHED_RETRY_MS)
-        except (ExchangeBroken, AnswerCut) as error:
+            return self._read_outcome(address, request, exchange)
+        except RequestNotSent:
+            return NotRun(reasons.PROXY_UNREACHABLE, UNREACHABLE_RETRY_MS)
+        except (ExchangeFailed, ResponseTruncated) as error:
             return OutcomeUnknown(error.cause)
         except eventlet.Timeout as expired:
             if exchange is not None:
@@ -207,33 +211,40 @@
         finally:
             timeout.cancel()
 
-    def _outcome(
+    def _read_outcome(
         self, address: str, request: ForwardedRequest, exchange: Exchange
     ) -> AttemptOutcome:
         try:
-            text = find(exchange.headers, HOP_OUTCOME) or ""
-            told = _outcome_decoder.decode(text.encode("latin-1"))
+            text = find_header(exchange.headers, HOP_OUTCOME) or ""
+            hop_outcome = _outcome_decoder.decode(text.encode("latin-1"))
         except msgspec.MsgspecError:
             exchange.close()
             return OutcomeUnknown(f"the proxy answered {exchange.status} by itself")
-        self._knowledge.compare(told.known, address)
-        if told.kind is HopKind.ANSWERED:
-            return self._answer(request, exchange, told.load)
+        self._knowledge.compare(hop_outcome.known, address)
+        if hop_outcome.kind is HopOutcomeKind.ANSWERED:
+            return self._accept_response(request, exchange, hop_outcome.load)
         try:
             for _ in exchange.read():
                 continue
         finally:
             exchange.close()
-        if told.kind is HopKind.NOT_RUN:
+        if hop_outcome.kind is HopOutcomeKind.NOT_RUN:
             return NotRun(
-                told.reason, told.retry_after_ms, told.reached_upstream, told.load
+                hop_outcome.reason,
+                hop_outcome.retry_after_ms,
+                hop_outcome.reached_upstream,
+                hop_outcome.load,
             )
-        return OutcomeUnknown(told.reason, told.kind is HopKind.TIMED_OUT, told.load)
+        return OutcomeUnknown(
+            hop_outcome.reason,
+            hop_outcome.kind is HopOutcomeKind.TIMED_OUT,
+            hop_outcome.load,
+        )
 
-    def _answer(
+    def _accept_response(
         self, request: ForwardedRequest, exchange: Exchange, load: LoadReport | None
     ) -> AttemptOutcome:
-        echoed = find(exchange.headers, self._names.request_id)
+        echoed = find_header(exchange.headers, self._names.request_id)
         if echoed != request.request_id:
             exchange.close()
             return OutcomeUnknown("the answer is another request's", load=load)
@@ -241,9 +252,9 @@
         return Answered(exchange.status, exchange.headers, exchange.read(), close, load)
 
 
-def _header_text(told: HopRequest | HopOutcome) -> str:
-    """Returns JSON, in which no character can end the header."""
-    return msgspec.json.encode(told).decode("latin-1")
+def _encode_header(message: HopRequest | HopOutcome) -> str:
+    """Returns the message as JSON, in which CR and LF are escaped."""
+    return msgspec.json.encode(message).decode("latin-1")
 
 
 def _without_hop_headers(headers: Headers, names: HeaderNames) -> Headers:
@@ -257,6 +268,6 @@
     ]
 
 
-def _number(headers: Headers, name: str) -> int:
-    text = find(headers, name) or "0"
+def _parse_int_header(headers: Headers, name: str) -> int:
+    text = find_header(headers, name) or "0"
     return int(text) if text.lstrip("-").isdigit() else 0
--- a/src/jayswitch/proxy/http_client.py
+++ b/src/jayswitch/proxy/http_client.py
@@ -1,4 +1,4 @@
-"""Keeps connections open and sends each request at most once."""
+"""HTTP client with persistent connections that sends each request at most once."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
 from urllib3.connection import HTTPConnection
 
 from jayswitch.clock import MS_PER_S
-from jayswitch.proxy.answer_parser import AnswerParser
-from jayswitch.proxy.exceptions import AnswerCut, ExchangeBroken, NotSent
-from jayswitch.proxy.headers import find
+from jayswitch.proxy.exceptions import ExchangeFailed, RequestNotSent, ResponseTruncated
+from jayswitch.proxy.headers import find_header
+from jayswitch.proxy.response_parser import ResponseParser
 from jayswitch.proxy.sockets import ResetAwareSocket, socket_options
 
 if TYPE_CHECKING:
@@ -21,25 +21,28 @@
     from jayswitch.proxy.outcome import Headers
 
 READ_BYTES = 64 * 1024
-# Kept back from the idle time that a server states, for clocks and travel.
+# Subtracted from the idle timeout that a server announces, to allow for clock
+# differences and network latency.
 IDLE_MARGIN_MS = 700.0
-# A connection whose server states no idle time is reused only this long.
-UNSTATED_IDLE_MS = 2500.0
-# A request with one of these methods and no body states no length either.
+# Idle timeout of connections whose server announces none.
+DEFAULT_IDLE_MS = 2500.0
+# Requests with these methods carry no Content-Length if they have no body.
 _METHODS_WITHOUT_BODY = frozenset(
     ("GET", "HEAD", "DELETE", "TRACE", "OPTIONS", "CONNECT")
 )
 
 
 class _Connection(HTTPConnection):
-    """An established connection; requests are written to its socket directly."""
+    """Establishes the connection; requests are written directly to its socket."""
 
     def _new_conn(self) -> Any:
-        plain: Any = super()._new_conn()
-        return ResetAwareSocket.from_green(plain)
+        green_socket: Any = super()._new_conn()
+        return ResetAwareSocket.from_green(green_socket)
 
 
-class _Idle:
+class _IdleConnection:
+    """A connection that may be reused until it expires."""
+
     __slots__ = ("connection", "until_ms")
 
     def __init__(self, connection: _Connection, until_ms: float) -> None:
@@ -48,7 +51,7 @@
 
 
 class Exchange:
-    """A request that has been sent and its answer."""
+    """A request that has been sent, and its response."""
 
     __slots__ = ("_client", "_connection", "_finished", "_parser", "address")
 
@@ -57,9 +60,9 @@
         client: HttpClient,
         address: str,
         connection: _Connection,
-        parser: AnswerParser,
+        parser: ResponseParser,
     ) -> None:
-        """Takes the answer whose head has been read."""
+        """Takes a parser that has read the head of the response."""
         self.address = address
         self._client = client
         self._connection = connection
@@ -68,63 +71,63 @@
 
     @property
     def status(self) -> int:
-        """Returns the status of the answer."""
+        """Returns the status code of the response."""
         return self._parser.status
 
     @property
     def headers(self) -> Headers:
-        """Returns the headers of the answer."""
+        """Returns the headers of the response."""
         return self._parser.headers
 
     def read(self) -> Iterator[bytes]:
-        """Yields the body as it arrives; raises AnswerCut if it ends early."""
+        """Yields the body as it arrives; raises ResponseTruncated if cut short."""
         parser = self._parser
         while True:
-            yield from parser.take_body()
+            yield from parser.take_body_parts()
             if parser.is_complete:
                 break
             try:
                 _receive(self._connection, parser)
             except OSError as error:
-                raise AnswerCut(str(error)) from error
-        self._finish()
+                raise ResponseTruncated(str(error)) from error
+        self._release_connection()
 
-    def read_whole(self, longest: int) -> bytes:
-        """Returns the body; raises AnswerCut if it ends early or is too long."""
+    def read_all(self, max_bytes: int) -> bytes:
+        """Returns the body; raises ResponseTruncated if it is cut short or too long."""
         parts = []
         size = 0
         for part in self.read():
             size += len(part)
-            if size > longest:
-                raise AnswerCut(f"the body is longer than {longest} bytes")
+            if size > max_bytes:
+                raise ResponseTruncated(f"the body is longer than {max_bytes} bytes")
             parts.append(part)
         return b"".join(parts)
 
     def close(self) -> None:
-        """Abandons the exchange unless the whole body has been read."""
+        """Closes the connection unless the whole body has been read."""
         if not self._finished:
             self._finished = True
             self._connection.close()
 
-    def _finish(self) -> None:
+    def _release_connection(self) -> None:
         if self._finished:
             return
         self._finished = True
         if self._parser.allows_reuse:
-            self._client.keep(self.address, self._connection, self.headers)
+            self._client.return_connection(self.address, self._connection, self.headers)
         else:
             self._connection.close()
 
 
 class HttpClient:
-    """Sends requests to addresses, each over a connection of its own."""
+    """Sends requests; each one has a connection exclusively while it runs."""
 
     def __init__(self, clock: Clock, connect_timeout_ms: float) -> None:
-        """Takes how long a connection may take to be established."""
-        self.opened = 0
+        """Takes the timeout for establishing a connection."""
+        self.connections_opened = 0
         self._clock = clock
         self._connect_timeout_ms = connect_timeout_ms
-        self._idle_by_address: dict[str, deque[_Idle]] = {}
+        self._idle_by_address: dict[str, deque[_IdleConnection]] = {}
 
     def send(
         self,
@@ -134,34 +137,36 @@
         headers: Headers,
         body: bytes | Iterator[bytes] | None,
     ) -> Exchange:
-        """Sends a request and waits for the head of its answer.
+        """Sends a request and waits for the head of its response.
 
-        The target is sent byte for byte. Raises NotSent where nothing was sent and
-        ExchangeBroken where the request may have arrived. Time limits are the
-        caller's; an abandoned call closes its connection.
+        The target is sent unchanged. Raises RequestNotSent if nothing was sent and
+        ExchangeFailed if the request may have arrived. Timeouts are set by the
+        calling code; an exception raised by one closes the connection.
         """
-        connection = self._take(address) or self._connect(address)
-        parser = AnswerParser(method != "HEAD")
+        connection = self._take_idle_connection(address) or self._connect(address)
+        parser = ResponseParser(method != "HEAD")
         try:
             _write_request(connection.sock, method, target, headers, body)
             while not parser.is_head_complete:
                 _receive(connection, parser)
-        except (OSError, AnswerCut) as error:
+        except (OSError, ResponseTruncated) as error:
             connection.close()
-            raise ExchangeBroken(address, str(error) or repr(error)) from error
+            raise ExchangeFailed(address, str(error) or repr(error)) from error
         except BaseException:
             connection.close()
             raise
         return Exchange(self, address, connection, parser)
 
-    def keep(self, address: str, connection: _Connection, headers: Headers) -> None:
-        """Keeps a connection for another request, as long as its server does."""
-        idle_ms = _stated_idle_ms(headers)
+    def return_connection(
+        self, address: str, connection: _Connection, headers: Headers
+    ) -> None:
+        """Keeps a connection for reuse until its idle timeout has passed."""
+        idle_ms = _keep_alive_ms(headers)
         if idle_ms <= 0:
             connection.close()
             return
         idle = self._idle_by_address.setdefault(address, deque())
-        idle.append(_Idle(connection, self._clock.now_ms() + idle_ms))
+        idle.append(_IdleConnection(connection, self._clock.now_ms() + idle_ms))
 
     def forget(self, address: str) -> None:
         """Closes the idle connections to an address."""
@@ -169,7 +174,7 @@
             idle.connection.close()
 
     def close_expired(self) -> None:
-        """Closes connections that have been idle for too long."""
+        """Closes the connections whose idle timeout has passed."""
         now_ms = self._clock.now_ms()
         for address, idle in list(self._idle_by_address.items()):
             while idle and idle[0].until_ms <= now_ms:
@@ -177,12 +182,12 @@
             if not idle:
                 del self._idle_by_address[address]
 
-    def _take(self, address: str) -> _Connection | None:
+    def _take_idle_connection(self, address: str) -> _Connection | None:
         idle = self._idle_by_address.get(address)
         now_ms = self._clock.now_ms()
         while idle:
             newest = idle.pop()
-            if newest.until_ms > now_ms and _is_quiet(newest.connection):
+            if newest.until_ms > now_ms and _is_usable(newest.connection):
                 return newest.connection
             newest.connection.close()
         return None
@@ -199,22 +204,22 @@
             connection.connect()
         except (urllib3.exceptions.HTTPError, OSError) as error:
             connection.close()
-            raise NotSent(address, str(error)) from error
+            raise RequestNotSent(address, str(error)) from error
         except BaseException:
             connection.close()
             raise
         connection.sock.settimeout(None)
-        self.opened += 1
+        self.connections_opened += 1
         return connection
 
 
-def _receive(connection: _Connection, parser: AnswerParser) -> None:
+def _receive(connection: _Connection, parser: ResponseParser) -> None:
     sock: Any = connection.sock
     data = sock.recv(READ_BYTES)
     if data:
         parser.feed(data)
     else:
-        parser.feed_end()
+        parser.feed_eof()
 
 
 def _write_request(
@@ -226,12 +231,12 @@
 ) -> None:
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers]
-    has_length = find(headers, "Content-Length") is not None
+    has_length = find_header(headers, "Content-Length") is not None
     if body is None or isinstance(body, bytes):
-        whole = body or b""
-        if not has_length and (whole or method not in _METHODS_WITHOUT_BODY):
-            lines.append(f"Content-Length: {len(whole)}")
-        sock.sendall(_join_head(lines) + whole)
+        payload = body or b""
+        if not has_length and (payload or method not in _METHODS_WITHOUT_BODY):
+            lines.append(f"Content-Length: {len(payload)}")
+        sock.sendall(_join_head(lines) + payload)
         return
     if not has_length:
         lines.append("Transfer-Encoding: chunked")
@@ -248,26 +253,26 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
 
-def _is_quiet(connection: _Connection) -> bool:
-    """Tells whether an idle connection is open and has received nothing."""
+def _is_usable(connection: _Connection) -> bool:
+    """Returns whether an idle connection is open and has no data to read."""
     sock = connection.sock
     if sock is None:
         return False
-    real = getattr(sock, "fd", sock)
+    raw_socket = getattr(sock, "fd", sock)
     try:
-        real.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        raw_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
         return True
     except OSError:
         return False
-    # Either the end of the stream or bytes that belong to no request.
+    # Readable means end of stream or data that belongs to no request.
     return False
 
 
-def _stated_idle_ms(headers: Headers) -> float:
-    stated = find(headers, "Keep-Alive") or ""
-    for parameter in stated.split(","):
+def _keep_alive_ms(headers: Headers) -> float:
+    keep_alive = find_header(headers, "Keep-Alive") or ""
+    for parameter in keep_alive.split(","):
         name, _, value = parameter.strip().partition("=")
         if name.lower() == "timeout" and value.isdigit():
             return int(value) * MS_PER_S - IDLE_MARGIN_MS
-    return UNSTATED_IDLE_MS
+    return DEFAULT_IDLE_MS
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -1,4 +1,4 @@
-"""Takes requests of other proxies for the upstream on this VM."""
+"""Serves requests that other proxies forward to the upstream on this VM."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
 from jayswitch.feed.messages import FEED_REQUEST, FEED_TARGET, FeedRequest
 from jayswitch.http.reasons import status_line
 from jayswitch.proxy import reasons
-from jayswitch.proxy.exceptions import CallerGone, MalformedRequest
-from jayswitch.proxy.hangup import HangupWatch
-from jayswitch.proxy.headers import find
+from jayswitch.proxy.disconnect import DisconnectWatcher
+from jayswitch.proxy.exceptions import CallerDisconnected, MalformedRequest
+from jayswitch.proxy.headers import find_header
 from jayswitch.proxy.hop import (
     HOP_KEEP_ALIVE,
     outcome_headers,
@@ -23,11 +23,11 @@
 from jayswitch.proxy.outcome import Answered, NotRun
 from jayswitch.proxy.protocol import CONNECTION_VARIABLE, TARGET_VARIABLE
 from jayswitch.proxy.wsgi_request import (
-    answer_headers,
     close_connection,
     raw_headers,
     read_body,
-    send_answer,
+    response_headers,
+    send_response,
 )
 
 if TYPE_CHECKING:
@@ -39,11 +39,11 @@
     from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
     from jayswitch.proxy.wsgi_request import StartResponse
 
-# The sending proxy has checked the caller's limits already.
+# The sending proxy has already enforced the configured body limit.
 MAX_BODY_BYTES = 1 << 40
 STOPPING_RETRY_MS = 200.0
 STATUS_OK = 200
-STATUS_CALLER_GONE = 499
+STATUS_CALLER_DISCONNECTED = 499
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_ANSWERED = 503
 
@@ -53,7 +53,7 @@
 
 
 class InboundApplication:
-    """Passes requests to the gate; every answer says what became of the request."""
+    """Passes requests to the gate; every response carries the request's outcome."""
 
     def __init__(
         self,
@@ -63,11 +63,11 @@
         names: HeaderNames,
         clock: Clock,
     ) -> None:
-        """Takes the gate in front of the upstream."""
+        """Takes the gate that admits requests to the local upstream."""
         self.draining = False
         self.refusing = False
-        # Requests that may last longer than this are refused.
-        self.ends_ms = float("inf")
+        # Requests with a later deadline are refused.
+        self.latest_deadline_ms = float("inf")
         self.in_flight = 0
         self._gate = gate
         self._feeds = feeds
@@ -78,48 +78,54 @@
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Serves one request of another proxy."""
+        """Serves one request from another proxy."""
         if environ[TARGET_VARIABLE] == FEED_TARGET:
-            wanted = find(raw_headers(environ), FEED_REQUEST)
-            if wanted is not None:
-                return self._feed(wanted, environ, start_response)
+            feed_header = find_header(raw_headers(environ), FEED_REQUEST)
+            if feed_header is not None:
+                return self._serve_feed(feed_header, environ, start_response)
         if self.draining:
             close_connection(environ)
         self.in_flight += 1
-        watch = HangupWatch(environ[CONNECTION_VARIABLE].connection)
+        watcher = DisconnectWatcher(environ[CONNECTION_VARIABLE].connection)
         try:
-            request = self._read(environ)
-            if self.refusing or request.deadline_ms > self.ends_ms:
-                return self._tell(
-                    NotRun(reasons.STOPPING, STOPPING_RETRY_MS), start_response, watch
+            request = self._parse_request(environ)
+            if self.refusing or request.deadline_ms > self.latest_deadline_ms:
+                return self._send_outcome(
+                    NotRun(reasons.STOPPING, STOPPING_RETRY_MS), start_response, watcher
                 )
-            if request.can_be_sent_again:
-                watch.start()
+            if request.is_replayable:
+                watcher.start()
             outcome = self._gate.run(request)
-        except CallerGone:
-            return self._end(environ, start_response, STATUS_CALLER_GONE, watch)
+        except CallerDisconnected:
+            return self._send_status_and_close(
+                environ, start_response, STATUS_CALLER_DISCONNECTED, watcher
+            )
         except MalformedRequest:
-            return self._end(environ, start_response, STATUS_BAD_REQUEST, watch)
+            return self._send_status_and_close(
+                environ, start_response, STATUS_BAD_REQUEST, watcher
+            )
         except BaseException:
-            self._finish(watch)
+            self._end_request(watcher)
             raise
         if isinstance(outcome, Answered):
-            return self._answer(outcome, environ, start_response, watch)
-        return self._tell(outcome, start_response, watch)
+            return self._send_response(outcome, environ, start_response, watcher)
+        return self._send_outcome(outcome, start_response, watcher)
 
-    def _feed(
-        self, wanted: str, environ: dict[str, Any], start_response: StartResponse
+    def _serve_feed(
+        self, feed_header: str, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Serves a feed; the stop of this process does not wait for it."""
+        """Serves a feed request, which is not counted as in flight during shutdown."""
         body = b""
         status = STATUS_NOT_ANSWERED
         if self.draining:
             close_connection(environ)
         else:
             try:
-                request = _feed_decoder.decode(wanted.encode("latin-1"))
+                request = _feed_decoder.decode(feed_header.encode("latin-1"))
             except msgspec.MsgspecError as error:
-                logger.warning("feed request unreadable", extra={"reason": str(error)})
+                logger.warning(
+                    "cannot decode feed request", extra={"reason": str(error)}
+                )
                 status = STATUS_BAD_REQUEST
             else:
                 answer = self._feeds.answer(request)
@@ -129,11 +135,11 @@
         start_response(status_line(status), headers)
         return [body]
 
-    def _finish(self, watch: HangupWatch) -> None:
-        watch.stop()
+    def _end_request(self, watcher: DisconnectWatcher) -> None:
+        watcher.stop()
         self.in_flight -= 1
 
-    def _read(self, environ: dict[str, Any]) -> ForwardedRequest:
+    def _parse_request(self, environ: dict[str, Any]) -> ForwardedRequest:
         headers = raw_headers(environ)
         hop = read_hop_request(headers)
         self._knowledge.compare_with_vm(hop.known, hop.sender)
@@ -148,29 +154,29 @@
         request.body, request.body_length = read_body(environ, MAX_BODY_BYTES)
         return request
 
-    def _answer(
+    def _send_response(
         self,
         outcome: Answered,
         environ: dict[str, Any],
         start_response: StartResponse,
-        watch: HangupWatch,
+        watcher: DisconnectWatcher,
     ) -> Iterator[bytes]:
-        headers = answer_headers(outcome.headers)
+        headers = response_headers(outcome.headers)
         headers += outcome_headers(outcome, self._knowledge.header_value())
-        body = send_answer(outcome, environ, headers, start_response)
+        body = send_response(outcome, environ, headers, start_response)
         try:
             yield from body
         finally:
             outcome.close()
-            self._finish(watch)
+            self._end_request(watcher)
 
-    def _tell(
+    def _send_outcome(
         self,
         outcome: AttemptOutcome,
         start_response: StartResponse,
-        watch: HangupWatch,
+        watcher: DisconnectWatcher,
     ) -> Iterable[bytes]:
-        self._finish(watch)
+        self._end_request(watcher)
         headers = [
             *outcome_headers(outcome, self._knowledge.header_value()),
             ("Content-Length", "0"),
@@ -178,14 +184,14 @@
         start_response(status_line(STATUS_NOT_ANSWERED), headers)
         return [b""]
 
-    def _end(
+    def _send_status_and_close(
         self,
         environ: dict[str, Any],
         start_response: StartResponse,
         status: int,
-        watch: HangupWatch,
+        watcher: DisconnectWatcher,
     ) -> Iterable[bytes]:
-        self._finish(watch)
+        self._end_request(watcher)
         close_connection(environ)
         start_response(status_line(status), [("Content-Length", "0")])
         return [b""]
--- a/src/jayswitch/proxy/outbound.py
+++ b/src/jayswitch/proxy/outbound.py
@@ -1,4 +1,4 @@
-"""Takes requests of callers on this VM and answers each with what is known."""
+"""Serves the requests of callers on this VM."""
 
 from __future__ import annotations
 
@@ -13,17 +13,21 @@
 from jayswitch.exceptions import JayswitchError
 from jayswitch.http.reasons import status_line
 from jayswitch.proxy import reasons
-from jayswitch.proxy.exceptions import AnswerCut, CallerGone, MalformedRequest
-from jayswitch.proxy.hangup import HangupWatch
-from jayswitch.proxy.headers import find, forwardable
+from jayswitch.proxy.disconnect import DisconnectWatcher
+from jayswitch.proxy.exceptions import (
+    CallerDisconnected,
+    MalformedRequest,
+    ResponseTruncated,
+)
+from jayswitch.proxy.headers import find_header, forwardable_headers
 from jayswitch.proxy.outcome import Answered, ForwardedRequest, NotRun, OutcomeUnknown
 from jayswitch.proxy.protocol import CONNECTION_VARIABLE, TARGET_VARIABLE
 from jayswitch.proxy.wsgi_request import (
-    answer_headers,
     close_connection,
     raw_headers,
     read_body,
-    send_answer,
+    response_headers,
+    send_response,
 )
 
 if TYPE_CHECKING:
@@ -36,18 +40,18 @@
 
 STATUS_NOT_FOUND = 404
 STATUS_HEADERS_TOO_LARGE = 431
-STATUS_CALLER_GONE = 499
+STATUS_CALLER_DISCONNECTED = 499
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_TIMEOUT = 504
-STARTING_RETRY_MS = 500.0
+UNAVAILABLE_RETRY_MS = 500.0
 REQUEST_VARIABLE = "jayswitch.request"
 
 logger = logging.getLogger(__name__)
 
 
-class CallerOutcome(msgspec.Struct):
-    """What is told to a caller in place of an upstream's answer."""
+class ErrorResponse(msgspec.Struct):
+    """Response to a caller if no upstream response is available."""
 
     status: int
     reason: str
@@ -55,7 +59,7 @@
 
 
 class OutboundApplication:
-    """Routes the requests of callers; one task serves each connection."""
+    """Routes the requests of callers; each connection is served by one green thread."""
 
     def __init__(
         self,
@@ -65,143 +69,147 @@
         names: HeaderNames,
         clock: Clock,
     ) -> None:
-        """Takes the service on whose behalf callers on this VM send requests."""
+        """Takes the service that the callers on this VM belong to."""
         self.catalog: Catalog | None = None
         self.draining = False
         self.refusing = False
-        # Requests that may last longer than this are refused.
-        self.ends_ms = float("inf")
+        # Requests with a later deadline are refused.
+        self.latest_deadline_ms = float("inf")
         self.in_flight = 0
         self.counts: Counter[str] = Counter()
-        self.on_answer: Callable[[int, float], None] = lambda status, elapsed_ms: None
+        self.on_response: Callable[[int, float], None] = lambda status, elapsed_ms: None
         self.last_request_ms = float("-inf")
         self._vm = vm
         self._caller_service = caller_service
         self._runner = runner
         self._names = names
-        self._dropped = names.set_by_proxies()
+        self._removed_headers = names.set_by_proxies()
         self._clock = clock
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Serves one request of a caller."""
+        """Serves one request from a caller."""
         self.in_flight += 1
         started_ms = self.last_request_ms = self._clock.now_ms()
         if self.draining:
             close_connection(environ)
-        watch = HangupWatch(environ[CONNECTION_VARIABLE].connection)
+        watcher = DisconnectWatcher(environ[CONNECTION_VARIABLE].connection)
         try:
-            outcome = self._serve(environ, watch, started_ms)
+            outcome = self._serve(environ, watcher, started_ms)
         except MalformedRequest as error:
             close_connection(environ)
-            outcome = CallerOutcome(error.status, error.cause)
-        except CallerGone:
+            outcome = ErrorResponse(error.status, error.cause)
+        except CallerDisconnected:
             close_connection(environ)
-            outcome = CallerOutcome(STATUS_CALLER_GONE, "the caller has left")
+            outcome = ErrorResponse(
+                STATUS_CALLER_DISCONNECTED, "the caller closed the connection"
+            )
         except BaseException:
-            self._finish(watch)
+            self._end_request(watcher)
             raise
-        self._log(environ, outcome, started_ms)
+        self._log_request(environ, outcome, started_ms)
         if isinstance(outcome, Answered):
-            return self._answer(outcome, environ, start_response, watch)
-        self._finish(watch)
-        return self._tell(outcome, start_response)
+            return self._send_response(outcome, environ, start_response, watcher)
+        self._end_request(watcher)
+        return self._send_error(outcome, start_response)
 
-    def _finish(self, watch: HangupWatch) -> None:
-        watch.stop()
+    def _end_request(self, watcher: DisconnectWatcher) -> None:
+        watcher.stop()
         self.in_flight -= 1
 
     def _serve(
-        self, environ: dict[str, Any], watch: HangupWatch, started_ms: float
-    ) -> Answered | CallerOutcome:
+        self, environ: dict[str, Any], watcher: DisconnectWatcher, started_ms: float
+    ) -> Answered | ErrorResponse:
         catalog = self.catalog
         if catalog is None or self.refusing:
             close_connection(environ)
             reason = reasons.STOPPING if self.refusing else reasons.STARTING
-            return CallerOutcome(STATUS_UNAVAILABLE, reason, STARTING_RETRY_MS)
+            return ErrorResponse(STATUS_UNAVAILABLE, reason, UNAVAILABLE_RETRY_MS)
         headers = raw_headers(environ)
-        self._check_size(headers, catalog)
+        self._check_header_size(headers, catalog)
         target = environ[TARGET_VARIABLE]
-        host = find(headers, "Host") or ""
+        host = find_header(headers, "Host") or ""
         route = catalog.route_for(_host_name(host), target.partition("?")[0])
         if route is None:
-            return CallerOutcome(STATUS_NOT_FOUND, f"no route of {host} matches")
+            return ErrorResponse(STATUS_NOT_FOUND, f"no route of {host} matches")
         body, length = read_body(environ, catalog.limits.body_bytes)
         request = ForwardedRequest(
-            find(headers, self._names.request_id) or "",
+            find_header(headers, self._names.request_id) or "",
             environ["REQUEST_METHOD"],
             target,
-            forwardable(headers, self._dropped),
+            forwardable_headers(headers, self._removed_headers),
             body,
             length,
         )
-        left = find(headers, self._names.time_left_ms) or ""
+        time_left = find_header(headers, self._names.time_left_ms) or ""
         timeout_ms = route.timeout_ms
-        if left.isdigit():
-            timeout_ms = min(timeout_ms, float(left))
+        if time_left.isdigit():
+            timeout_ms = min(timeout_ms, float(time_left))
         request.deadline_ms = started_ms + timeout_ms
         request.objective_ms = started_ms + route.objective_ms
         request.repeatable = route.kind.repeatable
         request.rank = route.rank
         request.caller_service = self._caller_service
         request.origin_vm = self._vm
-        if request.deadline_ms > self.ends_ms:
+        if request.deadline_ms > self.latest_deadline_ms:
             close_connection(environ)
-            return CallerOutcome(
-                STATUS_UNAVAILABLE, reasons.STOPPING, STARTING_RETRY_MS
+            return ErrorResponse(
+                STATUS_UNAVAILABLE, reasons.STOPPING, UNAVAILABLE_RETRY_MS
             )
-        if request.can_be_sent_again:
-            watch.start()
-        outcome = self._judge(self._runner.run(request, route))
+        if request.is_replayable:
+            watcher.start()
+        outcome = self._to_caller_response(self._runner.run(request, route))
         environ[REQUEST_VARIABLE] = request
         return outcome
 
-    def _check_size(self, headers: list[tuple[str, str]], catalog: Catalog) -> None:
+    def _check_header_size(
+        self, headers: list[tuple[str, str]], catalog: Catalog
+    ) -> None:
         size = sum(len(name) + len(value) + 4 for name, value in headers)
         if size > catalog.limits.header_bytes:
             raise MalformedRequest(
                 "the headers are too large", STATUS_HEADERS_TOO_LARGE
             )
 
-    def _judge(self, outcome: AttemptOutcome) -> Answered | CallerOutcome:
-        """Returns what the caller is told; 503 only if the request has not run."""
+    def _to_caller_response(self, outcome: AttemptOutcome) -> Answered | ErrorResponse:
+        """Maps an outcome to a response; 503 only if the request has not run."""
         if isinstance(outcome, Answered):
             return outcome
         if isinstance(outcome, NotRun):
-            return CallerOutcome(
+            return ErrorResponse(
                 STATUS_UNAVAILABLE, outcome.reason, outcome.retry_after_ms
             )
         assert isinstance(outcome, OutcomeUnknown)
         status = STATUS_TIMEOUT if outcome.timed_out else STATUS_BAD_GATEWAY
-        return CallerOutcome(status, outcome.reason)
+        return ErrorResponse(status, outcome.reason)
 
-    def _answer(
+    def _send_response(
         self,
-        answer: Answered,
+        response: Answered,
         environ: dict[str, Any],
         start_response: StartResponse,
-        watch: HangupWatch,
+        watcher: DisconnectWatcher,
     ) -> Iterator[bytes]:
-        headers = answer_headers(answer.headers)
+        headers = response_headers(response.headers)
         try:
-            yield from send_answer(answer, environ, headers, start_response)
-        except (AnswerCut, JayswitchError) as error:
+            yield from send_response(response, environ, headers, start_response)
+        except (ResponseTruncated, JayswitchError) as error:
             self.counts["answers_cut"] += 1
             logger.warning(
                 "answer cut",
                 extra={
-                    "request_id": find(answer.headers, self._names.request_id),
+                    "request_id": find_header(response.headers, self._names.request_id),
                     "reason": str(error),
                 },
             )
             raise
         finally:
-            answer.close()
-            self._finish(watch)
+            response.close()
+            self._end_request(watcher)
 
-    def _tell(
-        self, outcome: CallerOutcome, start_response: StartResponse
+    def _send_error(
+        self, outcome: ErrorResponse, start_response: StartResponse
     ) -> Iterable[bytes]:
         body = msgspec.json.encode(outcome)
         headers = [
@@ -214,16 +222,16 @@
         start_response(status_line(outcome.status), headers)
         return [body]
 
-    def _log(
+    def _log_request(
         self,
         environ: dict[str, Any],
-        outcome: Answered | CallerOutcome,
+        outcome: Answered | ErrorResponse,
         started_ms: float,
     ) -> None:
         elapsed_ms = self._clock.now_ms() - started_ms
         self.counts[str(outcome.status)] += 1
-        self.on_answer(outcome.status, elapsed_ms)
-        request_id = find(raw_headers(environ), self._names.request_id)
+        self.on_response(outcome.status, elapsed_ms)
+        request_id = find_header(raw_headers(environ), self._names.request_id)
         fields = {
             "request_id": request_id,
             "status": outcome.status,
@@ -238,13 +246,13 @@
             fields["version"] = request.version
         if isinstance(outcome, Answered) and outcome.load is not None:
             fields["load"] = outcome.load.encode()
-        if isinstance(outcome, CallerOutcome):
+        if isinstance(outcome, ErrorResponse):
             fields["reason"] = outcome.reason
             fields["retry_after_ms"] = round(outcome.retry_after_ms)
         logger.info("request answered", extra=fields)
 
 
 def _host_name(host: str) -> str:
-    """Returns the host without its port, as routes name it."""
+    """Returns the host in lower case and without its port."""
     name, colon, port = host.rpartition(":")
     return (name if colon and port.isdigit() else host).lower()
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -1,4 +1,4 @@
-"""One proxy beside an upstream: its parts, its servers and its planned stop."""
+"""The proxy process of one VM: components, servers and graceful shutdown."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 from jayswitch.gate.upstream_gate import ColdRateAllowance, UpstreamGate
 from jayswitch.http.reasons import status_line
 from jayswitch.http.server import HttpServer
-from jayswitch.proxy.attempts import AttemptRunner, BudgetTerms
+from jayswitch.proxy.attempts import AttemptRunner, RetryBudgetSettings
 from jayswitch.proxy.hop import HopClient
 from jayswitch.proxy.http_client import HttpClient
 from jayswitch.proxy.inbound import InboundApplication
@@ -56,31 +56,32 @@
     from jayswitch.store.interface import Store, WatchEvent
 
 UPSTREAM_CONNECT_TIMEOUT_MS = 300.0
-# Between data centres a packet takes 1.4 ms; a lost first packet is sent again
-# after a second, so that waiting longer gains nothing.
+# The latency between data centres is 1.4 ms, and a lost SYN is retransmitted only
+# after 1 s, so that a longer timeout would not help.
 HOP_CONNECT_TIMEOUT_MS = 250.0
-# A heartbeat must be answered within a second.
-ACKNOWLEDGE_MS = 800.0
-UPKEEP_MS = 500.0
-# Counts of a version on trial are published at this interval while they change.
-TRIAL_REPORT_MS = 1500.0
-# Readiness is asked for each second, and two misses end new work.
-LEAVE_MS = 2300.0
-# From this part of the grace period on, requests whose time ends later than this
-# process are refused, and from the second one on all that still come.
-REFUSE_LONG_FROM_PART = 0.5
-REFUSE_FROM_PART = 0.75
-# Kept of the grace period for closing down.
+# A heartbeat must be answered within 1 s.
+ACKNOWLEDGE_TIMEOUT_MS = 800.0
+MAINTENANCE_INTERVAL_MS = 500.0
+# Minimum interval between publications of the trial counts.
+TRIAL_PUBLISH_INTERVAL_MS = 1500.0
+# Readiness is polled every second; after two failed polls no new requests are sent.
+READINESS_PROPAGATION_MS = 2300.0
+# Fractions of the grace period after which requests are refused: first those whose
+# deadline is later than the exit of this process, then all new requests.
+REFUSE_LONG_REQUESTS_FRACTION = 0.5
+REFUSE_ALL_FRACTION = 0.75
+# Part of the grace period reserved for closing the process.
 EXIT_MARGIN_MS = 350.0
 DRAIN_POLL_MS = 50.0
-# A record that is not withdrawn lapses with its lease.
-WITHDRAW_MS = 250.0
-# Callers that have gone elsewhere send nothing for this long.
-QUIET_MS = 1000.0
-# A configuration has two seconds to be in force; up to half a second of that brings
-# the changes of a quick succession with fewer calls.
+# A record that cannot be withdrawn in this time expires with its lease.
+WITHDRAW_TIMEOUT_MS = 250.0
+# Callers are taken to have switched to other proxies after this long without requests.
+DRAIN_IDLE_MS = 1000.0
+# A configuration must be in force within 2 s; up to 0.5 s of that is spent on
+# batching changes in quick succession, which saves calls to the store.
 ORDERS_PAUSE = Pause(250.0, 500.0)
-# Gates enforce what records say at once, so that others may learn it later.
+# Gates enforce the state in their records immediately, so that other proxies may
+# learn of it later.
 FLEET_PAUSE = Pause(300.0, 900.0)
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
@@ -89,7 +90,7 @@
 
 
 class ProxyProcess:
-    """Serves callers, other proxies and the upstream of one VM."""
+    """Serves the callers and the upstream of one VM, and other proxies."""
 
     def __init__(
         self,
@@ -102,7 +103,7 @@
         names: HeaderNames,
         clock: Clock,
     ) -> None:
-        """Takes the adapters to the platform; binds nothing yet."""
+        """Takes the platform adapters; ports are bound by start()."""
         self.settings = settings
         self.orders = orders
         self.draining = False
@@ -112,7 +113,7 @@
         self._build_gate(names)
         self.directory = Directory(settings.vm)
         self.publisher = RecordPublisher(
-            store, settings.vm, self._describe, self._last_state, clock
+            store, settings.vm, self._build_record, self._current_upstream, clock
         )
         self.orders_follower = PrefixFollower(
             store, operator_prefix, apply_order, clock, ORDERS_PAUSE
@@ -125,7 +126,7 @@
         )
         self._build_forwarding(names)
         self._build_feeds(operator_prefix)
-        self._build_moves(status)
+        self._build_rollout(status)
         orders.on_change(self._apply_orders)
         self._started_ms = clock.wall_ms()
         self._servers: list[HttpServer] = []
@@ -154,7 +155,7 @@
             settings.data_centre, settings.region, clock, self._rng, settings.vm
         )
         self.directory.is_suspected = self.balancer.is_suspected
-        terms = BudgetTerms(
+        terms = RetryBudgetSettings(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
         self.runner = AttemptRunner(
@@ -176,7 +177,7 @@
             settings.vm, settings.service, self.runner, names, clock
         )
         self.latency = LatencyMetrics()
-        self.outbound.on_answer = self.latency.observe_request
+        self.outbound.on_response = self.latency.observe_request
 
     def _build_feeds(self, operator_prefix: str) -> None:
         settings, clock = self.settings, self._clock
@@ -195,7 +196,7 @@
             clock,
         )
 
-    def _build_moves(self, status: StatusWriter) -> None:
+    def _build_rollout(self, status: StatusWriter) -> None:
         self.rules = VersionRules(self._rng)
         self.trial = TrialEvaluator()
         self._trial_published_ms = float("-inf")
@@ -213,14 +214,14 @@
         self.runner.on_withdrawn = self.rules.withdraw
         self.runner.is_on_trial = self.rules.is_on_trial
         self.gate.is_version_allowed = self._may_run
-        self.gate.on_answer = self._judge
+        self.gate.on_answer = self._record_trial_response
 
     def start(
         self,
         heartbeats: Callable[..., Iterable[bytes]],
         logs: BoundedLogHandler | None = None,
     ) -> None:
-        """Binds every port and starts every task."""
+        """Binds all ports and starts all background tasks."""
         settings = self.settings
         ip = settings.callers_address.rpartition(":")[0]
         status = StatusApplication(self, logs)
@@ -228,18 +229,18 @@
         self._serve(settings.callers_address, self.outbound, StrictProtocol)
         self._serve(settings.proxies_address, self.inbound, StrictProtocol)
         self._serve(settings.heartbeats_address, heartbeats)
-        self._serve(settings.readiness_address, self._readiness)
+        self._serve(settings.readiness_address, self._serve_readiness)
         self.publisher.start(self._restore)
         self.orders_follower.start()
         self.orders_feed.start()
         self.fleet_follower.start()
         self.coordinator.start()
-        eventlet.spawn(self._keep_up)
+        eventlet.spawn(self._run_maintenance)
         logger.info("started", extra={"first_start": settings.first_start})
 
     @property
     def ready(self) -> bool:
-        """Tells whether callers can be served."""
+        """Returns whether callers can be served."""
         return (
             not self.draining
             and self.orders.catalog is not None
@@ -248,7 +249,7 @@
         )
 
     def stop(self) -> bool:
-        """Stops without cutting a request; False if some were still in flight."""
+        """Drains and stops the servers; returns False if requests were cut off."""
         started_ms = self._clock.now_ms()
         grace_ms = self.settings.grace_s * MS_PER_S
         logger.info("draining", extra={"in_flight": self.in_flight})
@@ -256,19 +257,23 @@
         self.inbound.draining = True
         self.outbound.draining = True
         self.publisher.publish()
-        self._clock.sleep_ms(LEAVE_MS)
-        self._wait_while(self._is_in_use, started_ms + grace_ms * REFUSE_LONG_FROM_PART)
-        ends_ms = started_ms + grace_ms - EXIT_MARGIN_MS
-        self.inbound.ends_ms = self.outbound.ends_ms = ends_ms
-        self._wait_while(self._is_in_use, started_ms + grace_ms * REFUSE_FROM_PART)
-        # Whatever still comes would be cut by the end of the process.
+        self._clock.sleep_ms(READINESS_PROPAGATION_MS)
+        self._wait_while(
+            self._is_in_use, started_ms + grace_ms * REFUSE_LONG_REQUESTS_FRACTION
+        )
+        latest_deadline_ms = started_ms + grace_ms - EXIT_MARGIN_MS
+        self.inbound.latest_deadline_ms = self.outbound.latest_deadline_ms = (
+            latest_deadline_ms
+        )
+        self._wait_while(self._is_in_use, started_ms + grace_ms * REFUSE_ALL_FRACTION)
+        # Requests that arrive from here on might not finish before the process exits.
         self.inbound.refusing = True
         self.outbound.refusing = True
         for server in self._servers:
             server.stop_accepting()
-        with eventlet.Timeout(WITHDRAW_MS / MS_PER_S, False):
+        with eventlet.Timeout(WITHDRAW_TIMEOUT_MS / MS_PER_S, False):
             self.publisher.revoke_lease()
-        self._wait_while(lambda: bool(self.in_flight), ends_ms)
+        self._wait_while(lambda: bool(self.in_flight), latest_deadline_ms)
         drained = not self.in_flight
         logger.info("stopped", extra={"drained": drained})
         return drained
@@ -280,14 +285,14 @@
     def _is_in_use(self) -> bool:
         if self._callers_may_return():
             return True
-        quiet_ms = self._clock.now_ms() - self.outbound.last_request_ms
-        return bool(self.in_flight) or quiet_ms < QUIET_MS
+        idle_ms = self._clock.now_ms() - self.outbound.last_request_ms
+        return bool(self.in_flight) or idle_ms < DRAIN_IDLE_MS
 
     def _callers_may_return(self) -> bool:
-        """Tells whether callers may still be sent to this VM after it was quiet.
+        """Returns whether callers may still be sent to this VM after an idle period.
 
-        They are while few other proxies of the data centre are ready. A VM that
-        goes away with its upstream gains nothing by ending sooner.
+        This is the case while few other proxies of the data centre are ready. A VM
+        that stops together with its upstream gains nothing by exiting sooner.
         """
         if not self.directory.at_least_half_accept_callers(self.settings.data_centre):
             return True
@@ -296,13 +301,13 @@
 
     @property
     def in_flight(self) -> int:
-        """Returns the requests that callers or other proxies wait for."""
+        """Returns the number of requests of callers and other proxies in progress."""
         return self.outbound.in_flight + self.inbound.in_flight
 
-    # The upstream
+    # Local upstream
 
-    def hear(self, heartbeat: Heartbeat) -> bool:
-        """Takes a heartbeat; tells whether it may be acknowledged."""
+    def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
+        """Applies a heartbeat; returns whether it may be acknowledged."""
         if not self.publisher.restored:
             return False
         previous = self.local.current
@@ -317,10 +322,10 @@
         self.gate.resize()
         if heartbeat.upstream.state is UpstreamState.READY:
             return verdict is not HeartbeatResult.FOREIGN
-        return self._acknowledge(heartbeat.upstream.id)
+        return self._wait_until_stored(heartbeat.upstream.id)
 
-    def leave(self, upstream_id: str, started_ms: int) -> bool:
-        """Takes a deregistration; tells whether it may be acknowledged."""
+    def handle_deregistration(self, upstream_id: str, started_ms: int) -> bool:
+        """Applies a deregistration; returns whether it may be acknowledged."""
         if not self.publisher.restored:
             return False
         current = self.local.current
@@ -328,13 +333,17 @@
             return True
         if self.local.deregister(upstream_id):
             self.publisher.publish()
-        return self._acknowledge(upstream_id)
+        return self._wait_until_stored(upstream_id)
 
-    def _acknowledge(self, upstream_id: str) -> bool:
-        """Waits until the state is stored: an acknowledgement outlives this process."""
-        stored = self.publisher.wait_until_stored(ACKNOWLEDGE_MS)
+    def _wait_until_stored(self, upstream_id: str) -> bool:
+        """Waits until the state is stored, so that it survives this process."""
+        stored = self.publisher.wait_until_stored(ACKNOWLEDGE_TIMEOUT_MS)
         logger.info(
-            "leaving upstream acknowledged" if stored else "leaving not yet stored",
+            (
+                "leaving upstream acknowledged"
+                if stored
+                else "upstream state not stored in time; not acknowledged"
+            ),
             extra={"upstream": upstream_id},
         )
         return stored
@@ -345,7 +354,7 @@
         self.local.restore(upstream)
         self.rate.reserve_window()
         logger.info(
-            "last state restored",
+            "stored upstream state restored",
             extra={"upstream": upstream.id, "state": upstream.state.value},
         )
         if upstream.state is UpstreamState.READY:
@@ -358,15 +367,17 @@
             logger.info("restored upstream confirmed by its health check")
             self.publisher.publish()
 
-    def _describe(self) -> NodeRecord:
+    def _build_record(self) -> NodeRecord:
         settings = self.settings
         current = self.local.current
-        shown = None
+        published_upstream = None
         ready = current is not None and current.state is UpstreamState.READY
         if current is not None:
-            # Others need to know whether it takes work, not how it ended.
+            # Other proxies need only know whether it accepts requests, not why.
             state = UpstreamState.READY if ready else UpstreamState.LEAVING
-            shown = msgspec.structs.replace(current, state=state, sequence=0)
+            published_upstream = msgspec.structs.replace(
+                current, state=state, sequence=0
+            )
         return NodeRecord(
             vm=settings.vm,
             data_centre=settings.data_centre,
@@ -374,15 +385,15 @@
             address=settings.proxies_address,
             link_mbit_per_s=settings.link_mbit_per_s,
             started_ms=self._started_ms,
-            upstream=shown,
+            upstream=published_upstream,
             draining=self.draining,
             trial=self.trial.counts if self._is_on_trial() else None,
         )
 
-    def _last_state(self) -> Upstream | None:
+    def _current_upstream(self) -> Upstream | None:
         return self.local.current
 
-    # The fleet
+    # Fleet records
 
     def _apply_shared(self, event: WatchEvent) -> None:
         if event.key.startswith(NODE_PREFIX):
@@ -390,7 +401,7 @@
         else:
             self.rules.apply(event)
 
-    # Moves
+    # Rollout
 
     def _is_on_trial(self) -> bool:
         current = self.local.current
@@ -403,19 +414,19 @@
             service, version, self.directory.members(service)
         )
 
-    def _judge(
+    def _record_trial_response(
         self, request: ForwardedRequest, failed: bool, latency_ms: float
     ) -> None:
-        """Judges the answers of an upstream whose version is on trial."""
+        """Records a response of the upstream, and evaluates its version if on trial."""
         self.latency.observe_upstream(latency_ms)
         current = self.local.current
         if current is None or not self._is_on_trial():
             return
-        usual = request.usual
+        proved_stats = request.proved_stats
         if self.rate.is_cold:
-            # A cold upstream of any version is slow.
-            usual = RouteAverages(0.0, usual.failures)
-        self.trial.observe(request.route, failed, latency_ms, usual)
+            # A cold upstream is slow whatever its version, so latency is not compared.
+            proved_stats = RouteAverages(0.0, proved_stats.failures)
+        self.trial.observe(request.route, failed, latency_ms, proved_stats)
         service = self.settings.service
         if self.trial.is_bad and self.rules.withdraw(service, current.version):
             self.coordinator.roll_back(service, self.trial.reason)
@@ -423,21 +434,21 @@
 
     def _publish_trial(self) -> None:
         now_ms = self._clock.now_ms()
-        if now_ms - self._trial_published_ms >= TRIAL_REPORT_MS:
+        if now_ms - self._trial_published_ms >= TRIAL_PUBLISH_INTERVAL_MS:
             self._trial_published_ms = now_ms
             self.publisher.publish()
 
     def _apply_orders(self) -> None:
         catalog = self.orders.catalog
         self.outbound.catalog = catalog
-        out = self.settings.data_centre in self.orders.evacuated
-        self.gate.out_of_service = out
+        data_centre_evacuated = self.settings.data_centre in self.orders.evacuated
+        self.gate.out_of_service = data_centre_evacuated
         if catalog is not None:
             service = catalog.service_by_name.get(self.settings.service)
             if service is not None:
                 self.gate.set_service(service)
 
-    # Servers and upkeep
+    # Servers and maintenance
 
     def _serve(self, address: str, application: Any, protocol: Any = None) -> None:
         ip, _, port = address.rpartition(":")
@@ -448,16 +459,16 @@
         server.start()
         self._servers.append(server)
 
-    def _readiness(
+    def _serve_readiness(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         status = STATUS_OK if self.ready else STATUS_UNAVAILABLE
         start_response(status_line(status), [("Content-Length", "0")])
         return [b""]
 
-    def _keep_up(self) -> None:
+    def _run_maintenance(self) -> None:
         while True:
-            self._clock.sleep_ms(UPKEEP_MS)
+            self._clock.sleep_ms(MAINTENANCE_INTERVAL_MS)
             self.upstream_client.close_expired()
             self.hop_client.close_expired()
 
--- a/src/jayswitch/proxy/protocol.py
+++ b/src/jayswitch/proxy/protocol.py
@@ -1,4 +1,4 @@
-"""Strict request framing for eventlet's WSGI server."""
+"""Strict request parsing for eventlet's WSGI server."""
 
 from __future__ import annotations
 
@@ -14,24 +14,24 @@
 if TYPE_CHECKING:
     from jayswitch.proxy.outcome import Headers
 
-# Longer than any header line that the limits of a configuration allow.
-LONGEST_HEADER_LINE = 64 * 1024
-LONGEST_HEADERS = 256 * 1024
-wsgi.MAX_HEADER_LINE = LONGEST_HEADER_LINE
-wsgi.MAX_TOTAL_HEADER_SIZE = LONGEST_HEADERS
+# Above any header size that a configuration can allow.
+MAX_HEADER_LINE_BYTES = 64 * 1024
+MAX_HEADERS_BYTES = 256 * 1024
+wsgi.MAX_HEADER_LINE = MAX_HEADER_LINE_BYTES
+wsgi.MAX_TOTAL_HEADER_SIZE = MAX_HEADERS_BYTES
 
 CONNECTION_VARIABLE = "jayswitch.connection"
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 TARGET_VARIABLE = "jayswitch.target"
 _TARGET = re.compile(r"/[!-~]*\Z")
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n"
-_CONTROL = re.compile(r"[\r\n\0]")
-_END_OF_HEAD = (b"\r\n", b"\n", b"")
-_SINGLE = ("content-length", "host", "transfer-encoding")
+_FORBIDDEN_IN_VALUE = re.compile(r"[\r\n\0]")
+_HEAD_TERMINATORS = (b"\r\n", b"\n", b"")
+_SINGLETON_HEADERS = ("content-length", "host", "transfer-encoding")
 
 
 class _RequestHead:
-    """Collects what the parser finds in the head of a request."""
+    """Parser callbacks that collect the target and headers of a request."""
 
     __slots__ = ("headers", "target")
 
@@ -48,23 +48,23 @@
 
 
 class StrictProtocol(wsgi.HttpProtocol):
-    """Rejects requests whose framing two parsers could read differently.
+    """Rejects requests whose framing is ambiguous between HTTP parsers.
 
-    The head is read by llhttp: the standard library's parser takes several times as
-    long. The environment carries this object, so that an application can close the
-    connection after its answer.
+    The head is parsed by llhttp, as the standard library's parser takes several
+    times as long. The WSGI environment holds this object, so that an application can
+    close the connection after its response.
     """
 
     def parse_request(self) -> bool:
-        """Parses the head; answers 400 and closes where it is ambiguous."""
+        """Parses the head; responds with 400 and closes if it is invalid."""
         self.close_connection = True
         lines = [self.raw_requestline]
-        while lines[-1] not in _END_OF_HEAD:
+        while lines[-1] not in _HEAD_TERMINATORS:
             lines.append(self.rfile.readline())
         if not lines[-1]:
             return False
         try:
-            self._take_head(b"".join(lines))
+            self._parse_head(b"".join(lines))
         except MalformedRequest as error:
             self.wfile.write(
                 f"HTTP/1.1 {error.status} Bad Request\r\nConnection: close\r\n"
@@ -74,13 +74,13 @@
             return False
         return True
 
-    def _take_head(self, data: bytes) -> None:
+    def _parse_head(self, data: bytes) -> None:
         head = _RequestHead()
         parser = httptools.HttpRequestParser(head)
         try:
             parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            # The header concerns this connection alone and is not passed on.
+            # Upgrade is a hop-by-hop header and is not forwarded.
             pass
         except httptools.HttpParserError as error:
             raise MalformedRequest(f"the head cannot be read: {error}") from error
@@ -89,18 +89,19 @@
         self.requestline = f"{self.command} {head.target} {self.request_version}"
         self.target = head.target
         self.raw_headers = head.headers
-        value_by_name = check_head(self.request_version, head.target, head.headers)
-        # The server asks for this name with a capital.
+        value_by_name = validate_head(self.request_version, head.target, head.headers)
+        # eventlet looks this header up in this spelling.
         value_by_name["Connection"] = value_by_name.get("connection", "")
         self.headers: Any = value_by_name
         options = connection_options(head.headers)
-        keeps = self.request_version == "HTTP/1.1" or "keep-alive" in options
-        self.close_connection = not keeps or "close" in options
+        persistent = self.request_version == "HTTP/1.1" or "keep-alive" in options
+        self.close_connection = not persistent or "close" in options
 
     def get_environ(self) -> dict[str, Any]:
-        """Returns what the proxy's applications read, and no more.
+        """Returns only the variables that the proxy's applications read.
 
-        The server's own environment costs more than the rest of a plain request.
+        Building eventlet's full environment costs more than the rest of a plain
+        request.
         """
         value_by_name = self.headers
         length = value_by_name.get("content-length")
@@ -131,10 +132,10 @@
         return environ
 
 
-def check_head(version: str, target: str, headers: Headers) -> dict[str, str]:
-    """Returns the headers by lower-case name, the last of each.
+def validate_head(version: str, target: str, headers: Headers) -> dict[str, str]:
+    """Returns the last value of each header by its lower-case name.
 
-    Raises MalformedRequest at the first ambiguity of a request's head.
+    Raises MalformedRequest on the first violation or ambiguity in a request's head.
     """
     if version not in ("HTTP/1.1", "HTTP/1.0"):
         raise MalformedRequest(f"version {version!r} is not supported")
@@ -145,9 +146,9 @@
         lower = name.lower()
         if not _TOKEN.match(name):
             raise MalformedRequest(f"header name {name!r} is not a token")
-        if _CONTROL.search(value):
+        if _FORBIDDEN_IN_VALUE.search(value):
             raise MalformedRequest(f"header {name} holds a control character")
-        if lower in _SINGLE and lower in value_by_name:
+        if lower in _SINGLETON_HEADERS and lower in value_by_name:
             raise MalformedRequest(f"{name} is given more than once")
         value_by_name[lower] = value
     if "host" not in value_by_name:
--- a/src/jayswitch/proxy/status.py
+++ b/src/jayswitch/proxy/status.py
@@ -1,4 +1,4 @@
-"""Serves a proxy's metrics and a dump of its state."""
+"""Serves the metrics of a proxy and a dump of its state."""
 
 from __future__ import annotations
 
@@ -25,10 +25,10 @@
 
 
 class LatencyMetrics:
-    """Histograms of how long requests and attempts took."""
+    """Latency histograms of requests and upstream responses."""
 
     def __init__(self) -> None:
-        """Makes a registry of its own, so that a test can make several."""
+        """Creates a separate registry, so that tests can create several instances."""
         self.registry = CollectorRegistry()
         self._requests = Histogram(
             "jayswitch_request_seconds",
@@ -45,16 +45,16 @@
         )
 
     def observe_request(self, status: int, elapsed_ms: float) -> None:
-        """Takes one answered request."""
+        """Records the duration of one request."""
         self._requests.labels(str(status)).observe(elapsed_ms / MS_PER_S)
 
     def observe_upstream(self, latency_ms: float) -> None:
-        """Takes one answer of the upstream."""
+        """Records the latency of one upstream response."""
         self._upstream.observe(latency_ms / MS_PER_S)
 
 
 class ProxyCollector:
-    """Reads counters and states of a proxy when they are asked for."""
+    """Collects the counters and gauges of a proxy on each scrape."""
 
     def __init__(self, process: ProxyProcess, logs: BoundedLogHandler | None) -> None:
         """Takes the proxy and the handler that counts log lines."""
@@ -62,7 +62,7 @@
         self._logs = logs
 
     def collect(self) -> Iterable[Metric]:
-        """Returns every metric with its present value."""
+        """Returns all metrics with their current values."""
         process = self._process
         counts_by_name = {
             "jayswitch_outbound": ("Answers to callers.", process.outbound.counts),
@@ -93,7 +93,7 @@
             "orders_connected": int(process.orders_follower.connected),
             "orders_feeds": len(process.orders_feed.relay_by_feed),
             "fleet_connected": int(process.fleet_follower.connected),
-            "connections_opened": process.upstream_client.opened,
+            "connections_opened": process.upstream_client.connections_opened,
         }
         for name, value in value_by_name.items():
             text = name.replace("_", " ")
@@ -101,10 +101,10 @@
 
 
 class StatusApplication:
-    """Answers /metrics and /dump."""
+    """WSGI application for /metrics and /dump."""
 
     def __init__(self, process: ProxyProcess, logs: BoundedLogHandler | None) -> None:
-        """Takes the proxy whose state is shown."""
+        """Takes the proxy to report on and the handler that counts log lines."""
         self._process = process
         self._registry = process.latency.registry
         self._registry.register(ProxyCollector(process, logs))
@@ -115,11 +115,11 @@
         """Serves one request."""
         path = environ["PATH_INFO"]
         if path == "/metrics":
-            body, kind = generate_latest(self._registry), CONTENT_TYPE
+            body, content_type = generate_latest(self._registry), CONTENT_TYPE
         elif path == "/dump":
-            body, kind = self._process.dump(), "application/json"
+            body, content_type = self._process.dump(), "application/json"
         else:
-            body, kind = b"", "text/plain"
-        headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
+            body, content_type = b"", "text/plain"
+        headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
         start_response(status_line(200 if body else 404), headers)
         return [body]
--- a/src/jayswitch/proxy/wsgi_request.py
+++ b/src/jayswitch/proxy/wsgi_request.py
@@ -1,4 +1,4 @@
-"""Reads requests from the WSGI environment and writes answers back."""
+"""Reads requests from the WSGI environment and sends responses."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 from eventlet.wsgi import ChunkReadError
 
 from jayswitch.http.reasons import status_line
-from jayswitch.proxy.exceptions import AnswerCut, MalformedRequest
-from jayswitch.proxy.headers import INTERNAL_PREFIX, connection_options, find
+from jayswitch.proxy.exceptions import MalformedRequest, ResponseTruncated
+from jayswitch.proxy.headers import INTERNAL_PREFIX, connection_options, find_header
 from jayswitch.proxy.protocol import CONNECTION_VARIABLE
 
 if TYPE_CHECKING:
@@ -17,24 +17,24 @@
 
 StartResponse = Callable[..., Any]
 
-# Bodies up to this size are held, so that a request can be sent again.
-HELD_BODY_BYTES = 256 * 1024
+# Bodies up to this size are buffered, so that the request can be retried.
+MAX_BUFFERED_BODY_BYTES = 256 * 1024
 READ_BYTES = 64 * 1024
 STATUS_TOO_LARGE = 413
 
 
 def raw_headers(environ: dict[str, Any]) -> Headers:
-    """Returns the headers in the order and spelling in which they came."""
+    """Returns the headers in their original order and spelling."""
     return environ["headers_raw"]
 
 
 def is_chunked(environ: dict[str, Any]) -> bool:
-    """Tells whether the body comes in chunks."""
+    """Returns whether the body uses chunked transfer coding."""
     return "HTTP_TRANSFER_ENCODING" in environ
 
 
-def stated_length(environ: dict[str, Any]) -> int | None:
-    """Returns the body's length as the caller stated it."""
+def declared_length(environ: dict[str, Any]) -> int | None:
+    """Returns the Content-Length of the request, if present."""
     length = environ.get("CONTENT_LENGTH")
     return None if length in (None, "") else int(length)
 
@@ -42,34 +42,39 @@
 def read_body(
     environ: dict[str, Any], max_bytes: int
 ) -> tuple[bytes | Iterator[bytes], int | None]:
-    """Returns the body and its length; None where no body or length is stated.
+    """Returns the body and its length, which is None if it is not declared.
 
     Long bodies are returned as an iterator that raises MalformedRequest if the
-    caller ends early.
+    body is cut short.
     """
-    length = stated_length(environ)
+    length = declared_length(environ)
     stream = environ["wsgi.input"]
     if length is None and not is_chunked(environ):
         return b"", None
     if length is not None and length > max_bytes:
         raise MalformedRequest("the body is too large", STATUS_TOO_LARGE)
-    if length is not None and length > HELD_BODY_BYTES:
-        return _stream(stream, length, max_bytes), length
-    held = _read(stream, length if length is not None else HELD_BODY_BYTES + 1)
-    if length is not None and len(held) != length:
+    if length is not None and length > MAX_BUFFERED_BODY_BYTES:
+        return _iter_body(stream, length, max_bytes), length
+    buffered = _read_up_to(
+        stream, length if length is not None else MAX_BUFFERED_BODY_BYTES + 1
+    )
+    if length is not None and len(buffered) != length:
         raise MalformedRequest("the body ended early")
-    if length is None and len(held) > HELD_BODY_BYTES:
-        return _prepend(held, _stream(stream, None, max_bytes - len(held))), None
-    return held, len(held)
+    if length is None and len(buffered) > MAX_BUFFERED_BODY_BYTES:
+        return (
+            _prepend(buffered, _iter_body(stream, None, max_bytes - len(buffered))),
+            None,
+        )
+    return buffered, len(buffered)
 
 
 def close_connection(environ: dict[str, Any]) -> None:
-    """Ends the caller's connection behind the present answer."""
+    """Closes the caller's connection after the current response."""
     environ[CONNECTION_VARIABLE].close_connection = 1
 
 
-def answer_headers(headers: Headers) -> Headers:
-    """Returns the headers of an upstream's answer that concern the caller."""
+def response_headers(headers: Headers) -> Headers:
+    """Returns the end-to-end headers of an upstream's response."""
     options = connection_options(headers)
     dropped = ("connection", "keep-alive", "transfer-encoding", "proxy-connection")
     return [
@@ -81,29 +86,29 @@
     ]
 
 
-def send_answer(
-    answer: Answered,
+def send_response(
+    response: Answered,
     environ: dict[str, Any],
     headers: Headers,
     start_response: StartResponse,
 ) -> Iterator[bytes]:
-    """Starts the answer and returns its body; a cut body closes the connection."""
-    start_response(status_line(answer.status), headers)
-    return _checked_body(answer, environ)
+    """Starts the response; a truncated body raises, which closes the connection."""
+    start_response(status_line(response.status), headers)
+    return _checked_body(response, environ)
 
 
-def _checked_body(answer: Answered, environ: dict[str, Any]) -> Iterator[bytes]:
-    stated = find(answer.headers, "Content-Length")
-    bodyless = environ["REQUEST_METHOD"] == "HEAD" or answer.status in (204, 304)
+def _checked_body(response: Answered, environ: dict[str, Any]) -> Iterator[bytes]:
+    declared = find_header(response.headers, "Content-Length")
+    bodyless = environ["REQUEST_METHOD"] == "HEAD" or response.status in (204, 304)
     length = 0
-    for part in answer.body:
+    for part in response.body:
         length += len(part)
         yield part
-    if stated is not None and not bodyless and int(stated) != length:
-        raise AnswerCut(f"{length} of {stated} bytes came")
+    if declared is not None and not bodyless and int(declared) != length:
+        raise ResponseTruncated(f"{length} of {declared} bytes came")
 
 
-def _read(stream: Any, length: int) -> bytes:
+def _read_up_to(stream: Any, length: int) -> bytes:
     parts = []
     while length > 0:
         part = _read_part(stream, length)
@@ -121,7 +126,7 @@
         raise MalformedRequest(f"the body cannot be read: {error}") from error
 
 
-def _stream(stream: Any, length: int | None, max_bytes: int) -> Iterator[bytes]:
+def _iter_body(stream: Any, length: int | None, max_bytes: int) -> Iterator[bytes]:
     left = length if length is not None else max_bytes + 1
     while left > 0:
         part = _read_part(stream, left)
