Name the batching delay of the prefix follower

Pause, carried_bytes, QUIET_MS, AT_ONCE_MS and the like said little about what they bound. They now name the batch delay between watches, the largest value a link carries in a given time, and the thresholds that change the delay.

--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -44,7 +44,7 @@
 from jayswitch.rollout.trial import TrialJudge, Usual
 from jayswitch.rollout.versions import VersionRules
 from jayswitch.routing.balancer import Balancer
-from jayswitch.store.follower import Pause, PrefixFollower, carried_bytes
+from jayswitch.store.follower import BatchDelay, PrefixFollower, max_value_bytes
 
 if TYPE_CHECKING:
     from jayswitch.logs import BoundedLogHandler
@@ -79,9 +79,9 @@
 QUIET_MS = 1000.0
 # A configuration has two seconds to be in force; up to half a second of that brings
 # the changes of a quick succession with fewer calls.
-ORDERS_PAUSE = Pause(250.0, 500.0)
+ORDERS_PAUSE = BatchDelay(250.0, 500.0)
 # Gates enforce what records say at once, so that others may learn it later.
-FLEET_PAUSE = Pause(300.0, 900.0)
+FLEET_PAUSE = BatchDelay(300.0, 900.0)
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
 
@@ -182,7 +182,7 @@
         settings, clock = self.settings, self._clock
         self.feed_server.serve(operator_prefix, self.orders_follower.state)
         if settings.link_mbit_per_s:
-            self.orders_follower.slow_bytes = carried_bytes(
+            self.orders_follower.slow_value_bytes = max_value_bytes(
                 settings.link_mbit_per_s, ORDERS_PAUSE.shortest_ms
             )
         relays = Relays(settings.vm, settings.data_centre, self.directory, clock)
--- a/src/jayswitch/store/follower.py
+++ b/src/jayswitch/store/follower.py
@@ -21,44 +21,44 @@
 
 # The platform ends a waiting watch after 30 s at most. Each watch is a call that is
 # paid for; one whose answer was lost is noticed through other proxies.
-WATCH_WAIT_MS = 20_000
+WATCH_TIMEOUT_MS = 20_000
 RETRY_MIN_MS = 100.0
 RETRY_MAX_MS = 1000.0
 # A feed that is in order brings a change within this time of its being known.
 CATCH_UP_DELAY_MS = 200.0
 # How often a follower that gets its changes from others looks whether it still does.
-STORE_UNUSED_MS = 500.0
+STORE_NEED_CHECK_MS = 500.0
 
 # While each watch finds changes that wait already, the pause before the next one
 # grows by this factor; it is short again after a watch that waited so long.
-PAUSE_GROWTH = 1.5
-QUIET_MS = 2000.0
+BATCH_DELAY_GROWTH = 1.5
+IDLE_WATCH_MS = 2000.0
 # The store sends values as base64 text.
-TEXT_BYTES_PER_BYTE = 4 / 3
+BASE64_BYTES_PER_BYTE = 4 / 3
 # A watch that is answered sooner than this found its changes waiting.
-AT_ONCE_MS = 100.0
+IMMEDIATE_RESPONSE_MS = 100.0
 
 logger = logging.getLogger(__name__)
 
 
-def carried_bytes(link_mbit_per_s: float, duration_ms: float) -> float:
+def max_value_bytes(link_mbit_per_s: float, duration_ms: float) -> float:
     """Returns how long a value the store sends over a link in a time."""
-    return link_mbit_per_s * 1e6 / 8 * duration_ms / MS_PER_S / TEXT_BYTES_PER_BYTE
+    return link_mbit_per_s * 1e6 / 8 * duration_ms / MS_PER_S / BASE64_BYTES_PER_BYTE
 
 
-class Pause(msgspec.Struct, frozen=True):
+class BatchDelay(msgspec.Struct, frozen=True):
     """How long changes are gathered before they are fetched with one call."""
 
     shortest_ms: float
     longest_ms: float
 
-    def next_ms(self, present_ms: float, waited_ms: float) -> float:
+    def next_ms(self, current_ms: float, waited_ms: float) -> float:
         """Returns the next pause, after a watch that waited so long for changes."""
-        if waited_ms >= QUIET_MS:
+        if waited_ms >= IDLE_WATCH_MS:
             return self.shortest_ms
-        if waited_ms < AT_ONCE_MS:
-            return min(self.longest_ms, present_ms * PAUSE_GROWTH)
-        return present_ms
+        if waited_ms < IMMEDIATE_RESPONSE_MS:
+            return min(self.longest_ms, current_ms * BATCH_DELAY_GROWTH)
+        return current_ms
 
 
 class PrefixFollower:
@@ -74,7 +74,7 @@
         prefix: str,
         on_change: Callable[[WatchEvent], None],
         clock: Clock,
-        pause: Pause,
+        batch_delay: BatchDelay,
     ) -> None:
         """Takes the listener, which must not block.
 
@@ -83,17 +83,17 @@
         self.state = PrefixState()
         self.connected = False
         # How long a watch of the store may wait; 0 if others bring the changes.
-        self.store_wait_ms: Callable[[], int] = lambda: WATCH_WAIT_MS
+        self.store_wait_ms: Callable[[], int] = lambda: WATCH_TIMEOUT_MS
         # Takes what the proxy at an address knows; False if it did not answer.
         self.fetch_from: Callable[[str], bool] = lambda address: False
         # Values from this size on are on the way for longer than the shortest pause.
-        self.slow_bytes = float("inf")
+        self.slow_value_bytes = float("inf")
         self._store = store
         self._prefix = prefix
         self._on_change = on_change
         self._clock = clock
-        self._pause = pause
-        self._pause_ms = pause.shortest_ms
+        self._batch_delay = batch_delay
+        self._batch_delay_ms = batch_delay.shortest_ms
         self._catching_up = False
         self._is_outpaced = False
         self._retry_ms = RETRY_MIN_MS
@@ -133,7 +133,7 @@
                 return
             if address and self.fetch_from(address) and self._knows(revision):
                 return
-            self._clock.sleep_ms(self._pause.longest_ms)
+            self._clock.sleep_ms(self._batch_delay.longest_ms)
             if self._knows(revision):
                 return
             logger.warning(
@@ -157,7 +157,7 @@
         while not self._stopped:
             wait_ms = self.store_wait_ms()
             if self.synced and not wait_ms:
-                self._clock.sleep_ms(STORE_UNUSED_MS)
+                self._clock.sleep_ms(STORE_NEED_CHECK_MS)
                 needs_read = False
             elif needs_read:
                 needs_read = not self._read_all()
@@ -175,7 +175,7 @@
         self.take_snapshot(result.unwrap())
         self._note_success()
         if self._is_outpaced and self.state.newest_change > before:
-            self._clock.sleep_ms(self._pause.shortest_ms)
+            self._clock.sleep_ms(self._batch_delay.shortest_ms)
             return False
         self._is_outpaced = False
         return True
@@ -205,7 +205,7 @@
 
     def _watch_once(self, wait_ms: int) -> bool:
         """Waits for changes; tells whether the prefix must be read anew."""
-        asked_ms = self._clock.now_ms()
+        started_ms = self._clock.now_ms()
         # The first answer after an outage says that it is over.
         wait_ms = wait_ms if self.connected else 0
         result = self._store.watch(self._prefix, self.state.revision, wait_ms)
@@ -214,7 +214,7 @@
                 # Another watch goes on from the same revision.
                 self._note_failure(error)
                 return False
-        waited_ms = self._clock.now_ms() - asked_ms
+        waited_ms = self._clock.now_ms() - started_ms
         batch = result.unwrap()
         self._note_success()
         if batch.compacted:
@@ -225,8 +225,10 @@
             return True
         self.take_changes(batch.events, batch.revision)
         if batch.events:
-            self._pause_ms = self._pause.next_ms(self._pause_ms, waited_ms)
-            self._clock.sleep_ms(self._pause_ms)
+            self._batch_delay_ms = self._batch_delay.next_ms(
+                self._batch_delay_ms, waited_ms
+            )
+            self._clock.sleep_ms(self._batch_delay_ms)
         self._is_outpaced = self._outpaces(batch.events)
         return self._is_outpaced
 
@@ -236,7 +238,10 @@
         A watch brings every value in between, a read only the last one.
         """
         sizes = [len(event.value or b"") for event in events]
-        return _repeats_long_value(events) or max(sizes, default=0) >= self.slow_bytes
+        return (
+            _repeats_long_value(events)
+            or max(sizes, default=0) >= self.slow_value_bytes
+        )
 
     def _apply(self, event: WatchEvent) -> None:
         if not self.state.apply(event):
--- a/tests/feed/test_follower.py
+++ b/tests/feed/test_follower.py
@@ -13,7 +13,7 @@
 from jayswitch.feed.relays import Relays
 from jayswitch.fleet.directory import Directory
 from jayswitch.standins.memory_store import MemoryStore
-from jayswitch.store.follower import Pause, PrefixFollower
+from jayswitch.store.follower import BatchDelay, PrefixFollower
 from jayswitch.store.interface import WatchEvent
 
 Source = Callable[[FeedRequest], Result[FeedAnswer, FeedError]]
@@ -43,7 +43,11 @@
         self.values: dict[str, bytes | None] = {}
         self.clock = VirtualClock()
         self.follower = PrefixFollower(
-            MemoryStore(self.clock), "op/", self._note, self.clock, Pause(100.0, 400.0)
+            MemoryStore(self.clock),
+            "op/",
+            self._note,
+            self.clock,
+            BatchDelay(100.0, 400.0),
         )
         self.follower.take_changes([WatchEvent("op/a", b"1" * 5000, 5)], 5)
         self.follower.state.advance(5, complete_after=5)
--- a/tests/harness/thin_links.py
+++ b/tests/harness/thin_links.py
@@ -16,7 +16,7 @@
 from jayswitch.feed.server import FeedServer
 from jayswitch.standins.memory_store import MemoryStore
 from jayswitch.store.exceptions import StoreUnavailable
-from jayswitch.store.follower import TEXT_BYTES_PER_BYTE
+from jayswitch.store.follower import BASE64_BYTES_PER_BYTE
 
 HEAD_BYTES = 200
 # What a call waits for a store that does not answer.
@@ -116,5 +116,6 @@
         values = answer
     values = values if isinstance(values, list) else []
     return (
-        int(sum(len(v.value or b"") for v in values) * TEXT_BYTES_PER_BYTE) + HEAD_BYTES
+        int(sum(len(v.value or b"") for v in values) * BASE64_BYTES_PER_BYTE)
+        + HEAD_BYTES
     )
--- a/tests/load/test_large_config_storm.py
+++ b/tests/load/test_large_config_storm.py
@@ -16,7 +16,7 @@
 from jayswitch.fleet.records import NODE_PREFIX, NodeRecord
 from jayswitch.proxy.process import ORDERS_PAUSE
 from jayswitch.standins.memory_store import MemoryStore
-from jayswitch.store.follower import PrefixFollower, carried_bytes
+from jayswitch.store.follower import PrefixFollower, max_value_bytes
 from jayswitch.store.interface import WatchEvent, Write
 from tests.harness.thin_links import DistantFeeds, DistantStore, Link
 
@@ -80,7 +80,9 @@
             self.store, self._store_link, link, lambda: vm in self.turned_away
         )
         follower = PrefixFollower(store, "op/", note, self.clock, ORDERS_PAUSE)
-        follower.slow_bytes = carried_bytes(mbit_per_s, ORDERS_PAUSE.shortest_ms)
+        follower.slow_value_bytes = max_value_bytes(
+            mbit_per_s, ORDERS_PAUSE.shortest_ms
+        )
         server = FeedServer()
         server.serve("op/", follower.state)
         self.feeds.server_by_address[vm] = server
--- a/tests/rollout/test_coordinator.py
+++ b/tests/rollout/test_coordinator.py
@@ -23,7 +23,7 @@
 from jayswitch.rollout.stages import COMPLETED, ROLLED_BACK, RUNNING
 from jayswitch.rollout.versions import VersionRules
 from jayswitch.standins.memory_store import MemoryStore
-from jayswitch.store.follower import Pause, PrefixFollower
+from jayswitch.store.follower import BatchDelay, PrefixFollower
 from jayswitch.store.interface import WatchEvent, Write
 
 SERVICE = "herdview"
@@ -46,7 +46,7 @@
 
     def _start(self, number: int) -> MoveCoordinator:
         rules = self.rules[number]
-        pause = Pause(100.0, 100.0)
+        pause = BatchDelay(100.0, 100.0)
         PrefixFollower(self.store, "jayswitch/", rules.apply, self.clock, pause).start()
         coordinator = MoveCoordinator(
             f"vm-{number}",
