Name what the prefix follower and its state do

note_newer, take_changes, _knows and _outpaces hid their effect; newest_change held a revision, and complete_after did not say of what. The methods now say apply, record and report, and the state names latest_change_revision and removals_known_after. The HTTP adapter speaks of responses and a pool size.

--- a/src/jayswitch/feed/follower.py
+++ b/src/jayswitch/feed/follower.py
@@ -52,7 +52,7 @@
         self._relays = relays
         self._source = source
         self._clock = clock
-        follower.store_wait_ms = self.store_wait_ms
+        follower.store_watch_timeout_ms = self.store_watch_timeout_ms
         follower.fetch_from = self.fetch_from
 
     def start(self) -> None:
@@ -60,7 +60,7 @@
         for feed in range(FEEDS):
             eventlet.spawn(self._run, feed)
 
-    def store_wait_ms(self) -> int:
+    def store_watch_timeout_ms(self) -> int:
         """Returns how long a watch of the store may wait; 0 if none is needed."""
         if self._relays.is_relay():
             return RELAY_WATCH_MS
@@ -136,14 +136,14 @@
     def _take(self, answer: FeedAnswer) -> None:
         events = self._unpack(answer)
         if not answer.is_whole:
-            self._follower.take_changes(events, answer.revision)
+            self._follower.apply_changes(events, answer.revision)
             return
         values = [
             StoredValue(event.key, event.value, event.revision)
             for event in events
             if event.value is not None
         ]
-        self._follower.take_snapshot(Snapshot(values, answer.revision))
+        self._follower.apply_snapshot(Snapshot(values, answer.revision))
 
     def _unpack(self, answer: FeedAnswer) -> list[WatchEvent]:
         change_by_key = self._follower.state.change_by_key
--- a/src/jayswitch/feed/server.py
+++ b/src/jayswitch/feed/server.py
@@ -44,7 +44,7 @@
         self, state: PrefixState, change: WatchEvent, held: dict[str, int]
     ) -> FeedChange:
         base = held.get(change.key, 0)
-        value = state.earlier_value(change.key, base)
+        value = state.previous_value(change.key, base)
         place = (change.key, base if value is not None else 0)
         packed = self._packed_by_base.get(place)
         if packed is None or packed.revision != change.revision:
--- a/src/jayswitch/fleet/knowledge.py
+++ b/src/jayswitch/fleet/knowledge.py
@@ -31,7 +31,9 @@
 
     def describe(self) -> str:
         """Returns the newest change of each prefix as a header value."""
-        return ",".join(str(follower.newest_change) for follower in self._followers)
+        return ",".join(
+            str(follower.latest_change_revision) for follower in self._followers
+        )
 
     def compare_with_vm(self, text: str, vm: str) -> None:
         """Takes the description of the proxy on a VM."""
@@ -44,4 +46,4 @@
             return
         for follower, revision in zip(self._followers, revisions, strict=True):
             if revision.isdigit():
-                follower.note_newer(int(revision), address)
+                follower.report_newer_revision(int(revision), address)
--- a/src/jayswitch/store/follower.py
+++ b/src/jayswitch/store/follower.py
@@ -83,7 +83,7 @@
         self.state = PrefixState()
         self.connected = False
         # How long a watch of the store may wait; 0 if others bring the changes.
-        self.store_wait_ms: Callable[[], int] = lambda: WATCH_TIMEOUT_MS
+        self.store_watch_timeout_ms: Callable[[], int] = lambda: WATCH_TIMEOUT_MS
         # Takes what the proxy at an address knows; False if it did not answer.
         self.fetch_from: Callable[[str], bool] = lambda address: False
         # Values from this size on are on the way for longer than the shortest pause.
@@ -95,7 +95,7 @@
         self._batch_delay = batch_delay
         self._batch_delay_ms = batch_delay.shortest_ms
         self._catching_up = False
-        self._is_outpaced = False
+        self._is_fetch_rate_exceeded = False
         self._retry_ms = RETRY_MIN_MS
         self._stopped = False
 
@@ -105,9 +105,9 @@
         return self.state.is_synced
 
     @property
-    def newest_change(self) -> int:
+    def latest_change_revision(self) -> int:
         """Returns the revision of the newest change that is known."""
-        return self.state.newest_change
+        return self.state.latest_change_revision
 
     def start(self) -> None:
         """Starts the task that reads and watches."""
@@ -117,7 +117,7 @@
         """Ends the task after its present call."""
         self._stopped = True
 
-    def note_newer(self, revision: int, address: str = "") -> None:
+    def report_newer_revision(self, revision: int, address: str = "") -> None:
         """Takes a revision at which the proxy at an address has seen a change.
 
         If the change does not come soon, that proxy is asked for it, then the store.
@@ -129,12 +129,12 @@
     def _catch_up(self, revision: int, address: str) -> None:
         try:
             self._clock.sleep_ms(CATCH_UP_DELAY_MS)
-            if self._knows(revision):
+            if self._has_revision(revision):
                 return
-            if address and self.fetch_from(address) and self._knows(revision):
+            if address and self.fetch_from(address) and self._has_revision(revision):
                 return
             self._clock.sleep_ms(self._batch_delay.longest_ms)
-            if self._knows(revision):
+            if self._has_revision(revision):
                 return
             logger.warning(
                 "fallen behind another proxy; reading the prefix again",
@@ -149,13 +149,13 @@
         finally:
             self._catching_up = False
 
-    def _knows(self, revision: int) -> bool:
+    def _has_revision(self, revision: int) -> bool:
         return self.state.revision >= revision
 
     def _run(self) -> None:
         needs_read = True
         while not self._stopped:
-            wait_ms = self.store_wait_ms()
+            wait_ms = self.store_watch_timeout_ms()
             if self.synced and not wait_ms:
                 self._clock.sleep_ms(STORE_NEED_CHECK_MS)
                 needs_read = False
@@ -169,32 +169,32 @@
         result = self._store.read(self._prefix)
         match result:
             case Failure(error):
-                self._note_failure(error)
+                self._record_failure(error)
                 return False
-        before = self.state.newest_change
-        self.take_snapshot(result.unwrap())
-        self._note_success()
-        if self._is_outpaced and self.state.newest_change > before:
+        before = self.state.latest_change_revision
+        self.apply_snapshot(result.unwrap())
+        self._record_success()
+        if self._is_fetch_rate_exceeded and self.state.latest_change_revision > before:
             self._clock.sleep_ms(self._batch_delay.shortest_ms)
             return False
-        self._is_outpaced = False
+        self._is_fetch_rate_exceeded = False
         return True
 
-    def take_snapshot(self, snapshot: Snapshot) -> None:
+    def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Puts in force what a whole read of the prefix shows."""
         is_first = not self.synced
-        for event in self.state.missing_from(snapshot):
+        for event in self.state.removals_implied_by(snapshot):
             self._apply(event)
         for value in snapshot.values:
             self._apply(WatchEvent(value.key, value.value, value.revision))
-        self.state.advance(snapshot.revision, complete_after=snapshot.revision)
+        self.state.advance(snapshot.revision, removals_known_after=snapshot.revision)
         if is_first:
             logger.info(
                 "prefix read",
                 extra={"prefix": self._prefix, "revision": snapshot.revision},
             )
 
-    def take_changes(self, events: list[WatchEvent], revision: int) -> None:
+    def apply_changes(self, events: list[WatchEvent], revision: int) -> None:
         """Puts in force the newest change of each key.
 
         Every change up to the revision is among them or known.
@@ -212,27 +212,27 @@
         match result:
             case Failure(error):
                 # Another watch goes on from the same revision.
-                self._note_failure(error)
+                self._record_failure(error)
                 return False
         waited_ms = self._clock.now_ms() - started_ms
         batch = result.unwrap()
-        self._note_success()
+        self._record_success()
         if batch.compacted:
             logger.warning(
                 "store history is gone; reading the prefix again",
                 extra={"prefix": self._prefix, "revision": self.state.revision},
             )
             return True
-        self.take_changes(batch.events, batch.revision)
+        self.apply_changes(batch.events, batch.revision)
         if batch.events:
             self._batch_delay_ms = self._batch_delay.next_ms(
                 self._batch_delay_ms, waited_ms
             )
             self._clock.sleep_ms(self._batch_delay_ms)
-        self._is_outpaced = self._outpaces(batch.events)
-        return self._is_outpaced
+        self._is_fetch_rate_exceeded = self._exceeds_fetch_rate(batch.events)
+        return self._is_fetch_rate_exceeded
 
-    def _outpaces(self, events: list[WatchEvent]) -> bool:
+    def _exceeds_fetch_rate(self, events: list[WatchEvent]) -> bool:
         """Tells whether changes may come faster than they are fetched.
 
         A watch brings every value in between, a read only the last one.
@@ -251,13 +251,13 @@
         except Exception:
             logger.exception("change not applied", extra={"key": event.key})
 
-    def _note_success(self) -> None:
+    def _record_success(self) -> None:
         self._retry_ms = RETRY_MIN_MS
         if not self.connected:
             logger.info("store regained", extra={"prefix": self._prefix})
         self.connected = self.state.is_current = True
 
-    def _note_failure(self, error: StoreError) -> None:
+    def _record_failure(self, error: StoreError) -> None:
         if self.connected or not self.synced:
             logger.warning(
                 "store lost", extra={"prefix": self._prefix, "reason": error.cause}
--- a/src/jayswitch/store/http.py
+++ b/src/jayswitch/store/http.py
@@ -28,7 +28,7 @@
 
 CALL_TIMEOUT_MS = 2000
 WATCH_MARGIN_MS = 2000
-CONNECTIONS = 4
+POOL_SIZE = 4
 
 T = TypeVar("T")
 
@@ -39,7 +39,7 @@
     def __init__(self, base_url: str) -> None:
         """Takes the service's base URL; connects on the first call."""
         self._base_url = base_url.rstrip("/")
-        self._pool = urllib3.PoolManager(maxsize=CONNECTIONS, retries=False)
+        self._pool = urllib3.PoolManager(maxsize=POOL_SIZE, retries=False)
         self.calls = 0
 
     def get(self, key: str) -> Result[StoredValue | None, StoreError]:
@@ -71,7 +71,7 @@
         """Writes if the key has the expected revision (0: if it does not exist)."""
         body = PutBody(value, expected_revision, lease)
         return self._call("PUT", f"/kv/{quote(key)}", RevisionBody, body).map(
-            lambda answer: answer.revision
+            lambda response: response.revision
         )
 
     def commit(self, writes: list[Write]) -> Result[int, StoreError]:
@@ -91,7 +91,7 @@
         """Returns the id of a new lease."""
         body = LeaseBody(ttl_ms=ttl_ms)
         return self._call("POST", "/leases", LeaseBody, body).map(
-            lambda answer: answer.lease
+            lambda response: response.lease
         )
 
     def keep_alive(self, lease: str) -> Result[None, StoreError]:
@@ -116,7 +116,7 @@
         self,
         method: str,
         path: str,
-        answer_type: Any,
+        response_type: Any,
         body: msgspec.Struct | None = None,
         timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> Result[Any, StoreError]:
@@ -130,17 +130,17 @@
                 timeout=timeout_ms / MS_PER_S,
                 retries=False,
             )
-            return self._parse(response, path, answer_type)
+            return self._parse(response, path, response_type)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Failure(StoreUnavailable(str(error)))
         except msgspec.MsgspecError as error:
             return Failure(StoreUnavailable(f"unreadable answer: {error}"))
 
     def _parse(
-        self, response: urllib3.BaseHTTPResponse, path: str, answer_type: Any
+        self, response: urllib3.BaseHTTPResponse, path: str, response_type: Any
     ) -> Result[Any, StoreError]:
         if response.status == 200:
-            return Success(msgspec.json.decode(response.data, type=answer_type))
+            return Success(msgspec.json.decode(response.data, type=response_type))
         error = msgspec.json.decode(response.data, type=ErrorBody)
         return Failure(error_from_body(error, path))
 
--- a/src/jayswitch/store/prefix_state.py
+++ b/src/jayswitch/store/prefix_state.py
@@ -13,7 +13,7 @@
 # Values from this size on are sent to others as differences; some earlier ones are
 # kept for that: followers lag by a few changes at most.
 LONG_VALUE_BYTES = 4096
-EARLIER_VALUES = 4
+PREVIOUS_VALUES_KEPT = 4
 
 
 class PrefixState:
@@ -28,12 +28,12 @@
         # Every change up to this revision is known.
         self.revision = 0
         # Every removal after this revision is known; negative before the first read.
-        self.complete_after = -1
-        self.newest_change = 0
+        self.removals_known_after = -1
+        self.latest_change_revision = 0
         # Whether the store was reached at the last attempt.
         self.is_current = False
         self.change_by_key: dict[str, WatchEvent] = {}
-        self._earlier_by_key: dict[str, deque[WatchEvent]] = {}
+        self._previous_by_key: dict[str, deque[WatchEvent]] = {}
         self._waiters: list[Event] = []
 
     def apply(self, event: WatchEvent) -> bool:
@@ -42,15 +42,15 @@
         if known is not None and event.revision <= known.revision:
             return False
         if known is not None and len(known.value or b"") >= LONG_VALUE_BYTES:
-            earlier = self._earlier_by_key.setdefault(
-                event.key, deque(maxlen=EARLIER_VALUES)
+            previous = self._previous_by_key.setdefault(
+                event.key, deque(maxlen=PREVIOUS_VALUES_KEPT)
             )
-            earlier.append(known)
+            previous.append(known)
         self.change_by_key[event.key] = event
-        self.newest_change = max(self.newest_change, event.revision)
+        self.latest_change_revision = max(self.latest_change_revision, event.revision)
         return True
 
-    def missing_from(self, snapshot: Snapshot) -> list[WatchEvent]:
+    def removals_implied_by(self, snapshot: Snapshot) -> list[WatchEvent]:
         """Returns the removals that a snapshot shows."""
         present = {value.key for value in snapshot.values}
         return [
@@ -61,11 +61,11 @@
             and change.revision <= snapshot.revision
         ]
 
-    def advance(self, revision: int, complete_after: int | None = None) -> None:
+    def advance(self, revision: int, removals_known_after: int | None = None) -> None:
         """Notes that every change up to a revision is known, and wakes waiters."""
         self.revision = max(self.revision, revision)
-        if complete_after is not None and self.complete_after < 0:
-            self.complete_after = complete_after
+        if removals_known_after is not None and self.removals_known_after < 0:
+            self.removals_known_after = removals_known_after
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
             waiter.send(None)
@@ -73,11 +73,11 @@
     @property
     def is_synced(self) -> bool:
         """Tells whether every key below the prefix was known at some time."""
-        return self.complete_after >= 0
+        return self.removals_known_after >= 0
 
     def changes_after(self, revision: int) -> list[WatchEvent] | None:
         """Returns the newest changes; None where some removals are not known."""
-        if revision < self.complete_after:
+        if revision < self.removals_known_after:
             return None
         return [
             change
@@ -85,9 +85,9 @@
             if change.revision > revision
         ]
 
-    def earlier_value(self, key: str, revision: int) -> bytes | None:
+    def previous_value(self, key: str, revision: int) -> bytes | None:
         """Returns the value that a key had from a revision on, if it is kept."""
-        for change in self._earlier_by_key.get(key, ()):
+        for change in self._previous_by_key.get(key, ()):
             if change.revision == revision:
                 return change.value
         return None
@@ -103,7 +103,7 @@
     def wait_for_change(self, after: int, timeout_ms: float) -> bool:
         """Waits until a change after a revision is known; False on timeout."""
         with eventlet.Timeout(timeout_ms / MS_PER_S, False):
-            while not self.is_synced or self.newest_change <= after:
+            while not self.is_synced or self.latest_change_revision <= after:
                 waiter = Event()
                 self._waiters.append(waiter)
                 waiter.wait()
--- a/tests/feed/test_follower.py
+++ b/tests/feed/test_follower.py
@@ -49,8 +49,8 @@
             self.clock,
             BatchDelay(100.0, 400.0),
         )
-        self.follower.take_changes([WatchEvent("op/a", b"1" * 5000, 5)], 5)
-        self.follower.state.advance(5, complete_after=5)
+        self.follower.apply_changes([WatchEvent("op/a", b"1" * 5000, 5)], 5)
+        self.follower.state.advance(5, removals_known_after=5)
         self.source = FakeSource(answer)
         relays = Relays("vm-1", "a", Directory(), self.clock)
         self.feed = FeedFollower("op/", self.follower, relays, self.source, self.clock)
@@ -108,6 +108,6 @@
         following = Following(lambda request: Failure(FeedUnavailable("x", "cut")))
         following.feed.start()
         following.clock.sleep_ms(100)
-        assert following.feed.store_wait_ms() > 0
+        assert following.feed.store_watch_timeout_ms() > 0
         following.feed.relay_by_feed = {feed: "x" for feed in range(FEEDS)}
-        assert following.feed.store_wait_ms() == 0
+        assert following.feed.store_watch_timeout_ms() == 0
--- a/tests/feed/test_server.py
+++ b/tests/feed/test_server.py
@@ -26,7 +26,7 @@
     def put(self, key: str, value: bytes | None, revision: int) -> None:
         """Takes a change."""
         self.state.apply(WatchEvent(key, value, revision))
-        self.state.advance(revision, complete_after=10)
+        self.state.advance(revision, removals_known_after=10)
 
     def ask(self, after: int, wait_ms: float = 0.0, **held: int) -> FeedAnswer:
         """Returns the answer."""
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -90,22 +90,22 @@
     def test_replayed_event_does_not_undo_a_later_value(self) -> None:
         setup = FollowerSetup()
         snapshot = Snapshot([StoredValue("op/a", b"new", 9)], 9)
-        setup.follower.take_snapshot(snapshot)
-        setup.follower.take_changes([WatchEvent("op/a", b"old", 7)], 7)
+        setup.follower.apply_snapshot(snapshot)
+        setup.follower.apply_changes([WatchEvent("op/a", b"old", 7)], 7)
         assert setup.values == {"op/a": b"new"}
 
     def test_snapshot_does_not_undo_a_later_event(self) -> None:
         setup = FollowerSetup()
-        setup.follower.take_changes([WatchEvent("op/a", b"new", 9)], 9)
-        setup.follower.take_snapshot(Snapshot([], 8))
+        setup.follower.apply_changes([WatchEvent("op/a", b"new", 9)], 9)
+        setup.follower.apply_snapshot(Snapshot([], 8))
         assert setup.values == {"op/a": b"new"}
 
     def test_replayed_event_does_not_undo_a_later_removal(self) -> None:
         setup = FollowerSetup()
-        setup.follower.take_changes([WatchEvent("op/a", b"new", 7)], 7)
-        setup.follower.take_changes([WatchEvent("op/a", None, 8)], 8)
-        setup.follower.take_snapshot(Snapshot([StoredValue("op/a", b"new", 7)], 7))
-        setup.follower.take_changes([WatchEvent("op/a", b"new", 7)], 7)
+        setup.follower.apply_changes([WatchEvent("op/a", b"new", 7)], 7)
+        setup.follower.apply_changes([WatchEvent("op/a", None, 8)], 8)
+        setup.follower.apply_snapshot(Snapshot([StoredValue("op/a", b"new", 7)], 7))
+        setup.follower.apply_changes([WatchEvent("op/a", b"new", 7)], 7)
         assert setup.values == {}
 
     def test_prefix_is_read_with_one_copy_of_each_value(self) -> None:
