Name the feed's request, response and encodings

FeedAnswer, Form, FEED_TARGET and FEED_REQUEST left open what they are. They are now FeedResponse, ValueEncoding, FEED_PATH and FEED_REQUEST_HEADER; the server responds and caches packed changes. The wire fields (form, packed, base, is_whole, is_current, held) and the enum's values are unchanged.

--- a/src/jayswitch/feed/client.py
+++ b/src/jayswitch/feed/client.py
@@ -10,7 +10,12 @@
 
 from jayswitch.clock import MS_PER_S
 from jayswitch.feed.exceptions import FeedError, FeedUnavailable
-from jayswitch.feed.messages import FEED_REQUEST, FEED_TARGET, FeedAnswer, FeedRequest
+from jayswitch.feed.messages import (
+    FEED_PATH,
+    FEED_REQUEST_HEADER,
+    FeedRequest,
+    FeedResponse,
+)
 from jayswitch.proxy.exceptions import AnswerCut, ExchangeBroken, NotSent
 
 if TYPE_CHECKING:
@@ -18,11 +23,11 @@
 
 STATUS_OK = 200
 # A whole configuration of the largest size, compressed, takes less on a thin link.
-ANSWER_MARGIN_MS = 1000.0
+RESPONSE_MARGIN_MS = 1000.0
 # The store takes no longer value, and a prefix holds few of them.
-LONGEST_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
-_decoder = msgspec.msgpack.Decoder(FeedAnswer)
+_decoder = msgspec.msgpack.Decoder(FeedResponse)
 
 
 class FeedSource(Protocol):
@@ -30,7 +35,7 @@
 
     def fetch(
         self, address: str, request: FeedRequest
-    ) -> Result[FeedAnswer, FeedError]:
+    ) -> Result[FeedResponse, FeedError]:
         """Returns the changes that the proxy at the address knows."""
 
 
@@ -43,9 +48,9 @@
 
     def fetch(
         self, address: str, request: FeedRequest
-    ) -> Result[FeedAnswer, FeedError]:
+    ) -> Result[FeedResponse, FeedError]:
         """Returns the changes; waits as long as the request says."""
-        wait_ms = request.wait_ms + ANSWER_MARGIN_MS
+        wait_ms = request.wait_ms + RESPONSE_MARGIN_MS
         timeout = eventlet.Timeout(wait_ms / MS_PER_S)
         try:
             return Success(_decoder.decode(self._exchange(address, request)))
@@ -62,10 +67,10 @@
 
     def _exchange(self, address: str, request: FeedRequest) -> bytes:
         text = msgspec.json.encode(request).decode("latin-1")
-        headers = [("Host", address), (FEED_REQUEST, text)]
-        exchange = self._client.send(address, "GET", FEED_TARGET, headers, None)
+        headers = [("Host", address), (FEED_REQUEST_HEADER, text)]
+        exchange = self._client.send(address, "GET", FEED_PATH, headers, None)
         try:
-            body = exchange.read_whole(LONGEST_ANSWER_BYTES)
+            body = exchange.read_whole(MAX_RESPONSE_BYTES)
         finally:
             exchange.close()
         if exchange.status != STATUS_OK:
--- a/src/jayswitch/feed/follower.py
+++ b/src/jayswitch/feed/follower.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
     from jayswitch.feed.client import FeedSource
-    from jayswitch.feed.messages import FeedAnswer
+    from jayswitch.feed.messages import FeedResponse
     from jayswitch.feed.relays import Relays
     from jayswitch.store.follower import PrefixFollower
 
@@ -105,11 +105,13 @@
         # Another feed may replace a held value meanwhile; whole ones always fit.
         for held in (state.revision_by_long_key(), {}):
             after = state.revision if state.is_synced else -1
-            answer = self._ask(address, FeedRequest(self._prefix, after, wait_ms, held))
-            if answer is None:
+            response = self._request(
+                address, FeedRequest(self._prefix, after, wait_ms, held)
+            )
+            if response is None:
                 return False
             try:
-                self._take(answer)
+                self._apply_response(response)
             except (DeltaMismatch, msgspec.MsgspecError) as error:
                 logger.info(
                     "feed does not fit",
@@ -117,14 +119,14 @@
                 )
                 wait_ms = 0.0
                 continue
-            if not answer.is_current:
+            if not response.is_current:
                 logger.info("relay has lost the store", extra={"relay": address})
                 self._relays.avoid(address)
-            return answer.is_current
+            return response.is_current
         self._relays.avoid(address)
         return False
 
-    def _ask(self, address: str, request: FeedRequest) -> FeedAnswer | None:
+    def _request(self, address: str, request: FeedRequest) -> FeedResponse | None:
         result = self._source.fetch(address, request)
         match result:
             case Failure(error):
@@ -133,25 +135,25 @@
                 return None
         return result.unwrap()
 
-    def _take(self, answer: FeedAnswer) -> None:
-        events = self._unpack(answer)
-        if not answer.is_whole:
-            self._follower.apply_changes(events, answer.revision)
+    def _apply_response(self, response: FeedResponse) -> None:
+        events = self._unpack(response)
+        if not response.is_whole:
+            self._follower.apply_changes(events, response.revision)
             return
         values = [
             StoredValue(event.key, event.value, event.revision)
             for event in events
             if event.value is not None
         ]
-        self._follower.apply_snapshot(Snapshot(values, answer.revision))
+        self._follower.apply_snapshot(Snapshot(values, response.revision))
 
-    def _unpack(self, answer: FeedAnswer) -> list[WatchEvent]:
+    def _unpack(self, response: FeedResponse) -> list[WatchEvent]:
         change_by_key = self._follower.state.change_by_key
         events = []
-        for change in answer.changes:
+        for change in response.changes:
             known = change_by_key.get(change.key)
             if known is not None and known.revision >= change.revision:
-                if answer.is_whole:
+                if response.is_whole:
                     events.append(known)
                 continue
             base = known.revision if known is not None else 0
--- a/src/jayswitch/feed/messages.py
+++ b/src/jayswitch/feed/messages.py
@@ -11,8 +11,8 @@
 from jayswitch.feed.exceptions import DeltaMismatch
 from jayswitch.store.prefix_state import LONG_VALUE_BYTES
 
-FEED_TARGET = "/x-jayswitch/feed"
-FEED_REQUEST = "X-Jayswitch-Feed"
+FEED_PATH = "/x-jayswitch/feed"
+FEED_REQUEST_HEADER = "X-Jayswitch-Feed"
 # The fastest level; it makes a tenth of a configuration.
 COMPRESSION_LEVEL = 1
 
@@ -26,7 +26,7 @@
     held: dict[str, int] = {}
 
 
-class Form(Enum):
+class ValueEncoding(Enum):
     """How a value is packed."""
 
     REMOVED = 0
@@ -40,12 +40,12 @@
 
     key: str
     revision: int
-    form: Form
+    form: ValueEncoding
     packed: bytes = b""
     base: int = 0
 
 
-class FeedAnswer(msgspec.Struct):
+class FeedResponse(msgspec.Struct):
     """The newest change of each key; a whole answer lists every key there is.
 
     Every change up to the revision is in the answer or known to the asker. An answer
@@ -63,27 +63,27 @@
 ) -> FeedChange:
     """Returns a change in its shortest form for one who holds an earlier value."""
     if value is None:
-        return FeedChange(key, revision, Form.REMOVED)
+        return FeedChange(key, revision, ValueEncoding.REMOVED)
     if len(value) < LONG_VALUE_BYTES:
-        return FeedChange(key, revision, Form.PLAIN, value)
+        return FeedChange(key, revision, ValueEncoding.PLAIN, value)
     compressed = FeedChange(
-        key, revision, Form.COMPRESSED, zlib.compress(value, COMPRESSION_LEVEL)
+        key, revision, ValueEncoding.COMPRESSED, zlib.compress(value, COMPRESSION_LEVEL)
     )
     if held is None:
         return compressed
     delta = msgspec.msgpack.encode(make_delta(held, value))
     if len(delta) >= len(compressed.packed):
         return compressed
-    return FeedChange(key, revision, Form.DELTA, delta, base)
+    return FeedChange(key, revision, ValueEncoding.DELTA, delta, base)
 
 
 def unpack(change: FeedChange, base: int, held: bytes | None) -> bytes | None:
     """Returns a change's value; None for a removal. Raises DeltaMismatch."""
-    if change.form is Form.REMOVED:
+    if change.form is ValueEncoding.REMOVED:
         return None
-    if change.form is Form.PLAIN:
+    if change.form is ValueEncoding.PLAIN:
         return change.packed
-    if change.form is Form.COMPRESSED:
+    if change.form is ValueEncoding.COMPRESSED:
         try:
             return zlib.decompress(change.packed)
         except zlib.error as error:
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from jayswitch.feed.messages import FEED_REQUEST, FEED_TARGET, FeedRequest
+from jayswitch.feed.messages import FEED_PATH, FEED_REQUEST_HEADER, FeedRequest
 from jayswitch.http.reasons import status_line
 from jayswitch.proxy import reasons
 from jayswitch.proxy.exceptions import CallerGone, MalformedRequest
@@ -79,8 +79,8 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serves one request of another proxy."""
-        if environ[TARGET_VARIABLE] == FEED_TARGET:
-            wanted = find(raw_headers(environ), FEED_REQUEST)
+        if environ[TARGET_VARIABLE] == FEED_PATH:
+            wanted = find(raw_headers(environ), FEED_REQUEST_HEADER)
             if wanted is not None:
                 return self._feed(wanted, environ, start_response)
         if self.draining:
@@ -122,7 +122,7 @@
                 logger.warning("feed request unreadable", extra={"reason": str(error)})
                 status = STATUS_BAD_REQUEST
             else:
-                answer = self._feeds.answer(request)
+                answer = self._feeds.respond(request)
                 if answer is not None:
                     status, body = STATUS_OK, msgspec.msgpack.encode(answer)
         headers = [("Content-Length", str(len(body))), HOP_KEEP_ALIVE]
--- a/tests/feed/test_server.py
+++ b/tests/feed/test_server.py
@@ -5,7 +5,7 @@
 import eventlet
 
 from jayswitch.clock import VirtualClock
-from jayswitch.feed.messages import FeedAnswer, FeedRequest, Form, unpack
+from jayswitch.feed.messages import FeedRequest, FeedResponse, ValueEncoding, unpack
 from jayswitch.feed.server import FeedServer
 from jayswitch.store.interface import WatchEvent
 from jayswitch.store.prefix_state import PrefixState
@@ -13,7 +13,7 @@
 LONG = b"{" + b"}".join(b"part %d" % n for n in range(2000)) + b"}"
 
 
-class Served:
+class ServerSetup:
     """A state and the server in front of it."""
 
     def __init__(self) -> None:
@@ -28,76 +28,79 @@
         self.state.apply(WatchEvent(key, value, revision))
         self.state.advance(revision, removals_known_after=10)
 
-    def ask(self, after: int, wait_ms: float = 0.0, **held: int) -> FeedAnswer:
+    def ask(self, after: int, wait_ms: float = 0.0, **held: int) -> FeedResponse:
         """Returns the answer."""
         renamed = {key.replace("_", "/"): revision for key, revision in held.items()}
-        answer = self.server.answer(FeedRequest("op/", after, wait_ms, renamed))
-        assert answer is not None
-        return answer
+        response = self.server.respond(FeedRequest("op/", after, wait_ms, renamed))
+        assert response is not None
+        return response
 
 
 class TestFeedServer:
     """The asker gets the newest change of each key that it lacks."""
 
     def test_changes_after_a_revision(self) -> None:
-        served = Served()
-        served.put("op/a", b"1", 10)
-        served.put("op/b", b"2", 12)
-        answer = served.ask(11)
-        assert not answer.is_whole and answer.is_current and answer.revision == 12
-        assert [(c.key, c.packed) for c in answer.changes] == [("op/b", b"2")]
+        setup = ServerSetup()
+        setup.put("op/a", b"1", 10)
+        setup.put("op/b", b"2", 12)
+        response = setup.ask(11)
+        assert not response.is_whole and response.is_current and response.revision == 12
+        assert [(c.key, c.packed) for c in response.changes] == [("op/b", b"2")]
 
     def test_removal_is_told(self) -> None:
-        served = Served()
-        served.put("op/a", b"1", 10)
-        served.put("op/a", None, 13)
-        assert [c.form for c in served.ask(11).changes] == [Form.REMOVED]
+        setup = ServerSetup()
+        setup.put("op/a", b"1", 10)
+        setup.put("op/a", None, 13)
+        assert [c.form for c in setup.ask(11).changes] == [ValueEncoding.REMOVED]
 
     def test_asker_from_before_the_first_read_gets_everything(self) -> None:
-        served = Served()
-        served.put("op/a", b"1", 10)
-        served.put("op/b", None, 12)
-        answer = served.ask(4)
-        assert answer.is_whole and [c.key for c in answer.changes] == ["op/a"]
+        setup = ServerSetup()
+        setup.put("op/a", b"1", 10)
+        setup.put("op/b", None, 12)
+        response = setup.ask(4)
+        assert response.is_whole and [c.key for c in response.changes] == ["op/a"]
 
     def test_change_ends_the_wait(self) -> None:
-        served, clock = Served(), VirtualClock()
-        served.put("op/a", b"1", 10)
-        eventlet.spawn_after(0.3, served.put, "op/a", b"2", 14)
-        answer = served.ask(10, 5000.0)
-        assert [c.packed for c in answer.changes] == [b"2"]
+        setup, clock = ServerSetup(), VirtualClock()
+        setup.put("op/a", b"1", 10)
+        eventlet.spawn_after(0.3, setup.put, "op/a", b"2", 14)
+        response = setup.ask(10, 5000.0)
+        assert [c.packed for c in response.changes] == [b"2"]
         assert 0 <= clock.now_ms() % 5000 < 4000
 
     def test_wait_ends_without_a_change(self) -> None:
-        served = Served()
-        served.put("op/a", b"1", 10)
-        assert served.ask(10, 1000.0).changes == []
+        setup = ServerSetup()
+        setup.put("op/a", b"1", 10)
+        assert setup.ask(10, 1000.0).changes == []
 
     def test_unknown_prefix_and_unread_state_are_not_answered(self) -> None:
         server = FeedServer()
-        assert server.answer(FeedRequest("op/", -1)) is None
+        assert server.respond(FeedRequest("op/", -1)) is None
         server.serve("op/", PrefixState())
-        assert server.answer(FeedRequest("op/", -1)) is None
+        assert server.respond(FeedRequest("op/", -1)) is None
 
     def test_long_value_comes_as_a_difference_from_the_held_one(self) -> None:
-        served = Served()
-        served.put("op/a", LONG, 10)
-        served.put("op/a", LONG + b"more", 11)
-        (change,) = served.ask(10, op_a=10).changes
-        assert change.form is Form.DELTA and len(change.packed) < 200
+        setup = ServerSetup()
+        setup.put("op/a", LONG, 10)
+        setup.put("op/a", LONG + b"more", 11)
+        (change,) = setup.ask(10, op_a=10).changes
+        assert change.form is ValueEncoding.DELTA and len(change.packed) < 200
         assert unpack(change, 10, LONG) == LONG + b"more"
 
     def test_long_value_comes_compressed_where_nothing_is_held(self) -> None:
-        served = Served()
-        served.put("op/a", LONG, 10)
-        (change,) = served.ask(-1).changes
-        assert change.form is Form.COMPRESSED and len(change.packed) < len(LONG) / 3
+        setup = ServerSetup()
+        setup.put("op/a", LONG, 10)
+        (change,) = setup.ask(-1).changes
+        assert (
+            change.form is ValueEncoding.COMPRESSED
+            and len(change.packed) < len(LONG) / 3
+        )
         assert unpack(change, 0, None) == LONG
 
     def test_packed_change_is_not_kept_beyond_the_next_one(self) -> None:
-        served = Served()
-        served.put("op/a", LONG, 10)
-        served.ask(-1)
-        served.put("op/a", LONG + b"more", 11)
-        (change,) = served.ask(-1).changes
+        setup = ServerSetup()
+        setup.put("op/a", LONG, 10)
+        setup.ask(-1)
+        setup.put("op/a", LONG + b"more", 11)
+        (change,) = setup.ask(-1).changes
         assert unpack(change, 0, None) == LONG + b"more"
--- a/tests/harness/thin_links.py
+++ b/tests/harness/thin_links.py
@@ -12,7 +12,7 @@
 from jayswitch.clock import MS_PER_S, Clock
 from jayswitch.feed.client import FeedSource
 from jayswitch.feed.exceptions import FeedError, FeedUnavailable
-from jayswitch.feed.messages import FeedAnswer, FeedRequest
+from jayswitch.feed.messages import FeedRequest, FeedResponse
 from jayswitch.feed.server import FeedServer
 from jayswitch.standins.memory_store import MemoryStore
 from jayswitch.store.exceptions import StoreUnavailable
@@ -95,13 +95,13 @@
 
     def fetch(
         self, address: str, request: FeedRequest
-    ) -> Result[FeedAnswer, FeedError]:
+    ) -> Result[FeedResponse, FeedError]:
         """Returns the answer of the proxy at an address."""
         feeds = self._feeds
         if address in feeds.silent:
             eventlet.sleep(request.wait_ms / MS_PER_S + 1)
             return Failure(FeedUnavailable(address, "no answer came in time"))
-        answer = feeds.server_by_address[address].answer(request)
+        answer = feeds.server_by_address[address].respond(request)
         if answer is None:
             return Failure(FeedUnavailable(address, "status 503"))
         size = len(msgspec.msgpack.encode(answer)) + HEAD_BYTES
