Name the relay selector and its limits

Relays was the class that selects them; LEAST_RELAYS, STOPGAP_WATCH_MS and AVOID_MS, and here, elsewhere and taken, were vague. The class is RelaySelector in feed/relay_selector.py, its test file follows, and the limits say minimum, fallback and retry.

--- a/src/jayswitch/feed/follower.py
+++ b/src/jayswitch/feed/follower.py
@@ -17,16 +17,16 @@
     from jayswitch.clock import Clock
     from jayswitch.feed.client import FeedSource
     from jayswitch.feed.messages import FeedResponse
-    from jayswitch.feed.relays import Relays
+    from jayswitch.feed.relay_selector import RelaySelector
     from jayswitch.store.follower import PrefixFollower
 
 # One feed may come from a relay that is cut off or stands still.
-FEEDS = 2
+FEED_COUNT = 2
 # A relay that stands still is noticed after this time and the answer's margin.
 FEED_WAIT_MS = 2500.0
-NO_RELAY_MS = 500.0
+NO_RELAY_RETRY_MS = 500.0
 # How long a proxy without a feed waits at the store, and one that is a relay.
-STOPGAP_WATCH_MS = 2000
+FALLBACK_WATCH_MS = 2000
 # A relay learns within this time that the store is silent, and tells so.
 RELAY_WATCH_MS = 4000
 
@@ -40,7 +40,7 @@
         self,
         prefix: str,
         follower: PrefixFollower,
-        relays: Relays,
+        relays: RelaySelector,
         source: FeedSource,
         clock: Clock,
     ) -> None:
@@ -57,14 +57,14 @@
 
     def start(self) -> None:
         """Starts a task for each feed."""
-        for feed in range(FEEDS):
+        for feed in range(FEED_COUNT):
             eventlet.spawn(self._run, feed)
 
     def store_watch_timeout_ms(self) -> int:
         """Returns how long a watch of the store may wait; 0 if none is needed."""
         if self._relays.is_relay():
             return RELAY_WATCH_MS
-        return 0 if self.relay_by_feed else STOPGAP_WATCH_MS
+        return 0 if self.relay_by_feed else FALLBACK_WATCH_MS
 
     def fetch_from(self, address: str) -> bool:
         """Takes what another proxy knows now; tells whether it answered."""
@@ -77,11 +77,11 @@
     def _run(self, feed: int) -> None:
         while True:
             self._chosen_by_feed.pop(feed, None)
-            taken = set(self._chosen_by_feed.values())
+            excluded = set(self._chosen_by_feed.values())
             # The first feed stays in the data centre, the other one leaves it.
-            address = self._relays.choose(feed > 0, taken)
+            address = self._relays.choose(feed > 0, excluded)
             if address is None:
-                self._clock.sleep_ms(NO_RELAY_MS)
+                self._clock.sleep_ms(NO_RELAY_RETRY_MS)
                 continue
             self._chosen_by_feed[feed] = address
             self._follow(feed, address)
--- a/src/jayswitch/feed/relays.py
+++ b/src/jayswitch/feed/relay_selector.py
@@ -13,14 +13,14 @@
     from jayswitch.fleet.records import NodeRecord
 
 # Two relays in each data centre outlive the loss of one.
-LEAST_RELAYS = 2
+MIN_RELAYS = 2
 # A relay of a large data centre feeds this many proxies.
 PROXIES_PER_RELAY = 50
 # A relay whose feed failed is not asked again for this time.
-AVOID_MS = 2000.0
+AVOID_RELAY_MS = 2000.0
 
 
-class Relays:
+class RelaySelector:
     """The relays of the fleet, as the directory has it.
 
     Of a data centre the proxies with the widest links are relays, so that all of the
@@ -37,7 +37,7 @@
         self._directory = directory
         self._clock = clock
         self._avoided_until_ms: dict[str, float] = {}
-        self._turn = zlib.crc32(vm.encode())
+        self._offset = zlib.crc32(vm.encode())
 
     def is_relay(self) -> bool:
         """Tells whether this proxy follows the store for others."""
@@ -51,27 +51,27 @@
             for record in records
         )
 
-    def choose(self, prefer_elsewhere: bool, taken: set[str]) -> str | None:
+    def choose(self, prefer_remote: bool, excluded: set[str]) -> str | None:
         """Returns the address of a relay, of this data centre or of another one.
 
         None if there is none besides those that are taken and this proxy.
         """
         by_data_centre = self._relays()
-        here = by_data_centre.pop(self._data_centre)
-        elsewhere = [
-            record for records in by_data_centre.values() for record in records
-        ]
-        for group in [elsewhere, here] if prefer_elsewhere else [here, elsewhere]:
-            usable = [r for r in group if r.address not in taken and self._may_ask(r)]
+        local = by_data_centre.pop(self._data_centre)
+        remote = [record for records in by_data_centre.values() for record in records]
+        for group in [remote, local] if prefer_remote else [local, remote]:
+            usable = [
+                r for r in group if r.address not in excluded and self._is_eligible(r)
+            ]
             if usable:
-                return usable[self._turn % len(usable)].address
+                return usable[self._offset % len(usable)].address
         return None
 
     def avoid(self, address: str) -> None:
         """Notes that a relay's feed has failed."""
-        self._avoided_until_ms[address] = self._clock.now_ms() + AVOID_MS
+        self._avoided_until_ms[address] = self._clock.now_ms() + AVOID_RELAY_MS
 
-    def _may_ask(self, record: NodeRecord) -> bool:
+    def _is_eligible(self, record: NodeRecord) -> bool:
         if record.vm == self._vm:
             return False
         until_ms = self._avoided_until_ms.get(record.address, float("-inf"))
@@ -86,7 +86,7 @@
                 continue
             records_by_data_centre.setdefault(record.data_centre, []).append(record)
         for data_centre, records in records_by_data_centre.items():
-            count = max(LEAST_RELAYS, math.ceil(len(records) / PROXIES_PER_RELAY))
+            count = max(MIN_RELAYS, math.ceil(len(records) / PROXIES_PER_RELAY))
             records.sort(key=lambda record: (-record.link_mbit_per_s, record.vm))
             records_by_data_centre[data_centre] = records[:count]
         return records_by_data_centre
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -15,7 +15,7 @@
 from jayswitch.clock import MS_PER_S, Clock
 from jayswitch.feed.client import FeedClient
 from jayswitch.feed.follower import FeedFollower
-from jayswitch.feed.relays import Relays
+from jayswitch.feed.relay_selector import RelaySelector
 from jayswitch.feed.server import FeedServer
 from jayswitch.fleet.directory import Directory
 from jayswitch.fleet.knowledge import Knowledge
@@ -185,7 +185,7 @@
             self.orders_follower.slow_value_bytes = max_value_bytes(
                 settings.link_mbit_per_s, ORDERS_PAUSE.shortest_ms
             )
-        relays = Relays(settings.vm, settings.data_centre, self.directory, clock)
+        relays = RelaySelector(settings.vm, settings.data_centre, self.directory, clock)
         relays.is_suspected = self.balancer.is_suspected
         self.orders_feed = FeedFollower(
             operator_prefix,
--- a/tests/feed/test_follower.py
+++ b/tests/feed/test_follower.py
@@ -8,9 +8,9 @@
 
 from jayswitch.clock import VirtualClock
 from jayswitch.feed.exceptions import FeedError, FeedUnavailable
-from jayswitch.feed.follower import FEEDS, FeedFollower
+from jayswitch.feed.follower import FEED_COUNT, FeedFollower
 from jayswitch.feed.messages import FeedChange, FeedRequest, FeedResponse, ValueEncoding
-from jayswitch.feed.relays import Relays
+from jayswitch.feed.relay_selector import RelaySelector
 from jayswitch.fleet.directory import Directory
 from jayswitch.standins.memory_store import MemoryStore
 from jayswitch.store.follower import BatchDelay, PrefixFollower
@@ -52,7 +52,7 @@
         self.follower.apply_changes([WatchEvent("op/a", b"1" * 5000, 5)], 5)
         self.follower.state.advance(5, removals_known_after=5)
         self.source = FakeSource(respond)
-        relays = Relays("vm-1", "a", Directory(), self.clock)
+        relays = RelaySelector("vm-1", "a", Directory(), self.clock)
         self.feed = FeedFollower("op/", self.follower, relays, self.source, self.clock)
 
     def _record(self, event: WatchEvent) -> None:
@@ -111,5 +111,5 @@
         setup.feed.start()
         setup.clock.sleep_ms(100)
         assert setup.feed.store_watch_timeout_ms() > 0
-        setup.feed.relay_by_feed = {feed: "x" for feed in range(FEEDS)}
+        setup.feed.relay_by_feed = {feed: "x" for feed in range(FEED_COUNT)}
         assert setup.feed.store_watch_timeout_ms() == 0
--- a/tests/feed/test_relays.py
+++ b/tests/feed/test_relay_selector.py
@@ -5,12 +5,12 @@
 import msgspec
 
 from jayswitch.clock import VirtualClock
-from jayswitch.feed.relays import AVOID_MS, Relays
+from jayswitch.feed.relay_selector import AVOID_RELAY_MS, RelaySelector
 from jayswitch.fleet.directory import Directory
 from jayswitch.fleet.records import NODE_PREFIX, NodeRecord
 from jayswitch.store.interface import WatchEvent
 
-PLACES = {"a": 4, "b": 3, "c": 3}
+PROXIES_BY_DATA_CENTRE = {"a": 4, "b": 3, "c": 3}
 
 
 class Fleet:
@@ -20,23 +20,29 @@
         """Publishes every record."""
         self.clock = VirtualClock()
         self.directory = Directory()
-        for place, count in PLACES.items():
+        for data_centre, count in PROXIES_BY_DATA_CENTRE.items():
             for number in range(count):
-                self.put(f"{place}-{number}", place, 100.0 if number == 1 else 6.0)
-
-    def put(self, vm: str, place: str, width: float, draining: bool = False) -> None:
+                self.put(
+                    f"{data_centre}-{number}",
+                    data_centre,
+                    100.0 if number == 1 else 6.0,
+                )
+
+    def put(
+        self, vm: str, data_centre: str, width: float, draining: bool = False
+    ) -> None:
         """Publishes a record; the address of a proxy is its name."""
-        record = NodeRecord(vm, place, "r", vm, draining=draining)
+        record = NodeRecord(vm, data_centre, "r", vm, draining=draining)
         record.link_mbit_per_s = width
         value = msgspec.json.encode(record)
         self.directory.apply(WatchEvent(NODE_PREFIX + vm, value, 1))
 
-    def relays(self, vm: str) -> Relays:
+    def relays(self, vm: str) -> RelaySelector:
         """Returns what a proxy sees."""
-        return Relays(vm, vm[0], self.directory, self.clock)
+        return RelaySelector(vm, vm[0], self.directory, self.clock)
 
 
-class TestRelays:
+class TestRelaySelector:
     """Every proxy comes to the same relays and follows two of them."""
 
     def test_widest_links_of_each_data_centre_are_relays(self) -> None:
@@ -64,7 +70,7 @@
         assert first is not None
         relays.avoid(first)
         assert relays.choose(False, set()) not in (None, first)
-        fleet.clock.sleep_ms(AVOID_MS)
+        fleet.clock.sleep_ms(AVOID_RELAY_MS)
         assert relays.choose(False, set()) == first
 
     def test_draining_and_suspected_proxies_are_replaced(self) -> None:
@@ -77,5 +83,5 @@
         assert not relays.is_usable("a-1")
 
     def test_only_proxy_of_all_has_nobody_to_follow(self) -> None:
-        relays = Relays("a-0", "a", Directory(), VirtualClock())
+        relays = RelaySelector("a-0", "a", Directory(), VirtualClock())
         assert relays.choose(False, set()) is None and not relays.is_relay()
--- a/tests/load/test_large_config_storm.py
+++ b/tests/load/test_large_config_storm.py
@@ -9,7 +9,7 @@
 
 from jayswitch.clock import VirtualClock
 from jayswitch.feed.follower import FeedFollower
-from jayswitch.feed.relays import Relays
+from jayswitch.feed.relay_selector import RelaySelector
 from jayswitch.feed.server import FeedServer
 from jayswitch.fleet.directory import Directory
 from jayswitch.fleet.knowledge import Knowledge
@@ -88,7 +88,7 @@
         self.feeds.server_by_address[vm] = server
         self.feeds.link_by_address[vm] = link
         data_centre = self._data_centre(vm)
-        relays = Relays(vm, data_centre, self.directory, self.clock)
+        relays = RelaySelector(vm, data_centre, self.directory, self.clock)
         feed = FeedFollower(
             "op/", follower, relays, self.feeds.seen_by(link), self.clock
         )
