Name locals and private members of delta, transport and catalog

place, following and _fresh in the delta builder, _turn in the push socket, places in the route check and present in the orders were vague. They are now index, next_index, _inserted_parts, _lock, seen and current.

--- a/src/jayswitch/catalog/model.py
+++ b/src/jayswitch/catalog/model.py
@@ -78,15 +78,15 @@
 
 
 def _check_routes(routes: list[Route], services: set[str]) -> None:
-    places = set()
+    seen = set()
     for route in routes:
         if not route.host or route.timeout_ms <= 0:
             raise CatalogInvalid(f"route {route.name} lacks a host or a timeout")
         if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
             raise CatalogInvalid(f"prefix {route.prefix!r} is not between slashes")
-        if (route.host, route.prefix) in places:
+        if (route.host, route.prefix) in seen:
             raise CatalogInvalid(f"{route.host}{route.prefix} is routed twice")
-        places.add((route.host, route.prefix))
+        seen.add((route.host, route.prefix))
         for destination in route.destinations:
             if destination.service not in services:
                 raise CatalogInvalid(
--- a/src/jayswitch/catalog/orders.py
+++ b/src/jayswitch/catalog/orders.py
@@ -43,12 +43,12 @@
 
     def put_catalog(self, catalog: Catalog) -> None:
         """Puts a configuration in force unless a later one is."""
-        present = self.catalog
-        if present is not None and catalog.version <= present.version:
-            if catalog.version < present.version:
+        current = self.catalog
+        if current is not None and catalog.version <= current.version:
+            if catalog.version < current.version:
                 logger.warning(
                     "older configuration ignored",
-                    extra={"offered": catalog.version, "in_force": present.version},
+                    extra={"offered": catalog.version, "in_force": current.version},
                 )
             return
         self.catalog = catalog
--- a/src/jayswitch/feed/delta.py
+++ b/src/jayswitch/feed/delta.py
@@ -35,41 +35,41 @@
 def make_delta(earlier: bytes, later: bytes) -> Delta:
     """Returns how the later text follows from the earlier one."""
     parts = earlier.split(SEPARATOR)
-    place_by_part = {part: place for place, part in enumerate(parts)}
-    steps = _Steps()
-    following = 0
+    index_by_part = {part: index for index, part in enumerate(parts)}
+    steps = _StepBuilder()
+    next_index = 0
     for part in later.split(SEPARATOR):
-        place: int | None = following
-        if following >= len(parts) or parts[following] != part:
-            place = place_by_part.get(part)
-        if place is None:
+        index: int | None = next_index
+        if next_index >= len(parts) or parts[next_index] != part:
+            index = index_by_part.get(part)
+        if index is None:
             steps.insert(part)
         else:
-            steps.copy(place)
-            following = place + 1
+            steps.copy(index)
+            next_index = index + 1
     return Delta(steps.finish(), zlib.crc32(later))
 
 
-class _Steps:
+class _StepBuilder:
     """Joins neighbouring copies and neighbouring insertions into one step each."""
 
-    __slots__ = ("_first", "_fresh", "_last", "_steps")
+    __slots__ = ("_first", "_inserted_parts", "_last", "_steps")
 
     def __init__(self) -> None:
         self._steps: list[Copy | Insert] = []
-        self._fresh: list[bytes] = []
+        self._inserted_parts: list[bytes] = []
         self._first = self._last = 0
 
     def insert(self, part: bytes) -> None:
         self._end_copy()
-        self._fresh.append(part)
+        self._inserted_parts.append(part)
 
-    def copy(self, place: int) -> None:
+    def copy(self, index: int) -> None:
         self._end_insert()
-        if place != self._last:
+        if index != self._last:
             self._end_copy()
-            self._first = place
-        self._last = place + 1
+            self._first = index
+        self._last = index + 1
 
     def finish(self) -> list[Copy | Insert]:
         self._end_copy()
@@ -82,23 +82,23 @@
         self._first = self._last
 
     def _end_insert(self) -> None:
-        if self._fresh:
-            self._steps.append(Insert(SEPARATOR.join(self._fresh)))
-            self._fresh = []
+        if self._inserted_parts:
+            self._steps.append(Insert(SEPARATOR.join(self._inserted_parts)))
+            self._inserted_parts = []
 
 
 def apply_delta(earlier: bytes, delta: Delta) -> bytes:
     """Returns the later text; raises DeltaMismatch where the delta does not fit."""
     parts = earlier.split(SEPARATOR)
-    found: list[bytes] = []
+    restored: list[bytes] = []
     for step in delta.steps:
         if isinstance(step, Insert):
-            found.append(step.text)
+            restored.append(step.text)
         elif 0 <= step.first < step.last <= len(parts):
-            found.extend(parts[step.first : step.last])
+            restored.extend(parts[step.first : step.last])
         else:
             raise DeltaMismatch("it copies parts that are not there")
-    later = SEPARATOR.join(found)
+    later = SEPARATOR.join(restored)
     if zlib.crc32(later) != delta.checksum:
         raise DeltaMismatch("the checksum differs")
     return later
--- a/src/jayswitch/transport/nng.py
+++ b/src/jayswitch/transport/nng.py
@@ -30,11 +30,11 @@
 class _Peer:
     """The push socket towards one peer; tasks take turns waiting on it."""
 
-    __slots__ = ("push", "_turn")
+    __slots__ = ("push", "_lock")
 
     def __init__(self, push: pynng.Push0) -> None:
         self.push = push
-        self._turn = Semaphore(1)
+        self._lock = Semaphore(1)
 
     @classmethod
     def dial(cls, address: str) -> _Peer:
@@ -50,19 +50,19 @@
 
     def send(self, data: bytes, timeout_ms: float) -> bool:
         """Waits for its turn and for the connection; False on timeout."""
-        if not self._turn.acquire(timeout=max(timeout_ms, 0) / MS_PER_S):
+        if not self._lock.acquire(timeout=max(timeout_ms, 0) / MS_PER_S):
             return False
         try:
-            return self._send_in_turn(data, timeout_ms)
+            return self._send_locked(data, timeout_ms)
         finally:
-            self._turn.release()
+            self._lock.release()
 
     def close(self) -> None:
         """Closes the socket once no task waits on its descriptor."""
-        with self._turn:
+        with self._lock:
             self.push.close()
 
-    def _send_in_turn(self, data: bytes, timeout_ms: float) -> bool:
+    def _send_locked(self, data: bytes, timeout_ms: float) -> bool:
         if self._try_send(data):
             return True
         with eventlet.Timeout(max(timeout_ms, 0) / MS_PER_S, False):
