Reword comments and messages of the store client

Doc comments said "takes what had moved on", "read anew" or "known at some time", and messages spoke of lapsed leases and a rate that is exhausted. They now use the terms of key-value stores: compaction, expiry, rate limit, retry. Every reason and figure is kept. Three tests have plainer names.

--- a/src/jayswitch/store/exceptions.py
+++ b/src/jayswitch/store/exceptions.py
@@ -6,58 +6,58 @@
 
 
 class StoreError(JayswitchError):
-    """A call to the store did not succeed."""
+    """Base class of failed store calls."""
 
     code = "store-error"
     status = 503
 
 
 class StoreUnavailable(StoreError):
-    """No answer came; a write may or may not have taken effect."""
+    """The store did not respond; a write may or may not have been applied."""
 
     code = "store-unavailable"
 
     def __init__(self, reason: str) -> None:
-        """Takes what the connection reported."""
+        """Initializes the error with the reason reported by the connection."""
         super().__init__(
-            f"the store gave no answer: {reason}",
-            "read the key again before repeating a write, or wait for the platform",
+            f"no response from the store: {reason}",
+            "read the key again before retrying a write, or wait for the platform",
         )
 
 
 class StoreThrottled(StoreError):
-    """The store refused the call because its rate is exhausted."""
+    """The store rejected the call because its rate limit is exceeded."""
 
     code = "store-throttled"
 
     def __init__(self) -> None:
-        """Needs no arguments."""
-        super().__init__("the store's rate is exhausted", "try again in a second")
+        """Initializes the error with a fixed cause and remedy."""
+        super().__init__("the store's rate limit is exceeded", "retry after a second")
 
 
 class CasConflict(StoreError):
-    """The key's revision is not the expected one."""
+    """The key's revision differs from the expected one."""
 
     code = "cas-conflict"
     status = 409
 
     def __init__(self, key: str) -> None:
-        """Takes the key that had moved on."""
+        """Initializes the error with the key that was modified concurrently."""
         super().__init__(
             f"key {key} has been changed by another writer",
-            "read the key again and repeat the write against its new revision",
+            "read the key again and retry the write with its new revision",
         )
 
 
 class LeaseExpired(StoreError):
-    """The lease has lapsed, and every key bound to it is gone."""
+    """The lease has expired, and every key attached to it has been deleted."""
 
     code = "lease-expired"
     status = 410
 
     def __init__(self, lease: str) -> None:
-        """Takes the lease's id."""
+        """Initializes the error with the lease ID."""
         super().__init__(
-            f"lease {lease} has lapsed",
-            "stop acting as its holder and apply for a new lease",
+            f"lease {lease} has expired",
+            "stop acting as the lease holder and request a new lease",
         )
--- a/src/jayswitch/store/follower.py
+++ b/src/jayswitch/store/follower.py
@@ -1,4 +1,4 @@
-"""Follows the keys below a prefix: one linearizable read, then watches."""
+"""Follows the keys under a prefix with one linearizable read, then watches."""
 
 from __future__ import annotations
 
@@ -19,41 +19,42 @@
     from jayswitch.store.exceptions import StoreError
     from jayswitch.store.interface import Store
 
-# The platform ends a waiting watch after 30 s at most. Each watch is a call that is
-# paid for; one whose answer was lost is noticed through other proxies.
+# The platform ends a long-poll watch after 30 s at most. Each watch is a billed call;
+# a lost response is detected through the revisions that other proxies report.
 WATCH_TIMEOUT_MS = 20_000
 RETRY_MIN_MS = 100.0
 RETRY_MAX_MS = 1000.0
-# A feed that is in order brings a change within this time of its being known.
+# A working feed delivers a change within this time after another proxy reports it.
 CATCH_UP_DELAY_MS = 200.0
-# How often a follower that gets its changes from others looks whether it still does.
+# How often a follower that receives changes from other proxies checks whether it
+# needs the store again.
 STORE_NEED_CHECK_MS = 500.0
 
-# While each watch finds changes that wait already, the pause before the next one
-# grows by this factor; it is short again after a watch that waited so long.
+# The batch delay grows by BATCH_DELAY_GROWTH while each watch finds changes already
+# pending, and is reset after a watch that waited at least IDLE_WATCH_MS.
 BATCH_DELAY_GROWTH = 1.5
 IDLE_WATCH_MS = 2000.0
-# The store sends values as base64 text.
+# The store sends values base64-encoded.
 BASE64_BYTES_PER_BYTE = 4 / 3
-# A watch that is answered sooner than this found its changes waiting.
+# A watch that returns sooner than this found its changes already pending.
 IMMEDIATE_RESPONSE_MS = 100.0
 
 logger = logging.getLogger(__name__)
 
 
 def max_value_bytes(link_mbit_per_s: float, duration_ms: float) -> float:
-    """Returns how long a value the store sends over a link in a time."""
+    """Returns the largest value that the store can send over a link in a given time."""
     return link_mbit_per_s * 1e6 / 8 * duration_ms / MS_PER_S / BASE64_BYTES_PER_BYTE
 
 
 class BatchDelay(msgspec.Struct, frozen=True):
-    """How long changes are gathered before they are fetched with one call."""
+    """Bounds of the delay during which changes accumulate for one fetch."""
 
     shortest_ms: float
     longest_ms: float
 
     def next_ms(self, current_ms: float, waited_ms: float) -> float:
-        """Returns the next pause, after a watch that waited so long for changes."""
+        """Returns the next delay, given how long the last watch waited for changes."""
         if waited_ms >= IDLE_WATCH_MS:
             return self.shortest_ms
         if waited_ms < IMMEDIATE_RESPONSE_MS:
@@ -62,10 +63,10 @@
 
 
 class PrefixFollower:
-    """Keeps a listener informed of every key below a prefix.
+    """Notifies a listener of every change to the keys under a prefix.
 
-    After a gap in the history the prefix is read whole again, and keys that are no
-    longer there are reported as removed. Changes may also come from other proxies.
+    After a gap in the history the whole prefix is read again, and keys that no longer
+    exist are reported as removed. Changes may also come from other proxies.
     """
 
     def __init__(
@@ -76,17 +77,18 @@
         clock: Clock,
         batch_delay: BatchDelay,
     ) -> None:
-        """Takes the listener, which must not block.
+        """Initializes the follower with a listener, which must not block.
 
-        After a change, others are waited for, so that one call brings them.
+        After a change the follower waits for the batch delay, so that one call
+        fetches several changes.
         """
         self.state = PrefixState()
         self.connected = False
-        # How long a watch of the store may wait; 0 if others bring the changes.
+        # Timeout of a watch of the store; 0 if other proxies deliver the changes.
         self.store_watch_timeout_ms: Callable[[], int] = lambda: WATCH_TIMEOUT_MS
-        # Takes what the proxy at an address knows; False if it did not answer.
+        # Fetches changes from the proxy at an address; False if that failed.
         self.fetch_from: Callable[[str], bool] = lambda address: False
-        # Values from this size on are on the way for longer than the shortest pause.
+        # Values of this size or more take longer to transfer than the shortest delay.
         self.slow_value_bytes = float("inf")
         self._store = store
         self._prefix = prefix
@@ -101,26 +103,27 @@
 
     @property
     def synced(self) -> bool:
-        """Tells whether every key was known at some time."""
+        """Whether the prefix has been read completely at least once."""
         return self.state.is_synced
 
     @property
     def latest_change_revision(self) -> int:
-        """Returns the revision of the newest change that is known."""
+        """Returns the revision of the latest known change."""
         return self.state.latest_change_revision
 
     def start(self) -> None:
-        """Starts the task that reads and watches."""
+        """Starts the task that reads and watches the prefix."""
         eventlet.spawn(self._run)
 
     def stop(self) -> None:
-        """Ends the task after its present call."""
+        """Stops the task after its current call."""
         self._stopped = True
 
     def report_newer_revision(self, revision: int, address: str = "") -> None:
-        """Takes a revision at which the proxy at an address has seen a change.
+        """Records that the proxy at an address has seen a change at a revision.
 
-        If the change does not come soon, that proxy is asked for it, then the store.
+        If the change does not arrive soon, it is fetched from that proxy, and from the
+        store if that fails.
         """
         if revision > self.state.revision and self.synced and not self._catching_up:
             self._catching_up = True
@@ -165,7 +168,7 @@
                 needs_read = self._watch_once(wait_ms)
 
     def _read_all(self) -> bool:
-        """Reads the whole prefix; tells whether to go on with a watch."""
+        """Reads the whole prefix; returns whether to continue with a watch."""
         result = self._store.read(self._prefix)
         match result:
             case Failure(error):
@@ -181,7 +184,7 @@
         return True
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
-        """Puts in force what a whole read of the prefix shows."""
+        """Applies a full read of the prefix, including the removals it implies."""
         is_first = not self.synced
         for event in self.state.removals_implied_by(snapshot):
             self._apply(event)
@@ -195,23 +198,23 @@
             )
 
     def apply_changes(self, events: list[WatchEvent], revision: int) -> None:
-        """Puts in force the newest change of each key.
+        """Applies the latest change of each key.
 
-        Every change up to the revision is among them or known.
+        Every change up to the revision is either in the list or already known.
         """
         for event in {event.key: event for event in events}.values():
             self._apply(event)
         self.state.advance(revision)
 
     def _watch_once(self, wait_ms: int) -> bool:
-        """Waits for changes; tells whether the prefix must be read anew."""
+        """Watches for changes once; returns whether the prefix must be read again."""
         started_ms = self._clock.now_ms()
-        # The first answer after an outage says that it is over.
+        # While disconnected, the watch returns at once, to detect recovery quickly.
         wait_ms = wait_ms if self.connected else 0
         result = self._store.watch(self._prefix, self.state.revision, wait_ms)
         match result:
             case Failure(error):
-                # Another watch goes on from the same revision.
+                # The next watch resumes from the same revision.
                 self._record_failure(error)
                 return False
         waited_ms = self._clock.now_ms() - started_ms
@@ -219,7 +222,7 @@
         self._record_success()
         if batch.compacted:
             logger.warning(
-                "store history is gone; reading the prefix again",
+                "watch history compacted; reading the prefix again",
                 extra={"prefix": self._prefix, "revision": self.state.revision},
             )
             return True
@@ -233,9 +236,9 @@
         return self._is_fetch_rate_exceeded
 
     def _exceeds_fetch_rate(self, events: list[WatchEvent]) -> bool:
-        """Tells whether changes may come faster than they are fetched.
+        """Returns whether changes may arrive faster than watches can fetch them.
 
-        A watch brings every value in between, a read only the last one.
+        A watch transfers every intermediate value, a read only the latest one.
         """
         sizes = [len(event.value or b"") for event in events]
         return (
@@ -249,7 +252,7 @@
         try:
             self._on_change(event)
         except Exception:
-            logger.exception("change not applied", extra={"key": event.key})
+            logger.exception("change listener failed", extra={"key": event.key})
 
     def _record_success(self) -> None:
         self._retry_ms = RETRY_MIN_MS
@@ -268,6 +271,6 @@
 
 
 def _repeats_long_value(events: list[WatchEvent]) -> bool:
-    """Tells whether a long value came more than once, where the last one is enough."""
+    """Returns whether a long value was sent repeatedly, though only the last counts."""
     long_keys = [e.key for e in events if len(e.value or b"") >= LONG_VALUE_BYTES]
     return len(long_keys) > len(set(long_keys))
--- a/src/jayswitch/store/http.py
+++ b/src/jayswitch/store/http.py
@@ -1,4 +1,4 @@
-"""Store adapter over HTTP and JSON."""
+"""HTTP client for the key-value store."""
 
 from __future__ import annotations
 
@@ -34,30 +34,33 @@
 
 
 class HttpStore:
-    """The platform's key-value service behind its HTTP interface."""
+    """Client of the HTTP interface of the platform's key-value service."""
 
     def __init__(self, base_url: str) -> None:
-        """Takes the service's base URL; connects on the first call."""
+        """Initializes the client with a base URL; connects on the first call."""
         self._base_url = base_url.rstrip("/")
         self._pool = urllib3.PoolManager(maxsize=POOL_SIZE, retries=False)
         self.calls = 0
 
     def get(self, key: str) -> Result[StoredValue | None, StoreError]:
-        """Returns the key's value, or None where there is none."""
+        """Returns the key's value, or None if the key does not exist."""
         result = self._call("GET", f"/kv/{quote(key)}", StoredValue | None)
         return result
 
     def scan(
         self, prefix: str, after: str = "", limit: int = 1000
     ) -> Result[list[StoredValue], StoreError]:
-        """Returns the values below a prefix, ordered by key, after the given key."""
+        """Returns the values under a prefix, ordered by key, after the given key."""
         query = urlencode({"prefix": prefix, "after": after, "limit": limit})
         return self._call("GET", f"/scan?{query}", ScanBody).map(
             lambda body: body.values
         )
 
     def read(self, prefix: str) -> Result[Snapshot, StoreError]:
-        """Returns every value below a prefix; the revision is read first."""
+        """Returns every value under a prefix.
+
+        The revision is read first, so that no change after it is missed.
+        """
         first = self.watch(prefix, -1, 0)
         return first.bind(
             lambda batch: self.scan(prefix).map(
@@ -75,7 +78,7 @@
         )
 
     def commit(self, writes: list[Write]) -> Result[int, StoreError]:
-        """Writes all of the keys or none; this service takes one key at a time."""
+        """Writes atomically; this service supports only one key per transaction."""
         if len(writes) != 1 or writes[0].expected_revision is None:
             return Failure(StoreUnavailable("transactions are not supported"))
         write = writes[0]
@@ -95,17 +98,17 @@
         )
 
     def keep_alive(self, lease: str) -> Result[None, StoreError]:
-        """Extends the lease by its time to live."""
+        """Renews the lease for its time to live."""
         return self._call("POST", f"/leases/{quote(lease)}", type(None))
 
     def revoke(self, lease: str) -> Result[None, StoreError]:
-        """Ends the lease and deletes its keys."""
+        """Revokes the lease and deletes its keys."""
         return self._call("DELETE", f"/leases/{quote(lease)}", type(None))
 
     def watch(
         self, prefix: str, after_revision: int, timeout_ms: int
     ) -> Result[WatchBatch, StoreError]:
-        """Waits for changes below the prefix after the revision."""
+        """Waits for changes under the prefix after the revision."""
         query = urlencode(
             {"prefix": prefix, "after": after_revision, "timeout_ms": timeout_ms}
         )
@@ -134,7 +137,7 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Failure(StoreUnavailable(str(error)))
         except msgspec.MsgspecError as error:
-            return Failure(StoreUnavailable(f"unreadable answer: {error}"))
+            return Failure(StoreUnavailable(f"invalid response: {error}"))
 
     def _parse(
         self, response: urllib3.BaseHTTPResponse, path: str, response_type: Any
--- a/src/jayswitch/store/interface.py
+++ b/src/jayswitch/store/interface.py
@@ -1,4 +1,4 @@
-"""What jayswitch needs from the platform's key-value service."""
+"""Interface to the platform's key-value service."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class StoredValue(msgspec.Struct, frozen=True):
-    """One key; the revision grows with every write in the store."""
+    """A key and its value; the revision increases with every write to the store."""
 
     key: str
     value: bytes
@@ -22,7 +22,7 @@
 
 
 class WatchEvent(msgspec.Struct, frozen=True):
-    """A change of a watched key; value is None for a deletion."""
+    """A change to a watched key; value is None for a deletion."""
 
     key: str
     value: bytes | None
@@ -30,7 +30,7 @@
 
 
 class WatchBatch(msgspec.Struct, frozen=True):
-    """Changes after a revision; compacted asks the watcher to read anew."""
+    """Changes after a revision; if compacted, the watcher must read again."""
 
     revision: int
     events: list[WatchEvent]
@@ -38,17 +38,17 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """Every value below a prefix; what changed after the revision may be missing."""
+    """Every value under a prefix; changes after the revision may be missing."""
 
     values: list[StoredValue]
     revision: int
 
 
 class Write(msgspec.Struct, frozen=True):
-    """One key of a transaction; a lease other than "" removes the key when it ends.
+    """One key of a transaction; if a lease is set, its end deletes the key.
 
-    An expected revision of 0 means that the key does not exist, None that any
-    revision will do.
+    An expected revision of 0 requires that the key does not exist; None accepts any
+    revision.
     """
 
     key: str
@@ -60,19 +60,19 @@
 class Store(Protocol):
     """Compare-and-swap, leases and watches; each method is one call.
 
-    A StoreUnavailable failure of a write leaves open whether it took effect.
+    After a StoreUnavailable failure, a write may or may not have been applied.
     """
 
     def get(self, key: str) -> Result[StoredValue | None, StoreError]:
-        """Returns the key's value, or None where there is none."""
+        """Returns the key's value, or None if the key does not exist."""
 
     def scan(
         self, prefix: str, after: str = "", limit: int = 1000
     ) -> Result[list[StoredValue], StoreError]:
-        """Returns the values below a prefix, ordered by key, after the given key."""
+        """Returns the values under a prefix, ordered by key, after the given key."""
 
     def read(self, prefix: str) -> Result[Snapshot, StoreError]:
-        """Returns every value below a prefix."""
+        """Returns every value under a prefix."""
 
     def put(
         self, key: str, value: bytes, expected_revision: int, lease: str = ""
@@ -89,18 +89,18 @@
         """Returns the id of a new lease."""
 
     def keep_alive(self, lease: str) -> Result[None, StoreError]:
-        """Extends the lease by its time to live."""
+        """Renews the lease for its time to live."""
 
     def revoke(self, lease: str) -> Result[None, StoreError]:
-        """Ends the lease and deletes its keys."""
+        """Revokes the lease and deletes its keys."""
 
     def watch(
         self, prefix: str, after_revision: int, timeout_ms: int
     ) -> Result[WatchBatch, StoreError]:
-        """Waits for changes below the prefix after the revision.
+        """Waits for changes under the prefix after the revision.
 
-        A negative revision returns the newest one at once, without changes.
+        A negative revision returns the latest one immediately, without changes.
         """
 
     def commit(self, writes: list[Write]) -> Result[int, StoreError]:
-        """Writes all of the keys or none; returns the new revision."""
+        """Writes all keys or none atomically; returns the new revision."""
--- a/src/jayswitch/store/prefix_state.py
+++ b/src/jayswitch/store/prefix_state.py
@@ -1,4 +1,4 @@
-"""What a process knows of the keys below a prefix, and up to which revision."""
+"""Local copy of the keys under a prefix and the revision it has reached."""
 
 from __future__ import annotations
 
@@ -10,34 +10,34 @@
 from jayswitch.clock import MS_PER_S
 from jayswitch.store.interface import Snapshot, WatchEvent
 
-# Values from this size on are sent to others as differences; some earlier ones are
-# kept for that: followers lag by a few changes at most.
+# Values of this size or more are sent to other proxies as deltas. The previous values
+# are kept as bases for these; followers lag by a few changes at most.
 LONG_VALUE_BYTES = 4096
 PREVIOUS_VALUES_KEPT = 4
 
 
 class PrefixState:
-    """The newest change of each key; removals are remembered.
+    """The latest change of each key, including removals.
 
-    Changes may come twice and in any order. A change that is older than the one that
-    is known of its key is passed over.
+    Changes may arrive repeatedly and in any order. A change that is not newer than the
+    known one of its key is ignored.
     """
 
     def __init__(self) -> None:
-        """Starts without any knowledge."""
+        """Initializes an empty, unsynchronized state."""
         # Every change up to this revision is known.
         self.revision = 0
         # Every removal after this revision is known; negative before the first read.
         self.removals_known_after = -1
         self.latest_change_revision = 0
-        # Whether the store was reached at the last attempt.
+        # Whether the last call to the store succeeded.
         self.is_current = False
         self.change_by_key: dict[str, WatchEvent] = {}
         self._previous_by_key: dict[str, deque[WatchEvent]] = {}
         self._waiters: list[Event] = []
 
     def apply(self, event: WatchEvent) -> bool:
-        """Takes one change; tells whether it is newer than what was known."""
+        """Applies a change; returns whether it is newer than the known one."""
         known = self.change_by_key.get(event.key)
         if known is not None and event.revision <= known.revision:
             return False
@@ -51,7 +51,7 @@
         return True
 
     def removals_implied_by(self, snapshot: Snapshot) -> list[WatchEvent]:
-        """Returns the removals that a snapshot shows."""
+        """Returns the removals of known keys that are absent from a snapshot."""
         present = {value.key for value in snapshot.values}
         return [
             WatchEvent(key, None, snapshot.revision)
@@ -62,7 +62,7 @@
         ]
 
     def advance(self, revision: int, removals_known_after: int | None = None) -> None:
-        """Notes that every change up to a revision is known, and wakes waiters."""
+        """Records that every change up to a revision is known, and wakes waiters."""
         self.revision = max(self.revision, revision)
         if removals_known_after is not None and self.removals_known_after < 0:
             self.removals_known_after = removals_known_after
@@ -72,11 +72,11 @@
 
     @property
     def is_synced(self) -> bool:
-        """Tells whether every key below the prefix was known at some time."""
+        """Whether the prefix has been read completely at least once."""
         return self.removals_known_after >= 0
 
     def changes_after(self, revision: int) -> list[WatchEvent] | None:
-        """Returns the newest changes; None where some removals are not known."""
+        """Returns the changes after a revision, or None if removals may be missing."""
         if revision < self.removals_known_after:
             return None
         return [
@@ -86,14 +86,14 @@
         ]
 
     def previous_value(self, key: str, revision: int) -> bytes | None:
-        """Returns the value that a key had from a revision on, if it is kept."""
+        """Returns the previous value that a key had at a revision, if retained."""
         for change in self._previous_by_key.get(key, ()):
             if change.revision == revision:
                 return change.value
         return None
 
     def revision_by_long_key(self) -> dict[str, int]:
-        """Returns the revisions of the long values that are held."""
+        """Returns the revision of each current long value, by key."""
         return {
             key: change.revision
             for key, change in self.change_by_key.items()
@@ -101,7 +101,7 @@
         }
 
     def wait_for_change(self, after: int, timeout_ms: float) -> bool:
-        """Waits until a change after a revision is known; False on timeout."""
+        """Waits for a change after a revision; returns False on timeout."""
         with eventlet.Timeout(timeout_ms / MS_PER_S, False):
             while not self.is_synced or self.latest_change_revision <= after:
                 waiter = Event()
--- a/src/jayswitch/store/wire.py
+++ b/src/jayswitch/store/wire.py
@@ -1,4 +1,4 @@
-"""Requests and answers of the store's HTTP interface, as JSON."""
+"""JSON bodies of the store's HTTP interface."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class PutBody(msgspec.Struct):
-    """Body of a write."""
+    """Request body of a write."""
 
     value: bytes
     expected_revision: int
@@ -16,26 +16,26 @@
 
 
 class LeaseBody(msgspec.Struct):
-    """Body of a lease request and of its answer."""
+    """Request and response body of a lease grant."""
 
     ttl_ms: int = 0
     lease: str = ""
 
 
 class RevisionBody(msgspec.Struct):
-    """Answer to a write."""
+    """Response to a write."""
 
     revision: int
 
 
 class ScanBody(msgspec.Struct):
-    """Answer to a scan."""
+    """Response to a scan."""
 
     values: list[StoredValue]
 
 
 class ErrorBody(msgspec.Struct):
-    """Answer to a call that did not succeed; code as in store.exceptions."""
+    """Response to a failed call; the codes are those in store.exceptions."""
 
     code: str
     detail: str = ""
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -1,4 +1,4 @@
-"""Tests of following a prefix through outages and gaps."""
+"""Tests of following a prefix across outages and history gaps."""
 
 from __future__ import annotations
 
@@ -19,10 +19,10 @@
 
 
 class FollowerSetup:
-    """A store, a follower and what the follower has told."""
+    """A store, a follower and the values that its listener has received."""
 
     def __init__(self) -> None:
-        """Starts to follow."""
+        """Starts the follower."""
         self.clock = VirtualClock()
         self.store = MemoryStore(self.clock)
         self.values: dict[str, bytes] = {}
@@ -39,12 +39,12 @@
             self.values[event.key] = event.value
 
     def put(self, key: str, value: bytes) -> None:
-        """Writes a key, whatever its revision."""
+        """Writes a key regardless of its revision."""
         self.store.commit([Write(key, value)]).unwrap()
 
 
 class TestFollower:
-    """The listener ends up with what the store holds."""
+    """The listener converges on the contents of the store."""
 
     def test_changes_arrive(self) -> None:
         setup = FollowerSetup()
@@ -68,7 +68,7 @@
         setup.clock.sleep_ms(2000)
         assert setup.values == {"op/b": b"3"}
 
-    def test_lost_history_is_read_anew(self) -> None:
+    def test_prefix_is_read_again_after_compaction(self) -> None:
         setup = FollowerSetup()
         watch = setup.store.watch
         compacted = WatchBatch(0, [], compacted=True)
@@ -115,15 +115,15 @@
 
 
 class TestBatchDelay:
-    """Storms cost few calls, single changes arrive at once."""
+    """Bursts of changes cost few calls; single changes arrive promptly."""
 
-    def test_pause_grows_in_a_storm_and_is_short_again_after_it(self) -> None:
+    def test_delay_grows_in_a_burst_and_is_reset_afterwards(self) -> None:
         delays = [BATCH_DELAY.shortest_ms]
         for waited_ms in (4.0, 4.0, 500.0, 4.0, 4.0, 4.0, 5000.0):
             delays.append(BATCH_DELAY.next_ms(delays[-1], waited_ms))
         assert delays == [100, 150, 225, 225, 337.5, 400, 400, 100]
 
-    def test_storm_of_changes_costs_fewer_calls_than_changes(self) -> None:
+    def test_burst_costs_fewer_calls_than_changes(self) -> None:
         setup = FollowerSetup()
         watches = 0
         watch = setup.store.watch
