Reword comments and messages of the feeds

Comments spoke of proxies that know, ask and tell, of links that are wide or thin, and of deltas that do not fit. They now use the terms of replication: requester, response, base revision, bandwidth, checksum mismatch. Every reason and figure is kept. Tests have plainer names; what they check is unchanged.

--- a/src/jayswitch/feed/__init__.py
+++ b/src/jayswitch/feed/__init__.py
@@ -1,1 +1,1 @@
-"""Changes below a prefix of the store, passed from proxy to proxy."""
+"""Distribution of store changes under a prefix from proxy to proxy."""
--- a/src/jayswitch/feed/client.py
+++ b/src/jayswitch/feed/client.py
@@ -1,4 +1,4 @@
-"""Asks another proxy for its feed."""
+"""Client for the feeds of other proxies."""
 
 from __future__ import annotations
 
@@ -22,34 +22,34 @@
     from jayswitch.proxy.http_client import HttpClient
 
 STATUS_OK = 200
-# A whole configuration of the largest size, compressed, takes less on a thin link.
+# A compressed configuration of the maximum size transfers in less on a slow link.
 RESPONSE_MARGIN_MS = 1000.0
-# The store takes no longer value, and a prefix holds few of them.
+# The store limits the size of a value, and a prefix holds few values of that size.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 _decoder = msgspec.msgpack.Decoder(FeedResponse)
 
 
 class FeedSource(Protocol):
-    """Brings the feeds of other proxies."""
+    """Fetches the feeds of other proxies."""
 
     def fetch(
         self, address: str, request: FeedRequest
     ) -> Result[FeedResponse, FeedError]:
-        """Returns the changes that the proxy at the address knows."""
+        """Returns the changes known to the proxy at the address."""
 
 
 class FeedClient:
-    """Fetches feeds over the connections that proxies keep to each other."""
+    """Fetches feeds over the persistent connections between proxies."""
 
     def __init__(self, client: HttpClient) -> None:
-        """Takes the client that keeps the connections."""
+        """Initializes the client with the HTTP client that pools the connections."""
         self._client = client
 
     def fetch(
         self, address: str, request: FeedRequest
     ) -> Result[FeedResponse, FeedError]:
-        """Returns the changes; waits as long as the request says."""
+        """Returns the changes; waits for the time that the request allows."""
         wait_ms = request.wait_ms + RESPONSE_MARGIN_MS
         timeout = eventlet.Timeout(wait_ms / MS_PER_S)
         try:
@@ -57,7 +57,7 @@
         except (NotSent, ExchangeBroken, AnswerCut) as error:
             return Failure(FeedUnavailable(address, error.cause))
         except msgspec.MsgspecError as error:
-            return Failure(FeedUnavailable(address, f"unreadable answer: {error}"))
+            return Failure(FeedUnavailable(address, f"invalid response: {error}"))
         except eventlet.Timeout as expired:
             if expired is not timeout:
                 raise
--- a/src/jayswitch/feed/delta.py
+++ b/src/jayswitch/feed/delta.py
@@ -1,4 +1,4 @@
-"""Differences between two versions of a long text value."""
+"""Deltas between two versions of a long text value."""
 
 from __future__ import annotations
 
@@ -8,32 +8,32 @@
 
 from jayswitch.feed.exceptions import DeltaMismatch
 
-# Where a text is cut into parts: the end of an object in JSON.
+# Splits a text into parts at the end of each JSON object.
 SEPARATOR = b"}"
 
 
 class Copy(msgspec.Struct, frozen=True, array_like=True, tag="c"):
-    """Parts of the earlier text, from the first to the one before the last."""
+    """A range of parts of the earlier text; the last index is exclusive."""
 
     first: int
     last: int
 
 
 class Insert(msgspec.Struct, frozen=True, array_like=True, tag="i"):
-    """Text that the earlier one does not have at this place."""
+    """Text that is not in the earlier version at this position."""
 
     text: bytes
 
 
 class Delta(msgspec.Struct, frozen=True, array_like=True):
-    """How a text follows from an earlier one; the checksum is the new text's."""
+    """Steps that turn an earlier text into a later one, and the later checksum."""
 
     steps: list[Copy | Insert]
     checksum: int
 
 
 def make_delta(earlier: bytes, later: bytes) -> Delta:
-    """Returns how the later text follows from the earlier one."""
+    """Returns the delta from the earlier to the later text."""
     parts = earlier.split(SEPARATOR)
     index_by_part = {part: index for index, part in enumerate(parts)}
     steps = _StepBuilder()
@@ -51,7 +51,7 @@
 
 
 class _StepBuilder:
-    """Joins neighbouring copies and neighbouring insertions into one step each."""
+    """Merges adjacent copies and adjacent insertions into one step each."""
 
     __slots__ = ("_first", "_inserted_parts", "_last", "_steps")
 
@@ -88,7 +88,7 @@
 
 
 def apply_delta(earlier: bytes, delta: Delta) -> bytes:
-    """Returns the later text; raises DeltaMismatch where the delta does not fit."""
+    """Returns the later text; raises DeltaMismatch if the delta does not apply."""
     parts = earlier.split(SEPARATOR)
     restored: list[bytes] = []
     for step in delta.steps:
@@ -97,8 +97,8 @@
         elif 0 <= step.first < step.last <= len(parts):
             restored.extend(parts[step.first : step.last])
         else:
-            raise DeltaMismatch("it copies parts that are not there")
+            raise DeltaMismatch("copy range exceeds the base value")
     later = SEPARATOR.join(restored)
     if zlib.crc32(later) != delta.checksum:
-        raise DeltaMismatch("the checksum differs")
+        raise DeltaMismatch("checksum mismatch")
     return later
--- a/src/jayswitch/feed/exceptions.py
+++ b/src/jayswitch/feed/exceptions.py
@@ -6,30 +6,30 @@
 
 
 class FeedError(JayswitchError):
-    """A feed brought nothing that can be used."""
+    """Base class of feed failures."""
 
     code = "feed-error"
     status = 503
 
 
 class FeedUnavailable(FeedError):
-    """The proxy that serves the feed gave no whole answer."""
+    """The proxy that serves the feed returned no complete response."""
 
     code = "feed-unavailable"
 
     def __init__(self, address: str, reason: str) -> None:
-        """Takes the proxy's address and what the connection reported."""
+        """Initializes the error with the proxy's address and the reason."""
         super().__init__(
             f"no feed from {address}: {reason}",
-            "follow another proxy, or the store if there is none",
+            "follow another proxy, or the store if no proxy is available",
         )
 
 
 class DeltaMismatch(FeedError):
-    """A delta was made for another value than the one that is held."""
+    """A delta is based on a different value from the local one."""
 
     code = "delta-mismatch"
 
     def __init__(self, reason: str) -> None:
-        """Takes what does not fit."""
-        super().__init__(f"the delta does not fit: {reason}", "ask for it again")
+        """Initializes the error with the reason of the mismatch."""
+        super().__init__(f"cannot apply the delta: {reason}", "request the value again")
--- a/src/jayswitch/feed/follower.py
+++ b/src/jayswitch/feed/follower.py
@@ -1,4 +1,4 @@
-"""Follows the feeds of relays, two at a time."""
+"""Follows the feeds of two relays at a time."""
 
 from __future__ import annotations
 
@@ -20,21 +20,22 @@
     from jayswitch.feed.relay_selector import RelaySelector
     from jayswitch.store.follower import PrefixFollower
 
-# One feed may come from a relay that is cut off or stands still.
+# Two feeds, because one relay may be disconnected or hang.
 FEED_COUNT = 2
-# A relay that stands still is noticed after this time and the answer's margin.
+# A hung relay is detected after this time plus the response margin.
 FEED_WAIT_MS = 2500.0
 NO_RELAY_RETRY_MS = 500.0
-# How long a proxy without a feed waits at the store, and one that is a relay.
+# Timeout of store watches by a proxy that is not a relay and has no feed.
 FALLBACK_WATCH_MS = 2000
-# A relay learns within this time that the store is silent, and tells so.
+# Timeout of store watches by a relay, which detects and reports within this time
+# that the store does not respond.
 RELAY_WATCH_MS = 4000
 
 logger = logging.getLogger(__name__)
 
 
 class FeedFollower:
-    """Keeps a prefix up to date from relays; says when the store is needed."""
+    """Keeps a prefix up to date from relays; decides when to watch the store."""
 
     def __init__(
         self,
@@ -44,7 +45,7 @@
         source: FeedSource,
         clock: Clock,
     ) -> None:
-        """Takes the follower that puts changes in force."""
+        """Initializes the feeds with the prefix follower that applies changes."""
         self.relay_by_feed: dict[int, str] = {}
         self._chosen_by_feed: dict[int, str] = {}
         self._prefix = prefix
@@ -61,13 +62,13 @@
             eventlet.spawn(self._run, feed)
 
     def store_watch_timeout_ms(self) -> int:
-        """Returns how long a watch of the store may wait; 0 if none is needed."""
+        """Returns the timeout of a store watch; 0 if no watch is needed."""
         if self._relays.is_relay():
             return RELAY_WATCH_MS
         return 0 if self.relay_by_feed else FALLBACK_WATCH_MS
 
     def fetch_from(self, address: str) -> bool:
-        """Takes what another proxy knows now; tells whether it answered."""
+        """Fetches changes from another proxy; returns whether its feed is usable."""
         logger.info(
             "asking a proxy that knows more",
             extra={"address": address, "revision": self._follower.state.revision},
@@ -78,7 +79,7 @@
         while True:
             self._chosen_by_feed.pop(feed, None)
             excluded = set(self._chosen_by_feed.values())
-            # The first feed stays in the data centre, the other one leaves it.
+            # The first feed prefers this data centre, the second one another.
             address = self._relays.choose(feed > 0, excluded)
             if address is None:
                 self._clock.sleep_ms(NO_RELAY_RETRY_MS)
@@ -87,7 +88,7 @@
             self._follow(feed, address)
 
     def _follow(self, feed: int, address: str) -> None:
-        """Follows one relay until its feed fails or it is no relay any more."""
+        """Follows one relay until its feed fails or it is no longer a relay."""
         wait_ms = 0.0
         while self._fetch(address, wait_ms):
             if feed not in self.relay_by_feed:
@@ -100,9 +101,9 @@
             logger.info("feed closed", extra={"relay": address, "feed": feed})
 
     def _fetch(self, address: str, wait_ms: float) -> bool:
-        """Takes the changes that a proxy knows; tells whether its feed is of use."""
+        """Fetches and applies a proxy's changes; returns whether its feed is usable."""
         state = self._follower.state
-        # Another feed may replace a held value meanwhile; whole ones always fit.
+        # Another feed may replace the base of a delta; full values always apply.
         for held in (state.revision_by_long_key(), {}):
             after = state.revision if state.is_synced else -1
             response = self._request(
@@ -114,7 +115,7 @@
                 self._apply_response(response)
             except (DeltaMismatch, msgspec.MsgspecError) as error:
                 logger.info(
-                    "feed does not fit",
+                    "feed response could not be applied",
                     extra={"relay": address, "reason": str(error)},
                 )
                 wait_ms = 0.0
--- a/src/jayswitch/feed/messages.py
+++ b/src/jayswitch/feed/messages.py
@@ -1,4 +1,4 @@
-"""What proxies tell each other over a feed, and how values are packed."""
+"""Feed requests and responses between proxies, and the encoding of values."""
 
 from __future__ import annotations
 
@@ -13,12 +13,12 @@
 
 FEED_PATH = "/x-jayswitch/feed"
 FEED_REQUEST_HEADER = "X-Jayswitch-Feed"
-# The fastest level; it makes a tenth of a configuration.
+# The fastest level; it compresses a configuration to a tenth of its size.
 COMPRESSION_LEVEL = 1
 
 
 class FeedRequest(msgspec.Struct, omit_defaults=True):
-    """Asks for the changes after a revision; held are long values by revision."""
+    """Requests the changes after a revision; held maps long values to revisions."""
 
     prefix: str
     after: int
@@ -27,7 +27,7 @@
 
 
 class ValueEncoding(Enum):
-    """How a value is packed."""
+    """Encoding of a value in a change."""
 
     REMOVED = 0
     PLAIN = 1
@@ -36,7 +36,7 @@
 
 
 class FeedChange(msgspec.Struct, array_like=True):
-    """One change; base is the revision of the value that a delta starts from."""
+    """One change; base is the revision of the value that a delta applies to."""
 
     key: str
     revision: int
@@ -46,10 +46,10 @@
 
 
 class FeedResponse(msgspec.Struct):
-    """The newest change of each key; a whole answer lists every key there is.
+    """The latest change of each key; a whole response lists every existing key.
 
-    Every change up to the revision is in the answer or known to the asker. An answer
-    is current while the one who gives it is in touch with the store or with a relay.
+    Every change up to the revision is in the response or known to the requester. A
+    response is current while its sender is connected to the store or to a relay.
     """
 
     revision: int
@@ -61,7 +61,7 @@
 def pack(
     key: str, revision: int, value: bytes | None, base: int, held: bytes | None
 ) -> FeedChange:
-    """Returns a change in its shortest form for one who holds an earlier value."""
+    """Returns a change in its smallest encoding, given the requester's held value."""
     if value is None:
         return FeedChange(key, revision, ValueEncoding.REMOVED)
     if len(value) < LONG_VALUE_BYTES:
@@ -78,7 +78,10 @@
 
 
 def unpack(change: FeedChange, base: int, held: bytes | None) -> bytes | None:
-    """Returns a change's value; None for a removal. Raises DeltaMismatch."""
+    """Returns the value of a change, or None for a removal.
+
+    Raises DeltaMismatch if the value cannot be restored.
+    """
     if change.form is ValueEncoding.REMOVED:
         return None
     if change.form is ValueEncoding.PLAIN:
@@ -87,7 +90,9 @@
         try:
             return zlib.decompress(change.packed)
         except zlib.error as error:
-            raise DeltaMismatch(f"the value cannot be read: {error}") from error
+            raise DeltaMismatch(f"decompression failed: {error}") from error
     if held is None or base != change.base:
-        raise DeltaMismatch(f"revision {change.base} of {change.key} is not held")
+        raise DeltaMismatch(
+            f"base revision {change.base} of {change.key} is not available"
+        )
     return apply_delta(held, msgspec.msgpack.decode(change.packed, type=Delta))
--- a/src/jayswitch/feed/relay_selector.py
+++ b/src/jayswitch/feed/relay_selector.py
@@ -1,4 +1,4 @@
-"""Which proxies follow the store, and which of them each proxy follows."""
+"""Selects the proxies that follow the store and those that each proxy follows."""
 
 from __future__ import annotations
 
@@ -12,25 +12,25 @@
     from jayswitch.fleet.directory import Directory
     from jayswitch.fleet.records import NodeRecord
 
-# Two relays in each data centre outlive the loss of one.
+# With two relays, a data centre tolerates the loss of one.
 MIN_RELAYS = 2
-# A relay of a large data centre feeds this many proxies.
+# Number of proxies that each relay of a large data centre serves.
 PROXIES_PER_RELAY = 50
-# A relay whose feed failed is not asked again for this time.
+# A relay whose feed failed is not used again for this time.
 AVOID_RELAY_MS = 2000.0
 
 
 class RelaySelector:
-    """The relays of the fleet, as the directory has it.
+    """Selects relays from the directory of the fleet.
 
-    Of a data centre the proxies with the widest links are relays, so that all of the
-    fleet agrees on them without a word.
+    The proxies with the highest link bandwidth in each data centre are its relays, so
+    that the whole fleet agrees on them without communication.
     """
 
     def __init__(
         self, vm: str, data_centre: str, directory: Directory, clock: Clock
     ) -> None:
-        """Takes the proxy that chooses."""
+        """Initializes the selector for one proxy."""
         self.is_suspected: Callable[[str], bool] = lambda vm: False
         self._vm = vm
         self._data_centre = data_centre
@@ -40,11 +40,11 @@
         self._offset = zlib.crc32(vm.encode())
 
     def is_relay(self) -> bool:
-        """Tells whether this proxy follows the store for others."""
+        """Returns whether this proxy follows the store on behalf of others."""
         return any(r.vm == self._vm for r in self._relays()[self._data_centre])
 
     def is_usable(self, address: str) -> bool:
-        """Tells whether a relay still has the address."""
+        """Returns whether the address still belongs to a relay."""
         return any(
             record.address == address
             for records in self._relays().values()
@@ -52,9 +52,9 @@
         )
 
     def choose(self, prefer_remote: bool, excluded: set[str]) -> str | None:
-        """Returns the address of a relay, of this data centre or of another one.
+        """Returns the address of a relay, preferably local or preferably remote.
 
-        None if there is none besides those that are taken and this proxy.
+        Returns None if there is no relay other than this proxy and those excluded.
         """
         by_data_centre = self._relays()
         local = by_data_centre.pop(self._data_centre)
@@ -68,7 +68,7 @@
         return None
 
     def avoid(self, address: str) -> None:
-        """Notes that a relay's feed has failed."""
+        """Excludes a relay for a while after its feed has failed."""
         self._avoided_until_ms[address] = self._clock.now_ms() + AVOID_RELAY_MS
 
     def _is_eligible(self, record: NodeRecord) -> bool:
--- a/src/jayswitch/feed/server.py
+++ b/src/jayswitch/feed/server.py
@@ -1,4 +1,4 @@
-"""Serves what this proxy knows of a prefix to other proxies."""
+"""Serves the changes under a prefix to other proxies."""
 
 from __future__ import annotations
 
@@ -14,19 +14,19 @@
 
 
 class FeedServer:
-    """Answers requests as soon as a change is known that the asker lacks."""
+    """Responds to a request once there is a change that the requester lacks."""
 
     def __init__(self) -> None:
-        """Serves nothing yet."""
+        """Initializes the server without prefixes."""
         self._state_by_prefix: dict[str, PrefixState] = {}
         self._packed_cache: dict[tuple[str, int], FeedChange] = {}
 
     def serve(self, prefix: str, state: PrefixState) -> None:
-        """Serves what is known of a prefix."""
+        """Adds a prefix to serve from its state."""
         self._state_by_prefix[prefix] = state
 
     def respond(self, request: FeedRequest) -> FeedResponse | None:
-        """Returns the changes, after waiting; None where nothing is known yet."""
+        """Waits for and returns changes; None if the prefix has not been read yet."""
         state = self._state_by_prefix.get(request.prefix)
         if state is None:
             return None
@@ -53,7 +53,7 @@
         return packed
 
     def _cache_packed(self, cache_key: tuple[str, int], packed: FeedChange) -> None:
-        """Keeps a packed change for others that ask for the same."""
+        """Caches a packed change for other requesters; drops older ones of the key."""
         self._packed_cache = {
             cached_key: cached
             for cached_key, cached in self._packed_cache.items()
--- a/tests/feed/test_delta.py
+++ b/tests/feed/test_delta.py
@@ -1,4 +1,4 @@
-"""Tests of differences between texts."""
+"""Tests of deltas between texts."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 
 
 class TestDelta:
-    """A delta brings the later text, or says that it does not fit."""
+    """A delta restores the later text or raises DeltaMismatch."""
 
     @given(TEXTS, TEXTS)
     def test_later_text_is_restored(self, earlier: bytes, later: bytes) -> None:
         assert apply_delta(earlier, make_delta(earlier, later)) == later
 
     @given(TEXTS, TEXTS, TEXTS)
-    def test_another_base_is_noticed(
+    def test_wrong_base_is_detected(
         self, earlier: bytes, later: bytes, other: bytes
     ) -> None:
         delta = make_delta(earlier, later)
@@ -29,7 +29,7 @@
         except DeltaMismatch:
             assert other != earlier
 
-    def test_one_changed_route_costs_little(self) -> None:
+    def test_delta_of_a_few_changed_routes_is_small(self) -> None:
         routes = [{"name": f"r-{n}", "timeout_ms": 3000} for n in range(2000)]
         earlier = msgspec.json.encode({"version": "r1", "routes": routes})
         routes[700]["timeout_ms"] = 10
@@ -40,7 +40,7 @@
         assert apply_delta(earlier, delta) == later
         assert len(msgspec.msgpack.encode(delta)) < 300
 
-    def test_copy_of_missing_parts_is_refused(self) -> None:
+    def test_copy_of_missing_parts_is_rejected(self) -> None:
         delta = make_delta(b"a}b}c}d", b"a}b}c}d")
         with pytest.raises(DeltaMismatch):
             apply_delta(b"a", delta)
--- a/tests/feed/test_follower.py
+++ b/tests/feed/test_follower.py
@@ -1,4 +1,4 @@
-"""Tests of following feeds that fail or do not fit."""
+"""Tests of following feeds that fail or cannot be applied."""
 
 from __future__ import annotations
 
@@ -20,26 +20,26 @@
 
 
 class FakeSource:
-    """Answers as it is told and remembers what was asked."""
+    """Returns prepared responses and records the requests."""
 
     def __init__(self, respond: Responder) -> None:
-        """Takes what answers."""
+        """Initializes the source with a responder."""
         self.requests: list[FeedRequest] = []
         self._respond = respond
 
     def fetch(
         self, address: str, request: FeedRequest
     ) -> Result[FeedResponse, FeedError]:
-        """Returns the answer."""
+        """Returns the responder's result."""
         self.requests.append(request)
         return self._respond(request)
 
 
 class FeedFollowerSetup:
-    """A follower that has read version 1, and a feed of it."""
+    """A follower that holds one long value, and a feed to it."""
 
     def __init__(self, respond: Responder) -> None:
-        """Takes what the proxy at every address answers."""
+        """Initializes the set-up with a responder for every address."""
         self.values: dict[str, bytes | None] = {}
         self.clock = VirtualClock()
         self.follower = PrefixFollower(
@@ -64,16 +64,16 @@
 
 
 class TestFeedFollower:
-    """A feed brings changes or is left."""
+    """A feed delivers changes or is abandoned."""
 
-    def test_change_is_put_in_force(self) -> None:
+    def test_change_is_applied(self) -> None:
         change = FeedChange("op/a", 6, ValueEncoding.PLAIN, b"2")
         setup = FeedFollowerSetup(lambda request: _response(change))
         assert setup.feed.fetch_from("x")
         assert setup.values == {"op/a": b"2"}
         assert setup.follower.state.revision == 6
 
-    def test_delta_for_another_value_is_asked_for_whole(self) -> None:
+    def test_mismatched_delta_is_requested_again_in_full(self) -> None:
         def respond(request: FeedRequest) -> Success[FeedResponse]:
             if request.held:
                 return _response(
@@ -86,21 +86,23 @@
         assert [request.held for request in setup.source.requests] == [{"op/a": 5}, {}]
         assert setup.values == {"op/a": b"2"}
 
-    def test_feed_that_never_fits_is_left_and_changes_nothing(self) -> None:
+    def test_unusable_feed_is_abandoned_and_changes_nothing(self) -> None:
         change = FeedChange("op/a", 6, ValueEncoding.COMPRESSED, b"not compressed")
         setup = FeedFollowerSetup(lambda request: _response(change))
         assert not setup.feed.fetch_from("x")
         assert setup.follower.state.revision == 5
         assert setup.values == {"op/a": b"1" * 5000}
 
-    def test_older_change_is_passed_over(self) -> None:
+    def test_older_change_is_ignored(self) -> None:
         change = FeedChange("op/a", 3, ValueEncoding.PLAIN, b"0")
         setup = FeedFollowerSetup(lambda request: _response(change))
         assert setup.feed.fetch_from("x")
         assert setup.follower.state.revision == 5
         assert setup.values == {"op/a": b"1" * 5000}
 
-    def test_relay_without_the_store_is_left_but_its_changes_are_taken(self) -> None:
+    def test_relay_without_the_store_is_abandoned_but_its_changes_are_applied(
+        self,
+    ) -> None:
         change = FeedChange("op/a", 6, ValueEncoding.PLAIN, b"2")
         setup = FeedFollowerSetup(lambda request: _response(change, is_current=False))
         assert not setup.feed.fetch_from("x")
--- a/tests/feed/test_relay_selector.py
+++ b/tests/feed/test_relay_selector.py
@@ -1,4 +1,4 @@
-"""Tests of choosing relays."""
+"""Tests of relay selection."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 
 
 class Fleet:
-    """Proxies in three data centres; the second of each has the widest link."""
+    """Proxies in three data centres; the second of each has the fastest link."""
 
     def __init__(self) -> None:
-        """Publishes every record."""
+        """Publishes the record of every proxy."""
         self.clock = VirtualClock()
         self.directory = Directory()
         for data_centre, count in PROXIES_BY_DATA_CENTRE.items():
@@ -31,27 +31,27 @@
     def put(
         self, vm: str, data_centre: str, width: float, draining: bool = False
     ) -> None:
-        """Publishes a record; the address of a proxy is its name."""
+        """Publishes a record; the address of a proxy is its VM name."""
         record = NodeRecord(vm, data_centre, "r", vm, draining=draining)
         record.link_mbit_per_s = width
         value = msgspec.json.encode(record)
         self.directory.apply(WatchEvent(NODE_PREFIX + vm, value, 1))
 
     def relays(self, vm: str) -> RelaySelector:
-        """Returns what a proxy sees."""
+        """Returns the relay selector of a proxy."""
         return RelaySelector(vm, vm[0], self.directory, self.clock)
 
 
 class TestRelaySelector:
-    """Every proxy comes to the same relays and follows two of them."""
+    """Every proxy selects the same relays and follows two of them."""
 
-    def test_widest_links_of_each_data_centre_are_relays(self) -> None:
+    def test_fastest_links_of_each_data_centre_are_relays(self) -> None:
         fleet = Fleet()
         names = list(fleet.directory.record_by_vm)
         relays = {vm for vm in names if fleet.relays(vm).is_relay()}
         assert relays == {"a-0", "a-1", "b-0", "b-1", "c-0", "c-1"}
 
-    def test_first_feed_is_near_and_the_second_elsewhere(self) -> None:
+    def test_first_feed_is_local_and_the_second_remote(self) -> None:
         relays = Fleet().relays("a-3")
         near = relays.choose(False, set())
         assert near in ("a-0", "a-1")
@@ -82,6 +82,6 @@
         assert relays.choose(False, set()) == "a-2"
         assert not relays.is_usable("a-1")
 
-    def test_only_proxy_of_all_has_nobody_to_follow(self) -> None:
+    def test_single_proxy_has_no_relay_to_follow(self) -> None:
         relays = RelaySelector("a-0", "a", Directory(), VirtualClock())
         assert relays.choose(False, set()) is None and not relays.is_relay()
--- a/tests/feed/test_server.py
+++ b/tests/feed/test_server.py
@@ -17,19 +17,19 @@
     """A state and the server in front of it."""
 
     def __init__(self) -> None:
-        """Starts in touch with the store at revision 10."""
+        """Initializes a state that is connected to the store."""
         self.state = PrefixState()
         self.state.is_current = True
         self.server = FeedServer()
         self.server.serve("op/", self.state)
 
     def put(self, key: str, value: bytes | None, revision: int) -> None:
-        """Takes a change."""
+        """Applies a change; the first full read was at revision 10."""
         self.state.apply(WatchEvent(key, value, revision))
         self.state.advance(revision, removals_known_after=10)
 
     def ask(self, after: int, wait_ms: float = 0.0, **held: int) -> FeedResponse:
-        """Returns the answer."""
+        """Returns the server's response; underscores in keys stand for slashes."""
         renamed = {key.replace("_", "/"): revision for key, revision in held.items()}
         response = self.server.respond(FeedRequest("op/", after, wait_ms, renamed))
         assert response is not None
@@ -37,7 +37,7 @@
 
 
 class TestFeedServer:
-    """The asker gets the newest change of each key that it lacks."""
+    """The requester gets the latest change of each key that it lacks."""
 
     def test_changes_after_a_revision(self) -> None:
         setup = ServerSetup()
@@ -47,13 +47,13 @@
         assert not response.is_whole and response.is_current and response.revision == 12
         assert [(c.key, c.packed) for c in response.changes] == [("op/b", b"2")]
 
-    def test_removal_is_told(self) -> None:
+    def test_removal_is_sent(self) -> None:
         setup = ServerSetup()
         setup.put("op/a", b"1", 10)
         setup.put("op/a", None, 13)
         assert [c.form for c in setup.ask(11).changes] == [ValueEncoding.REMOVED]
 
-    def test_asker_from_before_the_first_read_gets_everything(self) -> None:
+    def test_requester_older_than_the_first_read_gets_everything(self) -> None:
         setup = ServerSetup()
         setup.put("op/a", b"1", 10)
         setup.put("op/b", None, 12)
@@ -73,13 +73,13 @@
         setup.put("op/a", b"1", 10)
         assert setup.ask(10, 1000.0).changes == []
 
-    def test_unknown_prefix_and_unread_state_are_not_answered(self) -> None:
+    def test_unknown_prefix_and_unread_state_get_no_response(self) -> None:
         server = FeedServer()
         assert server.respond(FeedRequest("op/", -1)) is None
         server.serve("op/", PrefixState())
         assert server.respond(FeedRequest("op/", -1)) is None
 
-    def test_long_value_comes_as_a_difference_from_the_held_one(self) -> None:
+    def test_long_value_is_sent_as_a_delta_to_the_held_one(self) -> None:
         setup = ServerSetup()
         setup.put("op/a", LONG, 10)
         setup.put("op/a", LONG + b"more", 11)
@@ -87,7 +87,7 @@
         assert change.form is ValueEncoding.DELTA and len(change.packed) < 200
         assert unpack(change, 10, LONG) == LONG + b"more"
 
-    def test_long_value_comes_compressed_where_nothing_is_held(self) -> None:
+    def test_long_value_is_sent_compressed_if_none_is_held(self) -> None:
         setup = ServerSetup()
         setup.put("op/a", LONG, 10)
         (change,) = setup.ask(-1).changes
@@ -97,7 +97,7 @@
         )
         assert unpack(change, 0, None) == LONG
 
-    def test_packed_change_is_not_kept_beyond_the_next_one(self) -> None:
+    def test_cached_change_is_replaced_by_the_next_one(self) -> None:
         setup = ServerSetup()
         setup.put("op/a", LONG, 10)
         setup.ask(-1)
