Reword comments and messages of the catalog

Doc comments spoke of what upstreams bear and of a catalog that never goes back; errors said that a prefix is not between slashes or a route leads nowhere declared. They now use the terms of routing configuration. The log lines on which operators rely (configuration in force, move ordered, data centre out of service, data centre back in service) stay.

--- a/src/jayswitch/catalog/__init__.py
+++ b/src/jayswitch/catalog/__init__.py
@@ -1,1 +1,1 @@
-"""Routes, services and client limits that the operators' configuration names."""
+"""Routes, services and client limits from the operators' configuration."""
--- a/src/jayswitch/catalog/exceptions.py
+++ b/src/jayswitch/catalog/exceptions.py
@@ -6,11 +6,11 @@
 
 
 class CatalogInvalid(JayswitchError):
-    """A configuration cannot be put in force; the present one stays."""
+    """A configuration cannot be applied; the current one stays active."""
 
     code = "catalog-invalid"
     status = 422
 
     def __init__(self, cause: str) -> None:
-        """Takes what is wrong with it."""
+        """Initializes the error with the reason why it is invalid."""
         super().__init__(cause, "correct the configuration and write it again")
--- a/src/jayswitch/catalog/model.py
+++ b/src/jayswitch/catalog/model.py
@@ -1,4 +1,4 @@
-"""One version of the operators' configuration, as proxies route by it."""
+"""One version of the operators' configuration, as used for routing."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class RouteKind(Enum):
-    """What a route allows to be repeated."""
+    """Whether and how requests of a route may be repeated."""
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non-idempotent"
@@ -19,7 +19,7 @@
 
     @property
     def repeatable(self) -> bool:
-        """Tells whether a request may run more than once."""
+        """Whether a request may be executed more than once."""
         return self is not RouteKind.NON_IDEMPOTENT
 
 
@@ -31,10 +31,10 @@
 
 
 class Route(msgspec.Struct, frozen=True):
-    """Requests of one host below one path prefix.
+    """A route for the requests to one host under one path prefix.
 
-    The timeout bounds a request, the objective is the latency that operators aim
-    for; a smaller rank is more urgent.
+    The timeout limits a request, and the objective is its target latency. A lower
+    rank means a higher priority.
     """
 
     name: str
@@ -48,7 +48,7 @@
     max_attempts: int
 
     def choose_service(self, rng: random.Random) -> str:
-        """Returns a destination, drawn by weight."""
+        """Returns the service of a destination chosen at random by weight."""
         if len(self.destinations) == 1:
             return self.destinations[0].service
         weights = [destination.weight for destination in self.destinations]
@@ -56,9 +56,9 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A service and what its upstreams bear.
+    """A service and the load limits of its upstreams.
 
-    A cold upstream bears cold_calls_per_s for the warm-up time after its start.
+    A cold upstream accepts cold_calls_per_s for the warm-up time after its start.
     """
 
     name: str
@@ -69,7 +69,7 @@
 
 
 class ClientLimits(msgspec.Struct, frozen=True):
-    """What a client may send and how long it may take or stay idle."""
+    """Limits on the size of client requests, and client time-outs."""
 
     header_bytes: int = 16 * 1024
     body_bytes: int = 64 * 1024 * 1024
@@ -81,17 +81,21 @@
     seen = set()
     for route in routes:
         if not route.host or route.timeout_ms <= 0:
-            raise CatalogInvalid(f"route {route.name} lacks a host or a timeout")
+            raise CatalogInvalid(
+                f"route {route.name} needs a host and a timeout above 0"
+            )
         if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
-            raise CatalogInvalid(f"prefix {route.prefix!r} is not between slashes")
+            raise CatalogInvalid(
+                f"prefix {route.prefix!r} must start and end with a slash"
+            )
         if (route.host, route.prefix) in seen:
-            raise CatalogInvalid(f"{route.host}{route.prefix} is routed twice")
+            raise CatalogInvalid(f"duplicate route for {route.host}{route.prefix}")
         seen.add((route.host, route.prefix))
         for destination in route.destinations:
             if destination.service not in services:
                 raise CatalogInvalid(
-                    f"route {route.name} leads to {destination.service!r}, "
-                    "which is not declared"
+                    f"route {route.name} refers to undeclared service "
+                    f"{destination.service!r}"
                 )
 
 
@@ -107,9 +111,9 @@
         services: list[Service],
         limits: ClientLimits,
     ) -> None:
-        """Takes a configuration; later versions have greater numbers.
+        """Initializes the catalog; later versions have higher numbers.
 
-        Raises CatalogInvalid where a route has no meaning beside the others.
+        Raises CatalogInvalid if a route is incomplete, a duplicate or without service.
         """
         _check_routes(routes, {service.name for service in services})
         self.version = version
@@ -120,7 +124,7 @@
             self._routes_by_host.setdefault(route.host, []).append(route)
 
     def route_for(self, host: str, path: str) -> Route | None:
-        """Returns the host's route with the longest prefix that begins the path."""
+        """Returns the host's route with the longest prefix that matches the path."""
         for route in self._routes_by_host.get(host, ()):
             if path.startswith(route.prefix):
                 return route
@@ -128,5 +132,5 @@
 
     @property
     def routes(self) -> list[Route]:
-        """Returns every route."""
+        """All routes."""
         return [route for routes in self._routes_by_host.values() for route in routes]
--- a/src/jayswitch/catalog/orders.py
+++ b/src/jayswitch/catalog/orders.py
@@ -1,4 +1,4 @@
-"""What operators have ordered: the configuration, moves and evacuations."""
+"""Operator orders: configuration, traffic moves and evacuations."""
 
 from __future__ import annotations
 
@@ -17,7 +17,8 @@
 class MoveOrder(msgspec.Struct, frozen=True):
     """An order to move a service's traffic to upstreams of another version.
 
-    The revision tells one order from another; heard_ms is on the local clock.
+    The revision identifies the order; heard_ms is its time of arrival on the local
+    clock.
     """
 
     service: str
@@ -28,26 +29,26 @@
 
 
 class Orders:
-    """The newest orders that this process knows; a catalog never goes back."""
+    """The latest orders known to this process; the catalog version never decreases."""
 
     def __init__(self) -> None:
-        """Starts without any."""
+        """Initializes the orders without any."""
         self.catalog: Catalog | None = None
         self.move_by_service: dict[str, MoveOrder] = {}
         self.evacuated: set[str] = set()
         self._listeners: list[Callable[[], None]] = []
 
     def on_change(self, listener: Callable[[], None]) -> None:
-        """Calls the listener after each change."""
+        """Registers a listener that is called after each change."""
         self._listeners.append(listener)
 
     def put_catalog(self, catalog: Catalog) -> None:
-        """Puts a configuration in force unless a later one is."""
+        """Activates a configuration if it is newer than the current one."""
         current = self.catalog
         if current is not None and catalog.version <= current.version:
             if catalog.version < current.version:
                 logger.warning(
-                    "older configuration ignored",
+                    "ignoring outdated configuration",
                     extra={"offered": catalog.version, "in_force": current.version},
                 )
             return
@@ -59,7 +60,7 @@
         self._notify()
 
     def put_move(self, order: MoveOrder) -> None:
-        """Takes an order to move a service."""
+        """Records an order to move a service."""
         self.move_by_service[order.service] = order
         logger.info(
             "move ordered",
@@ -73,13 +74,13 @@
         self._notify()
 
     def remove_move(self, service: str) -> None:
-        """Takes an order back."""
+        """Removes the move order of a service."""
         if self.move_by_service.pop(service, None) is not None:
-            logger.info("move taken back", extra={"service": service})
+            logger.info("move order withdrawn", extra={"service": service})
             self._notify()
 
     def set_evacuated(self, data_centre: str, out: bool) -> None:
-        """Takes a data centre out of service or back."""
+        """Takes a data centre out of service or puts it back in service."""
         if out == (data_centre in self.evacuated):
             return
         if out:
