Reword comments and messages of the transport

Doc comments spoke of turns and of handing messages over, and two log lines did not say what failed. They now name the lock, the socket and the cause.

--- a/src/jayswitch/transport/interface.py
+++ b/src/jayswitch/transport/interface.py
@@ -1,4 +1,4 @@
-"""What a node needs from the network between nodes."""
+"""Interface to the message transport between nodes."""
 
 from __future__ import annotations
 
@@ -13,21 +13,21 @@
 class Transport(Protocol):
     """Sends one-way messages to the inboxes of other nodes.
 
-    Messages may be lost, and a lost message is not reported.
+    Messages may be lost without notice.
     """
 
     address: str
     bytes_sent: int
 
     def send(self, address: str, message: AnyMessage, timeout_ms: float) -> bool:
-        """Hands a message to the peer's connection.
+        """Passes a message to the peer's connection.
 
-        Returns False when no part of the message can have left this node; after
-        True the message may or may not arrive.
+        Returns False if no part of the message can have left this node. After True,
+        the message may or may not arrive.
         """
 
     def listen(self, handler: MessageHandler) -> None:
-        """Calls the handler for each message that arrives; it must not block."""
+        """Calls the handler, which must not block, for each received message."""
 
     def forget(self, address: str) -> None:
         """Closes the connection to a peer that is no longer needed."""
--- a/src/jayswitch/transport/nng.py
+++ b/src/jayswitch/transport/nng.py
@@ -1,4 +1,4 @@
-"""Transport over nng: one pull inbox per node and one push socket per peer."""
+"""Transport over nng: one pull socket per node and one push socket per peer."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 class _Peer:
-    """The push socket towards one peer; tasks take turns waiting on it."""
+    """The push socket to one peer; a lock lets one task at a time wait on it."""
 
     __slots__ = ("push", "_lock")
 
@@ -49,7 +49,7 @@
         return cls(push)
 
     def send(self, data: bytes, timeout_ms: float) -> bool:
-        """Waits for its turn and for the connection; False on timeout."""
+        """Waits for the lock and the connection; returns False on timeout."""
         if not self._lock.acquire(timeout=max(timeout_ms, 0) / MS_PER_S):
             return False
         try:
@@ -58,7 +58,7 @@
             self._lock.release()
 
     def close(self) -> None:
-        """Closes the socket once no task waits on its descriptor."""
+        """Closes the socket once no task waits on its file descriptor."""
         with self._lock:
             self.push.close()
 
@@ -85,7 +85,7 @@
     """One-way messages over nng sockets, driven by the eventlet hub."""
 
     def __init__(self, ip: str, port: int) -> None:
-        """Binds the inbox at once, so that a taken port fails at start-up."""
+        """Binds the inbox immediately, so that a port in use fails at start-up."""
         self.address = f"tcp://{ip}:{port}"
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -97,23 +97,26 @@
         self._closed = False
 
     def listen(self, handler: MessageHandler) -> None:
-        """Starts the task that reads the inbox."""
+        """Starts the task that receives messages from the inbox."""
         self._task = eventlet.spawn(self._receive, handler)
 
     def send(self, address: str, message: AnyMessage, timeout_ms: float) -> bool:
-        """Hands a message to nng; False means that none of it was handed over."""
+        """Passes a message to nng; returns False if nng accepted none of it."""
         data = encode(message)
         try:
             sent = self._peer(address).send(data, timeout_ms)
         except pynng.NNGException as error:
-            logger.debug("send failed", extra={"peer": address, "reason": str(error)})
+            logger.debug(
+                "message could not be sent",
+                extra={"peer": address, "reason": str(error)},
+            )
             return False
         if sent:
             self.bytes_sent += len(data)
         return sent
 
     def forget(self, address: str) -> None:
-        """Closes the push socket of a peer."""
+        """Closes the push socket of a peer in the background."""
         peer = self._peer_by_address.pop(address, None)
         if peer is not None:
             eventlet.spawn_n(peer.close)
@@ -153,7 +156,9 @@
         self.bytes_received += len(data)
         result = decode(data)
         if not is_successful(result):
-            logger.warning("message dropped", extra={"reason": str(result.failure())})
+            logger.warning(
+                "dropping undecodable message", extra={"reason": str(result.failure())}
+            )
             return
         try:
             handler(result.unwrap())
