--- a/src/jayswitch/feed/client.py
+++ b/src/jayswitch/feed/client.py
@@ -1,4 +1,4 @@
-"""Asks another proxy for its feed."""
+"""Client for the feeds of other proxies."""
 
 from __future__ import annotations
 
@@ -10,49 +10,54 @@
 
 from jayswitch.clock import MS_PER_S
 from jayswitch.feed.exceptions import FeedError, FeedUnavailable
-from jayswitch.feed.messages import FEED_REQUEST, FEED_TARGET, FeedAnswer, FeedRequest
+from jayswitch.feed.messages import (
+    FEED_PATH,
+    FEED_REQUEST_HEADER,
+    FeedRequest,
+    FeedResponse,
+)
 from jayswitch.proxy.exceptions import ExchangeFailed, RequestNotSent, ResponseTruncated
 
 if TYPE_CHECKING:
     from jayswitch.proxy.http_client import HttpClient
 
 STATUS_OK = 200
-# A whole configuration of the largest size, compressed, takes less on a thin link.
-ANSWER_MARGIN_MS = 1000.0
-# The store takes no longer value, and a prefix holds few of them.
-LONGEST_ANSWER_BYTES = 8 * 1024 * 1024
+# A compressed configuration of the maximum size transfers in less on a slow link.
+RESPONSE_MARGIN_MS = 1000.0
+# The store limits the size of a value, and a prefix holds few values of that size.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
-_decoder = msgspec.msgpack.Decoder(FeedAnswer)
+_decoder = msgspec.msgpack.Decoder(FeedResponse)
 
 
 class FeedSource(Protocol):
-    """Brings the feeds of other proxies."""
+    """Fetches the feeds of other proxies."""
 
     def fetch(
         self, address: str, request: FeedRequest
-    ) -> Result[FeedAnswer, FeedError]:
-        """Returns the changes that the proxy at the address knows."""
+    ) -> Result[FeedResponse, FeedError]:
+        """Returns the changes known to the proxy at the address."""
 
 
 class FeedClient:
-    """Fetches feeds over the connections that proxies keep to each other."""
+    """Fetches feeds over the persistent connections between proxies."""
 
     def __init__(self, client: HttpClient) -> None:
-        """Takes the client that keeps the connections."""
+        """Initializes the client with the HTTP client that pools the connections."""
         self._client = client
 
     def fetch(
         self, address: str, request: FeedRequest
-    ) -> Result[FeedAnswer, FeedError]:
-        """Returns the changes; waits as long as the request says."""
-        wait_ms = request.wait_ms + ANSWER_MARGIN_MS
+    ) -> Result[FeedResponse, FeedError]:
+        """Returns the changes; waits for the time that the request allows."""
+        wait_ms = request.wait_ms + RESPONSE_MARGIN_MS
         timeout = eventlet.Timeout(wait_ms / MS_PER_S)
         try:
             return Success(_decoder.decode(self._exchange(address, request)))
         except (RequestNotSent, ExchangeFailed, ResponseTruncated) as error:
             return Failure(FeedUnavailable(address, error.cause))
         except msgspec.MsgspecError as error:
-            return Failure(FeedUnavailable(address, f"unreadable answer: {error}"))
+            return Failure(FeedUnavailable(address, f"invalid response: {error}"))
         except eventlet.Timeout as expired:
             if expired is not timeout:
                 raise
@@ -62,10 +67,10 @@
 
     def _exchange(self, address: str, request: FeedRequest) -> bytes:
         text = msgspec.json.encode(request).decode("latin-1")
-        headers = [("Host", address), (FEED_REQUEST, text)]
-        exchange = self._client.send(address, "GET", FEED_TARGET, headers, None)
+        headers = [("Host", address), (FEED_REQUEST_HEADER, text)]
+        exchange = self._client.send(address, "GET", FEED_PATH, headers, None)
         try:
-            body = exchange.read_all(LONGEST_ANSWER_BYTES)
+            body = exchange.read_all(MAX_RESPONSE_BYTES)
         finally:
             exchange.close()
         if exchange.status != STATUS_OK:
--- a/src/jayswitch/feed/follower.py
+++ b/src/jayswitch/feed/follower.py
@@ -1,4 +1,4 @@
-"""Follows the feeds of relays, two at a time."""
+"""Follows the feeds of two relays at a time."""
 
 from __future__ import annotations
 
@@ -16,35 +16,36 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
     from jayswitch.feed.client import FeedSource
-    from jayswitch.feed.messages import FeedAnswer
-    from jayswitch.feed.relays import Relays
+    from jayswitch.feed.messages import FeedResponse
+    from jayswitch.feed.relay_selector import RelaySelector
     from jayswitch.store.follower import PrefixFollower
 
-# One feed may come from a relay that is cut off or stands still.
-FEEDS = 2
-# A relay that stands still is noticed after this time and the answer's margin.
+# Two feeds, because one relay may be disconnected or hang.
+FEED_COUNT = 2
+# A hung relay is detected after this time plus the response margin.
 FEED_WAIT_MS = 2500.0
-NO_RELAY_MS = 500.0
-# How long a proxy without a feed waits at the store, and one that is a relay.
-STOPGAP_WATCH_MS = 2000
-# A relay learns within this time that the store is silent, and tells so.
+NO_RELAY_RETRY_MS = 500.0
+# Timeout of store watches by a proxy that is not a relay and has no feed.
+FALLBACK_WATCH_MS = 2000
+# Timeout of store watches by a relay, which detects and reports within this time
+# that the store does not respond.
 RELAY_WATCH_MS = 4000
 
 logger = logging.getLogger(__name__)
 
 
 class FeedFollower:
-    """Keeps a prefix up to date from relays; says when the store is needed."""
+    """Keeps a prefix up to date from relays; decides when to watch the store."""
 
     def __init__(
         self,
         prefix: str,
         follower: PrefixFollower,
-        relays: Relays,
+        relays: RelaySelector,
         source: FeedSource,
         clock: Clock,
     ) -> None:
-        """Takes the follower that puts changes in force."""
+        """Initializes the feeds with the prefix follower that applies changes."""
         self.relay_by_feed: dict[int, str] = {}
         self._chosen_by_feed: dict[int, str] = {}
         self._prefix = prefix
@@ -52,22 +53,22 @@
         self._relays = relays
         self._source = source
         self._clock = clock
-        follower.store_wait_ms = self.store_wait_ms
+        follower.store_watch_timeout_ms = self.store_watch_timeout_ms
         follower.fetch_from = self.fetch_from
 
     def start(self) -> None:
         """Starts a task for each feed."""
-        for feed in range(FEEDS):
+        for feed in range(FEED_COUNT):
             eventlet.spawn(self._run, feed)
 
-    def store_wait_ms(self) -> int:
-        """Returns how long a watch of the store may wait; 0 if none is needed."""
+    def store_watch_timeout_ms(self) -> int:
+        """Returns the timeout of a store watch; 0 if no watch is needed."""
         if self._relays.is_relay():
             return RELAY_WATCH_MS
-        return 0 if self.relay_by_feed else STOPGAP_WATCH_MS
+        return 0 if self.relay_by_feed else FALLBACK_WATCH_MS
 
     def fetch_from(self, address: str) -> bool:
-        """Takes what another proxy knows now; tells whether it answered."""
+        """Fetches changes from another proxy; returns whether its feed is usable."""
         logger.info(
             "asking a proxy that knows more",
             extra={"address": address, "revision": self._follower.state.revision},
@@ -77,17 +78,17 @@
     def _run(self, feed: int) -> None:
         while True:
             self._chosen_by_feed.pop(feed, None)
-            taken = set(self._chosen_by_feed.values())
-            # The first feed stays in the data centre, the other one leaves it.
-            address = self._relays.choose(feed > 0, taken)
+            excluded = set(self._chosen_by_feed.values())
+            # The first feed prefers this data centre, the second one another.
+            address = self._relays.choose(feed > 0, excluded)
             if address is None:
-                self._clock.sleep_ms(NO_RELAY_MS)
+                self._clock.sleep_ms(NO_RELAY_RETRY_MS)
                 continue
             self._chosen_by_feed[feed] = address
             self._follow(feed, address)
 
     def _follow(self, feed: int, address: str) -> None:
-        """Follows one relay until its feed fails or it is no relay any more."""
+        """Follows one relay until its feed fails or it is no longer a relay."""
         wait_ms = 0.0
         while self._fetch(address, wait_ms):
             if feed not in self.relay_by_feed:
@@ -100,31 +101,33 @@
             logger.info("feed closed", extra={"relay": address, "feed": feed})
 
     def _fetch(self, address: str, wait_ms: float) -> bool:
-        """Takes the changes that a proxy knows; tells whether its feed is of use."""
+        """Fetches and applies a proxy's changes; returns whether its feed is usable."""
         state = self._follower.state
-        # Another feed may replace a held value meanwhile; whole ones always fit.
+        # Another feed may replace the base of a delta; full values always apply.
         for held in (state.revision_by_long_key(), {}):
             after = state.revision if state.is_synced else -1
-            answer = self._ask(address, FeedRequest(self._prefix, after, wait_ms, held))
-            if answer is None:
+            response = self._request(
+                address, FeedRequest(self._prefix, after, wait_ms, held)
+            )
+            if response is None:
                 return False
             try:
-                self._take(answer)
+                self._apply_response(response)
             except (DeltaMismatch, msgspec.MsgspecError) as error:
                 logger.info(
-                    "feed does not fit",
+                    "feed response could not be applied",
                     extra={"relay": address, "reason": str(error)},
                 )
                 wait_ms = 0.0
                 continue
-            if not answer.is_current:
+            if not response.is_current:
                 logger.info("relay has lost the store", extra={"relay": address})
                 self._relays.avoid(address)
-            return answer.is_current
+            return response.is_current
         self._relays.avoid(address)
         return False
 
-    def _ask(self, address: str, request: FeedRequest) -> FeedAnswer | None:
+    def _request(self, address: str, request: FeedRequest) -> FeedResponse | None:
         result = self._source.fetch(address, request)
         match result:
             case Failure(error):
@@ -133,25 +136,25 @@
                 return None
         return result.unwrap()
 
-    def _take(self, answer: FeedAnswer) -> None:
-        events = self._unpack(answer)
-        if not answer.is_whole:
-            self._follower.take_changes(events, answer.revision)
+    def _apply_response(self, response: FeedResponse) -> None:
+        events = self._unpack(response)
+        if not response.is_whole:
+            self._follower.apply_changes(events, response.revision)
             return
         values = [
             StoredValue(event.key, event.value, event.revision)
             for event in events
             if event.value is not None
         ]
-        self._follower.take_snapshot(Snapshot(values, answer.revision))
+        self._follower.apply_snapshot(Snapshot(values, response.revision))
 
-    def _unpack(self, answer: FeedAnswer) -> list[WatchEvent]:
+    def _unpack(self, response: FeedResponse) -> list[WatchEvent]:
         change_by_key = self._follower.state.change_by_key
         events = []
-        for change in answer.changes:
+        for change in response.changes:
             known = change_by_key.get(change.key)
             if known is not None and known.revision >= change.revision:
-                if answer.is_whole:
+                if response.is_whole:
                     events.append(known)
                 continue
             base = known.revision if known is not None else 0
--- a/src/jayswitch/feed/messages.py
+++ b/src/jayswitch/feed/messages.py
@@ -1,4 +1,4 @@
-"""What proxies tell each other over a feed, and how values are packed."""
+"""Feed requests and responses between proxies, and the encoding of values."""
 
 from __future__ import annotations
 
@@ -11,14 +11,14 @@
 from jayswitch.feed.exceptions import DeltaMismatch
 from jayswitch.store.prefix_state import LONG_VALUE_BYTES
 
-FEED_TARGET = "/x-jayswitch/feed"
-FEED_REQUEST = "X-Jayswitch-Feed"
-# The fastest level; it makes a tenth of a configuration.
+FEED_PATH = "/x-jayswitch/feed"
+FEED_REQUEST_HEADER = "X-Jayswitch-Feed"
+# The fastest level; it compresses a configuration to a tenth of its size.
 COMPRESSION_LEVEL = 1
 
 
 class FeedRequest(msgspec.Struct, omit_defaults=True):
-    """Asks for the changes after a revision; held are long values by revision."""
+    """Requests the changes after a revision; held maps long values to revisions."""
 
     prefix: str
     after: int
@@ -26,8 +26,8 @@
     held: dict[str, int] = {}
 
 
-class Form(Enum):
-    """How a value is packed."""
+class ValueEncoding(Enum):
+    """Encoding of a value in a change."""
 
     REMOVED = 0
     PLAIN = 1
@@ -36,20 +36,20 @@
 
 
 class FeedChange(msgspec.Struct, array_like=True):
-    """One change; base is the revision of the value that a delta starts from."""
+    """One change; base is the revision of the value that a delta applies to."""
 
     key: str
     revision: int
-    form: Form
+    form: ValueEncoding
     packed: bytes = b""
     base: int = 0
 
 
-class FeedAnswer(msgspec.Struct):
-    """The newest change of each key; a whole answer lists every key there is.
+class FeedResponse(msgspec.Struct):
+    """The latest change of each key; a whole response lists every existing key.
 
-    Every change up to the revision is in the answer or known to the asker. An answer
-    is current while the one who gives it is in touch with the store or with a relay.
+    Every change up to the revision is in the response or known to the requester. A
+    response is current while its sender is connected to the store or to a relay.
     """
 
     revision: int
@@ -61,33 +61,38 @@
 def pack(
     key: str, revision: int, value: bytes | None, base: int, held: bytes | None
 ) -> FeedChange:
-    """Returns a change in its shortest form for one who holds an earlier value."""
+    """Returns a change in its smallest encoding, given the requester's held value."""
     if value is None:
-        return FeedChange(key, revision, Form.REMOVED)
+        return FeedChange(key, revision, ValueEncoding.REMOVED)
     if len(value) < LONG_VALUE_BYTES:
-        return FeedChange(key, revision, Form.PLAIN, value)
+        return FeedChange(key, revision, ValueEncoding.PLAIN, value)
     compressed = FeedChange(
-        key, revision, Form.COMPRESSED, zlib.compress(value, COMPRESSION_LEVEL)
+        key, revision, ValueEncoding.COMPRESSED, zlib.compress(value, COMPRESSION_LEVEL)
     )
     if held is None:
         return compressed
     delta = msgspec.msgpack.encode(make_delta(held, value))
     if len(delta) >= len(compressed.packed):
         return compressed
-    return FeedChange(key, revision, Form.DELTA, delta, base)
+    return FeedChange(key, revision, ValueEncoding.DELTA, delta, base)
 
 
 def unpack(change: FeedChange, base: int, held: bytes | None) -> bytes | None:
-    """Returns a change's value; None for a removal. Raises DeltaMismatch."""
-    if change.form is Form.REMOVED:
+    """Returns the value of a change, or None for a removal.
+
+    Raises DeltaMismatch if the value cannot be restored.
+    """
+    if change.form is ValueEncoding.REMOVED:
         return None
-    if change.form is Form.PLAIN:
+    if change.form is ValueEncoding.PLAIN:
         return change.packed
-    if change.form is Form.COMPRESSED:
+    if change.form is ValueEncoding.COMPRESSED:
         try:
             return zlib.decompress(change.packed)
         except zlib.error as error:
-            raise DeltaMismatch(f"the value cannot be read: {error}") from error
+            raise DeltaMismatch(f"decompression failed: {error}") from error
     if held is None or base != change.base:
-        raise DeltaMismatch(f"revision {change.base} of {change.key} is not held")
+        raise DeltaMismatch(
+            f"base revision {change.base} of {change.key} is not available"
+        )
     return apply_delta(held, msgspec.msgpack.decode(change.packed, type=Delta))
--- a/src/jayswitch/fleet/revision_exchange.py
+++ b/src/jayswitch/fleet/revision_exchange.py
@@ -32,7 +32,9 @@
 
     def header_value(self) -> str:
         """Returns the newest revision of each prefix as a header value."""
-        return ",".join(str(follower.newest_change) for follower in self._followers)
+        return ",".join(
+            str(follower.latest_change_revision) for follower in self._followers
+        )
 
     def compare_with_vm(self, value: str, vm: str) -> None:
         """Compares the revisions with the header value of the proxy on a VM."""
@@ -48,4 +50,4 @@
             return
         for follower, revision in zip(self._followers, revisions, strict=True):
             if revision.isdigit():
-                follower.note_newer(int(revision), address)
+                follower.report_newer_revision(int(revision), address)
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -15,7 +15,7 @@
 from jayswitch.clock import MS_PER_S, Clock
 from jayswitch.feed.client import FeedClient
 from jayswitch.feed.follower import FeedFollower
-from jayswitch.feed.relays import Relays
+from jayswitch.feed.relay_selector import RelaySelector
 from jayswitch.feed.server import FeedServer
 from jayswitch.fleet.directory import Directory
 from jayswitch.fleet.publisher import RecordPublisher
@@ -44,7 +44,7 @@
 from jayswitch.rollout.trial import RouteAverages, TrialEvaluator
 from jayswitch.rollout.versions import VersionRules
 from jayswitch.routing.balancer import Balancer
-from jayswitch.store.follower import Pause, PrefixFollower, carried_bytes
+from jayswitch.store.follower import BatchDelay, PrefixFollower, max_value_bytes
 
 if TYPE_CHECKING:
     from jayswitch.logs import BoundedLogHandler
@@ -79,10 +79,10 @@
 DRAIN_IDLE_MS = 1000.0
 # A configuration must be in force within 2 s; up to 0.5 s of that is spent on
 # batching changes in quick succession, which saves calls to the store.
-ORDERS_PAUSE = Pause(250.0, 500.0)
+ORDERS_PAUSE = BatchDelay(250.0, 500.0)
 # Gates enforce the state in their records immediately, so that other proxies may
 # learn of it later.
-FLEET_PAUSE = Pause(300.0, 900.0)
+FLEET_PAUSE = BatchDelay(300.0, 900.0)
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
 
@@ -183,10 +183,10 @@
         settings, clock = self.settings, self._clock
         self.feed_server.serve(operator_prefix, self.orders_follower.state)
         if settings.link_mbit_per_s:
-            self.orders_follower.slow_bytes = carried_bytes(
+            self.orders_follower.slow_value_bytes = max_value_bytes(
                 settings.link_mbit_per_s, ORDERS_PAUSE.shortest_ms
             )
-        relays = Relays(settings.vm, settings.data_centre, self.directory, clock)
+        relays = RelaySelector(settings.vm, settings.data_centre, self.directory, clock)
         relays.is_suspected = self.balancer.is_suspected
         self.orders_feed = FeedFollower(
             operator_prefix,
--- a/src/jayswitch/store/follower.py
+++ b/src/jayswitch/store/follower.py
@@ -1,4 +1,4 @@
-"""Follows the keys below a prefix: one linearizable read, then watches."""
+"""Follows the keys under a prefix with one linearizable read, then watches."""
 
 from __future__ import annotations
 
@@ -19,53 +19,54 @@
     from jayswitch.store.exceptions import StoreError
     from jayswitch.store.interface import Store
 
-# The platform ends a waiting watch after 30 s at most. Each watch is a call that is
-# paid for; one whose answer was lost is noticed through other proxies.
-WATCH_WAIT_MS = 20_000
+# The platform ends a long-poll watch after 30 s at most. Each watch is a billed call;
+# a lost response is detected through the revisions that other proxies report.
+WATCH_TIMEOUT_MS = 20_000
 RETRY_MIN_MS = 100.0
 RETRY_MAX_MS = 1000.0
-# A feed that is in order brings a change within this time of its being known.
+# A working feed delivers a change within this time after another proxy reports it.
 CATCH_UP_DELAY_MS = 200.0
-# How often a follower that gets its changes from others looks whether it still does.
-STORE_UNUSED_MS = 500.0
-
-# While each watch finds changes that wait already, the pause before the next one
-# grows by this factor; it is short again after a watch that waited so long.
-PAUSE_GROWTH = 1.5
-QUIET_MS = 2000.0
-# The store sends values as base64 text.
-TEXT_BYTES_PER_BYTE = 4 / 3
-# A watch that is answered sooner than this found its changes waiting.
-AT_ONCE_MS = 100.0
+# How often a follower that receives changes from other proxies checks whether it
+# needs the store again.
+STORE_NEED_CHECK_MS = 500.0
+
+# The batch delay grows by BATCH_DELAY_GROWTH while each watch finds changes already
+# pending, and is reset after a watch that waited at least IDLE_WATCH_MS.
+BATCH_DELAY_GROWTH = 1.5
+IDLE_WATCH_MS = 2000.0
+# The store sends values base64-encoded.
+BASE64_BYTES_PER_BYTE = 4 / 3
+# A watch that returns sooner than this found its changes already pending.
+IMMEDIATE_RESPONSE_MS = 100.0
 
 logger = logging.getLogger(__name__)
 
 
-def carried_bytes(link_mbit_per_s: float, duration_ms: float) -> float:
-    """Returns how long a value the store sends over a link in a time."""
-    return link_mbit_per_s * 1e6 / 8 * duration_ms / MS_PER_S / TEXT_BYTES_PER_BYTE
+def max_value_bytes(link_mbit_per_s: float, duration_ms: float) -> float:
+    """Returns the largest value that the store can send over a link in a given time."""
+    return link_mbit_per_s * 1e6 / 8 * duration_ms / MS_PER_S / BASE64_BYTES_PER_BYTE
 
 
-class Pause(msgspec.Struct, frozen=True):
-    """How long changes are gathered before they are fetched with one call."""
+class BatchDelay(msgspec.Struct, frozen=True):
+    """Bounds of the delay during which changes accumulate for one fetch."""
 
     shortest_ms: float
     longest_ms: float
 
-    def next_ms(self, present_ms: float, waited_ms: float) -> float:
-        """Returns the next pause, after a watch that waited so long for changes."""
-        if waited_ms >= QUIET_MS:
+    def next_ms(self, current_ms: float, waited_ms: float) -> float:
+        """Returns the next delay, given how long the last watch waited for changes."""
+        if waited_ms >= IDLE_WATCH_MS:
             return self.shortest_ms
-        if waited_ms < AT_ONCE_MS:
-            return min(self.longest_ms, present_ms * PAUSE_GROWTH)
-        return present_ms
+        if waited_ms < IMMEDIATE_RESPONSE_MS:
+            return min(self.longest_ms, current_ms * BATCH_DELAY_GROWTH)
+        return current_ms
 
 
 class PrefixFollower:
-    """Keeps a listener informed of every key below a prefix.
+    """Notifies a listener of every change to the keys under a prefix.
 
-    After a gap in the history the prefix is read whole again, and keys that are no
-    longer there are reported as removed. Changes may also come from other proxies.
+    After a gap in the history the whole prefix is read again, and keys that no longer
+    exist are reported as removed. Changes may also come from other proxies.
     """
 
     def __init__(
@@ -74,53 +75,55 @@
         prefix: str,
         on_change: Callable[[WatchEvent], None],
         clock: Clock,
-        pause: Pause,
+        batch_delay: BatchDelay,
     ) -> None:
-        """Takes the listener, which must not block.
+        """Initializes the follower with a listener, which must not block.
 
-        After a change, others are waited for, so that one call brings them.
+        After a change the follower waits for the batch delay, so that one call
+        fetches several changes.
         """
         self.state = PrefixState()
         self.connected = False
-        # How long a watch of the store may wait; 0 if others bring the changes.
-        self.store_wait_ms: Callable[[], int] = lambda: WATCH_WAIT_MS
-        # Takes what the proxy at an address knows; False if it did not answer.
+        # Timeout of a watch of the store; 0 if other proxies deliver the changes.
+        self.store_watch_timeout_ms: Callable[[], int] = lambda: WATCH_TIMEOUT_MS
+        # Fetches changes from the proxy at an address; False if that failed.
         self.fetch_from: Callable[[str], bool] = lambda address: False
-        # Values from this size on are on the way for longer than the shortest pause.
-        self.slow_bytes = float("inf")
+        # Values of this size or more take longer to transfer than the shortest delay.
+        self.slow_value_bytes = float("inf")
         self._store = store
         self._prefix = prefix
         self._on_change = on_change
         self._clock = clock
-        self._pause = pause
-        self._pause_ms = pause.shortest_ms
+        self._batch_delay = batch_delay
+        self._batch_delay_ms = batch_delay.shortest_ms
         self._catching_up = False
-        self._is_outpaced = False
+        self._is_fetch_rate_exceeded = False
         self._retry_ms = RETRY_MIN_MS
         self._stopped = False
 
     @property
     def synced(self) -> bool:
-        """Tells whether every key was known at some time."""
+        """Whether the prefix has been read completely at least once."""
         return self.state.is_synced
 
     @property
-    def newest_change(self) -> int:
-        """Returns the revision of the newest change that is known."""
-        return self.state.newest_change
+    def latest_change_revision(self) -> int:
+        """Returns the revision of the latest known change."""
+        return self.state.latest_change_revision
 
     def start(self) -> None:
-        """Starts the task that reads and watches."""
+        """Starts the task that reads and watches the prefix."""
         eventlet.spawn(self._run)
 
     def stop(self) -> None:
-        """Ends the task after its present call."""
+        """Stops the task after its current call."""
         self._stopped = True
 
-    def note_newer(self, revision: int, address: str = "") -> None:
-        """Takes a revision at which the proxy at an address has seen a change.
+    def report_newer_revision(self, revision: int, address: str = "") -> None:
+        """Records that the proxy at an address has seen a change at a revision.
 
-        If the change does not come soon, that proxy is asked for it, then the store.
+        If the change does not arrive soon, it is fetched from that proxy, and from the
+        store if that fails.
         """
         if revision > self.state.revision and self.synced and not self._catching_up:
             self._catching_up = True
@@ -129,12 +132,12 @@
     def _catch_up(self, revision: int, address: str) -> None:
         try:
             self._clock.sleep_ms(CATCH_UP_DELAY_MS)
-            if self._knows(revision):
+            if self._has_revision(revision):
                 return
-            if address and self.fetch_from(address) and self._knows(revision):
+            if address and self.fetch_from(address) and self._has_revision(revision):
                 return
-            self._clock.sleep_ms(self._pause.longest_ms)
-            if self._knows(revision):
+            self._clock.sleep_ms(self._batch_delay.longest_ms)
+            if self._has_revision(revision):
                 return
             logger.warning(
                 "fallen behind another proxy; reading the prefix again",
@@ -149,15 +152,15 @@
         finally:
             self._catching_up = False
 
-    def _knows(self, revision: int) -> bool:
+    def _has_revision(self, revision: int) -> bool:
         return self.state.revision >= revision
 
     def _run(self) -> None:
         needs_read = True
         while not self._stopped:
-            wait_ms = self.store_wait_ms()
+            wait_ms = self.store_watch_timeout_ms()
             if self.synced and not wait_ms:
-                self._clock.sleep_ms(STORE_UNUSED_MS)
+                self._clock.sleep_ms(STORE_NEED_CHECK_MS)
                 needs_read = False
             elif needs_read:
                 needs_read = not self._read_all()
@@ -165,78 +168,83 @@
                 needs_read = self._watch_once(wait_ms)
 
     def _read_all(self) -> bool:
-        """Reads the whole prefix; tells whether to go on with a watch."""
+        """Reads the whole prefix; returns whether to continue with a watch."""
         result = self._store.read(self._prefix)
         match result:
             case Failure(error):
-                self._note_failure(error)
+                self._record_failure(error)
                 return False
-        before = self.state.newest_change
-        self.take_snapshot(result.unwrap())
-        self._note_success()
-        if self._is_outpaced and self.state.newest_change > before:
-            self._clock.sleep_ms(self._pause.shortest_ms)
+        before = self.state.latest_change_revision
+        self.apply_snapshot(result.unwrap())
+        self._record_success()
+        if self._is_fetch_rate_exceeded and self.state.latest_change_revision > before:
+            self._clock.sleep_ms(self._batch_delay.shortest_ms)
             return False
-        self._is_outpaced = False
+        self._is_fetch_rate_exceeded = False
         return True
 
-    def take_snapshot(self, snapshot: Snapshot) -> None:
-        """Puts in force what a whole read of the prefix shows."""
+    def apply_snapshot(self, snapshot: Snapshot) -> None:
+        """Applies a full read of the prefix, including the removals it implies."""
         is_first = not self.synced
-        for event in self.state.missing_from(snapshot):
+        for event in self.state.removals_implied_by(snapshot):
             self._apply(event)
         for value in snapshot.values:
             self._apply(WatchEvent(value.key, value.value, value.revision))
-        self.state.advance(snapshot.revision, complete_after=snapshot.revision)
+        self.state.advance(snapshot.revision, removals_known_after=snapshot.revision)
         if is_first:
             logger.info(
                 "prefix read",
                 extra={"prefix": self._prefix, "revision": snapshot.revision},
             )
 
-    def take_changes(self, events: list[WatchEvent], revision: int) -> None:
-        """Puts in force the newest change of each key.
+    def apply_changes(self, events: list[WatchEvent], revision: int) -> None:
+        """Applies the latest change of each key.
 
-        Every change up to the revision is among them or known.
+        Every change up to the revision is either in the list or already known.
         """
         for event in {event.key: event for event in events}.values():
             self._apply(event)
         self.state.advance(revision)
 
     def _watch_once(self, wait_ms: int) -> bool:
-        """Waits for changes; tells whether the prefix must be read anew."""
-        asked_ms = self._clock.now_ms()
-        # The first answer after an outage says that it is over.
+        """Watches for changes once; returns whether the prefix must be read again."""
+        started_ms = self._clock.now_ms()
+        # While disconnected, the watch returns at once, to detect recovery quickly.
         wait_ms = wait_ms if self.connected else 0
         result = self._store.watch(self._prefix, self.state.revision, wait_ms)
         match result:
             case Failure(error):
-                # Another watch goes on from the same revision.
-                self._note_failure(error)
+                # The next watch resumes from the same revision.
+                self._record_failure(error)
                 return False
-        waited_ms = self._clock.now_ms() - asked_ms
+        waited_ms = self._clock.now_ms() - started_ms
         batch = result.unwrap()
-        self._note_success()
+        self._record_success()
         if batch.compacted:
             logger.warning(
-                "store history is gone; reading the prefix again",
+                "watch history compacted; reading the prefix again",
                 extra={"prefix": self._prefix, "revision": self.state.revision},
             )
             return True
-        self.take_changes(batch.events, batch.revision)
+        self.apply_changes(batch.events, batch.revision)
         if batch.events:
-            self._pause_ms = self._pause.next_ms(self._pause_ms, waited_ms)
-            self._clock.sleep_ms(self._pause_ms)
-        self._is_outpaced = self._outpaces(batch.events)
-        return self._is_outpaced
+            self._batch_delay_ms = self._batch_delay.next_ms(
+                self._batch_delay_ms, waited_ms
+            )
+            self._clock.sleep_ms(self._batch_delay_ms)
+        self._is_fetch_rate_exceeded = self._exceeds_fetch_rate(batch.events)
+        return self._is_fetch_rate_exceeded
 
-    def _outpaces(self, events: list[WatchEvent]) -> bool:
-        """Tells whether changes may come faster than they are fetched.
+    def _exceeds_fetch_rate(self, events: list[WatchEvent]) -> bool:
+        """Returns whether changes may arrive faster than watches can fetch them.
 
-        A watch brings every value in between, a read only the last one.
+        A watch transfers every intermediate value, a read only the latest one.
         """
         sizes = [len(event.value or b"") for event in events]
-        return _repeats_long_value(events) or max(sizes, default=0) >= self.slow_bytes
+        return (
+            _repeats_long_value(events)
+            or max(sizes, default=0) >= self.slow_value_bytes
+        )
 
     def _apply(self, event: WatchEvent) -> None:
         if not self.state.apply(event):
@@ -244,15 +252,15 @@
         try:
             self._on_change(event)
         except Exception:
-            logger.exception("change not applied", extra={"key": event.key})
+            logger.exception("change listener failed", extra={"key": event.key})
 
-    def _note_success(self) -> None:
+    def _record_success(self) -> None:
         self._retry_ms = RETRY_MIN_MS
         if not self.connected:
             logger.info("store regained", extra={"prefix": self._prefix})
         self.connected = self.state.is_current = True
 
-    def _note_failure(self, error: StoreError) -> None:
+    def _record_failure(self, error: StoreError) -> None:
         if self.connected or not self.synced:
             logger.warning(
                 "store lost", extra={"prefix": self._prefix, "reason": error.cause}
@@ -263,6 +271,6 @@
 
 
 def _repeats_long_value(events: list[WatchEvent]) -> bool:
-    """Tells whether a long value came more than once, where the last one is enough."""
+    """Returns whether a long value was sent repeatedly, though only the last counts."""
     long_keys = [e.key for e in events if len(e.value or b"") >= LONG_VALUE_BYTES]
     return len(long_keys) > len(set(long_keys))
--- a/tests/feed/test_follower.py
+++ b/tests/feed/test_follower.py
@@ -1,4 +1,4 @@
-"""Tests of following feeds that fail or do not fit."""
+"""Tests of following feeds that fail or cannot be applied."""
 
 from __future__ import annotations
 
@@ -8,102 +8,110 @@
 
 from jayswitch.clock import VirtualClock
 from jayswitch.feed.exceptions import FeedError, FeedUnavailable
-from jayswitch.feed.follower import FEEDS, FeedFollower
-from jayswitch.feed.messages import FeedAnswer, FeedChange, FeedRequest, Form
-from jayswitch.feed.relays import Relays
+from jayswitch.feed.follower import FEED_COUNT, FeedFollower
+from jayswitch.feed.messages import FeedChange, FeedRequest, FeedResponse, ValueEncoding
+from jayswitch.feed.relay_selector import RelaySelector
 from jayswitch.fleet.directory import Directory
 from jayswitch.standins.memory_store import MemoryStore
-from jayswitch.store.follower import Pause, PrefixFollower
+from jayswitch.store.follower import BatchDelay, PrefixFollower
 from jayswitch.store.interface import WatchEvent
 
-Source = Callable[[FeedRequest], Result[FeedAnswer, FeedError]]
+Responder = Callable[[FeedRequest], Result[FeedResponse, FeedError]]
 
 
 class FakeSource:
-    """Answers as it is told and remembers what was asked."""
+    """Returns prepared responses and records the requests."""
 
-    def __init__(self, answer: Source) -> None:
-        """Takes what answers."""
-        self.asked: list[FeedRequest] = []
-        self._answer = answer
+    def __init__(self, respond: Responder) -> None:
+        """Initializes the source with a responder."""
+        self.requests: list[FeedRequest] = []
+        self._respond = respond
 
     def fetch(
         self, address: str, request: FeedRequest
-    ) -> Result[FeedAnswer, FeedError]:
-        """Returns the answer."""
-        self.asked.append(request)
-        return self._answer(request)
+    ) -> Result[FeedResponse, FeedError]:
+        """Returns the responder's result."""
+        self.requests.append(request)
+        return self._respond(request)
 
 
-class Following:
-    """A follower that has read version 1, and a feed of it."""
+class FeedFollowerSetup:
+    """A follower that holds one long value, and a feed to it."""
 
-    def __init__(self, answer: Source) -> None:
-        """Takes what the proxy at every address answers."""
+    def __init__(self, respond: Responder) -> None:
+        """Initializes the set-up with a responder for every address."""
         self.values: dict[str, bytes | None] = {}
         self.clock = VirtualClock()
         self.follower = PrefixFollower(
-            MemoryStore(self.clock), "op/", self._note, self.clock, Pause(100.0, 400.0)
+            MemoryStore(self.clock),
+            "op/",
+            self._record,
+            self.clock,
+            BatchDelay(100.0, 400.0),
         )
-        self.follower.take_changes([WatchEvent("op/a", b"1" * 5000, 5)], 5)
-        self.follower.state.advance(5, complete_after=5)
-        self.source = FakeSource(answer)
-        relays = Relays("vm-1", "a", Directory(), self.clock)
+        self.follower.apply_changes([WatchEvent("op/a", b"1" * 5000, 5)], 5)
+        self.follower.state.advance(5, removals_known_after=5)
+        self.source = FakeSource(respond)
+        relays = RelaySelector("vm-1", "a", Directory(), self.clock)
         self.feed = FeedFollower("op/", self.follower, relays, self.source, self.clock)
 
-    def _note(self, event: WatchEvent) -> None:
+    def _record(self, event: WatchEvent) -> None:
         self.values[event.key] = event.value
 
 
-def _answer(change: FeedChange, is_current: bool = True) -> Success[FeedAnswer]:
-    return Success(FeedAnswer(change.revision, False, is_current, [change]))
+def _response(change: FeedChange, is_current: bool = True) -> Success[FeedResponse]:
+    return Success(FeedResponse(change.revision, False, is_current, [change]))
 
 
 class TestFeedFollower:
-    """A feed brings changes or is left."""
+    """A feed delivers changes or is abandoned."""
 
-    def test_change_is_put_in_force(self) -> None:
-        change = FeedChange("op/a", 6, Form.PLAIN, b"2")
-        following = Following(lambda request: _answer(change))
-        assert following.feed.fetch_from("x")
-        assert following.values == {"op/a": b"2"}
-        assert following.follower.state.revision == 6
+    def test_change_is_applied(self) -> None:
+        change = FeedChange("op/a", 6, ValueEncoding.PLAIN, b"2")
+        setup = FeedFollowerSetup(lambda request: _response(change))
+        assert setup.feed.fetch_from("x")
+        assert setup.values == {"op/a": b"2"}
+        assert setup.follower.state.revision == 6
 
-    def test_delta_for_another_value_is_asked_for_whole(self) -> None:
-        def answer(request: FeedRequest) -> Success[FeedAnswer]:
+    def test_mismatched_delta_is_requested_again_in_full(self) -> None:
+        def respond(request: FeedRequest) -> Success[FeedResponse]:
             if request.held:
-                return _answer(FeedChange("op/a", 6, Form.DELTA, b"", base=4))
-            return _answer(FeedChange("op/a", 6, Form.PLAIN, b"2"))
-
-        following = Following(answer)
-        assert following.feed.fetch_from("x")
-        assert [request.held for request in following.source.asked] == [{"op/a": 5}, {}]
-        assert following.values == {"op/a": b"2"}
-
-    def test_feed_that_never_fits_is_left_and_changes_nothing(self) -> None:
-        change = FeedChange("op/a", 6, Form.COMPRESSED, b"not compressed")
-        following = Following(lambda request: _answer(change))
-        assert not following.feed.fetch_from("x")
-        assert following.follower.state.revision == 5
-        assert following.values == {"op/a": b"1" * 5000}
-
-    def test_older_change_is_passed_over(self) -> None:
-        change = FeedChange("op/a", 3, Form.PLAIN, b"0")
-        following = Following(lambda request: _answer(change))
-        assert following.feed.fetch_from("x")
-        assert following.follower.state.revision == 5
-        assert following.values == {"op/a": b"1" * 5000}
-
-    def test_relay_without_the_store_is_left_but_its_changes_are_taken(self) -> None:
-        change = FeedChange("op/a", 6, Form.PLAIN, b"2")
-        following = Following(lambda request: _answer(change, is_current=False))
-        assert not following.feed.fetch_from("x")
-        assert following.values == {"op/a": b"2"}
+                return _response(
+                    FeedChange("op/a", 6, ValueEncoding.DELTA, b"", base=4)
+                )
+            return _response(FeedChange("op/a", 6, ValueEncoding.PLAIN, b"2"))
+
+        setup = FeedFollowerSetup(respond)
+        assert setup.feed.fetch_from("x")
+        assert [request.held for request in setup.source.requests] == [{"op/a": 5}, {}]
+        assert setup.values == {"op/a": b"2"}
+
+    def test_unusable_feed_is_abandoned_and_changes_nothing(self) -> None:
+        change = FeedChange("op/a", 6, ValueEncoding.COMPRESSED, b"not compressed")
+        setup = FeedFollowerSetup(lambda request: _response(change))
+        assert not setup.feed.fetch_from("x")
+        assert setup.follower.state.revision == 5
+        assert setup.values == {"op/a": b"1" * 5000}
+
+    def test_older_change_is_ignored(self) -> None:
+        change = FeedChange("op/a", 3, ValueEncoding.PLAIN, b"0")
+        setup = FeedFollowerSetup(lambda request: _response(change))
+        assert setup.feed.fetch_from("x")
+        assert setup.follower.state.revision == 5
+        assert setup.values == {"op/a": b"1" * 5000}
+
+    def test_relay_without_the_store_is_abandoned_but_its_changes_are_applied(
+        self,
+    ) -> None:
+        change = FeedChange("op/a", 6, ValueEncoding.PLAIN, b"2")
+        setup = FeedFollowerSetup(lambda request: _response(change, is_current=False))
+        assert not setup.feed.fetch_from("x")
+        assert setup.values == {"op/a": b"2"}
 
     def test_store_is_needed_without_a_feed(self) -> None:
-        following = Following(lambda request: Failure(FeedUnavailable("x", "cut")))
-        following.feed.start()
-        following.clock.sleep_ms(100)
-        assert following.feed.store_wait_ms() > 0
-        following.feed.relay_by_feed = {feed: "x" for feed in range(FEEDS)}
-        assert following.feed.store_wait_ms() == 0
+        setup = FeedFollowerSetup(lambda request: Failure(FeedUnavailable("x", "cut")))
+        setup.feed.start()
+        setup.clock.sleep_ms(100)
+        assert setup.feed.store_watch_timeout_ms() > 0
+        setup.feed.relay_by_feed = {feed: "x" for feed in range(FEED_COUNT)}
+        assert setup.feed.store_watch_timeout_ms() == 0
--- a/tests/harness/thin_links.py
+++ b/tests/harness/thin_links.py
@@ -12,11 +12,11 @@
 from jayswitch.clock import MS_PER_S, Clock
 from jayswitch.feed.client import FeedSource
 from jayswitch.feed.exceptions import FeedError, FeedUnavailable
-from jayswitch.feed.messages import FeedAnswer, FeedRequest
+from jayswitch.feed.messages import FeedRequest, FeedResponse
 from jayswitch.feed.server import FeedServer
 from jayswitch.standins.memory_store import MemoryStore
 from jayswitch.store.exceptions import StoreUnavailable
-from jayswitch.store.follower import TEXT_BYTES_PER_BYTE
+from jayswitch.store.follower import BASE64_BYTES_PER_BYTE
 
 HEAD_BYTES = 200
 # What a call waits for a store that does not answer.
@@ -95,13 +95,13 @@
 
     def fetch(
         self, address: str, request: FeedRequest
-    ) -> Result[FeedAnswer, FeedError]:
+    ) -> Result[FeedResponse, FeedError]:
         """Returns the answer of the proxy at an address."""
         feeds = self._feeds
         if address in feeds.silent:
             eventlet.sleep(request.wait_ms / MS_PER_S + 1)
             return Failure(FeedUnavailable(address, "no answer came in time"))
-        answer = feeds.server_by_address[address].answer(request)
+        answer = feeds.server_by_address[address].respond(request)
         if answer is None:
             return Failure(FeedUnavailable(address, "status 503"))
         size = len(msgspec.msgpack.encode(answer)) + HEAD_BYTES
@@ -116,5 +116,6 @@
         values = answer
     values = values if isinstance(values, list) else []
     return (
-        int(sum(len(v.value or b"") for v in values) * TEXT_BYTES_PER_BYTE) + HEAD_BYTES
+        int(sum(len(v.value or b"") for v in values) * BASE64_BYTES_PER_BYTE)
+        + HEAD_BYTES
     )
--- a/tests/load/test_large_config_storm.py
+++ b/tests/load/test_large_config_storm.py
@@ -9,14 +9,14 @@
 
 from jayswitch.clock import VirtualClock
 from jayswitch.feed.follower import FeedFollower
-from jayswitch.feed.relays import Relays
+from jayswitch.feed.relay_selector import RelaySelector
 from jayswitch.feed.server import FeedServer
 from jayswitch.fleet.directory import Directory
 from jayswitch.fleet.records import NODE_PREFIX, NodeRecord
 from jayswitch.fleet.revision_exchange import RevisionExchange
 from jayswitch.proxy.process import ORDERS_PAUSE
 from jayswitch.standins.memory_store import MemoryStore
-from jayswitch.store.follower import PrefixFollower, carried_bytes
+from jayswitch.store.follower import PrefixFollower, max_value_bytes
 from jayswitch.store.interface import WatchEvent, Write
 from tests.harness.thin_links import DistantFeeds, DistantStore, Link
 
@@ -80,13 +80,15 @@
             self.store, self._store_link, link, lambda: vm in self.turned_away
         )
         follower = PrefixFollower(store, "op/", note, self.clock, ORDERS_PAUSE)
-        follower.slow_bytes = carried_bytes(mbit_per_s, ORDERS_PAUSE.shortest_ms)
+        follower.slow_value_bytes = max_value_bytes(
+            mbit_per_s, ORDERS_PAUSE.shortest_ms
+        )
         server = FeedServer()
         server.serve("op/", follower.state)
         self.feeds.server_by_address[vm] = server
         self.feeds.link_by_address[vm] = link
         data_centre = self._data_centre(vm)
-        relays = Relays(vm, data_centre, self.directory, self.clock)
+        relays = RelaySelector(vm, data_centre, self.directory, self.clock)
         feed = FeedFollower(
             "op/", follower, relays, self.feeds.seen_by(link), self.clock
         )
