--- a/src/jayswitch/http/admin_app.py
+++ b/src/jayswitch/http/admin_app.py
@@ -30,7 +30,7 @@
     NoSuchPath,
     NotAuthorized,
 )
-from jayswitch.http.reasons import status_line
+from jayswitch.http.status_lines import status_line
 from jayswitch.membership.member import KIND_STATUS, decode_status
 from jayswitch.metrics import NodeCollector
 from jayswitch.node.dump import dump_node
@@ -41,12 +41,12 @@
     from jayswitch.node.node import Node
 
 AUTHOR_VARIABLE = "HTTP_X_JAYSWITCH_AUTHOR"
-EXPECTED_VARIABLE = "HTTP_X_JAYSWITCH_EXPECTED_VERSION"
+EXPECTED_VERSION_VARIABLE = "HTTP_X_JAYSWITCH_EXPECTED_VERSION"
 MAX_BODY_BYTES = 1_000_000
 MAX_AUTHOR_CHARACTERS = 64
 
 StartResponse = Callable[..., Any]
-Answer = Result[Any, JayswitchError]
+ApiResult = Result[Any, JayswitchError]
 
 logger = logging.getLogger(__name__)
 
@@ -63,7 +63,7 @@
         self.body: bytes = environ["wsgi.input"].read(MAX_BODY_BYTES)
         author = environ.get(AUTHOR_VARIABLE, "operator")
         self.author: str = author[:MAX_AUTHOR_CHARACTERS]
-        expected = environ.get(EXPECTED_VARIABLE, "")
+        expected = environ.get(EXPECTED_VERSION_VARIABLE, "")
         self.expected_version = int(expected) if expected.isdigit() else -1
 
 
@@ -112,7 +112,7 @@
             return Failure(NotAuthorized(key))
         return Success(AdminRequest(environ))
 
-    def _handle(self, request: AdminRequest) -> Answer:
+    def _handle(self, request: AdminRequest) -> ApiResult:
         match request.method, request.path:
             case "POST", ["v1", "announce"]:
                 return self._announce(request)
@@ -128,18 +128,18 @@
 
     # Reading
 
-    def _list(self, kind: str) -> Answer:
+    def _list(self, kind: str) -> ApiResult:
         parts = self._node.parts
         state = parts.replica.state
         match kind:
             case "profiles":
-                return Success(_in_order(state.profiles_by_name))
+                return Success(_sorted_by_name(state.profiles_by_name))
             case "services":
-                return Success(_in_order(state.services_by_name))
+                return Success(_sorted_by_name(state.services_by_name))
             case "data-centres":
                 return Success(self._data_centres())
             case "moves":
-                return Success(_in_order(state.moves_by_id))
+                return Success(_sorted_by_name(state.moves_by_id))
             case "upstreams" | "nodes":
                 return self._list_members(kind)
         return Failure(NoSuchPath("GET", f"v1/{kind}"))
@@ -153,7 +153,7 @@
             for name in sorted(names)
         ]
 
-    def _list_members(self, kind: str) -> Answer:
+    def _list_members(self, kind: str) -> ApiResult:
         parts = self._node.parts
         if not parts.tree.is_relay:
             relays = [relay.admin_address for relay in parts.relay.relays]
@@ -171,7 +171,7 @@
             }
         )
 
-    def _get(self, kind: str, name: str) -> Answer:
+    def _get(self, kind: str, name: str) -> ApiResult:
         state = self._node.parts.replica.state
         found: Any = None
         match kind:
@@ -189,12 +189,12 @@
 
     def _change(
         self, request: AdminRequest, kind: str, name: str, action: list[str]
-    ) -> Answer:
-        return self._to_change(request, kind, name, action).bind(
+    ) -> ApiResult:
+        return self._parse_change(request, kind, name, action).bind(
             lambda change: self._append(change, request.author)
         )
 
-    def _to_change(
+    def _parse_change(
         self, request: AdminRequest, kind: str, name: str, action: list[str]
     ) -> Result[AnyChange, JayswitchError]:
         expected = request.expected_version
@@ -224,7 +224,7 @@
         path = "/".join(["v1", kind, name, *action])
         return Failure(NoSuchPath(request.method, path))
 
-    def _append(self, change: AnyChange, author: str) -> Answer:
+    def _append(self, change: AnyChange, author: str) -> ApiResult:
         appended = self._node.parts.log.append(change, author)
         match appended:
             case Success(Entry() as entry):
@@ -235,7 +235,7 @@
                 return Success({"version": entry.index, "change_id": entry.change_id})
         return appended
 
-    def _announce(self, request: AdminRequest) -> Answer:
+    def _announce(self, request: AdminRequest) -> ApiResult:
         try:
             announcement = msgspec.json.decode(request.body, type=Announcement)
         except msgspec.DecodeError as error:
@@ -257,7 +257,7 @@
     return Success(ProfileSet(profile=profile, expected_version=expected))
 
 
-def _in_order(objects_by_name: dict[str, Any]) -> list[Any]:
+def _sorted_by_name(objects_by_name: dict[str, Any]) -> list[Any]:
     return [objects_by_name[name] for name in sorted(objects_by_name)]
 
 
--- a/src/jayswitch/http/caller_app.py
+++ b/src/jayswitch/http/caller_app.py
@@ -21,9 +21,9 @@
     REQUEST_ID_HEADER,
     TIMEOUT_HEADER,
     UPSTREAM_HEADER,
-    from_caller,
+    is_forwarded_from_caller,
 )
-from jayswitch.http.reasons import status_line
+from jayswitch.http.status_lines import status_line
 from jayswitch.messages.generated import Header
 from jayswitch.routing.exceptions import CallFailure
 from jayswitch.routing.request import AnswerCut, CallerAnswer, CallerRequest
@@ -75,16 +75,16 @@
         headers = [
             Header(name=name, value=value)
             for name, value in environ["headers_raw"]
-            if from_caller(name)
+            if is_forwarded_from_caller(name)
         ]
         return CallerRequest(
             method=environ["REQUEST_METHOD"],
             path=path,
             headers=headers,
             body=self._read_body(environ),
-            timeout_ms=_number(environ, TIMEOUT_HEADER),
-            depth=int(_number(environ, DEPTH_HEADER)),
-            key=environ.get(_variable(IDEMPOTENCY_KEY_HEADER), ""),
+            timeout_ms=_parse_number(environ, TIMEOUT_HEADER),
+            depth=int(_parse_number(environ, DEPTH_HEADER)),
+            key=environ.get(_environ_key(IDEMPOTENCY_KEY_HEADER), ""),
         )
 
     def _read_body(self, environ: dict[str, Any]) -> bytes:
@@ -116,7 +116,7 @@
         start_response(status_line(answer.status), headers)
         if method == "HEAD" or answer.status in BODYLESS_STATUSES:
             return answer.body
-        return check_length(answer)
+        return stream_checked_body(answer)
 
     def _answer_failure(
         self, error: CallFailure, start_response: StartResponse
@@ -147,26 +147,26 @@
             headers.append(("Connection", "close"))
 
 
-def check_length(answer: CallerAnswer) -> Iterator[bytes]:
-    """Yields the body; raises AnswerCut if it is not as long as was stated.
+def stream_checked_body(answer: CallerAnswer) -> Iterator[bytes]:
+    """Yields the body; raises AnswerCut if it is not as long as was declared.
 
     The server then closes the connection, so that the caller sees the failure.
     """
-    stated = [h.value for h in answer.headers if h.name.lower() == "content-length"]
+    declared = [h.value for h in answer.headers if h.name.lower() == "content-length"]
     length = 0
     for part in answer.body:
         length += len(part)
         yield part
-    if stated and int(stated[0]) != length:
-        raise AnswerCut(f"{length} of {stated[0]} bytes came")
+    if declared and int(declared[0]) != length:
+        raise AnswerCut(f"{length} of {declared[0]} bytes came")
 
 
-def _variable(header: str) -> str:
+def _environ_key(header: str) -> str:
     return "HTTP_" + header.upper().replace("-", "_")
 
 
-def _number(environ: dict[str, Any], header: str) -> float:
-    text = environ.get(_variable(header), "0")
+def _parse_number(environ: dict[str, Any], header: str) -> float:
+    text = environ.get(_environ_key(header), "0")
     if not text.isdigit():
         raise BadRequest(f"{header} is not a whole number", "correct the header")
     return float(text)
--- a/src/jayswitch/http/headers.py
+++ b/src/jayswitch/http/headers.py
@@ -29,18 +29,18 @@
         "expect",
     )
 )
-_SET_BY_NODES = frozenset(
+_NODE_MANAGED = frozenset(
     name.lower()
     for name in (REQUEST_ID_HEADER, TIMEOUT_HEADER, DEPTH_HEADER, "Content-Length")
 )
 
 
-def end_to_end(name: str) -> bool:
+def is_end_to_end(name: str) -> bool:
     """Tells whether a header is meant for the other end, not for the next hop."""
     return name.lower() not in _HOP_BY_HOP
 
 
-def from_caller(name: str) -> bool:
+def is_forwarded_from_caller(name: str) -> bool:
     """Tells whether a caller's header is passed on to the upstream as it is."""
     lower = name.lower()
-    return lower not in _HOP_BY_HOP and lower not in _SET_BY_NODES
+    return lower not in _HOP_BY_HOP and lower not in _NODE_MANAGED
--- a/src/jayswitch/http/server.py
+++ b/src/jayswitch/http/server.py
@@ -17,10 +17,10 @@
 MAX_CONNECTIONS = 4096
 BACKLOG = 512
 # Longer than any request line that header limits of a configuration allow.
-LONGEST_REQUEST_LINE = 64 * 1024
+MAX_REQUEST_LINE_BYTES = 64 * 1024
 
-_silent = logging.getLogger("jayswitch.wsgi")
-_silent.setLevel(logging.ERROR)
+_wsgi_logger = logging.getLogger("jayswitch.wsgi")
+_wsgi_logger.setLevel(logging.ERROR)
 
 
 class DrainingListener:
@@ -33,11 +33,11 @@
     def __init__(
         self,
         listener: socket.socket,
-        prepare: Callable[[socket.socket], None] | None = None,
+        on_accept: Callable[[socket.socket], None] | None = None,
     ) -> None:
         """Takes a socket that listens and what is done to accepted connections."""
         self._listener = listener
-        self._prepare = prepare
+        self._on_accept = on_accept
         self._stopped = False
         self._finished = Event()
 
@@ -58,8 +58,8 @@
 
     def _accept(self) -> tuple[socket.socket, Any]:
         connection, address = self._listener.accept()
-        if self._prepare is not None:
-            self._prepare(connection)
+        if self._on_accept is not None:
+            self._on_accept(connection)
         return connection, address
 
     def stop_accepting(self) -> None:
@@ -86,13 +86,13 @@
         port: int,
         application: WsgiApplication,
         protocol: type[wsgi.HttpProtocol] = wsgi.HttpProtocol,
-        prepare: Callable[[socket.socket], None] | None = None,
+        on_accept: Callable[[socket.socket], None] | None = None,
     ) -> None:
         """Binds at once, so that a taken port fails at start-up; 0 picks a port."""
         listener = eventlet.listen((ip, port), backlog=BACKLOG)
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.address = f"http://{ip}:{listener.getsockname()[1]}"
-        self._listener = DrainingListener(listener, prepare)
+        self._listener = DrainingListener(listener, on_accept)
         self._application = application
         self._protocol = protocol
 
@@ -102,14 +102,14 @@
             wsgi.server,
             self._listener,
             self._application,
-            log=_silent,
+            log=_wsgi_logger,
             log_output=False,
             max_size=MAX_CONNECTIONS,
             debug=False,
             minimum_chunk_size=1,
             capitalize_response_headers=False,
             protocol=self._protocol,
-            url_length_limit=LONGEST_REQUEST_LINE,
+            url_length_limit=MAX_REQUEST_LINE_BYTES,
         )
 
     def stop_accepting(self) -> None:
--- a/src/jayswitch/http/upstream_client.py
+++ b/src/jayswitch/http/upstream_client.py
@@ -23,7 +23,7 @@
     SHED_HEADER,
     SHED_NOT_RUN,
     TIMEOUT_HEADER,
-    end_to_end,
+    is_end_to_end,
 )
 from jayswitch.messages.generated import Header
 
@@ -33,10 +33,10 @@
 CONNECT_TIMEOUT_MS = 500.0
 CANCEL_TIMEOUT_MS = 200.0
 CHUNK_BYTES = 64 * 1024
-FIRST_PART_BYTES = 256 * 1024
+FIRST_READ_BYTES = 256 * 1024
 POOL_CONNECTIONS = 128
 
-_NOT_SENT = (
+_CONNECT_ERRORS = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
 )
@@ -56,7 +56,7 @@
         deadline = eventlet.Timeout(remaining_ms / MS_PER_S)
         try:
             return self._exchange(address, call, remaining_ms)
-        except _NOT_SENT as error:
+        except _CONNECT_ERRORS as error:
             return Failure(UpstreamUnreachable(address, str(error)))
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Failure(IncompleteUpstreamAnswer(str(error)))
@@ -101,21 +101,21 @@
         self, response: urllib3.BaseHTTPResponse
     ) -> Result[UpstreamAnswer, UpstreamFailure]:
         length = response.headers.get("Content-Length")
-        fits = length is not None and int(length) <= FIRST_PART_BYTES
-        body = response.read(None if fits else FIRST_PART_BYTES)
+        fits = length is not None and int(length) <= FIRST_READ_BYTES
+        body = response.read(None if fits else FIRST_READ_BYTES)
         if response.headers.get(SHED_HEADER) == SHED_NOT_RUN:
             response.release_conn()
             return Failure(UpstreamShed())
         headers = [
             Header(name=name, value=value)
             for name, value in response.headers.items()
-            if end_to_end(name)
+            if is_end_to_end(name)
         ]
         rest = None
         if fits:
             response.release_conn()
         else:
-            # A short read is not yet the end; only the next one tells a whole
+            # A short read is not yet the end; only the next one tells a complete
             # body from one that was cut.
             rest = _read_rest(response)
         return Success(UpstreamAnswer(response.status, headers, body, rest))
@@ -143,18 +143,18 @@
 
 
 def _read_rest(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-    whole = False
+    complete = False
     try:
         while True:
             data = response.read(CHUNK_BYTES)
             if not data:
                 break
             yield data
-        whole = True
+        complete = True
     except (urllib3.exceptions.HTTPError, OSError) as error:
         raise IncompleteUpstreamAnswer(str(error)) from error
     finally:
-        if whole:
+        if complete:
             response.release_conn()
         else:
             response.close()
--- a/src/jayswitch/platform/heartbeats.py
+++ b/src/jayswitch/platform/heartbeats.py
@@ -11,7 +11,7 @@
 
 from jayswitch.fleet.records import Upstream, UpstreamState
 from jayswitch.gate.local_upstream import Heartbeat
-from jayswitch.http.reasons import status_line
+from jayswitch.http.status_lines import status_line
 
 if TYPE_CHECKING:
     from jayswitch.proxy.wsgi_request import StartResponse
--- a/src/jayswitch/proxy/headers.py
+++ b/src/jayswitch/proxy/headers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from jayswitch.http.headers import end_to_end
+from jayswitch.http.headers import is_end_to_end
 
 # Only between proxies; a caller's headers of these names are dropped.
 INTERNAL_PREFIX = "x-jayswitch-"
@@ -55,7 +55,7 @@
     return [
         (name, value)
         for name, value in headers
-        if end_to_end(name)
+        if is_end_to_end(name)
         and name.lower() not in dropped
         and name.lower() not in options
         and not name.lower().startswith(INTERNAL_PREFIX)
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from jayswitch.clock import MS_PER_S
-from jayswitch.http.headers import end_to_end
+from jayswitch.http.headers import is_end_to_end
 from jayswitch.proxy import reasons
 from jayswitch.proxy.exceptions import (
     AnswerCut,
@@ -253,7 +253,7 @@
         for name, value in headers
         if name.lower() not in dropped
         and not name.lower().startswith(INTERNAL_PREFIX)
-        and end_to_end(name)
+        and is_end_to_end(name)
     ]
 
 
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from jayswitch.feed.messages import FEED_REQUEST, FEED_TARGET, FeedRequest
-from jayswitch.http.reasons import status_line
+from jayswitch.http.status_lines import status_line
 from jayswitch.proxy import reasons
 from jayswitch.proxy.exceptions import CallerGone, MalformedRequest
 from jayswitch.proxy.hangup import HangupWatch
--- a/src/jayswitch/proxy/outbound.py
+++ b/src/jayswitch/proxy/outbound.py
@@ -11,7 +11,7 @@
 
 from jayswitch.clock import MS_PER_S
 from jayswitch.exceptions import JayswitchError
-from jayswitch.http.reasons import status_line
+from jayswitch.http.status_lines import status_line
 from jayswitch.proxy import reasons
 from jayswitch.proxy.exceptions import AnswerCut, CallerGone, MalformedRequest
 from jayswitch.proxy.hangup import HangupWatch
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -30,8 +30,8 @@
 from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 from jayswitch.gate.local_upstream import Heartbeat, HeartbeatResult, LocalUpstream
 from jayswitch.gate.upstream_gate import ColdRateAllowance, UpstreamGate
-from jayswitch.http.reasons import status_line
 from jayswitch.http.server import HttpServer
+from jayswitch.http.status_lines import status_line
 from jayswitch.proxy.attempts import AttemptRunner, BudgetTerms
 from jayswitch.proxy.hop import HopClient
 from jayswitch.proxy.http_client import HttpClient
@@ -441,7 +441,7 @@
         ip, _, port = address.rpartition(":")
         options = {"protocol": protocol} if protocol is not None else {}
         server = HttpServer(
-            ip, int(port), application, prepare=apply_options, **options
+            ip, int(port), application, on_accept=apply_options, **options
         )
         server.start()
         self._servers.append(server)
--- a/src/jayswitch/proxy/status.py
+++ b/src/jayswitch/proxy/status.py
@@ -9,7 +9,7 @@
 from prometheus_client.core import GaugeMetricFamily, Metric
 
 from jayswitch.clock import MS_PER_S
-from jayswitch.http.reasons import status_line
+from jayswitch.http.status_lines import status_line
 from jayswitch.metrics import counter_family
 
 if TYPE_CHECKING:
--- a/src/jayswitch/proxy/wsgi_request.py
+++ b/src/jayswitch/proxy/wsgi_request.py
@@ -7,7 +7,7 @@
 
 from eventlet.wsgi import ChunkReadError
 
-from jayswitch.http.reasons import status_line
+from jayswitch.http.status_lines import status_line
 from jayswitch.proxy.exceptions import AnswerCut, MalformedRequest
 from jayswitch.proxy.headers import INTERNAL_PREFIX, connection_options, find
 from jayswitch.proxy.protocol import CONNECTION_VARIABLE
--- a/src/jayswitch/standins/store_app.py
+++ b/src/jayswitch/standins/store_app.py
@@ -9,7 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from jayswitch.http.reasons import status_line
+from jayswitch.http.status_lines import status_line
 from jayswitch.standins.memory_store import MemoryStore
 from jayswitch.store.exceptions import StoreError
 from jayswitch.store.wire import (
--- a/src/jayswitch/standins/upstream.py
+++ b/src/jayswitch/standins/upstream.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from jayswitch.http.headers import REQUEST_ID_HEADER, SHED_HEADER, SHED_NOT_RUN
-from jayswitch.http.reasons import status_line
+from jayswitch.http.status_lines import status_line
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
--- a/tests/harness/platform_store.py
+++ b/tests/harness/platform_store.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from jayswitch.clock import Clock
-from jayswitch.http.reasons import status_line
+from jayswitch.http.status_lines import status_line
 from jayswitch.standins.memory_store import MemoryStore
 from jayswitch.store.exceptions import CasConflict, LeaseExpired, StoreThrottled
 from jayswitch.store.interface import StoredValue, WatchEvent, Write
