--- a/src/jayswitch/console/commands/data_centres.py
+++ b/src/jayswitch/console/commands/data_centres.py
@@ -15,11 +15,11 @@
 
     def run(self, *arguments: str) -> int:
         """Prints a row for each data centre."""
-        found = self.client.get("data-centres").unwrap()
+        states = self.client.get("data-centres").unwrap()
         if self.options.as_json:
-            print_json(found)
+            print_json(states)
             return EXIT_OK
-        rows = [[item["data_centre"], item["state"]] for item in found]
+        rows = [[item["data_centre"], item["state"]] for item in states]
         print_table(["data centre", "state"], rows, "no data centre is known")
         return EXIT_OK
 
--- a/src/jayswitch/console/commands/moves.py
+++ b/src/jayswitch/console/commands/moves.py
@@ -7,13 +7,13 @@
 
 from jayswitch.console.commands.command import EXIT_OK, EXIT_REVERSED, Command
 from jayswitch.console.exceptions import UsageError
-from jayswitch.console.output import local_time, print_json, print_table
+from jayswitch.console.output import format_local_time, print_json, print_table
 
 POLL_S = 0.5
 DEFAULT_WAIT_S = 3600.0
 
 
-def status_of(move: dict[str, Any]) -> str:
+def describe_status(move: dict[str, Any]) -> str:
     """Returns whether a move is under way, done or reversed."""
     if not move["ended_ms"]:
         return "under way"
@@ -36,9 +36,9 @@
         rows = []
         for move in moves:
             change = f"{move['from_version']} -> {move['to_version']}"
-            deadline = local_time(move["deadline_ms"])
+            deadline = format_local_time(move["deadline_ms"])
             share = f"{move['percent']}%"
-            status = status_of(move)
+            status = describe_status(move)
             rows.append([move["id"], change, share, deadline, status, move["reason"]])
         columns = ["move", "versions", "share", "deadline", "status", "evidence"]
         print_table(columns, rows, "there are no moves")
@@ -59,9 +59,11 @@
         if self.options.as_json:
             print_json(move)
             return EXIT_OK
-        rows = [["status", status_of(move)]]
+        rows = [["status", describe_status(move)]]
         for key, value in move.items():
-            rows.append([key, local_time(value) if key.endswith("_ms") else value])
+            rows.append(
+                [key, format_local_time(value) if key.endswith("_ms") else value]
+            )
         print_table(["field", "value"], rows, "")
         return EXIT_OK
 
@@ -76,11 +78,11 @@
 
     def run(self, *arguments: str) -> int:
         """Prints how the move ended."""
-        until = time.monotonic() + (self.options.timeout_s or DEFAULT_WAIT_S)
-        while time.monotonic() < until:
+        deadline_s = time.monotonic() + (self.options.timeout_s or DEFAULT_WAIT_S)
+        while time.monotonic() < deadline_s:
             move = self.client.get(f"moves/{arguments[0]}").unwrap()
             if move["ended_ms"]:
-                print(f"{move['id']} {status_of(move)}: {move['reason']}")
+                print(f"{move['id']} {describe_status(move)}: {move['reason']}")
                 return EXIT_OK if move["done"] else EXIT_REVERSED
             time.sleep(POLL_S)
         raise UsageError(
--- a/src/jayswitch/console/commands/profiles.py
+++ b/src/jayswitch/console/commands/profiles.py
@@ -12,7 +12,7 @@
 
 from jayswitch.console.commands.command import EXIT_OK, EXIT_REFUSED, Command
 from jayswitch.console.exceptions import ApiError, UsageError
-from jayswitch.console.output import local_time, print_json, print_table
+from jayswitch.console.output import format_local_time, print_json, print_table
 from jayswitch.profiles.loader import load_profile
 
 
@@ -47,9 +47,11 @@
         for state in states:
             profile = state["profile"]
             targets = profile["targets"]
-            calls_for = ", ".join(f"{t['service']}={t['version']}" for t in targets)
+            target_versions = ", ".join(
+                f"{t['service']}={t['version']}" for t in targets
+            )
             count = len(profile["routes"])
-            rows.append([profile["name"], state["version"], count, calls_for])
+            rows.append([profile["name"], state["version"], count, target_versions])
         columns = ["profile", "version", "routes", "targets"]
         print_table(columns, rows, "there are no profiles")
         return EXIT_OK
@@ -87,7 +89,7 @@
         name = profile["name"]
         expected = self.options.expected_version
         if expected < 0:
-            expected = self._present_version(name)
+            expected = self._current_version(name)
         body = msgspec.json.encode(profile)
         path = f"profiles/{name}"
         answer = self.client.request("PUT", path, body, expected).unwrap()
@@ -97,7 +99,7 @@
             print(f"profile {name} accepted as version {answer['version']}")
         return EXIT_OK
 
-    def _present_version(self, name: str) -> int:
+    def _current_version(self, name: str) -> int:
         found = self.client.get(f"profiles/{name}")
         if isinstance(found, Failure) and isinstance(found.failure(), ApiError):
             if found.failure().kind == "no-such-object":
@@ -118,8 +120,8 @@
         profile = read_profile(arguments[0])
         name = profile["name"]
         states = self.client.get("profiles").unwrap()
-        present = [s["profile"] for s in states if s["profile"]["name"] == name]
-        before = to_yaml(present[0]) if present else ""
+        current = [s["profile"] for s in states if s["profile"]["name"] == name]
+        before = to_yaml(current[0]) if current else ""
         lines = difflib.unified_diff(
             before.splitlines(), to_yaml(profile).splitlines(), "in force", "file"
         )
@@ -146,7 +148,7 @@
         rows = [
             [
                 item["version"],
-                local_time(item["at_ms"]),
+                format_local_time(item["at_ms"]),
                 item["author"],
                 item["summary"],
             ]
--- a/src/jayswitch/console/commands/requests.py
+++ b/src/jayswitch/console/commands/requests.py
@@ -13,7 +13,7 @@
 from jayswitch.console.exceptions import UsageError
 from jayswitch.console.output import print_json
 
-STANDARD_INPUT = "-"
+STDIN_ARGUMENT = "-"
 # What a proxy believes that may explain a request, besides the lines that name it.
 CONTEXT_MS = 3000
 CONTEXT_MESSAGES = frozenset(
@@ -35,7 +35,7 @@
         "version withdrawn here",
     )
 )
-_PLACED_FIRST = ("time", "vm", "message", "request_id", "level", "logger")
+_LEADING_FIELDS = ("time", "vm", "message", "request_id", "level", "logger")
 
 
 class RequestsExplain(Command):
@@ -49,22 +49,22 @@
     def run(self, *arguments: str) -> int:
         """Prints the lines of a request in order, with what its proxies believed."""
         request_id, source = arguments
-        lines = list(read_lines(open_source(source)))
-        story = gather(request_id, lines)
-        if not story:
+        lines = list(parse_lines(read_source(source)))
+        selected = select_lines(request_id, lines)
+        if not selected:
             print(f"no line names {request_id}", file=sys.stderr)
             return EXIT_REFUSED
         if self.options.as_json:
-            print_json(story)
+            print_json(selected)
             return EXIT_OK
-        for line in story:
-            print(describe(line))
+        for line in selected:
+            print(format_line(line))
         return EXIT_OK
 
 
-def open_source(source: str) -> Iterator[str]:
+def read_source(source: str) -> Iterator[str]:
     """Yields the lines of standard input, of a file, or of a folder's files."""
-    if source == STANDARD_INPUT:
+    if source == STDIN_ARGUMENT:
         yield from sys.stdin
         return
     path = Path(source)
@@ -77,7 +77,7 @@
                 yield from stream
 
 
-def read_lines(texts: Iterable[str]) -> Iterator[dict[str, Any]]:
+def parse_lines(texts: Iterable[str]) -> Iterator[dict[str, Any]]:
     """Yields the JSON objects in lines; anything before the object is skipped."""
     for text in texts:
         begin = text.find("{")
@@ -91,12 +91,12 @@
             yield line
 
 
-def gather(request_id: str, lines: list[dict[str, Any]]) -> list[dict[str, Any]]:
+def select_lines(request_id: str, lines: list[dict[str, Any]]) -> list[dict[str, Any]]:
     """Returns a request's lines and those that show what its proxies believed."""
     own = [line for line in lines if line.get("request_id") == request_id]
     if not own:
         return []
-    begin = _earlier(min(line["time"] for line in own), CONTEXT_MS)
+    begin = _subtract_ms(min(line["time"] for line in own), CONTEXT_MS)
     end = max(line["time"] for line in own)
     vms = {line["vm"] for line in own}
     context = [
@@ -109,15 +109,15 @@
     return sorted(own + context, key=lambda line: line["time"])
 
 
-def describe(line: dict[str, Any]) -> str:
+def format_line(line: dict[str, Any]) -> str:
     """Returns a line as text: time, VM, event and the inputs that decided it."""
     inputs = ", ".join(
-        f"{name}={value}" for name, value in line.items() if name not in _PLACED_FIRST
+        f"{name}={value}" for name, value in line.items() if name not in _LEADING_FIELDS
     )
     return f"{line['time']}  {line['vm']:24} {line['message']}: {inputs}"
 
 
-def _earlier(stamp: str, by_ms: int) -> str:
-    parsed = datetime.strptime(stamp, "%Y-%m-%d %H:%M:%S,%f")
+def _subtract_ms(timestamp: str, by_ms: int) -> str:
+    parsed = datetime.strptime(timestamp, "%Y-%m-%d %H:%M:%S,%f")
     earlier = parsed - timedelta(milliseconds=by_ms)
     return earlier.strftime("%Y-%m-%d %H:%M:%S,%f")[:-3]
--- a/src/jayswitch/console/daemon.py
+++ b/src/jayswitch/console/daemon.py
@@ -22,9 +22,9 @@
 
 flags.DEFINE_string("settings", "", "Path of the settings file (YAML).")
 
-EXIT_SETTINGS = 2
-EXIT_ADDRESS = 3
-EXIT_CUT = 4
+EXIT_INVALID_SETTINGS = 2
+EXIT_BIND_FAILED = 3
+EXIT_DRAIN_INCOMPLETE = 4
 
 
 def main(argv: list[str]) -> int:
@@ -32,7 +32,7 @@
     match load_settings(FLAGS.settings):
         case Failure(error):
             print(f"jayswitchd: {error}", file=sys.stderr)
-            return EXIT_SETTINGS
+            return EXIT_INVALID_SETTINGS
         case Success(settings):
             pass
     configure_logging(settings.log_level, settings.vm)
@@ -52,11 +52,11 @@
             " check bind_ip and the four ports, or stop the process that has them",
             file=sys.stderr,
         )
-        return EXIT_ADDRESS
+        return EXIT_BIND_FAILED
     process.start()
     runtime.settle_memory()
     stopping.wait()
-    return 0 if process.stop() else EXIT_CUT
+    return 0 if process.stop() else EXIT_DRAIN_INCOMPLETE
 
 
 def run() -> None:
--- a/src/jayswitch/console/output.py
+++ b/src/jayswitch/console/output.py
@@ -25,7 +25,7 @@
     print(tabulate(rows, headers=columns, tablefmt="plain", disable_numparse=True))
 
 
-def local_time(wall_ms: int) -> str:
+def format_local_time(wall_ms: int) -> str:
     """Returns a time for people; empty for 0."""
     if not wall_ms:
         return ""
--- a/src/jayswitch/console/proxy_daemon.py
+++ b/src/jayswitch/console/proxy_daemon.py
@@ -21,8 +21,8 @@
 from jayswitch.proxy.generated import ProxySettings  # noqa: E402
 from jayswitch.settings.loader import read_settings  # noqa: E402
 
-EXIT_SETTINGS = 2
-EXIT_CUT = 4
+EXIT_INVALID_SETTINGS = 2
+EXIT_DRAIN_INCOMPLETE = 4
 
 logger = logging.getLogger(__name__)
 
@@ -33,7 +33,7 @@
     match read_settings(path, ProxySettings):
         case Failure(error):
             print(f"jayswitch: {error}", file=sys.stderr)
-            return EXIT_SETTINGS
+            return EXIT_INVALID_SETTINGS
         case Success(settings):
             pass
     clock = Clock()
@@ -52,7 +52,7 @@
     stopping.wait()
     drained = process.stop()
     logs.flush()
-    return 0 if drained else EXIT_CUT
+    return 0 if drained else EXIT_DRAIN_INCOMPLETE
 
 
 if __name__ == "__main__":
