Name the hub, the log bounds and the collector settings plainly

SparingHub, settle_memory, least_age_ms and _collect_less were private to this project; they are LowWakeupHub, tune_garbage_collection, min_process_age_ms and _disable_unused_record_fields. The log handler's bounds say what they bound (REQUEST_LOG_LINES_PER_S, MAX_BUFFER_BYTES, FLUSH_DELAY_MS), and the formatter that caches the time of day is _CachedTimeFormatter. Test constants named GOOD and SLOW_IS_FINE are VALID_SETTINGS, VALID_PROFILE and SUPPRESSED_HEALTH_CHECKS.

Only names change, one of them in a string that a test patches; behaviour is the same.

Checks: tests/console, tests/settings, tests/profiles, tests/test_hub.py and tests/gate/test_cold_rate_limiter.py pass; mypy and flake8 report nothing.

--- a/bench/load.py
+++ b/bench/load.py
@@ -109,7 +109,7 @@
 
 def main() -> None:
     """Reads the plan from the first argument."""
-    runtime.settle_memory()
+    runtime.tune_garbage_collection()
     print(json.dumps(Load(json.loads(sys.argv[1])).run()))
 
 
--- a/bench/plain_proxy.py
+++ b/bench/plain_proxy.py
@@ -28,7 +28,7 @@
         return [response.data]
 
     HttpServer(ip, int(port), application).start()
-    runtime.settle_memory()
+    runtime.tune_garbage_collection()
     while True:
         eventlet.sleep(60)
 
--- a/src/jayswitch/clock.py
+++ b/src/jayswitch/clock.py
@@ -23,7 +23,7 @@
         """Returns milliseconds since the Unix epoch."""
         return int(time.time() * MS_PER_S)
 
-    def least_age_ms(self) -> float:
+    def min_process_age_ms(self) -> float:
         """Returns a time for which this process has run at least.
 
         It is the processor time used: no clock tells when a process was started.
@@ -44,7 +44,7 @@
         """Takes the wall time that corresponds to zero on the event loop."""
         self._epoch_ms = epoch_ms
 
-    def least_age_ms(self) -> float:
+    def min_process_age_ms(self) -> float:
         """Returns zero, so that scenarios repeat exactly."""
         return 0.0
 
--- a/src/jayswitch/console/daemon.py
+++ b/src/jayswitch/console/daemon.py
@@ -54,7 +54,7 @@
         )
         return EXIT_BIND_FAILED
     process.start()
-    runtime.settle_memory()
+    runtime.tune_garbage_collection()
     stopping.wait()
     return 0 if process.stop() else EXIT_DRAIN_INCOMPLETE
 
--- a/src/jayswitch/console/proxy_daemon.py
+++ b/src/jayswitch/console/proxy_daemon.py
@@ -48,7 +48,7 @@
     signal.signal(signal.SIGINT, request_stop)
     signal.signal(signal.SIGHUP, lambda *_: logger.info("settings may have changed"))
     process = start_proxy(settings, clock, logs)
-    runtime.settle_memory()
+    runtime.tune_garbage_collection()
     stopping.wait()
     drained = process.stop()
     logs.flush()
--- a/src/jayswitch/gate/cold_rate_limiter.py
+++ b/src/jayswitch/gate/cold_rate_limiter.py
@@ -68,5 +68,5 @@
         That process ended before this one started, so the calls are dated to the
         latest time at which it can have ended.
         """
-        ended_ms = self._clock.now_ms() - self._clock.least_age_ms()
+        ended_ms = self._clock.now_ms() - self._clock.min_process_age_ms()
         self._started_ms.extend([ended_ms] * MAX_CALLS_IN_WINDOW)
--- a/src/jayswitch/hub.py
+++ b/src/jayswitch/hub.py
@@ -10,7 +10,7 @@
 from jayswitch.clock import MS_PER_S
 
 
-class SparingHub(poll.Hub):
+class LowWakeupHub(poll.Hub):
     """Wakes only for timers that are due and still wanted.
 
     The library rounds waits down to whole milliseconds, so that it polls without
--- a/src/jayswitch/logs.py
+++ b/src/jayswitch/logs.py
@@ -20,13 +20,13 @@
 ROOT_LOGGER = "jayswitch"
 # Lines for single requests: about twice what a node writes at the heaviest load of
 # either deployment; what exceeds it is counted.
-REQUEST_LINES_PER_S = 400.0
-REQUEST_LINES_BURST = 800.0
+REQUEST_LOG_LINES_PER_S = 400.0
+REQUEST_LOG_LINES_BURST = 800.0
 # Held while the reader of the log is slow; further lines are counted.
-BUFFER_BYTES = 256 * 1024
+MAX_BUFFER_BYTES = 256 * 1024
 # Lines of one moment are written with one call; a killed process loses this much.
-FLUSH_MS = 50.0
-STANDARD_OUTPUT = 1
+FLUSH_DELAY_MS = 50.0
+STDOUT_DESCRIPTOR = 1
 
 
 def configure_logging(level: str, vm: str) -> None:
@@ -36,14 +36,14 @@
 
 def configure_bounded_logging(level: str, vm: str, clock: Clock) -> BoundedLogHandler:
     """Sends JSON lines to standard output, without ever waiting for its reader."""
-    os.set_blocking(STANDARD_OUTPUT, False)
-    _collect_less()
-    handler = BoundedLogHandler(STANDARD_OUTPUT, clock)
+    os.set_blocking(STDOUT_DESCRIPTOR, False)
+    _disable_unused_record_fields()
+    handler = BoundedLogHandler(STDOUT_DESCRIPTOR, clock)
     _install(handler, level, vm)
     return handler
 
 
-def _collect_less() -> None:
+def _disable_unused_record_fields() -> None:
     """Leaves out of each record what no line shows; it costs system calls."""
     logging.logProcesses = False
     logging.logThreads = False
@@ -67,7 +67,7 @@
         self._clock = clock
         self._pending = b""
         self._flush_planned = False
-        self._tokens = REQUEST_LINES_BURST
+        self._tokens = REQUEST_LOG_LINES_BURST
         self._refilled_ms = clock.now_ms()
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -77,7 +77,7 @@
             self.counts["dropped_over_rate"] += 1
             return
         line = (self.format(record) + "\n").encode()
-        if len(self._pending) + len(line) > BUFFER_BYTES:
+        if len(self._pending) + len(line) > MAX_BUFFER_BYTES:
             self.counts["dropped_slow_reader"] += 1
             return
         self._pending += line
@@ -85,7 +85,7 @@
         self.counts["bytes"] += len(line)
         if not self._flush_planned:
             self._flush_planned = True
-            eventlet.spawn_after(FLUSH_MS / MS_PER_S, self.flush)
+            eventlet.spawn_after(FLUSH_DELAY_MS / MS_PER_S, self.flush)
 
     def flush(self) -> None:
         """Writes what is held, as far as the reader takes it."""
@@ -105,8 +105,8 @@
 
     def _take_token(self) -> bool:
         now_ms = self._clock.now_ms()
-        earned = (now_ms - self._refilled_ms) / MS_PER_S * REQUEST_LINES_PER_S
-        self._tokens = min(REQUEST_LINES_BURST, self._tokens + earned)
+        refilled = (now_ms - self._refilled_ms) / MS_PER_S * REQUEST_LOG_LINES_PER_S
+        self._tokens = min(REQUEST_LOG_LINES_BURST, self._tokens + refilled)
         self._refilled_ms = now_ms
         if self._tokens < 1:
             return False
@@ -114,27 +114,29 @@
         return True
 
 
-class _SecondFormatter(MsgspecFormatter):
+class _CachedTimeFormatter(MsgspecFormatter):
     """Formats the time of day once for all lines of a second."""
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
-        self._second = -1
-        self._text = ""
+        self._cached_second = -1
+        self._cached_text = ""
 
     def formatTime(  # noqa: N802
         self, record: logging.LogRecord, datefmt: str | None = None
     ) -> str:
         """Returns local time with milliseconds."""
         second = int(record.created)
-        if second != self._second:
-            self._second = second
-            self._text = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(second))
-        return f"{self._text},{int(record.msecs):03d}"
+        if second != self._cached_second:
+            self._cached_second = second
+            self._cached_text = time.strftime(
+                "%Y-%m-%d %H:%M:%S", time.localtime(second)
+            )
+        return f"{self._cached_text},{int(record.msecs):03d}"
 
 
 def _install(handler: logging.Handler, level: str, vm: str) -> None:
-    formatter = _SecondFormatter(
+    formatter = _CachedTimeFormatter(
         "%(asctime)s %(levelname)s %(name)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
         static_fields={"vm": vm},
--- a/src/jayswitch/runtime.py
+++ b/src/jayswitch/runtime.py
@@ -20,7 +20,7 @@
 GC_THRESHOLD_2 = 50
 
 # Addresses are IP numbers, and importing a resolver is half of a start's time.
-NO_RESOLVER_VARIABLE = "EVENTLET_NO_GREENDNS"
+NO_GREENDNS_VARIABLE = "EVENTLET_NO_GREENDNS"
 
 _prepared = False
 
@@ -35,7 +35,7 @@
     global _prepared
     if _prepared:
         return
-    os.environ.setdefault(NO_RESOLVER_VARIABLE, "yes")
+    os.environ.setdefault(NO_GREENDNS_VARIABLE, "yes")
     if nng:
         _limit_nng_threads()
     with warnings.catch_warnings():
@@ -45,9 +45,9 @@
         socket=True, select=True, time=True, os=False, thread=False, psycopg=False
     )
     # Registering with poll takes no system call, and a proxy has few descriptors.
-    from jayswitch.hub import SparingHub
+    from jayswitch.hub import LowWakeupHub
 
-    eventlet.hubs.use_hub(SparingHub)
+    eventlet.hubs.use_hub(LowWakeupHub)
     _prepared = True
 
 
@@ -61,7 +61,7 @@
         pynng.lib.nng_init_set_parameter(parameter, value)
 
 
-def settle_memory() -> None:
+def tune_garbage_collection() -> None:
     """Exempts start-up objects from garbage collection and makes it rarer."""
     gc.collect()
     gc.freeze()
--- a/src/jayswitch/standins/main.py
+++ b/src/jayswitch/standins/main.py
@@ -79,7 +79,7 @@
         print(USAGE, file=sys.stderr)
         return 2
     runners[argv[1]](Clock())
-    runtime.settle_memory()
+    runtime.tune_garbage_collection()
     stopping.wait()
     return 0
 
--- a/src/jayswitch/virtual_hub.py
+++ b/src/jayswitch/virtual_hub.py
@@ -44,8 +44,8 @@
     Timer.__lt__ = _is_earlier
 
 
-def _is_earlier(one: Timer, other: Timer) -> bool:
-    return _order(one) < _order(other)
+def _is_earlier(first: Timer, second: Timer) -> bool:
+    return _order(first) < _order(second)
 
 
 def _order(timer: Timer) -> int:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,14 +14,14 @@
 from jayswitch.virtual_hub import use_virtual_time  # noqa: E402
 from tests.harness.mesh import Mesh  # noqa: E402
 
-SLOW_IS_FINE = [HealthCheck.too_slow, HealthCheck.filter_too_much]
+SUPPRESSED_HEALTH_CHECKS = [HealthCheck.too_slow, HealthCheck.filter_too_much]
 settings.register_profile(
     "ci",
     derandomize=True,
     deadline=None,
     max_examples=40,
     stateful_step_count=25,
-    suppress_health_check=SLOW_IS_FINE,
+    suppress_health_check=SUPPRESSED_HEALTH_CHECKS,
     database=None,
 )
 settings.register_profile(
@@ -29,7 +29,7 @@
     deadline=None,
     max_examples=2000,
     stateful_step_count=60,
-    suppress_health_check=SLOW_IS_FINE,
+    suppress_health_check=SUPPRESSED_HEALTH_CHECKS,
 )
 settings.load_profile("ci")
 
--- a/tests/gate/test_cold_rate_limiter.py
+++ b/tests/gate/test_cold_rate_limiter.py
@@ -52,7 +52,7 @@
     def test_process_age_shortens_the_reserved_window(self) -> None:
         clock = VirtualClock()
         process_age = mock.patch.object(
-            VirtualClock, "least_age_ms", return_value=400.0
+            VirtualClock, "min_process_age_ms", return_value=400.0
         )
         limiter = ColdRateLimiter(clock, COLD_CALLS_PER_S)
         with process_age:
--- a/tests/profiles/test_loader.py
+++ b/tests/profiles/test_loader.py
@@ -6,7 +6,7 @@
 
 from jayswitch.profiles.loader import load_profile
 
-GOOD = """
+VALID_PROFILE = """
 name: everyday
 routes:
   - {name: herd, prefix: /herd, service: herdview}
@@ -19,21 +19,26 @@
     """A profile is checked whole before it goes anywhere."""
 
     def test_defaults(self) -> None:
-        profile = load_profile(GOOD).unwrap()
+        profile = load_profile(VALID_PROFILE).unwrap()
         assert profile.routes[0].timeout_ms == 2000
         assert profile.targets[0].trial_percent == 5
 
     @pytest.mark.parametrize(
         ("text", "part"),
         [
-            (GOOD.replace("prefix: /herd", "prefix: herd"), "prefix"),
+            (VALID_PROFILE.replace("prefix: /herd", "prefix: herd"), "prefix"),
             (
-                GOOD.replace("service: herdview, version", "service: x, version"),
+                VALID_PROFILE.replace(
+                    "service: herdview, version", "service: x, version"
+                ),
                 "no target",
             ),
-            (GOOD + "  - {service: herdview, version: v2}", "appears twice"),
-            (GOOD.replace("{name: herd,", "{name: herd, retries: 3,"), "retries"),
-            (GOOD.replace("version: v1", "version: 1"), "version"),
+            (VALID_PROFILE + "  - {service: herdview, version: v2}", "appears twice"),
+            (
+                VALID_PROFILE.replace("{name: herd,", "{name: herd, retries: 3,"),
+                "retries",
+            ),
+            (VALID_PROFILE.replace("version: v1", "version: 1"), "version"),
             ("- a", "Expected `object`"),
             ("a: [", "not YAML"),
         ],
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -8,7 +8,7 @@
 
 from jayswitch.settings.loader import load_settings
 
-GOOD = """
+VALID_SETTINGS = """
 vm: vm-1
 data_centre: bunbury
 bind_ip: 127.0.0.1
@@ -28,19 +28,19 @@
         return load_settings(str(path))
 
     def test_defaults_are_filled_in(self, tmp_path: Path) -> None:
-        settings = self.load(tmp_path, GOOD).unwrap()
+        settings = self.load(tmp_path, VALID_SETTINGS).unwrap()
         assert settings.caller_port == 7100
         assert settings.fan_out == 8
 
     @pytest.mark.parametrize(
         ("text", "part"),
         [
-            (GOOD + "colour: red", "colour"),
-            (GOOD.replace("vm: vm-1", "vm: 7"), "vm"),
-            (GOOD + "caller_port: 99999", "caller_port"),
-            (GOOD + "caller_port: 7101", "both 7101"),
-            (GOOD.replace("store: http://", "store: ftp://"), "store"),
-            (GOOD.replace("bind_ip: 127.0.0.1\n", ""), "bind_ip"),
+            (VALID_SETTINGS + "colour: red", "colour"),
+            (VALID_SETTINGS.replace("vm: vm-1", "vm: 7"), "vm"),
+            (VALID_SETTINGS + "caller_port: 99999", "caller_port"),
+            (VALID_SETTINGS + "caller_port: 7101", "both 7101"),
+            (VALID_SETTINGS.replace("store: http://", "store: ftp://"), "store"),
+            (VALID_SETTINGS.replace("bind_ip: 127.0.0.1\n", ""), "bind_ip"),
             ("{", "not YAML"),
             ("", "Expected `object`"),
         ],
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -6,14 +6,14 @@
 
 from eventlet.hubs.timer import Timer
 
-from jayswitch.hub import SparingHub
+from jayswitch.hub import LowWakeupHub
 
 
 class TestWaits:
     """How long the loop waits, and for what."""
 
     def test_wait_is_never_shorter_than_the_next_timer(self) -> None:
-        hub = SparingHub()
+        hub = LowWakeupHub()
         hub.poll = mock.Mock()
         hub.do_poll(0.0004)
         hub.do_poll(0.0121)
@@ -22,7 +22,7 @@
 
     def test_cancelled_timers_wake_nobody(self) -> None:
         now_s = 0.0
-        hub = SparingHub(lambda: now_s)
+        hub = LowWakeupHub(lambda: now_s)
         with mock.patch("eventlet.hubs.get_hub", return_value=hub):
             timers = [Timer(seconds, lambda: None) for seconds in (1, 2, 3)]
             for timer in timers:
