Reword the texts of the console in the usual terms

Help texts, messages and docstrings spoke of stories, of what proxies believe and of taking versions back; they now speak of tracing requests, state changes and aborted moves. The reason why only reads are retried on another node and what the context lines of 'requests explain' are for are kept.

The help lines and several messages are worded anew; 'accepted as version' and 'cannot listen on', which the tests of the processes match, and 'name a file' stay. Four tests of 'requests explain' have plainer names and check the same.

--- a/src/jayswitch/console/application.py
+++ b/src/jayswitch/console/application.py
@@ -1,4 +1,4 @@
-"""jayswitchctl: the operators' tool."""
+"""jayswitchctl, the command-line tool for operators."""
 
 from __future__ import annotations
 
@@ -34,17 +34,17 @@
 flags.DEFINE_list(
     "node",
     os.environ.get("JAYSWITCH_NODE", "http://127.0.0.1:7101"),
-    "Administration addresses of nodes, tried in turn; or JAYSWITCH_NODE.",
+    "Admin addresses of nodes, tried in order; default from JAYSWITCH_NODE.",
 )
 flags.DEFINE_string(
-    "token", "", "Operator's token; better given in the variable JAYSWITCH_TOKEN."
+    "token", "", "Operator's token; prefer the environment variable JAYSWITCH_TOKEN."
 )
-flags.DEFINE_bool("json", False, "Print JSON for scripts instead of tables.")
+flags.DEFINE_bool("json", False, "Print JSON instead of tables.")
 flags.DEFINE_integer(
-    "expected_version", -1, "Refuse the change unless the object is at this version."
+    "expected_version", -1, "Reject the change unless the object has this version."
 )
-flags.DEFINE_string("profile", "", "Profile that a service picks.")
-flags.DEFINE_float("timeout_s", 0.0, "Longest wait of 'moves wait', in seconds.")
+flags.DEFINE_string("profile", "", "Profile to assign to a service.")
+flags.DEFINE_float("timeout_s", 0.0, "Time-out of 'moves wait', in seconds.")
 
 COMMANDS: list[type[Command]] = [
     profiles.ProfilesList,
@@ -73,7 +73,7 @@
 
 
 def help_text() -> str:
-    """Returns the list of commands with examples."""
+    """Returns the help text: all commands, with examples."""
     lines = ["usage: jayswitchctl [flags] COMMAND", ""]
     for command in COMMANDS:
         lines.append(f"  {command.usage():28} {command.summary}")
@@ -84,7 +84,7 @@
 
 
 def execute(words: list[str], client: AdminClient, options: Options) -> int:
-    """Runs the command that the words name; returns the exit code."""
+    """Runs the command given by its words and arguments; returns the exit code."""
     if not words or words == ["help"]:
         print(help_text())
         return EXIT_OK if words else EXIT_USAGE
@@ -92,8 +92,8 @@
         command = COMMAND_BY_WORDS.get((words[0], words[1] if words[1:] else ""))
         if command is None:
             raise UsageError(
-                f"there is no command {' '.join(words[:2])!r}",
-                "'jayswitchctl help' lists them",
+                f"unknown command {' '.join(words[:2])!r}",
+                "run 'jayswitchctl help' for the list of commands",
             )
         return command(client, options).invoke(words[2:])
     except UnwrapFailedError as failed:
@@ -103,7 +103,7 @@
 
 
 def report(error: JayswitchError) -> int:
-    """Prints an error with its remedy; returns the exit code."""
+    """Prints an error and its remedy to standard error; returns the exit code."""
     print(f"jayswitchctl: {error}", file=sys.stderr)
     if isinstance(error, UsageError):
         return EXIT_USAGE
@@ -113,7 +113,7 @@
 
 
 def main(argv: list[str]) -> int:
-    """Returns the exit code of the command."""
+    """Runs the command from the command line; returns its exit code."""
     token = FLAGS.token or os.environ.get("JAYSWITCH_TOKEN", "")
     client = AdminClient(FLAGS.node, token, getpass.getuser())
     options = Options(
--- a/src/jayswitch/console/client.py
+++ b/src/jayswitch/console/client.py
@@ -1,4 +1,4 @@
-"""The tool's connection to the administration API of a node."""
+"""Client for the administration API of a node."""
 
 from __future__ import annotations
 
@@ -15,10 +15,10 @@
 
 
 class AdminClient:
-    """Calls the first of several nodes that answers; follows them to a relay."""
+    """Sends requests to the first node that responds, or to the relays it names."""
 
     def __init__(self, addresses: list[str], token: str, author: str) -> None:
-        """Takes the administration addresses, the operator's token and name."""
+        """Expects the administration addresses, the operator's token and name."""
         self._addresses = [address.rstrip("/") for address in addresses]
         self._headers = {
             "Authorization": f"Bearer {token}",
@@ -27,7 +27,7 @@
         self._http = urllib3.PoolManager(retries=False)
 
     def get(self, path: str) -> Result[Any, ApiError | NodeUnreachable]:
-        """Returns what the API answers to a GET."""
+        """Sends a GET request; returns the decoded response or the error."""
         return self.request("GET", path)
 
     def request(
@@ -37,16 +37,16 @@
         body: bytes = b"",
         expected_version: int = -1,
     ) -> Result[Any, ApiError | NodeUnreachable]:
-        """Returns the decoded answer, or why there is none.
+        """Sends a request; returns the decoded response or the error.
 
-        Only reads are tried on a second node: a change may have been accepted by
-        the first one although no answer came.
+        Only reads are retried on another node: the first node may have accepted a
+        change even if its response was lost.
         """
         headers = dict(self._headers)
         if expected_version >= 0:
             headers["X-Jayswitch-Expected-Version"] = str(expected_version)
         last: Result[Any, ApiError | NodeUnreachable] = Failure(
-            NodeUnreachable("none", "no address was given")
+            NodeUnreachable("none", "no node address given")
         )
         addresses = list(self._addresses)
         for address in addresses:
--- a/src/jayswitch/console/commands/command.py
+++ b/src/jayswitch/console/commands/command.py
@@ -1,4 +1,4 @@
-"""Base class of the tool's commands."""
+"""Base class of the jayswitchctl commands."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class Options:
-    """Flags that several commands heed."""
+    """Command-line flags shared by several commands."""
 
     __slots__ = ("as_json", "expected_version", "profile", "timeout_s")
 
@@ -29,7 +29,7 @@
         profile: str = "",
         timeout_s: float = 0.0,
     ) -> None:
-        """Takes the flags as given; a version of -1 means none was given."""
+        """Expects the parsed flags; a version of -1 means that none was given."""
         self.as_json = as_json
         self.expected_version = expected_version
         self.profile = profile
@@ -37,7 +37,7 @@
 
 
 class Command(ABC):
-    """One command; it raises a JayswitchError for whatever goes wrong."""
+    """A command; failures are raised as JayswitchError."""
 
     words: ClassVar[tuple[str, str]]
     arguments: ClassVar[tuple[str, ...]] = ()
@@ -45,17 +45,17 @@
     example: ClassVar[str]
 
     def __init__(self, client: AdminClient, options: Options) -> None:
-        """Takes the connection and the flags."""
+        """Expects the API client and the flags."""
         self.client = client
         self.options = options
 
     @abstractmethod
     def run(self, *arguments: str) -> int:
-        """Runs the command and returns its exit code."""
+        """Executes the command and returns its exit code."""
 
     @classmethod
     def usage(cls) -> str:
-        """Returns the command's words and arguments."""
+        """Returns the usage line: the command's words and arguments."""
         arguments = [argument.upper() for argument in cls.arguments]
         return " ".join([*cls.words, *arguments])
 
@@ -64,6 +64,6 @@
         if len(arguments) != len(self.arguments):
             raise UsageError(
                 f"'{' '.join(self.words)}' takes {len(self.arguments)} arguments",
-                f"call it as 'jayswitchctl {self.usage()}'",
+                f"usage: 'jayswitchctl {self.usage()}'",
             )
         return self.run(*arguments)
--- a/src/jayswitch/console/commands/data_centres.py
+++ b/src/jayswitch/console/commands/data_centres.py
@@ -20,7 +20,7 @@
             print_json(states)
             return EXIT_OK
         rows = [[item["data_centre"], item["state"]] for item in states]
-        print_table(["data centre", "state"], rows, "no data centre is known")
+        print_table(["data centre", "state"], rows, "no data centres known")
         return EXIT_OK
 
 
@@ -29,23 +29,23 @@
 
     words = ("data-centres", "out")
     arguments = ("name",)
-    summary = "give a data centre no new work; calls in flight finish"
+    summary = "stop routing new calls to a data centre; calls in flight finish"
     example = "jayswitchctl data-centres out bunbury"
     state = "out"
 
     def run(self, *arguments: str) -> int:
-        """Marks the data centre."""
+        """Sets the state of the data centre."""
         path = f"data-centres/{arguments[0]}/{self.state}"
         expected = self.options.expected_version
         answer = self.client.request("POST", path, b"", expected).unwrap()
-        print(f"{arguments[0]} is {self.state} from version {answer['version']} on")
+        print(f"{arguments[0]} is {self.state} as of version {answer['version']}")
         return EXIT_OK
 
 
 class DataCentresIn(DataCentresOut):
-    """Takes a data centre back into service."""
+    """Returns a data centre to service."""
 
     words = ("data-centres", "in")
-    summary = "take a data centre back; its upstreams are warmed up gradually"
+    summary = "return a data centre to service; its upstreams warm up gradually"
     example = "jayswitchctl data-centres in bunbury"
     state = "in"
--- a/src/jayswitch/console/commands/fleet.py
+++ b/src/jayswitch/console/commands/fleet.py
@@ -11,7 +11,7 @@
     """Lists the nodes."""
 
     words = ("nodes", "list")
-    summary = "list the nodes, the versions in force and who lags"
+    summary = "list the nodes, the active versions and the lagging nodes"
     example = "jayswitchctl nodes list"
 
     def run(self, *arguments: str) -> int:
@@ -63,14 +63,14 @@
 
 
 class NodeDumpCommand(Command):
-    """Dumps a node's state."""
+    """Prints a node's state."""
 
     words = ("node", "dump")
-    summary = "print the whole state of the node named by --node, as JSON"
+    summary = "print the complete state of the node given by --node, as JSON"
     example = "jayswitchctl node dump --node=http://127.0.0.1:7101"
 
     def run(self, *arguments: str) -> int:
-        """Prints the dump."""
+        """Prints the dump as JSON."""
         print_json(self.client.get("dump").unwrap())
         return EXIT_OK
 
@@ -84,8 +84,8 @@
     example = "jayswitchctl settings check node.yaml"
 
     def run(self, *arguments: str) -> int:
-        """Prints the first fault; exit code 2 if there is one."""
+        """Prints the first error; the exit code is 2 if there is one."""
         result = load_settings(arguments[0])
         faults = result.swap().map(str).value_or("")
-        print(faults or f"{arguments[0]} is in order")
+        print(faults or f"{arguments[0]} is valid")
         return EXIT_USAGE if faults else EXIT_OK
--- a/src/jayswitch/console/commands/moves.py
+++ b/src/jayswitch/console/commands/moves.py
@@ -1,4 +1,4 @@
-"""Commands on moves from one version of a service to another."""
+"""Commands for moves from one version of a service to another."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 def describe_status(move: dict[str, Any]) -> str:
-    """Returns whether a move is under way, done or reversed."""
+    """Returns the status of a move: under way, done or reversed."""
     if not move["ended_ms"]:
         return "under way"
     return "done" if move["done"] else "reversed"
@@ -24,7 +24,7 @@
     """Lists the moves."""
 
     words = ("moves", "list")
-    summary = "list the moves under way and the latest ones that ended"
+    summary = "list the active moves and the most recently ended ones"
     example = "jayswitchctl moves list"
 
     def run(self, *arguments: str) -> int:
@@ -41,7 +41,7 @@
             status = describe_status(move)
             rows.append([move["id"], change, share, deadline, status, move["reason"]])
         columns = ["move", "versions", "share", "deadline", "status", "evidence"]
-        print_table(columns, rows, "there are no moves")
+        print_table(columns, rows, "no moves")
         return EXIT_OK
 
 
@@ -54,7 +54,7 @@
     example = "jayswitchctl moves status everyday.herdview.12"
 
     def run(self, *arguments: str) -> int:
-        """Prints every field of the move."""
+        """Prints all fields of the move."""
         move = self.client.get(f"moves/{arguments[0]}").unwrap()
         if self.options.as_json:
             print_json(move)
@@ -69,7 +69,7 @@
 
 
 class MovesWait(Command):
-    """Waits for the end of a move."""
+    """Waits until a move ends."""
 
     words = ("moves", "wait")
     arguments = ("id",)
@@ -77,7 +77,7 @@
     example = "jayswitchctl moves wait everyday.herdview.12 --timeout_s=600"
 
     def run(self, *arguments: str) -> int:
-        """Prints how the move ended."""
+        """Polls until the move ends or the time-out expires; prints the result."""
         deadline_s = time.monotonic() + (self.options.timeout_s or DEFAULT_WAIT_S)
         while time.monotonic() < deadline_s:
             move = self.client.get(f"moves/{arguments[0]}").unwrap()
@@ -86,22 +86,22 @@
                 return EXIT_OK if move["done"] else EXIT_REVERSED
             time.sleep(POLL_S)
         raise UsageError(
-            f"move {arguments[0]} had not ended in time",
-            "wait longer with --timeout_s, or look at 'jayswitchctl moves status'",
+            f"move {arguments[0]} did not end before the time-out",
+            "raise --timeout_s, or check 'jayswitchctl moves status'",
         )
 
 
 class MovesAbort(Command):
-    """Takes a version back."""
+    """Rolls a move back."""
 
     words = ("moves", "abort")
     arguments = ("id",)
-    summary = "take the new version back"
+    summary = "abort a move and roll the service back to the old version"
     example = "jayswitchctl moves abort everyday.herdview.12"
 
     def run(self, *arguments: str) -> int:
-        """Ends the move; the profile names the old version again."""
+        """Aborts the move; the profile targets the old version again."""
         path = f"moves/{arguments[0]}/abort"
         answer = self.client.request("POST", path).unwrap()
-        print(f"{arguments[0]} taken back in version {answer['version']}")
+        print(f"{arguments[0]} aborted in version {answer['version']}")
         return EXIT_OK
--- a/src/jayswitch/console/commands/profiles.py
+++ b/src/jayswitch/console/commands/profiles.py
@@ -1,4 +1,4 @@
-"""Commands on profiles."""
+"""Commands for profiles."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 def read_profile(path: str) -> Any:
-    """Returns the profile in a file as plain data, checked against the schema."""
+    """Returns the profile in a file as built-in types, checked against the schema."""
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -34,7 +34,7 @@
     """Lists the profiles."""
 
     words = ("profiles", "list")
-    summary = "list the profiles and the versions they call for"
+    summary = "list the profiles and their target versions"
     example = "jayswitchctl profiles list"
 
     def run(self, *arguments: str) -> int:
@@ -53,7 +53,7 @@
             count = len(profile["routes"])
             rows.append([profile["name"], state["version"], count, target_versions])
         columns = ["profile", "version", "routes", "targets"]
-        print_table(columns, rows, "there are no profiles")
+        print_table(columns, rows, "no profiles")
         return EXIT_OK
 
 
@@ -66,7 +66,7 @@
     example = "jayswitchctl profiles get everyday > everyday.yaml"
 
     def run(self, *arguments: str) -> int:
-        """Prints the profile, fit to be edited and applied again."""
+        """Prints the profile in the format that 'profiles apply' reads."""
         state = self.client.get(f"profiles/{arguments[0]}").unwrap()
         if self.options.as_json:
             print_json(state)
@@ -84,7 +84,7 @@
     example = "jayswitchctl profiles apply everyday.yaml --expected_version=12"
 
     def run(self, *arguments: str) -> int:
-        """Applies the file; a new version of a service starts a move."""
+        """Applies the file; a changed target version starts a move."""
         profile = read_profile(arguments[0])
         name = profile["name"]
         expected = self.options.expected_version
@@ -108,15 +108,15 @@
 
 
 class ProfilesDiff(Command):
-    """Compares a file with the profile in force."""
+    """Compares a file with the active profile."""
 
     words = ("profiles", "diff")
     arguments = ("file",)
-    summary = "show what applying a file would change; exit code 1 if anything"
+    summary = "show what applying a file would change; exit code 1 on differences"
     example = "jayswitchctl profiles diff everyday.yaml"
 
     def run(self, *arguments: str) -> int:
-        """Prints a unified diff from the profile in force to the file."""
+        """Prints a unified diff from the active profile to the file."""
         profile = read_profile(arguments[0])
         name = profile["name"]
         states = self.client.get("profiles").unwrap()
@@ -136,11 +136,11 @@
 
     words = ("profiles", "history")
     arguments = ("name",)
-    summary = "list who changed a profile, when and how"
+    summary = "list the changes of a profile with time and author"
     example = "jayswitchctl profiles history everyday"
 
     def run(self, *arguments: str) -> int:
-        """Prints a row for each of the latest changes."""
+        """Prints a row for each recent change."""
         state = self.client.get(f"profiles/{arguments[0]}").unwrap()
         if self.options.as_json:
             print_json(state["history"])
@@ -163,7 +163,7 @@
 
     words = ("profiles", "delete")
     arguments = ("name",)
-    summary = "delete a profile that no service picks"
+    summary = "delete a profile that no service uses"
     example = "jayswitchctl profiles delete everyday"
 
     def run(self, *arguments: str) -> int:
--- a/src/jayswitch/console/commands/requests.py
+++ b/src/jayswitch/console/commands/requests.py
@@ -1,4 +1,4 @@
-"""Commands that read the logs of proxies."""
+"""Commands that analyse proxy logs."""
 
 from __future__ import annotations
 
@@ -14,7 +14,8 @@
 from jayswitch.console.output import print_json
 
 STDIN_ARGUMENT = "-"
-# What a proxy believes that may explain a request, besides the lines that name it.
+# State changes of a proxy that may explain the outcome of a request, shown along with
+# the lines that carry its id.
 CONTEXT_MS = 3000
 CONTEXT_MESSAGES = frozenset(
     (
@@ -39,20 +40,20 @@
 
 
 class RequestsExplain(Command):
-    """Tells what happened to one request, from the logs of many proxies."""
+    """Traces one request through the logs of several proxies."""
 
     words = ("requests", "explain")
     arguments = ("id", "log")
-    summary = "tell the story of a request from log files or a folder of them"
+    summary = "trace a request through log files or a directory of them"
     example = "jayswitchctl requests explain 9c41d07be2a35f68 logs/"
 
     def run(self, *arguments: str) -> int:
-        """Prints the lines of a request in order, with what its proxies believed."""
+        """Prints the log lines of a request and of its context, ordered by time."""
         request_id, source = arguments
         lines = list(parse_lines(read_source(source)))
         selected = select_lines(request_id, lines)
         if not selected:
-            print(f"no line names {request_id}", file=sys.stderr)
+            print(f"no log line has request id {request_id}", file=sys.stderr)
             return EXIT_REFUSED
         if self.options.as_json:
             print_json(selected)
@@ -63,13 +64,13 @@
 
 
 def read_source(source: str) -> Iterator[str]:
-    """Yields the lines of standard input, of a file, or of a folder's files."""
+    """Yields the lines of standard input, a file, or all files below a directory."""
     if source == STDIN_ARGUMENT:
         yield from sys.stdin
         return
     path = Path(source)
     if not path.exists():
-        raise UsageError(f"there is no log at {source}", "name a file, a folder or -")
+        raise UsageError(f"no log found at {source}", "name a file, a directory or -")
     files = sorted(path.rglob("*")) if path.is_dir() else [path]
     for file in files:
         if file.is_file():
@@ -78,7 +79,7 @@
 
 
 def parse_lines(texts: Iterable[str]) -> Iterator[dict[str, Any]]:
-    """Yields the JSON objects in lines; anything before the object is skipped."""
+    """Yields the JSON log objects in lines, without text that precedes an object."""
     for text in texts:
         begin = text.find("{")
         if begin < 0:
@@ -92,7 +93,7 @@
 
 
 def select_lines(request_id: str, lines: list[dict[str, Any]]) -> list[dict[str, Any]]:
-    """Returns a request's lines and those that show what its proxies believed."""
+    """Returns a request's lines and the state changes of its proxies, by time."""
     own = [line for line in lines if line.get("request_id") == request_id]
     if not own:
         return []
@@ -110,7 +111,7 @@
 
 
 def format_line(line: dict[str, Any]) -> str:
-    """Returns a line as text: time, VM, event and the inputs that decided it."""
+    """Formats a line as text: time, VM, message and the remaining fields."""
     inputs = ", ".join(
         f"{name}={value}" for name, value in line.items() if name not in _LEADING_FIELDS
     )
--- a/src/jayswitch/console/commands/services.py
+++ b/src/jayswitch/console/commands/services.py
@@ -1,4 +1,4 @@
-"""Commands on services."""
+"""Commands for services."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
     """Lists the services."""
 
     words = ("services", "list")
-    summary = "list the services and the profiles they pick"
+    summary = "list the services and their profiles"
     example = "jayswitchctl services list"
 
     def run(self, *arguments: str) -> int:
@@ -20,7 +20,7 @@
             print_json(services)
             return EXIT_OK
         rows = [[item["service"], item["profile"] or "-"] for item in services]
-        print_table(["service", "profile"], rows, "there are no services")
+        print_table(["service", "profile"], rows, "no services")
         return EXIT_OK
 
 
@@ -29,11 +29,11 @@
 
     words = ("services", "set")
     arguments = ("name",)
-    summary = "declare a service, or have it pick a profile with --profile"
+    summary = "declare a service, or assign it a profile with --profile"
     example = "jayswitchctl services set herdview --profile=everyday"
 
     def run(self, *arguments: str) -> int:
-        """Declares the service."""
+        """Declares the service and assigns its profile."""
         body = self.options.profile.encode()
         answer = self.client.request("PUT", f"services/{arguments[0]}", body).unwrap()
         print(f"service {arguments[0]} set in version {answer['version']}")
@@ -41,7 +41,7 @@
 
 
 class ServicesDelete(Command):
-    """Removes a service."""
+    """Removes a service that no profile depends on."""
 
     words = ("services", "delete")
     arguments = ("name",)
--- a/src/jayswitch/console/daemon.py
+++ b/src/jayswitch/console/daemon.py
@@ -1,4 +1,4 @@
-"""jayswitchd: one node as a process."""
+"""jayswitchd, the daemon that runs one node."""
 
 from __future__ import annotations
 
@@ -49,7 +49,7 @@
     except Exception as error:
         print(
             f"jayswitchd: cannot listen on {settings.bind_ip}: {error};"
-            " check bind_ip and the four ports, or stop the process that has them",
+            " check bind_ip and the four ports, or stop the process that uses them",
             file=sys.stderr,
         )
         return EXIT_BIND_FAILED
--- a/src/jayswitch/console/exceptions.py
+++ b/src/jayswitch/console/exceptions.py
@@ -1,4 +1,4 @@
-"""Errors of the command-line tool."""
+"""Exceptions of the command-line tool."""
 
 from __future__ import annotations
 
@@ -8,34 +8,35 @@
 
 
 class UsageError(JayswitchError):
-    """The command line does not fit the command."""
+    """The command line is invalid."""
 
     code = "usage"
 
 
 class NodeUnreachable(JayswitchError):
-    """No node gave an answer."""
+    """No node responded."""
 
     code = "node-unreachable"
 
     def __init__(self, address: str, reason: str) -> None:
-        """Takes the node's address and what the connection reported."""
+        """Expects the node's address and the error of the connection."""
         super().__init__(
-            f"node {address} gave no answer: {reason}",
-            "name another node with --node; read before repeating a change",
+            f"node {address} did not respond: {reason}",
+            "select another node with --node; check whether a change was applied before"
+            " repeating it",
         )
 
 
 class ApiError(JayswitchError):
-    """A node refused a request and said why."""
+    """A node rejected a request and gave the reason."""
 
     code = "refused"
 
     def __init__(self, http_status: int, answer: dict[str, Any]) -> None:
-        """Takes the HTTP status and the decoded body."""
+        """Expects the HTTP status and the decoded body."""
         super().__init__(
             answer.get("cause", f"status {http_status}"),
-            answer.get("remedy", "look at the node's log"),
+            answer.get("remedy", "check the node's log"),
         )
         self.http_status = http_status
         self.kind = answer.get("error", "")
--- a/src/jayswitch/console/output.py
+++ b/src/jayswitch/console/output.py
@@ -1,4 +1,4 @@
-"""Prints answers as tables, or as JSON for scripts."""
+"""Output of responses as tables or as JSON."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 def print_table(columns: list[str], rows: list[list[Any]], empty: str) -> None:
-    """Prints rows under their column names, or a sentence if there are none."""
+    """Prints rows under their column names, or the empty text if there are none."""
     if not rows:
         print(empty)
         return
@@ -26,7 +26,7 @@
 
 
 def format_local_time(wall_ms: int) -> str:
-    """Returns a time for people; empty for 0."""
+    """Formats a wall-clock time in the local time zone; empty for 0."""
     if not wall_ms:
         return ""
     return time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(wall_ms / MS_PER_S))
--- a/src/jayswitch/console/proxy_daemon.py
+++ b/src/jayswitch/console/proxy_daemon.py
@@ -1,4 +1,4 @@
-"""One proxy as a process, with the settings file that the platform provides."""
+"""Daemon that runs one proxy with the settings file provided by the platform."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 def main(argv: list[str]) -> int:
-    """Runs the proxy until SIGTERM; the path of a settings file may be given."""
+    """Runs the proxy until SIGTERM or SIGINT; argv may name a settings file."""
     path = argv[1] if len(argv) > 1 else settings_path()
     match read_settings(path, ProxySettings):
         case Failure(error):
@@ -46,7 +46,10 @@
 
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
-    signal.signal(signal.SIGHUP, lambda *_: logger.info("settings may have changed"))
+    signal.signal(
+        signal.SIGHUP,
+        lambda *_: logger.info("received SIGHUP; settings may have changed"),
+    )
     process = start_proxy(settings, clock, logs)
     runtime.tune_garbage_collection()
     stopping.wait()
--- a/tests/console/test_requests.py
+++ b/tests/console/test_requests.py
@@ -1,4 +1,4 @@
-"""Tests of telling a request's story from logs."""
+"""Tests of tracing a request through logs."""
 
 from __future__ import annotations
 
@@ -15,8 +15,8 @@
 
 
 def _line(at: str, vm: str, message: str, **fields: object) -> str:
-    stamp = f"2026-03-17 15:21:{at}"
-    return json.dumps({"time": stamp, "vm": vm, "message": message, **fields})
+    timestamp = f"2026-03-17 15:21:{at}"
+    return json.dumps({"time": timestamp, "vm": vm, "message": message, **fields})
 
 
 def _explain(source: Path, as_json: bool = False) -> int:
@@ -27,7 +27,7 @@
 
 @pytest.fixture
 def logs(tmp_path: Path) -> Path:
-    """Returns a folder with the logs of two proxies."""
+    """Returns a directory with the logs of two proxies."""
     near = [
         _line("00,000", "near", "configuration in force", version=6),
         _line("09,500", "near", "configuration in force", version=7),
@@ -45,9 +45,9 @@
 
 
 class TestExplain:
-    """The lines of an id from many logs, in order, with what proxies believed."""
+    """Lines with a request id from several logs, and state changes, by time."""
 
-    def test_story_is_in_order_and_names_every_proxy(
+    def test_lines_are_ordered_by_time_across_proxies(
         self, logs: Path, capsys: pytest.CaptureFixture[str]
     ) -> None:
         assert _explain(logs) == EXIT_OK
@@ -56,17 +56,17 @@
         assert events == ["near", "far", "near", "near"]
         assert "version=7" in lines[0] and "status=503" in lines[3]
 
-    def test_json_is_for_scripts(
+    def test_json_output_has_all_lines(
         self, logs: Path, capsys: pytest.CaptureFixture[str]
     ) -> None:
         assert _explain(logs, as_json=True) == EXIT_OK
         assert len(json.loads(capsys.readouterr().out)) == 4
 
-    def test_unknown_id_is_said(self, tmp_path: Path) -> None:
+    def test_unknown_id_is_refused(self, tmp_path: Path) -> None:
         (tmp_path / "empty.log").write_text("")
         assert _explain(tmp_path) == EXIT_REFUSED
 
-    def test_missing_log_names_the_remedy(
+    def test_missing_log_reports_the_remedy(
         self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
     ) -> None:
         assert _explain(tmp_path / "none") != EXIT_OK
