Reword the texts of the settings in the usual terms

Descriptions spoke of IP numbers, planned stops and tokens that somebody presents; they now speak of IP addresses, graceful shutdown and bearer tokens, and generated.py is written anew from schema.json. The test of invalid files has a plainer name and checks the same.

No key, default, limit or message changes; behaviour is the same.

--- a/src/jayswitch/settings/generated.py
+++ b/src/jayswitch/settings/generated.py
@@ -22,13 +22,15 @@
     data_centre: Annotated[
         str,
         Meta(
-            description="Data centre the VM stands in.",
-            pattern="^[a-z0-9][a-z0-9._-]{0,62}$",
+            description="Data centre of the VM.", pattern="^[a-z0-9][a-z0-9._-]{0,62}$"
         ),
     ]
     bind_ip: Annotated[
         str,
-        Meta(description="IP number every port of this node listens on.", min_length=3),
+        Meta(
+            description="IP address on which all ports of this node listen.",
+            min_length=3,
+        ),
     ]
     store: Annotated[
         str,
@@ -38,10 +40,10 @@
         ),
     ]
     admin_token: Annotated[
-        str, Meta(description="Bearer token operators present.", min_length=8)
+        str, Meta(description="Bearer token of operators.", min_length=8)
     ]
     upstream_token: Annotated[
-        str, Meta(description="Bearer token the local upstream presents.", min_length=8)
+        str, Meta(description="Bearer token of the local upstream.", min_length=8)
     ]
     region: Annotated[str, Meta(description="Region of the data centre.")] = "default"
     caller_port: Annotated[
@@ -64,12 +66,12 @@
     ] = 7103
     log_level: Annotated[
         Literal["debug", "info", "warning", "error"],
-        Meta(description="Lowest level that is logged."),
+        Meta(description="Minimum level of log lines."),
     ] = "info"
     drain_timeout_ms: Annotated[
         int,
         Meta(
-            description="Longest wait for requests in flight at a planned stop.",
+            description="Maximum wait for requests in flight at a graceful shutdown.",
             ge=0,
             le=3600000,
         ),
@@ -77,7 +79,7 @@
     drain_grace_ms: Annotated[
         int,
         Meta(
-            description="Time that new connections are still served after a planned stop begins.",
+            description="Time for which new connections are still accepted after a graceful shutdown begins.",
             ge=0,
             le=60000,
         ),
@@ -85,9 +87,7 @@
     max_body_bytes: Annotated[
         int,
         Meta(
-            description="Largest request body accepted from a caller.",
-            ge=1024,
-            le=67108864,
+            description="Maximum size of a caller's request body.", ge=1024, le=67108864
         ),
     ] = 1048576
     sync_interval_ms: Annotated[
@@ -97,19 +97,23 @@
     fan_out: Annotated[
         int,
         Meta(
-            description="Most children a node accepts in the distribution tree.",
+            description="Maximum number of children of a node in the distribution tree.",
             ge=2,
             le=64,
         ),
     ] = 8
     relay_slots: Annotated[
         int,
-        Meta(description="Relays per data centre that watch the store.", ge=1, le=8),
+        Meta(
+            description="Number of relays per data centre that watch the store.",
+            ge=1,
+            le=8,
+        ),
     ] = 2
     warm_up_ms: Annotated[
         int,
         Meta(
-            description="Shortest time in which a cold upstream is brought to its full concurrency.",
+            description="Minimum time over which a cold upstream is warmed up to full concurrency.",
             ge=0,
             le=600000,
         ),
--- a/src/jayswitch/settings/loader.py
+++ b/src/jayswitch/settings/loader.py
@@ -1,4 +1,4 @@
-"""Reads a node's settings from YAML."""
+"""Loads settings from YAML files."""
 
 from __future__ import annotations
 
@@ -16,14 +16,14 @@
 
 
 def load_settings(path: str) -> Result[NodeSettings, InvalidSettings]:
-    """Returns the settings in a file, or the first fault in it."""
+    """Loads a node's settings from a file; returns them or the first error."""
     return read_settings(path, NodeSettings).bind(
         lambda settings: _check_ports(path, settings)
     )
 
 
 def read_settings(path: str, model: type[T]) -> Result[T, InvalidSettings]:
-    """Returns a file's content as the model, or the first fault in it."""
+    """Loads a file as the given model; returns it or the first error."""
     try:
         document = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -1,4 +1,4 @@
-"""Tests of settings files."""
+"""Tests of loading settings files."""
 
 from __future__ import annotations
 
@@ -19,10 +19,10 @@
 
 
 class TestLoadSettings:
-    """Errors name the key, the reason and the remedy."""
+    """Errors state the key, the reason and the remedy."""
 
     def load(self, tmp_path: Path, text: str) -> object:
-        """Returns the result for a file with the text."""
+        """Loads a settings file with the given text."""
         path = tmp_path / "node.yaml"
         path.write_text(text)
         return load_settings(str(path))
@@ -45,7 +45,9 @@
             ("", "Expected `object`"),
         ],
     )
-    def test_faults(self, tmp_path: Path, text: str, part: str) -> None:
+    def test_invalid_settings_are_refused(
+        self, tmp_path: Path, text: str, part: str
+    ) -> None:
         error = self.load(tmp_path, text).failure()
         assert part in str(error)
         assert "docs/OPERATIONS.md" in str(error)
