Reword the texts of the profiles in the usual terms

Two messages about duplicate names and missing targets change outside the parts that tests match. The test of invalid profiles has a plainer name and checks the same.

No key, default or limit changes; behaviour is the same.

--- a/src/jayswitch/profiles/exceptions.py
+++ b/src/jayswitch/profiles/exceptions.py
@@ -1,4 +1,4 @@
-"""Errors in profiles."""
+"""Exceptions raised for profiles."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class InvalidProfile(JayswitchError):
-    """A profile breaks the schema or contradicts itself."""
+    """A profile does not match the schema or is inconsistent."""
 
     code = "invalid-profile"
     status = 422
--- a/src/jayswitch/profiles/generated.py
+++ b/src/jayswitch/profiles/generated.py
@@ -17,7 +17,7 @@
 
 class Route(Model, kw_only=True):
     """
-    Calls below a path prefix and the service that answers them.
+    Maps a path prefix to the service that handles its calls.
     """
 
     name: Name
@@ -26,23 +26,24 @@
     ]
     service: Name
     timeout_ms: Annotated[
-        int, Meta(description="Longest time a call may take.", ge=1, le=3600000)
+        int, Meta(description="Time-out of a call.", ge=1, le=3600000)
     ] = 2000
     idempotent_methods: Annotated[
-        list[IdempotentMethod], Meta(description="Methods that may run more than once.")
+        list[IdempotentMethod],
+        Meta(description="Methods that may be executed more than once."),
     ] = field(
         default_factory=lambda: convert(
             ["GET", "HEAD", "OPTIONS"], type=list[IdempotentMethod]
         )
     )
     priority: Annotated[
-        Priority, Meta(description="Order in which the gate admits waiting calls.")
+        Priority, Meta(description="Priority at which the gate admits waiting calls.")
     ] = "normal"
 
 
 class Target(Model, kw_only=True):
     """
-    The version of a service that a profile calls for.
+    The target version of a service in a profile.
     """
 
     service: Name
@@ -50,7 +51,7 @@
     move_within_ms: Annotated[
         int,
         Meta(
-            description="Time in which a new version must take over or is taken back.",
+            description="Time within which a new version must take over; otherwise it is rolled back.",
             ge=1000,
             le=604800000,
         ),
@@ -58,13 +59,14 @@
     trial_percent: Annotated[
         int,
         Meta(
-            description="Largest share of calls that an unproved version gets.",
+            description="Maximum share of calls routed to a version that is still on trial.",
             ge=1,
             le=20,
         ),
     ] = 5
     max_retry_percent: Annotated[
-        int, Meta(description="Retries allowed per hundred calls.", ge=0, le=100)
+        int,
+        Meta(description="Maximum number of retries per hundred calls.", ge=0, le=100),
     ] = 10
 
 
--- a/src/jayswitch/profiles/loader.py
+++ b/src/jayswitch/profiles/loader.py
@@ -1,4 +1,4 @@
-"""Reads profiles from YAML and checks that they are consistent."""
+"""Loads profiles from YAML and checks their consistency."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 def load_profile(text: str | bytes) -> Result[Profile, JayswitchError]:
-    """Returns the profile in a YAML or JSON document, or the first fault in it."""
+    """Parses a profile in YAML or JSON; returns it or the first error."""
     try:
         document = yaml.safe_load(text)
     except yaml.YAMLError as error:
@@ -27,7 +27,7 @@
 
 
 def check_profile(profile: Profile) -> Result[Profile, JayswitchError]:
-    """Returns the profile if names are unique and each route has its target."""
+    """Returns the profile if names are unique and every route has a target."""
     for kind, names in (
         ("route", [route.name for route in profile.routes]),
         ("prefix", [route.prefix for route in profile.routes]),
@@ -38,7 +38,7 @@
             return Failure(
                 InvalidProfile(
                     f"{kind} {duplicate!r} appears twice in profile {profile.name!r}",
-                    f"keep one of the two {kind} entries",
+                    f"remove one of the two {kind} entries",
                 )
             )
     services = {target.service for target in profile.targets}
@@ -46,7 +46,7 @@
         if route.service not in services:
             return Failure(
                 InvalidProfile(
-                    f"route {route.name!r} names service {route.service!r},"
+                    f"route {route.name!r} refers to service {route.service!r},"
                     " which has no target in the profile",
                     f"add a target with a version for {route.service!r}",
                 )
--- a/tests/profiles/test_loader.py
+++ b/tests/profiles/test_loader.py
@@ -1,4 +1,4 @@
-"""Tests of profiles in YAML."""
+"""Tests of loading profiles from YAML."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class TestLoadProfile:
-    """A profile is checked whole before it goes anywhere."""
+    """A profile is fully validated before it is used."""
 
     def test_defaults(self) -> None:
         profile = load_profile(VALID_PROFILE).unwrap()
@@ -43,5 +43,5 @@
             ("a: [", "not YAML"),
         ],
     )
-    def test_faults(self, text: str, part: str) -> None:
+    def test_invalid_profiles_are_refused(self, text: str, part: str) -> None:
         assert part in str(load_profile(text).failure())
