Reword the texts of the top-level modules in the usual terms

Comments and docstrings spoke of timers that are still wanted, of locks that are real and of lines that a reader takes; they now describe cancelled timers, monkey patching, rate limits and batched writes. Every reason is kept, with the numbers that stand behind a constant.

One test of the hub has a plainer name and checks the same. A comparison of the syntax trees without docstrings shows no other difference, so behaviour is the same.

--- a/src/jayswitch/clock.py
+++ b/src/jayswitch/clock.py
@@ -1,4 +1,4 @@
-"""Time in milliseconds."""
+"""Clocks with millisecond units, in real and in virtual time."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 
 
 class Clock:
-    """Reads and waits in milliseconds on the time line of the event loop."""
+    """Monotonic time of the event loop, wall-clock time and cooperative sleep."""
 
     __slots__ = ()
 
     def now_ms(self) -> float:
-        """Returns monotonic time in milliseconds; it has no fixed origin."""
+        """Returns monotonic time in milliseconds, with an arbitrary origin."""
         return hubs.get_hub().clock() * MS_PER_S
 
     def wall_ms(self) -> int:
@@ -24,9 +24,9 @@
         return int(time.time() * MS_PER_S)
 
     def min_process_age_ms(self) -> float:
-        """Returns a time for which this process has run at least.
+        """Returns a lower bound on the age of this process.
 
-        It is the processor time used: no clock tells when a process was started.
+        This is the CPU time used, as no clock reports when a process was started.
         """
         return time.process_time() * MS_PER_S
 
@@ -36,18 +36,18 @@
 
 
 class VirtualClock(Clock):
-    """Derives wall time from the event loop, so that scenarios repeat exactly."""
+    """Derives wall time from the event loop, so that scenarios are deterministic."""
 
     __slots__ = ("_epoch_ms",)
 
     def __init__(self, epoch_ms: int = 1_800_000_000_000) -> None:
-        """Takes the wall time that corresponds to zero on the event loop."""
+        """Expects the wall time that corresponds to time zero of the event loop."""
         self._epoch_ms = epoch_ms
 
     def min_process_age_ms(self) -> float:
-        """Returns zero, so that scenarios repeat exactly."""
+        """Returns zero, because CPU time would make scenarios non-deterministic."""
         return 0.0
 
     def wall_ms(self) -> int:
-        """Returns the epoch plus the virtual time that has passed."""
+        """Returns the epoch plus the elapsed virtual time."""
         return self._epoch_ms + int(self.now_ms())
--- a/src/jayswitch/exceptions.py
+++ b/src/jayswitch/exceptions.py
@@ -1,20 +1,20 @@
-"""Base class of every error that jayswitch reports."""
+"""Base class of all jayswitch exceptions."""
 
 from __future__ import annotations
 
 
 class JayswitchError(Exception):
-    """An error that names its cause and the remedy.
+    """An error with a cause and a remedy.
 
-    The code is stable and machine readable; the status is the HTTP status that
-    the administration API answers with.
+    The code is stable and machine-readable; the status is the HTTP status of the
+    administration API's response.
     """
 
     code = "error"
     status = 500
 
     def __init__(self, cause: str, remedy: str) -> None:
-        """Takes one sentence for the cause and one for the remedy."""
+        """Expects the cause and the remedy, each as one sentence."""
         super().__init__(f"{cause}; {remedy}")
         self.cause = cause
         self.remedy = remedy
--- a/src/jayswitch/hub.py
+++ b/src/jayswitch/hub.py
@@ -1,4 +1,4 @@
-"""The event loop of every process: eventlet's poll hub without needless wake-ups."""
+"""Event loop of all processes: eventlet's poll hub without unnecessary wake-ups."""
 
 from __future__ import annotations
 
@@ -11,24 +11,24 @@
 
 
 class LowWakeupHub(poll.Hub):
-    """Wakes only for timers that are due and still wanted.
+    """Poll hub that wakes up only for timers that are due and not cancelled.
 
-    The library rounds waits down to whole milliseconds, so that it polls without
-    waiting during the last one, and wakes for every timer that was cancelled. Each
-    request cancels several.
+    Eventlet rounds waits down to whole milliseconds, so that it busy-polls during the
+    last millisecond, and wakes up for every cancelled timer. Each request cancels
+    several timers.
     """
 
     @staticmethod
     def is_available() -> bool:
-        """Tells eventlet that the hub can be used here."""
+        """Returns whether the platform supports poll()."""
         return poll.is_available()
 
     def do_poll(self, seconds: float) -> list[tuple[int, int]]:
-        """Waits for events, never less than until the next timer is due."""
+        """Waits for events, rounding the wait up so that the next timer is due."""
         return self.poll.poll(math.ceil(seconds * MS_PER_S))
 
     def sleep_until(self) -> float | None:
-        """Returns when the next timer is due; None without one."""
+        """Removes cancelled timers; returns when the next one is due, or None."""
         timers = self.timers
         while timers and timers[0][1].called:
             heapq.heappop(timers)
--- a/src/jayswitch/logs.py
+++ b/src/jayswitch/logs.py
@@ -1,4 +1,4 @@
-"""Structured logging: one JSON object per line."""
+"""Structured logging with one JSON object per line."""
 
 from __future__ import annotations
 
@@ -18,24 +18,24 @@
     from jayswitch.clock import Clock
 
 ROOT_LOGGER = "jayswitch"
-# Lines for single requests: about twice what a node writes at the heaviest load of
-# either deployment; what exceeds it is counted.
+# Rate limit on lines with a request id: about twice the rate of a node at the highest
+# load of either deployment. Lines above the limit are dropped and counted.
 REQUEST_LOG_LINES_PER_S = 400.0
 REQUEST_LOG_LINES_BURST = 800.0
-# Held while the reader of the log is slow; further lines are counted.
+# Buffer for a slow reader of the log; lines that do not fit are dropped and counted.
 MAX_BUFFER_BYTES = 256 * 1024
-# Lines of one moment are written with one call; a killed process loses this much.
+# Batches lines into one write; a killed process loses the lines of this interval.
 FLUSH_DELAY_MS = 50.0
 STDOUT_DESCRIPTOR = 1
 
 
 def configure_logging(level: str, vm: str) -> None:
-    """Sends JSON lines of at least the level to standard error."""
+    """Configures logging of JSON lines from the given level on to standard error."""
     _install(logging.StreamHandler(sys.stderr), level, vm)
 
 
 def configure_bounded_logging(level: str, vm: str, clock: Clock) -> BoundedLogHandler:
-    """Sends JSON lines to standard output, without ever waiting for its reader."""
+    """Like configure_logging(), but to standard output and without ever blocking."""
     os.set_blocking(STDOUT_DESCRIPTOR, False)
     _disable_unused_record_fields()
     handler = BoundedLogHandler(STDOUT_DESCRIPTOR, clock)
@@ -44,23 +44,23 @@
 
 
 def _disable_unused_record_fields() -> None:
-    """Leaves out of each record what no line shows; it costs system calls."""
+    """Disables record fields that no line contains; collecting them costs syscalls."""
     logging.logProcesses = False
     logging.logThreads = False
     logging.logMultiprocessing = False
-    # The documented way to leave out the caller's file and line.
+    # The documented way to disable the lookup of the calling file and line.
     logging._srcfile = None
 
 
 class BoundedLogHandler(logging.Handler):
-    """Writes lines to a descriptor that does not block, and counts dropped ones.
+    """Writes lines to a non-blocking descriptor; drops and counts excess lines.
 
-    Lines that carry a request id are bounded in number each second; lines of other
-    decisions are dropped only when the buffer is full.
+    Lines with a request id are rate limited; all other lines are dropped only when the
+    buffer is full.
     """
 
     def __init__(self, descriptor: int, clock: Clock) -> None:
-        """Takes a descriptor in non-blocking mode."""
+        """Expects a descriptor in non-blocking mode."""
         super().__init__()
         self.counts: Counter[str] = Counter()
         self._descriptor = descriptor
@@ -71,7 +71,7 @@
         self._refilled_ms = clock.now_ms()
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Writes one line, or counts it as dropped."""
+        """Buffers one line and schedules a flush, or counts the line as dropped."""
         is_request = hasattr(record, "request_id")
         if is_request and not self._take_token():
             self.counts["dropped_over_rate"] += 1
@@ -88,7 +88,7 @@
             eventlet.spawn_after(FLUSH_DELAY_MS / MS_PER_S, self.flush)
 
     def flush(self) -> None:
-        """Writes what is held, as far as the reader takes it."""
+        """Writes as much of the buffer as the descriptor accepts."""
         self._flush_planned = False
         self._write()
 
@@ -98,7 +98,7 @@
         except BlockingIOError:
             return
         except OSError:
-            # Without a reader there is nowhere to report to.
+            # The reader is gone, and no other place remains to report the error.
             self.counts["write_errors"] += 1
             written = len(self._pending)
         self._pending = self._pending[written:]
@@ -115,7 +115,7 @@
 
 
 class _CachedTimeFormatter(MsgspecFormatter):
-    """Formats the time of day once for all lines of a second."""
+    """Formats the time of day only once per second."""
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
--- a/src/jayswitch/metrics.py
+++ b/src/jayswitch/metrics.py
@@ -1,4 +1,4 @@
-"""Prometheus metrics, read from a node's counters when they are asked for."""
+"""Prometheus metrics, collected from a node's counters on each scrape."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 
 
 class NodeCollector:
-    """Collects the metrics of one node."""
+    """Prometheus collector for one node."""
 
     def __init__(self, node: Node) -> None:
-        """Takes the node."""
+        """Expects the node whose counters are exported."""
         self._node = node
 
     def collect(self) -> Iterable[Metric]:
-        """Returns every metric with its present value."""
+        """Yields all metrics with their current values."""
         parts = self._node.parts
         yield counter_family(
             "jayswitch_router", "Calls and outcomes.", parts.router.counts
@@ -61,7 +61,7 @@
 
 
 def counter_family(name: str, text: str, counts: Counter[str]) -> Metric:
-    """Returns counts by kind as one metric."""
+    """Returns the counts as one counter metric with a kind label."""
     family = CounterMetricFamily(name, text, labels=["kind"])
     for kind, count in sorted(counts.items()):
         family.add_metric([kind], count)
--- a/src/jayswitch/models.py
+++ b/src/jayswitch/models.py
@@ -1,4 +1,4 @@
-"""Base classes of the generated data types."""
+"""Base classes of the generated data classes."""
 
 from __future__ import annotations
 
@@ -6,19 +6,19 @@
 
 
 class Model(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
-    """A slotted data class that refuses unknown fields when decoded."""
+    """A slotted data class that rejects unknown fields when decoded."""
 
 
 class Change(msgspec.Struct, kw_only=True, tag=True, forbid_unknown_fields=True):
-    """A change in the configuration log; its type name is stored with it.
+    """A change in the configuration log, stored with its type name as the tag.
 
-    Unknown fields are refused, because a node must not apply a part of a change.
+    Unknown fields are rejected, because a node must not apply a change partially.
     """
 
 
 class Message(msgspec.Struct, kw_only=True, tag=True, array_like=True):
-    """A message between nodes, sent as an array that its type name heads.
+    """A message between nodes, encoded as an array that starts with its type name.
 
-    Fields at the end that this release does not know are ignored, so that nodes of
-    two releases can talk; new fields are added at the end, with a default.
+    Unknown trailing fields are ignored, so that nodes of two releases are compatible;
+    new fields are appended with a default.
     """
--- a/src/jayswitch/runtime.py
+++ b/src/jayswitch/runtime.py
@@ -1,4 +1,4 @@
-"""Prepares eventlet and nng; must be imported before any socket is made."""
+"""Set-up of eventlet and nng; must run before any socket is created."""
 
 from __future__ import annotations
 
@@ -19,18 +19,18 @@
 GC_THRESHOLD_1 = 20
 GC_THRESHOLD_2 = 50
 
-# Addresses are IP numbers, and importing a resolver is half of a start's time.
+# All addresses are IP addresses, and importing the resolver takes half of the
+# start-up time.
 NO_GREENDNS_VARIABLE = "EVENTLET_NO_GREENDNS"
 
 _prepared = False
 
 
 def prepare(nng: bool = True) -> None:
-    """Limits nng's threads and makes sockets and sleeps cooperative; idempotent.
+    """Limits nng's threads and patches sockets and sleep for eventlet; idempotent.
 
-    Locks stay those of the operating system: every task runs in one thread, and
-    nng's threads call back into it. Processes that send nothing over nng start
-    sooner without it.
+    Locks are not patched, because all tasks run in one thread and nng's own threads
+    call back into it. Processes that do not use nng start faster without it.
     """
     global _prepared
     if _prepared:
@@ -44,7 +44,8 @@
     eventlet.monkey_patch(
         socket=True, select=True, time=True, os=False, thread=False, psycopg=False
     )
-    # Registering with poll takes no system call, and a proxy has few descriptors.
+    # Registering a descriptor with poll needs no system call, and a proxy has few of
+    # them.
     from jayswitch.hub import LowWakeupHub
 
     eventlet.hubs.use_hub(LowWakeupHub)
@@ -52,8 +53,8 @@
 
 
 def _limit_nng_threads() -> None:
-    # Imported before sockets are made cooperative: nng's threads take Python locks,
-    # which must be real.
+    # Imported before monkey patching, because nng's threads acquire Python locks, which
+    # must be those of the operating system.
     import pynng
 
     for name, value in NNG_THREAD_LIMITS.items():
@@ -62,7 +63,7 @@
 
 
 def tune_garbage_collection() -> None:
-    """Exempts start-up objects from garbage collection and makes it rarer."""
+    """Exempts start-up objects from garbage collection and lowers its frequency."""
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_0, GC_THRESHOLD_1, GC_THRESHOLD_2)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Shared set-up: sockets are cooperative, and every test has its own virtual time."""
+"""Shared fixtures: patched sockets, and virtual time for each test."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
 
 @pytest.fixture(autouse=True)
 def virtual_time() -> Iterator[None]:
-    """Gives each test a new virtual hub."""
+    """Runs each test on a new virtual hub."""
     use_virtual_time()
     yield
     use_virtual_time()
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -1,4 +1,4 @@
-"""Tests of the event loop's waits."""
+"""Tests of the event loop's wait times."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class TestWaits:
-    """How long the loop waits, and for what."""
+    """Waits are rounded up, and cancelled timers are skipped."""
 
     def test_wait_is_never_shorter_than_the_next_timer(self) -> None:
         hub = LowWakeupHub()
@@ -20,7 +20,7 @@
         hub.do_poll(0)
         assert [call.args[0] for call in hub.poll.poll.mock_calls] == [1, 13, 0]
 
-    def test_cancelled_timers_wake_nobody(self) -> None:
+    def test_cancelled_timers_cause_no_wake_up(self) -> None:
         now_s = 0.0
         hub = LowWakeupHub(lambda: now_s)
         with mock.patch("eventlet.hubs.get_hub", return_value=hub):
