Name the error code that the console reads from a response

ApiError.kind holds the code of the node's error, not the kind of an object, which kind means elsewhere in the API. It is error_code.

Only a name changes; behaviour is the same.

Checks: all unit tests, 428 passed; tests/deployment and tests/loopback, 73 collected, not run; make lint passes.

--- a/src/jayswitch/console/commands/profiles.py
+++ b/src/jayswitch/console/commands/profiles.py
@@ -102,7 +102,7 @@
     def _current_version(self, name: str) -> int:
         found = self.client.get(f"profiles/{name}")
         if isinstance(found, Failure) and isinstance(found.failure(), ApiError):
-            if found.failure().kind == "no-such-object":
+            if found.failure().error_code == "no-such-object":
                 return 0
         return found.unwrap()["version"]
 
--- a/src/jayswitch/console/exceptions.py
+++ b/src/jayswitch/console/exceptions.py
@@ -39,6 +39,6 @@
             answer.get("remedy", "check the node's log"),
         )
         self.http_status = http_status
-        self.kind = answer.get("error", "")
+        self.error_code = answer.get("error", "")
         words = self.remedy.split()
         self.relays = [word for word in words if word.startswith("http")]
