--- a/src/jayswitch/console/commands/profiles.py
+++ b/src/jayswitch/console/commands/profiles.py
@@ -1,4 +1,4 @@
-"""Commands on profiles."""
+"""Commands for profiles."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
 
 from jayswitch.console.commands.command import EXIT_OK, EXIT_REFUSED, Command
 from jayswitch.console.exceptions import ApiError, UsageError
-from jayswitch.console.output import local_time, print_json, print_table
+from jayswitch.console.output import format_local_time, print_json, print_table
 from jayswitch.profiles.loader import load_profile
 
 
 def read_profile(path: str) -> Any:
-    """Returns the profile in a file as plain data, checked against the schema."""
+    """Returns the profile in a file as built-in types, checked against the schema."""
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -34,7 +34,7 @@
     """Lists the profiles."""
 
     words = ("profiles", "list")
-    summary = "list the profiles and the versions they call for"
+    summary = "list the profiles and their target versions"
     example = "jayswitchctl profiles list"
 
     def run(self, *arguments: str) -> int:
@@ -47,11 +47,13 @@
         for state in states:
             profile = state["profile"]
             targets = profile["targets"]
-            calls_for = ", ".join(f"{t['service']}={t['version']}" for t in targets)
+            target_versions = ", ".join(
+                f"{t['service']}={t['version']}" for t in targets
+            )
             count = len(profile["routes"])
-            rows.append([profile["name"], state["version"], count, calls_for])
+            rows.append([profile["name"], state["version"], count, target_versions])
         columns = ["profile", "version", "routes", "targets"]
-        print_table(columns, rows, "there are no profiles")
+        print_table(columns, rows, "no profiles")
         return EXIT_OK
 
 
@@ -64,7 +66,7 @@
     example = "jayswitchctl profiles get everyday > everyday.yaml"
 
     def run(self, *arguments: str) -> int:
-        """Prints the profile, fit to be edited and applied again."""
+        """Prints the profile in the format that 'profiles apply' reads."""
         state = self.client.get(f"profiles/{arguments[0]}").unwrap()
         if self.options.as_json:
             print_json(state)
@@ -82,12 +84,12 @@
     example = "jayswitchctl profiles apply everyday.yaml --expected_version=12"
 
     def run(self, *arguments: str) -> int:
-        """Applies the file; a new version of a service starts a move."""
+        """Applies the file; a changed target version starts a move."""
         profile = read_profile(arguments[0])
         name = profile["name"]
         expected = self.options.expected_version
         if expected < 0:
-            expected = self._present_version(name)
+            expected = self._current_version(name)
         body = msgspec.json.encode(profile)
         path = f"profiles/{name}"
         answer = self.client.request("PUT", path, body, expected).unwrap()
@@ -97,29 +99,29 @@
             print(f"profile {name} accepted as version {answer['version']}")
         return EXIT_OK
 
-    def _present_version(self, name: str) -> int:
+    def _current_version(self, name: str) -> int:
         found = self.client.get(f"profiles/{name}")
         if isinstance(found, Failure) and isinstance(found.failure(), ApiError):
-            if found.failure().kind == "no-such-object":
+            if found.failure().error_code == "no-such-object":
                 return 0
         return found.unwrap()["version"]
 
 
 class ProfilesDiff(Command):
-    """Compares a file with the profile in force."""
+    """Compares a file with the active profile."""
 
     words = ("profiles", "diff")
     arguments = ("file",)
-    summary = "show what applying a file would change; exit code 1 if anything"
+    summary = "show what applying a file would change; exit code 1 on differences"
     example = "jayswitchctl profiles diff everyday.yaml"
 
     def run(self, *arguments: str) -> int:
-        """Prints a unified diff from the profile in force to the file."""
+        """Prints a unified diff from the active profile to the file."""
         profile = read_profile(arguments[0])
         name = profile["name"]
         states = self.client.get("profiles").unwrap()
-        present = [s["profile"] for s in states if s["profile"]["name"] == name]
-        before = to_yaml(present[0]) if present else ""
+        current = [s["profile"] for s in states if s["profile"]["name"] == name]
+        before = to_yaml(current[0]) if current else ""
         lines = difflib.unified_diff(
             before.splitlines(), to_yaml(profile).splitlines(), "in force", "file"
         )
@@ -134,11 +136,11 @@
 
     words = ("profiles", "history")
     arguments = ("name",)
-    summary = "list who changed a profile, when and how"
+    summary = "list the changes of a profile with time and author"
     example = "jayswitchctl profiles history everyday"
 
     def run(self, *arguments: str) -> int:
-        """Prints a row for each of the latest changes."""
+        """Prints a row for each recent change."""
         state = self.client.get(f"profiles/{arguments[0]}").unwrap()
         if self.options.as_json:
             print_json(state["history"])
@@ -146,7 +148,7 @@
         rows = [
             [
                 item["version"],
-                local_time(item["at_ms"]),
+                format_local_time(item["at_ms"]),
                 item["author"],
                 item["summary"],
             ]
@@ -161,7 +163,7 @@
 
     words = ("profiles", "delete")
     arguments = ("name",)
-    summary = "delete a profile that no service picks"
+    summary = "delete a profile that no service uses"
     example = "jayswitchctl profiles delete everyday"
 
     def run(self, *arguments: str) -> int:
--- a/src/jayswitch/console/proxy_daemon.py
+++ b/src/jayswitch/console/proxy_daemon.py
@@ -1,4 +1,4 @@
-"""One proxy as a process, with the settings file that the platform provides."""
+"""Daemon that runs one proxy with the settings file provided by the platform."""
 
 from __future__ import annotations
 
@@ -21,19 +21,19 @@
 from jayswitch.proxy.generated import ProxySettings  # noqa: E402
 from jayswitch.settings.loader import read_settings  # noqa: E402
 
-EXIT_SETTINGS = 2
-EXIT_CUT = 4
+EXIT_INVALID_SETTINGS = 2
+EXIT_DRAIN_INCOMPLETE = 4
 
 logger = logging.getLogger(__name__)
 
 
 def main(argv: list[str]) -> int:
-    """Runs the proxy until SIGTERM; the path of a settings file may be given."""
+    """Runs the proxy until SIGTERM or SIGINT; argv may name a settings file."""
     path = argv[1] if len(argv) > 1 else settings_path()
     match read_settings(path, ProxySettings):
         case Failure(error):
             print(f"jayswitch: {error}", file=sys.stderr)
-            return EXIT_SETTINGS
+            return EXIT_INVALID_SETTINGS
         case Success(settings):
             pass
     clock = Clock()
@@ -46,13 +46,16 @@
 
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
-    signal.signal(signal.SIGHUP, lambda *_: logger.info("settings may have changed"))
+    signal.signal(
+        signal.SIGHUP,
+        lambda *_: logger.info("received SIGHUP; settings may have changed"),
+    )
     process = start_proxy(settings, clock, logs)
-    runtime.settle_memory()
+    runtime.tune_garbage_collection()
     stopping.wait()
     drained = process.stop()
     logs.flush()
-    return 0 if drained else EXIT_CUT
+    return 0 if drained else EXIT_DRAIN_INCOMPLETE
 
 
 if __name__ == "__main__":
--- a/src/jayswitch/http/caller_app.py
+++ b/src/jayswitch/http/caller_app.py
@@ -1,4 +1,4 @@
-"""The HTTP interface towards callers."""
+"""HTTP interface for callers."""
 
 from __future__ import annotations
 
@@ -21,9 +21,9 @@
     REQUEST_ID_HEADER,
     TIMEOUT_HEADER,
     UPSTREAM_HEADER,
-    from_caller,
+    is_forwarded_from_caller,
 )
-from jayswitch.http.reasons import status_line
+from jayswitch.http.status_lines import status_line
 from jayswitch.messages.generated import Header
 from jayswitch.routing.exceptions import CallFailure
 from jayswitch.routing.request import AnswerCut, CallerAnswer, CallerRequest
@@ -37,7 +37,7 @@
 
 
 class ErrorBody(msgspec.Struct):
-    """What a caller gets in place of an answer."""
+    """JSON body of an error response."""
 
     error: str
     cause: str
@@ -45,10 +45,10 @@
 
 
 class CallerApplication:
-    """Turns HTTP requests into calls and outcomes into HTTP answers."""
+    """Passes HTTP requests to the router and its results to callers."""
 
     def __init__(self, router: Router, max_body_bytes: int) -> None:
-        """Takes the node's router."""
+        """Expects the node's router and the limit on request bodies."""
         self.draining = False
         self._router = router
         self._max_body_bytes = max_body_bytes
@@ -56,7 +56,7 @@
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Serves one request."""
+        """Handles a request."""
         try:
             request = self._read_request(environ)
         except JayswitchError as error:
@@ -75,16 +75,16 @@
         headers = [
             Header(name=name, value=value)
             for name, value in environ["headers_raw"]
-            if from_caller(name)
+            if is_forwarded_from_caller(name)
         ]
         return CallerRequest(
             method=environ["REQUEST_METHOD"],
             path=path,
             headers=headers,
             body=self._read_body(environ),
-            timeout_ms=_number(environ, TIMEOUT_HEADER),
-            depth=int(_number(environ, DEPTH_HEADER)),
-            key=environ.get(_variable(IDEMPOTENCY_KEY_HEADER), ""),
+            timeout_ms=_parse_number(environ, TIMEOUT_HEADER),
+            depth=int(_parse_number(environ, DEPTH_HEADER)),
+            key=environ.get(_environ_key(IDEMPOTENCY_KEY_HEADER), ""),
         )
 
     def _read_body(self, environ: dict[str, Any]) -> bytes:
@@ -97,12 +97,17 @@
                 raise BodyTooLarge(self._max_body_bytes)
             return body
         if not length.isdigit():
-            raise BadRequest("Content-Length is not a number", "correct the header")
+            raise BadRequest(
+                "Content-Length is not a whole number", "correct the header"
+            )
         if int(length) > self._max_body_bytes:
             raise BodyTooLarge(self._max_body_bytes)
         body = environ["wsgi.input"].read(int(length))
         if len(body) != int(length):
-            raise BadRequest("the request body ended early", "send the request again")
+            raise BadRequest(
+                f"incomplete request body: received {len(body)} of {length} bytes",
+                "send the request again",
+            )
         return body
 
     def _answer(
@@ -116,7 +121,7 @@
         start_response(status_line(answer.status), headers)
         if method == "HEAD" or answer.status in BODYLESS_STATUSES:
             return answer.body
-        return check_length(answer)
+        return stream_checked_body(answer)
 
     def _answer_failure(
         self, error: CallFailure, start_response: StartResponse
@@ -147,26 +152,28 @@
             headers.append(("Connection", "close"))
 
 
-def check_length(answer: CallerAnswer) -> Iterator[bytes]:
-    """Yields the body; raises AnswerCut if it is not as long as was stated.
+def stream_checked_body(answer: CallerAnswer) -> Iterator[bytes]:
+    """Yields the body; raises AnswerCut if its length is not the Content-Length.
 
-    The server then closes the connection, so that the caller sees the failure.
+    The server then closes the connection, so that the caller detects the failure.
     """
-    stated = [h.value for h in answer.headers if h.name.lower() == "content-length"]
+    declared = [h.value for h in answer.headers if h.name.lower() == "content-length"]
     length = 0
     for part in answer.body:
         length += len(part)
         yield part
-    if stated and int(stated[0]) != length:
-        raise AnswerCut(f"{length} of {stated[0]} bytes came")
+    if declared and int(declared[0]) != length:
+        raise AnswerCut(
+            f"response body has {length} bytes, Content-Length is {declared[0]}"
+        )
 
 
-def _variable(header: str) -> str:
+def _environ_key(header: str) -> str:
     return "HTTP_" + header.upper().replace("-", "_")
 
 
-def _number(environ: dict[str, Any], header: str) -> float:
-    text = environ.get(_variable(header), "0")
+def _parse_number(environ: dict[str, Any], header: str) -> float:
+    text = environ.get(_environ_key(header), "0")
     if not text.isdigit():
         raise BadRequest(f"{header} is not a whole number", "correct the header")
     return float(text)
--- a/src/jayswitch/logs.py
+++ b/src/jayswitch/logs.py
@@ -1,4 +1,4 @@
-"""Structured logging: one JSON object per line."""
+"""Structured logging with one JSON object per line."""
 
 from __future__ import annotations
 
@@ -18,66 +18,66 @@
     from jayswitch.clock import Clock
 
 ROOT_LOGGER = "jayswitch"
-# Lines for single requests: about twice what a node writes at the heaviest load of
-# either deployment; what exceeds it is counted.
-REQUEST_LINES_PER_S = 400.0
-REQUEST_LINES_BURST = 800.0
-# Held while the reader of the log is slow; further lines are counted.
-BUFFER_BYTES = 256 * 1024
-# Lines of one moment are written with one call; a killed process loses this much.
-FLUSH_MS = 50.0
-STANDARD_OUTPUT = 1
+# Rate limit on lines with a request id: about twice the rate of a node at the highest
+# load of either deployment. Lines above the limit are dropped and counted.
+REQUEST_LOG_LINES_PER_S = 400.0
+REQUEST_LOG_LINES_BURST = 800.0
+# Buffer for a slow reader of the log; lines that do not fit are dropped and counted.
+MAX_BUFFER_BYTES = 256 * 1024
+# Batches lines into one write; a killed process loses the lines of this interval.
+FLUSH_DELAY_MS = 50.0
+STDOUT_DESCRIPTOR = 1
 
 
 def configure_logging(level: str, vm: str) -> None:
-    """Sends JSON lines of at least the level to standard error."""
+    """Configures logging of JSON lines from the given level on to standard error."""
     _install(logging.StreamHandler(sys.stderr), level, vm)
 
 
 def configure_bounded_logging(level: str, vm: str, clock: Clock) -> BoundedLogHandler:
-    """Sends JSON lines to standard output, without ever waiting for its reader."""
-    os.set_blocking(STANDARD_OUTPUT, False)
-    _collect_less()
-    handler = BoundedLogHandler(STANDARD_OUTPUT, clock)
+    """Like configure_logging(), but to standard output and without ever blocking."""
+    os.set_blocking(STDOUT_DESCRIPTOR, False)
+    _disable_unused_record_fields()
+    handler = BoundedLogHandler(STDOUT_DESCRIPTOR, clock)
     _install(handler, level, vm)
     return handler
 
 
-def _collect_less() -> None:
-    """Leaves out of each record what no line shows; it costs system calls."""
+def _disable_unused_record_fields() -> None:
+    """Disables record fields that no line contains; collecting them costs syscalls."""
     logging.logProcesses = False
     logging.logThreads = False
     logging.logMultiprocessing = False
-    # The documented way to leave out the caller's file and line.
+    # The documented way to disable the lookup of the calling file and line.
     logging._srcfile = None
 
 
 class BoundedLogHandler(logging.Handler):
-    """Writes lines to a descriptor that does not block, and counts dropped ones.
+    """Writes lines to a non-blocking descriptor; drops and counts excess lines.
 
-    Lines that carry a request id are bounded in number each second; lines of other
-    decisions are dropped only when the buffer is full.
+    Lines with a request id are rate limited; all other lines are dropped only when the
+    buffer is full.
     """
 
     def __init__(self, descriptor: int, clock: Clock) -> None:
-        """Takes a descriptor in non-blocking mode."""
+        """Expects a descriptor in non-blocking mode."""
         super().__init__()
         self.counts: Counter[str] = Counter()
         self._descriptor = descriptor
         self._clock = clock
         self._pending = b""
         self._flush_planned = False
-        self._tokens = REQUEST_LINES_BURST
+        self._tokens = REQUEST_LOG_LINES_BURST
         self._refilled_ms = clock.now_ms()
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Writes one line, or counts it as dropped."""
+        """Buffers one line and schedules a flush, or counts the line as dropped."""
         is_request = hasattr(record, "request_id")
         if is_request and not self._take_token():
             self.counts["dropped_over_rate"] += 1
             return
         line = (self.format(record) + "\n").encode()
-        if len(self._pending) + len(line) > BUFFER_BYTES:
+        if len(self._pending) + len(line) > MAX_BUFFER_BYTES:
             self.counts["dropped_slow_reader"] += 1
             return
         self._pending += line
@@ -85,10 +85,10 @@
         self.counts["bytes"] += len(line)
         if not self._flush_planned:
             self._flush_planned = True
-            eventlet.spawn_after(FLUSH_MS / MS_PER_S, self.flush)
+            eventlet.spawn_after(FLUSH_DELAY_MS / MS_PER_S, self.flush)
 
     def flush(self) -> None:
-        """Writes what is held, as far as the reader takes it."""
+        """Writes as much of the buffer as the descriptor accepts."""
         self._flush_planned = False
         self._write()
 
@@ -98,15 +98,15 @@
         except BlockingIOError:
             return
         except OSError:
-            # Without a reader there is nowhere to report to.
+            # The reader is gone, and no other place remains to report the error.
             self.counts["write_errors"] += 1
             written = len(self._pending)
         self._pending = self._pending[written:]
 
     def _take_token(self) -> bool:
         now_ms = self._clock.now_ms()
-        earned = (now_ms - self._refilled_ms) / MS_PER_S * REQUEST_LINES_PER_S
-        self._tokens = min(REQUEST_LINES_BURST, self._tokens + earned)
+        refilled = (now_ms - self._refilled_ms) / MS_PER_S * REQUEST_LOG_LINES_PER_S
+        self._tokens = min(REQUEST_LOG_LINES_BURST, self._tokens + refilled)
         self._refilled_ms = now_ms
         if self._tokens < 1:
             return False
@@ -114,27 +114,29 @@
         return True
 
 
-class _SecondFormatter(MsgspecFormatter):
-    """Formats the time of day once for all lines of a second."""
+class _CachedTimeFormatter(MsgspecFormatter):
+    """Formats the time of day only once per second."""
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
-        self._second = -1
-        self._text = ""
+        self._cached_second = -1
+        self._cached_text = ""
 
     def formatTime(  # noqa: N802
         self, record: logging.LogRecord, datefmt: str | None = None
     ) -> str:
         """Returns local time with milliseconds."""
         second = int(record.created)
-        if second != self._second:
-            self._second = second
-            self._text = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(second))
-        return f"{self._text},{int(record.msecs):03d}"
+        if second != self._cached_second:
+            self._cached_second = second
+            self._cached_text = time.strftime(
+                "%Y-%m-%d %H:%M:%S", time.localtime(second)
+            )
+        return f"{self._cached_text},{int(record.msecs):03d}"
 
 
 def _install(handler: logging.Handler, level: str, vm: str) -> None:
-    formatter = _SecondFormatter(
+    formatter = _CachedTimeFormatter(
         "%(asctime)s %(levelname)s %(name)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
         static_fields={"vm": vm},
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from jayswitch.feed.messages import FEED_PATH, FEED_REQUEST_HEADER, FeedRequest
-from jayswitch.http.reasons import status_line
+from jayswitch.http.status_lines import status_line
 from jayswitch.proxy import reasons
 from jayswitch.proxy.disconnect import DisconnectWatcher
 from jayswitch.proxy.exceptions import CallerDisconnected, MalformedRequest
--- a/src/jayswitch/proxy/wsgi_request.py
+++ b/src/jayswitch/proxy/wsgi_request.py
@@ -7,7 +7,7 @@
 
 from eventlet.wsgi import ChunkReadError
 
-from jayswitch.http.reasons import status_line
+from jayswitch.http.status_lines import status_line
 from jayswitch.proxy.exceptions import MalformedRequest, ResponseTruncated
 from jayswitch.proxy.headers import INTERNAL_PREFIX, connection_options, find_header
 from jayswitch.proxy.protocol import CONNECTION_VARIABLE
--- a/src/jayswitch/runtime.py
+++ b/src/jayswitch/runtime.py
@@ -1,4 +1,4 @@
-"""Prepares eventlet and nng; must be imported before any socket is made."""
+"""Set-up of eventlet and nng; must run before any socket is created."""
 
 from __future__ import annotations
 
@@ -19,23 +19,23 @@
 GC_THRESHOLD_1 = 20
 GC_THRESHOLD_2 = 50
 
-# Addresses are IP numbers, and importing a resolver is half of a start's time.
-NO_RESOLVER_VARIABLE = "EVENTLET_NO_GREENDNS"
+# All addresses are IP addresses, and importing the resolver takes half of the
+# start-up time.
+NO_GREENDNS_VARIABLE = "EVENTLET_NO_GREENDNS"
 
 _prepared = False
 
 
 def prepare(nng: bool = True) -> None:
-    """Limits nng's threads and makes sockets and sleeps cooperative; idempotent.
+    """Limits nng's threads and patches sockets and sleep for eventlet; idempotent.
 
-    Locks stay those of the operating system: every task runs in one thread, and
-    nng's threads call back into it. Processes that send nothing over nng start
-    sooner without it.
+    Locks are not patched, because all tasks run in one thread and nng's own threads
+    call back into it. Processes that do not use nng start faster without it.
     """
     global _prepared
     if _prepared:
         return
-    os.environ.setdefault(NO_RESOLVER_VARIABLE, "yes")
+    os.environ.setdefault(NO_GREENDNS_VARIABLE, "yes")
     if nng:
         _limit_nng_threads()
     with warnings.catch_warnings():
@@ -44,16 +44,17 @@
     eventlet.monkey_patch(
         socket=True, select=True, time=True, os=False, thread=False, psycopg=False
     )
-    # Registering with poll takes no system call, and a proxy has few descriptors.
-    from jayswitch.hub import SparingHub
+    # Registering a descriptor with poll needs no system call, and a proxy has few of
+    # them.
+    from jayswitch.hub import LowWakeupHub
 
-    eventlet.hubs.use_hub(SparingHub)
+    eventlet.hubs.use_hub(LowWakeupHub)
     _prepared = True
 
 
 def _limit_nng_threads() -> None:
-    # Imported before sockets are made cooperative: nng's threads take Python locks,
-    # which must be real.
+    # Imported before monkey patching, because nng's threads acquire Python locks, which
+    # must be those of the operating system.
     import pynng
 
     for name, value in NNG_THREAD_LIMITS.items():
@@ -61,8 +62,8 @@
         pynng.lib.nng_init_set_parameter(parameter, value)
 
 
-def settle_memory() -> None:
-    """Exempts start-up objects from garbage collection and makes it rarer."""
+def tune_garbage_collection() -> None:
+    """Exempts start-up objects from garbage collection and lowers its frequency."""
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_0, GC_THRESHOLD_1, GC_THRESHOLD_2)
