Rename the decoders of heartbeats and operator keys

BeatBody and LeaveBody are HeartbeatBody and DeregistrationBody, tables by "word" are tables by name, and a split route consists of WeightedServiceBody, as it names services. OperatorKeys handles watch events (OperatorKeyHandler), and write_status, which writes nothing, is encode_status. Five tests and a test fixture are named for what they check. Fields on the wire are the same, and so is the behaviour.

--- a/src/jayswitch/platform/factory.py
+++ b/src/jayswitch/platform/factory.py
@@ -7,7 +7,11 @@
 from jayswitch.catalog.orders import Orders
 from jayswitch.platform.headers import platform_headers
 from jayswitch.platform.heartbeats import HeartbeatApplication
-from jayswitch.platform.operator import OPERATOR_PREFIX, OperatorKeys, write_status
+from jayswitch.platform.operator import (
+    OPERATOR_PREFIX,
+    OperatorKeyHandler,
+    encode_status,
+)
 from jayswitch.platform.store import PlatformStore
 from jayswitch.proxy.process import ProxyProcess
 
@@ -27,8 +31,8 @@
         PlatformStore(settings.store_address, clock),
         orders,
         OPERATOR_PREFIX,
-        OperatorKeys(orders, clock).apply,
-        write_status,
+        OperatorKeyHandler(orders, clock).apply,
+        encode_status,
         platform_headers(),
         clock,
     )
--- a/src/jayswitch/platform/heartbeats.py
+++ b/src/jayswitch/platform/heartbeats.py
@@ -19,14 +19,14 @@
 HEARTBEAT_CALL = "instances.heartbeat"
 DEREGISTER_CALL = "instances.deregister"
 # "draining" is an upstream that leaves: it still serves, but takes no new work.
-STATE_BY_WORD = {"ready": UpstreamState.READY, "draining": UpstreamState.LEAVING}
+STATE_BY_NAME = {"ready": UpstreamState.READY, "draining": UpstreamState.LEAVING}
 # A heartbeat's answer counts for a second; longer ones go to the next proxy.
 MAX_BODY_BYTES = 64 * 1024
 
 logger = logging.getLogger(__name__)
 
 
-class BeatBody(msgspec.Struct):
+class HeartbeatBody(msgspec.Struct):
     """What an upstream says of itself.
 
     seq counts its calls; born is the Unix millisecond of its start;
@@ -44,7 +44,7 @@
     born: int = 0
 
 
-class LeaveBody(msgspec.Struct):
+class DeregistrationBody(msgspec.Struct):
     """What comes with a deregistration, if anything does."""
 
     born: int = 0
@@ -55,12 +55,12 @@
 
     def __init__(
         self,
-        hear: Callable[[Heartbeat], bool],
-        leave: Callable[[str, int], bool],
+        on_heartbeat: Callable[[Heartbeat], bool],
+        on_deregistration: Callable[[str, int], bool],
     ) -> None:
         """Takes functions that tell whether the call may be acknowledged."""
-        self._hear = hear
-        self._leave = leave
+        self._on_heartbeat = on_heartbeat
+        self._on_deregistration = on_deregistration
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -80,8 +80,10 @@
             return 404
         try:
             if call == DEREGISTER_CALL:
-                told = msgspec.json.decode(body or b"{}", type=LeaveBody)
-                return 200 if self._leave(upstream_id, told.born) else 503
+                decoded = msgspec.json.decode(body or b"{}", type=DeregistrationBody)
+                return (
+                    200 if self._on_deregistration(upstream_id, decoded.born) else 503
+                )
             heartbeat = decode_heartbeat(upstream_id, body)
         except (msgspec.MsgspecError, KeyError) as error:
             logger.warning(
@@ -89,7 +91,7 @@
                 extra={"upstream": upstream_id, "reason": str(error)},
             )
             return 400
-        return 200 if self._hear(heartbeat) else 503
+        return 200 if self._on_heartbeat(heartbeat) else 503
 
 
 def decode_heartbeat(upstream_id: str, body: bytes) -> Heartbeat:
@@ -97,14 +99,14 @@
 
     Raises MsgspecError or KeyError where a field is missing or has no meaning.
     """
-    told = msgspec.json.decode(body, type=BeatBody)
+    decoded = msgspec.json.decode(body, type=HeartbeatBody)
     upstream = Upstream(
         id=upstream_id,
-        started_ms=told.born,
-        service=told.service,
-        version=told.version,
-        slots=told.slots,
-        state=STATE_BY_WORD[told.state],
-        sequence=told.seq,
+        started_ms=decoded.born,
+        service=decoded.service,
+        version=decoded.version,
+        slots=decoded.slots,
+        state=STATE_BY_NAME[decoded.state],
+        sequence=decoded.seq,
     )
-    return Heartbeat(upstream, told.warmup_left_ms)
+    return Heartbeat(upstream, decoded.warmup_left_ms)
--- a/src/jayswitch/platform/operator.py
+++ b/src/jayswitch/platform/operator.py
@@ -31,17 +31,17 @@
 STATUS_PREFIX = "status/rollout/"
 
 # "download" has large answers; it may be repeated like "safe".
-KIND_BY_WORD = {
+ROUTE_KIND_BY_NAME = {
     "safe": RouteKind.IDEMPOTENT,
     "unsafe": RouteKind.NON_IDEMPOTENT,
     "download": RouteKind.DOWNLOAD,
 }
-DEFAULT_RANK = 9
+DEFAULT_PRIORITY = 9
 
 logger = logging.getLogger(__name__)
 
 
-class ClusterBody(msgspec.Struct):
+class WeightedServiceBody(msgspec.Struct):
     """One part of a split route; it names a service, not a cluster of VMs."""
 
     service: str
@@ -57,10 +57,10 @@
     timeout_ms: float
     name: str = ""
     slo_ms: float = 0.0
-    priority: int = DEFAULT_RANK
+    priority: int = DEFAULT_PRIORITY
     max_attempts: int = 1
     service: str = ""
-    weighted_clusters: list[ClusterBody] = []
+    weighted_clusters: list[WeightedServiceBody] = []
 
 
 class ServiceBody(msgspec.Struct):
@@ -106,7 +106,7 @@
     to_version: str
 
 
-class OperatorKeys:
+class OperatorKeyHandler:
     """Applies changes below the operator's prefix to the orders in force."""
 
     def __init__(self, orders: Orders, clock: Clock) -> None:
@@ -199,7 +199,7 @@
         name=body.name,
         host=body.host.lower(),
         prefix=body.prefix,
-        kind=KIND_BY_WORD[body.kind],
+        kind=ROUTE_KIND_BY_NAME[body.kind],
         destinations=destinations or (WeightedService(body.service, 1.0),),
         timeout_ms=body.timeout_ms,
         objective_ms=body.slo_ms or body.timeout_ms,
@@ -208,6 +208,6 @@
     )
 
 
-def write_status(service: str, state: str, to_version: str) -> tuple[str, bytes]:
+def encode_status(service: str, state: str, to_version: str) -> tuple[str, bytes]:
     """Returns the key and value under which the operator reads a move's state."""
     return STATUS_PREFIX + service, msgspec.json.encode(StatusBody(state, to_version))
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -7,7 +7,7 @@
 from jayswitch.catalog.model import RouteKind
 from jayswitch.catalog.orders import Orders
 from jayswitch.clock import VirtualClock
-from jayswitch.platform.operator import OperatorKeys, write_status
+from jayswitch.platform.operator import OperatorKeyHandler, encode_status
 from jayswitch.store.interface import WatchEvent
 
 CONFIG = {
@@ -49,20 +49,20 @@
     return WatchEvent(key, value, revision)
 
 
-class Decoded:
+class DecodedOrders:
     """Orders and what decodes into them."""
 
     def __init__(self) -> None:
         """Starts without orders."""
         self.orders = Orders()
-        self.keys = OperatorKeys(self.orders, VirtualClock())
+        self.keys = OperatorKeyHandler(self.orders, VirtualClock())
 
 
 class TestConfiguration:
     """A whole configuration is put in force; anything else changes nothing."""
 
-    def test_fields_are_read_in_our_terms(self) -> None:
-        decoded = Decoded()
+    def test_config_fields_are_translated(self) -> None:
+        decoded = DecodedOrders()
         decoded.keys.apply(_event("op/config", CONFIG))
         catalog = decoded.orders.catalog
         assert catalog is not None and catalog.version == 7
@@ -74,7 +74,7 @@
         assert catalog.service_by_name["herdview"].warm_up_ms == 3000
 
     def test_longest_prefix_of_the_host_wins(self) -> None:
-        decoded = Decoded()
+        decoded = DecodedOrders()
         decoded.keys.apply(_event("op/config", CONFIG))
         catalog = decoded.orders.catalog
         assert catalog is not None
@@ -83,15 +83,15 @@
         assert catalog.route_for("other.example", "/a/1") is None
         assert catalog.route_for("herd.example", "/a") is None
 
-    def test_versions_compare_as_numbers_and_never_go_back(self) -> None:
-        decoded = Decoded()
+    def test_versions_compare_as_numbers_and_never_decrease(self) -> None:
+        decoded = DecodedOrders()
         for version in ("r9", "r10", "r2"):
             decoded.keys.apply(_event("op/config", {**CONFIG, "version": version}))
         catalog = decoded.orders.catalog
         assert catalog is not None and catalog.version == 10
 
-    def test_what_cannot_be_read_changes_nothing(self) -> None:
-        decoded = Decoded()
+    def test_invalid_config_changes_nothing(self) -> None:
+        decoded = DecodedOrders()
         decoded.keys.apply(_event("op/config", CONFIG))
         route = CONFIG["routes"][0]  # type: ignore[index]
         for broken in (
@@ -116,8 +116,8 @@
 class TestOrders:
     """Moves and evacuations come and go."""
 
-    def test_move_is_known_by_its_revision(self) -> None:
-        decoded = Decoded()
+    def test_move_has_the_revision_of_its_key(self) -> None:
+        decoded = DecodedOrders()
         body = {"service": "herdview", "to_version": "v2", "duration_s": 12}
         decoded.keys.apply(_event("op/rollout/herdview", body, 31))
         order = decoded.orders.move_by_service["herdview"]
@@ -127,13 +127,13 @@
         assert decoded.orders.move_by_service == {}
 
     def test_evacuation_lasts_until_its_key_is_removed(self) -> None:
-        decoded = Decoded()
+        decoded = DecodedOrders()
         decoded.keys.apply(_event("op/evacuate/bunbury", {}))
         assert decoded.orders.evacuated == {"bunbury"}
         decoded.keys.apply(WatchEvent("op/evacuate/bunbury", None, 6))
         assert decoded.orders.evacuated == set()
 
-    def test_state_is_written_as_operators_read_it(self) -> None:
-        key, value = write_status("herdview", "running", "v2")
+    def test_status_is_encoded_for_the_operator(self) -> None:
+        key, value = encode_status("herdview", "running", "v2")
         assert key == "status/rollout/herdview"
         assert msgspec.json.decode(value) == {"state": "running", "to_version": "v2"}
