Rename a node's periodic tasks and the activation of a configuration

A node "kept up", "described", "settled" and looked for a "judge". It now maintains its gate, describes its member record, activates a pending state once its upstreams are known, and finds the evaluator, as the tree calls it. Intervals name their task. Behaviour is the same.

--- a/src/jayswitch/node/factory.py
+++ b/src/jayswitch/node/factory.py
@@ -78,7 +78,7 @@
         parts.data = self._data
         parts.control = self._control
         self._add_shared_state(parts)
-        self._add_call_path(parts)
+        self._add_request_path(parts)
         self._add_moves(parts)
         return Node(parts)
 
@@ -116,7 +116,7 @@
             rng=self._random,
         )
 
-    def _add_call_path(self, parts: NodeParts) -> None:
+    def _add_request_path(self, parts: NodeParts) -> None:
         settings = self._settings
         parts.directory = UpstreamDirectory()
         parts.balancer = Balancer(
--- a/src/jayswitch/node/node.py
+++ b/src/jayswitch/node/node.py
@@ -39,10 +39,10 @@
     from jayswitch.messages.generated import Record
     from jayswitch.node.parts import NodeParts
 
-UPKEEP_MS = 250.0
-REVIEW_MS = 500.0
-OUTCOMES_MS = 2000.0
-STATUS_MS = 3000.0
+GATE_MAINTENANCE_INTERVAL_MS = 250.0
+MOVE_REVIEW_INTERVAL_MS = 500.0
+OUTCOMES_PUBLISH_INTERVAL_MS = 2000.0
+STATUS_PUBLISH_INTERVAL_MS = 3000.0
 SETTLE_TIMEOUT_MS = 2000.0
 SETTLE_POLL_MS = 20.0
 REPLY_TIMEOUT_MS = 2000.0
@@ -58,12 +58,12 @@
         """Takes the parts that the factory has made and connects them."""
         self.parts = parts
         self.name = parts.settings.vm
-        self._member = self._describe()
-        self._settling: ConfigState | None = None
-        self._routed: set[str] = set()
+        self._member = self._describe_member()
+        self._pending_state: ConfigState | None = None
+        self._routed_services: set[str] = set()
         self._stopped = False
-        parts.replica.on_change(self._on_config)
-        parts.table.on_change(self._on_record)
+        parts.replica.on_change(self._on_config_change)
+        parts.table.on_change(self._on_record_change)
         parts.gate.on_outcome = self._on_gate_outcome
         parts.router.on_outcome = self._on_router_outcome
         parts.router.is_marked_bad = parts.watcher.is_marked_bad
@@ -77,12 +77,12 @@
         self.parts.relay.start()
         self.parts.driver.start()
         for task, period_ms in (
-            (self._keep_up, UPKEEP_MS),
-            (self._review_moves, REVIEW_MS),
-            (self._publish_outcomes, OUTCOMES_MS),
-            (self._publish_status, STATUS_MS),
+            (self._maintain_gate, GATE_MAINTENANCE_INTERVAL_MS),
+            (self._review_moves, MOVE_REVIEW_INTERVAL_MS),
+            (self._publish_outcomes, OUTCOMES_PUBLISH_INTERVAL_MS),
+            (self._publish_status, STATUS_PUBLISH_INTERVAL_MS),
         ):
-            eventlet.spawn(self._repeat, task, period_ms)
+            eventlet.spawn(self._run_periodically, task, period_ms)
 
     def drain(self) -> bool:
         """Stops taking new work and waits for work in flight; False on timeout.
@@ -101,9 +101,9 @@
     def wait_until_idle(self) -> bool:
         """Waits until no request is in flight; False on timeout."""
         clock = self.parts.clock
-        until_ms = clock.now_ms() + self.parts.settings.drain_timeout_ms
+        deadline_ms = clock.now_ms() + self.parts.settings.drain_timeout_ms
         while self.requests_in_flight:
-            if clock.now_ms() >= until_ms:
+            if clock.now_ms() >= deadline_ms:
                 return False
             clock.sleep_ms(DRAIN_POLL_MS)
         return True
@@ -156,7 +156,7 @@
     @receive.register
     def _(self, message: Call) -> None:
         eventlet.spawn_n(
-            self.parts.gate.handle, message, self._sender(message.reply_to)
+            self.parts.gate.handle, message, self._make_reply_sender(message.reply_to)
         )
 
     @receive.register(Answer)
@@ -168,14 +168,14 @@
 
     @receive.register
     def _(self, message: Cancel) -> None:
-        send = self._sender(message.reply_to)
+        send = self._make_reply_sender(message.reply_to)
         eventlet.spawn_n(self.parts.gate.cancel, message, send)
 
     @receive.register
     def _(self, message: Credit) -> None:
         self.parts.gate.credit(message.id, message.up_to)
 
-    def _sender(self, address: str) -> SendReply:
+    def _make_reply_sender(self, address: str) -> SendReply:
         def send(message: Reply) -> None:
             if not self.parts.data.send(address, message, REPLY_TIMEOUT_MS):
                 self.parts.gate.counts["replies_unsent"] += 1
@@ -184,60 +184,60 @@
 
     # Configuration
 
-    def _on_config(self, state: ConfigState) -> None:
+    def _on_config_change(self, state: ConfigState) -> None:
         self.parts.gate.set_out_of_service(
             state.is_out_of_service(self.parts.settings.data_centre)
         )
         self._update_interest(state)
-        first = self._settling is None
-        self._settling = state
-        if first:
-            eventlet.spawn(self._switch_when_settled)
+        no_activation_pending = self._pending_state is None
+        self._pending_state = state
+        if no_activation_pending:
+            eventlet.spawn(self._activate_when_settled)
 
     def _update_interest(self, state: ConfigState) -> None:
         services = set(self._required_services(state))
         if self._member.service:
             services.add(self._member.service)
         self.parts.tree.set_own_interest(services)
-        if services != self._routed:
-            self._routed = services
-            self._refill_directory()
+        if services != self._routed_services:
+            self._routed_services = services
+            self._rebuild_directory()
 
-    def _refill_directory(self) -> None:
+    def _rebuild_directory(self) -> None:
         """Decodes the members of the services that this node routes to, no others."""
         directory = self.parts.directory
         for name, member in list(directory.by_node.items()):
-            if member.service not in self._routed:
+            if member.service not in self._routed_services:
                 directory.remove(name)
         for record in self.parts.table.by_kind(KIND_MEMBER):
-            self._on_record(record)
+            self._on_record_change(record)
 
     def _required_services(self, state: ConfigState) -> list[str]:
         profile = state.profile_of(self._member.service)
         return [t.service for t in profile.targets] if profile is not None else []
 
-    def _switch_when_settled(self) -> None:
+    def _activate_when_settled(self) -> None:
         """Routes by a new version once the upstreams it depends on are known."""
         clock = self.parts.clock
-        until_ms = clock.now_ms() + SETTLE_TIMEOUT_MS
-        while self._settling is not None and not self._stopped:
-            state = self._settling
-            required = self._required_services(state)
-            late = clock.now_ms() >= until_ms
-            if late or self.parts.tree.is_settled(required):
-                self.parts.router.counts["settle_timeouts"] += int(late)
-                self._switch(state)
-                self._settling = None
+        deadline_ms = clock.now_ms() + SETTLE_TIMEOUT_MS
+        while self._pending_state is not None and not self._stopped:
+            state = self._pending_state
+            required_services = self._required_services(state)
+            timed_out = clock.now_ms() >= deadline_ms
+            if timed_out or self.parts.tree.is_settled(required_services):
+                self.parts.router.counts["settle_timeouts"] += int(timed_out)
+                self._activate(state)
+                self._pending_state = None
                 return
             clock.sleep_ms(SETTLE_POLL_MS)
 
-    def _switch(self, state: ConfigState) -> None:
+    def _activate(self, state: ConfigState) -> None:
         profile = state.profile_of(self._member.service)
         self.parts.router.table = RoutingTable(state, profile)
 
     # Membership
 
-    def _describe(self) -> Member:
+    def _describe_member(self) -> Member:
         settings = self.parts.settings
         member = Member(
             node=settings.vm,
@@ -260,15 +260,15 @@
 
     def _publish_member(self) -> None:
         previous = self._member
-        self._member = self._describe()
+        self._member = self._describe_member()
         payload = msgspec.msgpack.encode(self._member)
         key = member_key(self.name)
         self.parts.table.publish(key, KIND_MEMBER, payload, self._member.service)
         if previous.service != self._member.service:
-            self._on_config(self.parts.replica.state)
+            self._on_config_change(self.parts.replica.state)
 
-    def _on_record(self, record: Record) -> None:
-        if record.kind != KIND_MEMBER or record.service not in self._routed:
+    def _on_record_change(self, record: Record) -> None:
+        if record.kind != KIND_MEMBER or record.service not in self._routed_services:
             return
         member = decode_member(record)
         if member is None:
@@ -281,7 +281,7 @@
 
     # Periodic tasks
 
-    def _repeat(self, task: Callable[[], None], period_ms: float) -> None:
+    def _run_periodically(self, task: Callable[[], None], period_ms: float) -> None:
         while not self._stopped:
             self.parts.clock.sleep_ms(period_ms)
             try:
@@ -289,7 +289,7 @@
             except Exception:
                 logger.exception("periodic task failed")
 
-    def _keep_up(self) -> None:
+    def _maintain_gate(self) -> None:
         if self.parts.gate.expire_announcement():
             logger.warning("upstream fell silent")
             self._publish_member()
@@ -297,11 +297,15 @@
 
     def _review_moves(self) -> None:
         tree = self.parts.tree
-        tree.evaluator_node = self._find_judge()
-        judges = tree.evaluator_node == self.name or tree.is_evaluator_unreachable()
-        self.parts.watcher.review(self.parts.replica.state, tree.is_relay and judges)
+        tree.evaluator_node = self._find_evaluator()
+        is_evaluator = (
+            tree.evaluator_node == self.name or tree.is_evaluator_unreachable()
+        )
+        self.parts.watcher.review(
+            self.parts.replica.state, tree.is_relay and is_evaluator
+        )
 
-    def _find_judge(self) -> str:
+    def _find_evaluator(self) -> str:
         """Returns the driver, which judges the gates' reports, if it still relays."""
         driver = self.parts.replica.state.driver_node
         relays = {slot.node for slot in self.parts.relay.relays}
--- a/src/jayswitch/node/process.py
+++ b/src/jayswitch/node/process.py
@@ -12,7 +12,7 @@
 from jayswitch.settings.generated import NodeSettings
 from jayswitch.store.interface import Store
 
-LINGER_MS = 300.0
+LATE_REQUEST_GRACE_MS = 300.0
 
 logger = logging.getLogger(__name__)
 
@@ -52,14 +52,14 @@
         self._caller_app.draining = True
         drained = self.node.drain()
         self.callers.stop_accepting()
-        drained = self._serve_late_requests() and drained
+        drained = self._finish_late_requests() and drained
         self.callers.stop()
         self.admin.stop()
         self.node.stop()
         logger.info("stopped", extra={"drained": drained})
         return drained
 
-    def _serve_late_requests(self) -> bool:
+    def _finish_late_requests(self) -> bool:
         """Serves callers that connected just before the port was closed."""
-        self.node.parts.clock.sleep_ms(LINGER_MS)
+        self.node.parts.clock.sleep_ms(LATE_REQUEST_GRACE_MS)
         return self.node.wait_until_idle()
