Rename the stand-ins' faults, buckets and controls

The stand-in upstream "fell", "bore" requests and was "chilled", the store's leases "lapsed" by a _Rate. They now have a capacity, fail for a time after an overload, reset their warm-up and expire due leases; the token bucket is named one, and ControlledUpstream is UpstreamControlApplication like the other WSGI applications. The control action "chill", counters, fault names and fields of UpstreamBehaviour stay, as they are sent over HTTP. Two tests of other folders follow the new method names. Behaviour is the same.

--- a/src/jayswitch/standins/announcer.py
+++ b/src/jayswitch/standins/announcer.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
 
-ANNOUNCE_EVERY_MS = 1000.0
+ANNOUNCE_INTERVAL_MS = 1000.0
 ANNOUNCE_TIMEOUT_MS = 800.0
 
 
@@ -62,5 +62,7 @@
 
     def _run(self) -> None:
         while not self._stopped:
-            heard = self.announce()
-            self._clock.sleep_ms(ANNOUNCE_EVERY_MS if heard else ANNOUNCE_EVERY_MS / 4)
+            acknowledged = self.announce()
+            self._clock.sleep_ms(
+                ANNOUNCE_INTERVAL_MS if acknowledged else ANNOUNCE_INTERVAL_MS / 4
+            )
--- a/src/jayswitch/standins/control_app.py
+++ b/src/jayswitch/standins/control_app.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from jayswitch.standins.announcer import Announcer
 
-PREFIX = "/standin/"
+CONTROL_PREFIX = "/standin/"
 
 
 class UpstreamReport(msgspec.Struct):
@@ -23,7 +23,7 @@
     repeated_ids: list[str]
 
 
-class ControlledUpstream:
+class UpstreamControlApplication:
     """Serves the upstream, and its controls below /standin/."""
 
     def __init__(self, upstream: StandInUpstream) -> None:
@@ -36,19 +36,19 @@
     ) -> Iterable[bytes]:
         """Serves one request."""
         path = environ["PATH_INFO"]
-        if not path.startswith(PREFIX):
+        if not path.startswith(CONTROL_PREFIX):
             return self._upstream(environ, start_response)
         body = environ["wsgi.input"].read()
-        answer = self._control(path.removeprefix(PREFIX), body)
+        answer = self._run_action(path.removeprefix(CONTROL_PREFIX), body)
         start_response("200 OK", [("Content-Type", "application/json")])
         return [msgspec.json.encode(answer)]
 
-    def _control(self, action: str, body: bytes) -> Any:
+    def _run_action(self, action: str, body: bytes) -> Any:
         upstream = self._upstream
         if action == "behaviour":
             upstream.behaviour = msgspec.json.decode(body, type=UpstreamBehaviour)
         elif action == "chill":
-            upstream.chill()
+            upstream.reset_warm_up()
         elif action == "leave" and self.announcer is not None:
             self.announcer.leave()
         elif action == "runs":
--- a/src/jayswitch/standins/main.py
+++ b/src/jayswitch/standins/main.py
@@ -18,7 +18,7 @@
 from jayswitch.gate.upstream import Announcement  # noqa: E402
 from jayswitch.http.server import HttpServer  # noqa: E402
 from jayswitch.standins.announcer import Announcer  # noqa: E402
-from jayswitch.standins.control_app import ControlledUpstream  # noqa: E402
+from jayswitch.standins.control_app import UpstreamControlApplication  # noqa: E402
 from jayswitch.standins.memory_store import MemoryStore  # noqa: E402
 from jayswitch.standins.store_app import StoreApplication  # noqa: E402
 from jayswitch.standins.upstream import (  # noqa: E402
@@ -51,8 +51,8 @@
     """Serves an upstream and announces it."""
     behaviour = msgspec.json.decode(FLAGS.behaviour, type=UpstreamBehaviour)
     upstream = StandInUpstream(FLAGS.name, FLAGS.version, behaviour, clock)
-    controlled = ControlledUpstream(upstream)
-    server = HttpServer(FLAGS.ip, FLAGS.port, controlled)
+    application = UpstreamControlApplication(upstream)
+    server = HttpServer(FLAGS.ip, FLAGS.port, application)
     server.start()
     announcement = Announcement(
         service=FLAGS.service,
@@ -64,7 +64,7 @@
     announcer = Announcer(
         announcement, FLAGS.admin_address, FLAGS.upstream_token, clock
     )
-    controlled.announcer = announcer
+    application.announcer = announcer
     announcer.start()
     print(f"upstream stand-in on {server.address}", flush=True)
 
--- a/src/jayswitch/standins/memory_store.py
+++ b/src/jayswitch/standins/memory_store.py
@@ -30,8 +30,8 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
 
-EVENT_HISTORY = 10_000
-DOWN_ANSWER_MS = 50
+MAX_EVENTS = 10_000
+UNAVAILABLE_DELAY_MS = 50
 
 
 class StoreFaults:
@@ -57,7 +57,7 @@
         self.keys: set[str] = set()
 
 
-class _Rate:
+class _TokenBucket:
     """A token bucket that holds one second's worth of calls."""
 
     __slots__ = ("tokens", "refilled_ms")
@@ -87,27 +87,27 @@
         self._random = random.Random(seed)
         self._values_by_key: SortedDict = SortedDict()
         self._leases_by_id: dict[str, _Lease] = {}
-        self._events: deque[WatchEvent] = deque(maxlen=EVENT_HISTORY)
+        self._events: deque[WatchEvent] = deque(maxlen=MAX_EVENTS)
         self._revision = 0
-        self._lease_serial = 0
-        self._watchers: list[Event] = []
-        self._reads = _Rate()
-        self._writes = _Rate()
+        self._last_lease_number = 0
+        self._waiters: list[Event] = []
+        self._read_bucket = _TokenBucket()
+        self._write_bucket = _TokenBucket()
 
     def get(self, key: str) -> Result[StoredValue | None, StoreError]:
         """Returns the key's value, or None where there is none."""
-        refused = self._admit("get", self._reads)
-        if refused is not None:
-            return Failure(refused)
+        rejection = self._admit("get", self._read_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         return self._answer(self._values_by_key.get(key))
 
     def scan(
         self, prefix: str, after: str = "", limit: int = 1000
     ) -> Result[list[StoredValue], StoreError]:
         """Returns the values below a prefix, ordered by key, after the given key."""
-        refused = self._admit("scan", self._reads)
-        if refused is not None:
-            return Failure(refused)
+        rejection = self._admit("scan", self._read_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         found: list[StoredValue] = []
         for key in self._values_by_key.irange(max(prefix, after)):
             if not key.startswith(prefix) or len(found) >= limit:
@@ -126,9 +126,9 @@
         self, key: str, value: bytes, expected_revision: int, lease: str = ""
     ) -> Result[int, StoreError]:
         """Writes if the key has the expected revision (0: if it does not exist)."""
-        refused = self._admit("put", self._writes)
-        if refused is not None:
-            return Failure(refused)
+        rejection = self._admit("put", self._write_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         if lease and lease not in self._leases_by_id:
             return Failure(LeaseExpired(lease))
         if self._revision_of(key) != expected_revision:
@@ -142,9 +142,9 @@
 
     def commit(self, writes: list[Write]) -> Result[int, StoreError]:
         """Writes all of the keys or none; returns the new revision."""
-        refused = self._admit("commit", self._writes)
-        if refused is not None:
-            return Failure(refused)
+        rejection = self._admit("commit", self._write_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         for write in writes:
             if write.lease and write.lease not in self._leases_by_id:
                 return Failure(LeaseExpired(write.lease))
@@ -162,9 +162,9 @@
 
     def delete(self, key: str, expected_revision: int) -> Result[None, StoreError]:
         """Deletes the key if it has the expected revision."""
-        refused = self._admit("delete", self._writes)
-        if refused is not None:
-            return Failure(refused)
+        rejection = self._admit("delete", self._write_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         if self._revision_of(key) != expected_revision:
             return Failure(CasConflict(key))
         self._remove(key)
@@ -172,20 +172,20 @@
 
     def grant_lease(self, ttl_ms: int) -> Result[str, StoreError]:
         """Returns the id of a new lease."""
-        refused = self._admit("grant_lease", self._writes)
-        if refused is not None:
-            return Failure(refused)
-        self._lease_serial += 1
-        lease = f"lease-{self._lease_serial}"
+        rejection = self._admit("grant_lease", self._write_bucket)
+        if rejection is not None:
+            return Failure(rejection)
+        self._last_lease_number += 1
+        lease = f"lease-{self._last_lease_number}"
         expires_ms = self._clock.now_ms() + ttl_ms
         self._leases_by_id[lease] = _Lease(ttl_ms, expires_ms)
         return self._answer(lease, write=True)
 
     def keep_alive(self, lease: str) -> Result[None, StoreError]:
         """Extends the lease by its time to live."""
-        refused = self._admit("keep_alive", self._writes)
-        if refused is not None:
-            return Failure(refused)
+        rejection = self._admit("keep_alive", self._write_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         held = self._leases_by_id.get(lease)
         if held is None:
             return Failure(LeaseExpired(lease))
@@ -194,9 +194,9 @@
 
     def revoke(self, lease: str) -> Result[None, StoreError]:
         """Ends the lease and deletes its keys."""
-        refused = self._admit("revoke", self._writes)
-        if refused is not None:
-            return Failure(refused)
+        rejection = self._admit("revoke", self._write_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         self.expire_lease(lease)
         return self._answer(None, write=True)
 
@@ -204,27 +204,27 @@
         self, prefix: str, after_revision: int, timeout_ms: int
     ) -> Result[WatchBatch, StoreError]:
         """Waits for changes below the prefix after the revision."""
-        refused = self._admit("watch", self._reads)
-        if refused is not None:
-            return Failure(refused)
+        rejection = self._admit("watch", self._read_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         if after_revision < 0:
             return Success(WatchBatch(self._revision, []))
-        until_ms = self._clock.now_ms() + timeout_ms
+        deadline_ms = self._clock.now_ms() + timeout_ms
         while True:
             if self.faults.down:
                 return Failure(StoreUnavailable("the service is down"))
             batch = self._batch_after(prefix, after_revision)
-            left_ms = until_ms - self._clock.now_ms()
-            if batch.events or batch.compacted or left_ms <= 0:
+            remaining_ms = deadline_ms - self._clock.now_ms()
+            if batch.events or batch.compacted or remaining_ms <= 0:
                 return Success(batch)
             # An event of its own for each watcher, so that they wake in order.
             changed = Event()
-            self._watchers.append(changed)
-            with eventlet.Timeout(min(left_ms, MS_PER_S) / MS_PER_S, False):
+            self._waiters.append(changed)
+            with eventlet.Timeout(min(remaining_ms, MS_PER_S) / MS_PER_S, False):
                 changed.wait()
-            if changed in self._watchers:
-                self._watchers.remove(changed)
-            self._lapse_leases()
+            if changed in self._waiters:
+                self._waiters.remove(changed)
+            self._expire_due_leases()
 
     def expire_lease(self, lease: str) -> None:
         """Ends a lease at once, as if its time had run out."""
@@ -235,24 +235,24 @@
             if key in self._values_by_key and self._values_by_key[key].lease == lease:
                 self._remove(key)
 
-    def _admit(self, kind: str, rate: _Rate) -> StoreError | None:
+    def _admit(self, kind: str, bucket: _TokenBucket) -> StoreError | None:
         self.calls_by_kind[kind] += 1
         if self.faults.slow_ms:
             self._clock.sleep_ms(self.faults.slow_ms)
         if self.faults.down:
-            self._clock.sleep_ms(DOWN_ANSWER_MS)
+            self._clock.sleep_ms(UNAVAILABLE_DELAY_MS)
             return StoreUnavailable("the service is down")
-        self._lapse_leases()
-        is_write = rate is self._writes
+        self._expire_due_leases()
+        is_write = bucket is self._write_bucket
         per_s = self.faults.writes_per_s if is_write else self.faults.reads_per_s
-        if not rate.take(self._clock.now_ms(), per_s):
+        if not bucket.take(self._clock.now_ms(), per_s):
             self.calls_by_kind["throttled"] += 1
             return StoreThrottled()
         return None
 
     def _answer(self, value: Any, write: bool = False) -> Result[Any, StoreError]:
-        lost = self.faults.lose_answers
-        if write and lost and self._random.random() < lost:
+        loss_fraction = self.faults.lose_answers
+        if write and loss_fraction and self._random.random() < loss_fraction:
             return Failure(StoreUnavailable("the answer was lost"))
         return Success(value)
 
@@ -267,18 +267,18 @@
 
     def _publish(self, event: WatchEvent) -> None:
         self._events.append(event)
-        watchers, self._watchers = self._watchers, []
-        for watcher in watchers:
-            watcher.send(None)
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter.send(None)
 
-    def _lapse_leases(self) -> None:
+    def _expire_due_leases(self) -> None:
         now_ms = self._clock.now_ms()
-        lapsed = [
+        expired = [
             lease
             for lease, held in self._leases_by_id.items()
             if held.expires_ms <= now_ms
         ]
-        for lease in lapsed:
+        for lease in expired:
             self.expire_lease(lease)
 
     def _batch_after(self, prefix: str, after_revision: int) -> WatchBatch:
--- a/src/jayswitch/standins/upstream.py
+++ b/src/jayswitch/standins/upstream.py
@@ -17,10 +17,10 @@
 
 REQUEST_ID_VARIABLE = "HTTP_" + REQUEST_ID_HEADER.upper().replace("-", "_")
 TIMEOUT_VARIABLE = "HTTP_X_REQUEST_TIMEOUT_MS"
-BODY_PART = b"." * 65_536
+BODY_CHUNK = b"." * 65_536
 COLD_SLOTS_SHARE = 0.2
 COLD_SLOWDOWN = 3.0
-FALL_MS = 2000.0
+OVERLOAD_FAILURE_MS = 2000.0
 CANCEL_POLL_MS = 10.0
 
 
@@ -62,10 +62,10 @@
         self._clock = clock
         self._random = random.Random(f"{name}-{version}")
         self._started_ms = clock.now_ms()
-        self._fallen_until_ms = float("-inf")
+        self._overloaded_until_ms = float("-inf")
         self._cancelled: set[str] = set()
 
-    def chill(self) -> None:
+    def reset_warm_up(self) -> None:
         """Turns cold again without warning."""
         self._started_ms = self._clock.now_ms()
 
@@ -74,14 +74,14 @@
         """Tells whether the warm-up time still runs."""
         return self._clock.now_ms() - self._started_ms < self.behaviour.warm_up_ms
 
-    def bearable(self) -> int:
+    def capacity(self) -> int:
         """Returns how many requests it can run at once now."""
         slots = self.behaviour.slots
         if not self.is_cold:
             return slots
         warmed_ms = self._clock.now_ms() - self._started_ms
-        warmth = warmed_ms / self.behaviour.warm_up_ms
-        share = COLD_SLOTS_SHARE + (1 - COLD_SLOTS_SHARE) * warmth
+        warm_fraction = warmed_ms / self.behaviour.warm_up_ms
+        share = COLD_SLOTS_SHARE + (1 - COLD_SLOTS_SHARE) * warm_fraction
         return max(1, int(slots * share))
 
     def __call__(
@@ -97,7 +97,7 @@
             return [b""]
         if path == "/health":
             start_response("200 OK", [])
-            return [b"ok" if self._seems_healthy() else b"no"]
+            return [b"ok" if self._reports_healthy() else b"no"]
         environ["wsgi.input"].read()
         return self._serve(environ, path, start_response)
 
@@ -113,26 +113,26 @@
         self.counts["runs"] += 1
         self.in_flight += 1
         self.highest_in_flight = max(self.highest_in_flight, self.in_flight)
-        if self.in_flight > self.bearable():
+        if self.in_flight > self.capacity():
             self.counts["overloads"] += 1
-            self._fallen_until_ms = self._clock.now_ms() + FALL_MS
+            self._overloaded_until_ms = self._clock.now_ms() + OVERLOAD_FAILURE_MS
         try:
-            self._work(environ, path)
-            status = self._status(path)
+            self._simulate_work(environ, path)
+            status = self._choose_status(path)
         finally:
             self.in_flight -= 1
-        return self._answer(status, request_id, start_response)
+        return self._respond(status, request_id, start_response)
 
     def _sheds(self) -> bool:
         return not self.is_cold and self.in_flight >= self.behaviour.slots
 
-    def _seems_healthy(self) -> bool:
+    def _reports_healthy(self) -> bool:
         """Tells what the health endpoint says, which may lag or lie."""
         at_ms = self._clock.now_ms() - self.behaviour.health_lag_ms
-        was_cold = 0 <= at_ms - self._started_ms < self.behaviour.warm_up_ms
-        return self.behaviour.lying_health or not was_cold
+        reported_cold = 0 <= at_ms - self._started_ms < self.behaviour.warm_up_ms
+        return self.behaviour.lying_health or not reported_cold
 
-    def _work(self, environ: dict[str, Any], path: str) -> None:
+    def _simulate_work(self, environ: dict[str, Any], path: str) -> None:
         """Takes the request's time; ends early at its cancellation or deadline."""
         latency_ms = self.behaviour.latency_ms
         if self.is_cold:
@@ -144,26 +144,26 @@
         deadline_ms = float(environ.get(TIMEOUT_VARIABLE, "inf"))
         if latency_ms > deadline_ms:
             self.counts["past_deadline"] += 1
-        left_ms = min(latency_ms, deadline_ms)
+        remaining_ms = min(latency_ms, deadline_ms)
         request_id = environ.get(REQUEST_ID_VARIABLE, "")
-        while left_ms > 0:
+        while remaining_ms > 0:
             if request_id in self._cancelled:
                 self._cancelled.discard(request_id)
                 self.counts["stopped_early"] += 1
                 return
-            self._clock.sleep_ms(min(left_ms, CANCEL_POLL_MS))
-            left_ms -= CANCEL_POLL_MS
+            self._clock.sleep_ms(min(remaining_ms, CANCEL_POLL_MS))
+            remaining_ms -= CANCEL_POLL_MS
 
-    def _status(self, path: str) -> int:
-        if self._clock.now_ms() < self._fallen_until_ms:
+    def _choose_status(self, path: str) -> int:
+        if self._clock.now_ms() < self._overloaded_until_ms:
             return 500
         behaviour = self.behaviour
-        applies = path.startswith(behaviour.error_route)
-        loaded = self.in_flight > behaviour.error_above_in_flight
+        route_matches = path.startswith(behaviour.error_route)
+        above_in_flight = self.in_flight > behaviour.error_above_in_flight
         failed = self._random.random() < behaviour.error_fraction
-        return 500 if applies and loaded and failed else 200
+        return 500 if route_matches and above_in_flight and failed else 200
 
-    def _answer(
+    def _respond(
         self, status: int, request_id: str, start_response: Callable
     ) -> Iterable[bytes]:
         self.counts[f"status_{status}"] += 1
@@ -177,21 +177,21 @@
         ]
         start_response(status_line(status), headers)
         if self._random.random() < self.behaviour.cut_fraction:
-            return self._cut_body(head)
+            return self._truncated_body(head)
         return self._body(head, size)
 
     def _body(self, head: bytes, size: int) -> Iterator[bytes]:
-        left = size - len(head)
-        if left <= len(BODY_PART):
-            yield head + BODY_PART[:left]
+        remaining = size - len(head)
+        if remaining <= len(BODY_CHUNK):
+            yield head + BODY_CHUNK[:remaining]
             return
         yield head
-        while left > 0:
-            part = BODY_PART[: min(left, len(BODY_PART))]
-            left -= len(part)
-            yield part
+        while remaining > 0:
+            chunk = BODY_CHUNK[: min(remaining, len(BODY_CHUNK))]
+            remaining -= len(chunk)
+            yield chunk
 
-    def _cut_body(self, head: bytes) -> Iterator[bytes]:
+    def _truncated_body(self, head: bytes) -> Iterator[bytes]:
         self.counts["cut"] += 1
         yield head
         raise ConnectionAbortedError("cut on request")
--- a/tests/fleet/test_publisher.py
+++ b/tests/fleet/test_publisher.py
@@ -85,7 +85,7 @@
         published.store.faults.down = True
         published.clock.sleep_ms(3 * LEASE_MS)
         published.store.faults.down = False
-        published.store._lapse_leases()
+        published.store._expire_due_leases()
         assert published.node() is None
         published.clock.sleep_ms(2000)
         assert published.node() is not None
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -207,7 +207,7 @@
 def chill(mesh: Mesh, name: str, seconds: int) -> None:
     standin = mesh.nodes_by_name[name].standin
     standin.behaviour.warm_up_ms = seconds * 1000.0
-    standin.chill()
+    standin.reset_warm_up()
 
 
 @when(parsers.parse('upstream "{name}" loses {share:d} percent of its answers'))
