Rename the embedded mode's service specification and traffic generator

ServiceShape, Traffic and its list "wrong" were vague: they are ServiceSpec, TrafficGenerator and failures. Functions of the main module are named for what they print. Exit codes and printed texts are the same, and so is the behaviour.

--- a/bench/rig.py
+++ b/bench/rig.py
@@ -13,7 +13,7 @@
 import urllib3
 import yaml
 
-from jayswitch.embedded.deployments import Deployment, ServiceShape
+from jayswitch.embedded.deployments import Deployment, ServiceSpec
 
 ADMIN_TOKEN = "bench-operator"
 UPSTREAM_TOKEN = "bench-upstream"
@@ -115,7 +115,7 @@
         return vm
 
     def add_upstream(
-        self, service: ServiceShape, version: str, **behaviour: object
+        self, service: ServiceSpec, version: str, **behaviour: object
     ) -> Vm:
         """Starts a daemon and an upstream beside it."""
         vm = self.add_node()
--- a/src/jayswitch/embedded/deployments.py
+++ b/src/jayswitch/embedded/deployments.py
@@ -5,7 +5,7 @@
 import msgspec
 
 
-class ServiceShape(msgspec.Struct, frozen=True):
+class ServiceSpec(msgspec.Struct, frozen=True):
     """A service, its upstreams, and the shape of one of them.
 
     The prefixes are of a route that only reads and of one that writes.
@@ -25,7 +25,7 @@
     name: str
     region: str
     data_centres: tuple[str, ...]
-    services: tuple[ServiceShape, ...]
+    services: tuple[ServiceSpec, ...]
 
     def data_centre_of(self, number: int) -> str:
         """Returns the data centre of the upstream with a running number."""
@@ -67,8 +67,8 @@
     region="swwa",
     data_centres=("bunbury", "busselton", "harvey"),
     services=(
-        ServiceShape("herdview", 8, 20, 120, "/herd", "/treatments"),
-        ServiceShape("robotdesk", 3, 20, 120, "/identity", "/alarms"),
+        ServiceSpec("herdview", 8, 20, 120, "/herd", "/treatments"),
+        ServiceSpec("robotdesk", 3, 20, 120, "/identity", "/alarms"),
     ),
 )
 GCTIA = Deployment(
@@ -76,8 +76,8 @@
     region="gulf-south",
     data_centres=("baton-rouge", "lake-charles", "corpus-christi"),
     services=(
-        ServiceShape("tank-ledger", 7, 6, 110, "/levels", "/transfers"),
-        ServiceShape("ticket-records", 3, 6, 110, "/archives", "/tickets"),
+        ServiceSpec("tank-ledger", 7, 6, 110, "/levels", "/transfers"),
+        ServiceSpec("ticket-records", 3, 6, 110, "/archives", "/tickets"),
     ),
 )
 DEPLOYMENTS = {deployment.name: deployment for deployment in (PADDOCKLINE, GCTIA)}
--- a/src/jayswitch/embedded/main.py
+++ b/src/jayswitch/embedded/main.py
@@ -20,7 +20,7 @@
     PROFILE_NAME,
     EmbeddedMesh,
 )
-from jayswitch.embedded.traffic import Traffic  # noqa: E402
+from jayswitch.embedded.traffic import TrafficGenerator  # noqa: E402
 from jayswitch.logs import configure_logging  # noqa: E402
 
 FLAGS = flags.FLAGS
@@ -33,20 +33,20 @@
 flags.DEFINE_float("calls_per_s", 40.0, "Calls a second.", lower_bound=0.1)
 
 READY_TIMEOUT_MS = 20_000.0
-REPORT_MS = 5000.0
+REPORT_INTERVAL_MS = 5000.0
 EXIT_NOT_READY = 3
-EXIT_WRONG = 4
+EXIT_CALLS_FAILED = 4
 
 
-def print_introduction(mesh: EmbeddedMesh) -> None:
+def print_usage_hints(mesh: EmbeddedMesh) -> None:
     """Prints the addresses and three commands to try."""
     print("\nnode               data centre     callers                  admin")
     for upstream in mesh.upstreams:
         parts = upstream.process.node.parts
         callers = upstream.process.callers.address
         admin = upstream.process.admin.address
-        where = parts.settings.data_centre
-        print(f"{parts.settings.vm:18} {where:15} {callers:24} {admin}")
+        location = parts.settings.data_centre
+        print(f"{parts.settings.vm:18} {location:15} {callers:24} {admin}")
     first = mesh.upstreams[0].process
     ctl = f".venv/bin/jayswitchctl --token={ADMIN_TOKEN} --node={first.admin.address}"
     prefix = mesh.deployment.services[0].read_prefix
@@ -57,7 +57,7 @@
     print(f"  {ctl} data-centres out {data_centre}\n", flush=True)
 
 
-def report(mesh: EmbeddedMesh, traffic: Traffic) -> None:
+def print_progress(mesh: EmbeddedMesh, traffic: TrafficGenerator) -> None:
     """Prints one line on calls, versions and data centres out of service."""
     state = mesh.upstreams[0].process.node.parts.replica.state
     out = [
@@ -74,26 +74,28 @@
         print(f"  move {move.id}: {move.percent}% {status} {move.reason}", flush=True)
 
 
-def run_until_stopped(mesh: EmbeddedMesh, traffic: Traffic, stopping: Event) -> None:
+def run_until_stopped(
+    mesh: EmbeddedMesh, traffic: TrafficGenerator, stopping: Event
+) -> None:
     """Reports until the time is up or a signal comes."""
     clock = mesh.clock
-    until_ms = clock.now_ms() + FLAGS.seconds * MS_PER_S
+    deadline_ms = clock.now_ms() + FLAGS.seconds * MS_PER_S
     while not stopping.ready():
-        wait_ms = REPORT_MS
+        wait_ms = REPORT_INTERVAL_MS
         if FLAGS.seconds:
-            wait_ms = min(wait_ms, until_ms - clock.now_ms())
+            wait_ms = min(wait_ms, deadline_ms - clock.now_ms())
         if wait_ms <= 0:
             return
         with eventlet.Timeout(wait_ms / MS_PER_S, False):
             stopping.wait()
-        report(mesh, traffic)
+        print_progress(mesh, traffic)
 
 
-def make_traffic(mesh: EmbeddedMesh, deployment: Deployment) -> Traffic:
+def make_traffic(mesh: EmbeddedMesh, deployment: Deployment) -> TrafficGenerator:
     """Returns traffic over every node and route."""
     addresses = [upstream.process.callers.address for upstream in mesh.upstreams]
     prefixes = [(s.read_prefix, s.write_prefix) for s in deployment.services]
-    return Traffic(addresses, prefixes, FLAGS.calls_per_s, mesh.clock)
+    return TrafficGenerator(addresses, prefixes, FLAGS.calls_per_s, mesh.clock)
 
 
 def main(argv: list[str]) -> int:
@@ -109,7 +111,7 @@
     if not mesh.wait_until_ready(READY_TIMEOUT_MS):
         print("the nodes did not become ready in time", file=sys.stderr)
         return EXIT_NOT_READY
-    print_introduction(mesh)
+    print_usage_hints(mesh)
     traffic = make_traffic(mesh, deployment)
     traffic.start()
     run_until_stopped(mesh, traffic, stopping)
@@ -119,7 +121,7 @@
     return summarize(mesh, traffic, drained)
 
 
-def summarize(mesh: EmbeddedMesh, traffic: Traffic, drained: bool) -> int:
+def summarize(mesh: EmbeddedMesh, traffic: TrafficGenerator, drained: bool) -> int:
     """Prints the totals; returns the exit code."""
     repeated = [
         request_id
@@ -131,13 +133,15 @@
     for kind, count in sorted(traffic.outcomes.items()):
         print(f"  {kind}: {count}")
     print(f"configuration version in force: {sorted(set(mesh.versions_in_force()))}")
-    for line in traffic.wrong[:10]:
+    for line in traffic.failures[:10]:
         print(f"wrong: {line}", file=sys.stderr)
     if repeated:
         print(f"run more than once by one upstream: {repeated[:5]}", file=sys.stderr)
     answered = sum(traffic.outcomes.values()) == traffic.started
     return (
-        0 if drained and answered and not traffic.wrong and not repeated else EXIT_WRONG
+        0
+        if drained and answered and not traffic.failures and not repeated
+        else EXIT_CALLS_FAILED
     )
 
 
--- a/src/jayswitch/embedded/mesh.py
+++ b/src/jayswitch/embedded/mesh.py
@@ -19,7 +19,7 @@
 from jayswitch.standins.upstream import StandInUpstream, UpstreamBehaviour
 
 if TYPE_CHECKING:
-    from jayswitch.embedded.deployments import Deployment, ServiceShape
+    from jayswitch.embedded.deployments import Deployment, ServiceSpec
 
 UPSTREAM_PORT = 8080
 ADMIN_TOKEN = "demo-operator"
@@ -27,7 +27,7 @@
 PROFILE_NAME = "everyday"
 MOVE_WITHIN_MS = 30_000
 WARM_UP_MS = 2000
-POLL_MS = 50.0
+READY_POLL_MS = 50.0
 
 
 class EmbeddedUpstream:
@@ -76,7 +76,7 @@
             for _ in range(min(service.upstreams, upstreams_per_service)):
                 self.add_upstream(service, "v1")
 
-    def add_upstream(self, service: ServiceShape, version: str) -> EmbeddedUpstream:
+    def add_upstream(self, service: ServiceSpec, version: str) -> EmbeddedUpstream:
         """Adds an upstream with its node; the caller starts it."""
         number = len(self.upstreams)
         settings = NodeSettings(
@@ -126,11 +126,11 @@
 
     def wait_until_ready(self, timeout_ms: float) -> bool:
         """Waits until every node routes by the newest version to live upstreams."""
-        until_ms = self.clock.now_ms() + timeout_ms
-        while self.clock.now_ms() < until_ms:
+        deadline_ms = self.clock.now_ms() + timeout_ms
+        while self.clock.now_ms() < deadline_ms:
             if all(self._is_ready(upstream) for upstream in self.upstreams):
                 return True
-            self.clock.sleep_ms(POLL_MS)
+            self.clock.sleep_ms(READY_POLL_MS)
         return False
 
     def versions_in_force(self) -> list[int]:
@@ -149,12 +149,14 @@
     def _is_ready(self, upstream: EmbeddedUpstream) -> bool:
         parts = upstream.process.node.parts
         table = parts.router.table
-        newest = table.config.version == self.newest_version()
+        has_newest_version = table.config.version == self.newest_version()
         if table.profile is None:
             return False
         services = {target.service for target in table.profile.targets}
-        known = all(parts.directory.has_version(service, "v1") for service in services)
-        return newest and known
+        knows_upstreams = all(
+            parts.directory.has_version(service, "v1") for service in services
+        )
+        return has_newest_version and knows_upstreams
 
     def _configure(self) -> None:
         log = self.upstreams[0].process.node.parts.log
--- a/src/jayswitch/embedded/traffic.py
+++ b/src/jayswitch/embedded/traffic.py
@@ -19,7 +19,7 @@
 READS_PER_WRITE = 4
 
 
-class Traffic:
+class TrafficGenerator:
     """Calls at a steady rate; each answer must be whole and to its own request."""
 
     def __init__(
@@ -31,7 +31,7 @@
     ) -> None:
         """Takes the nodes to call and pairs of read and write prefixes."""
         self.outcomes: Counter[str] = Counter()
-        self.wrong: list[str] = []
+        self.failures: list[str] = []
         self.started = 0
         self._addresses = addresses
         self._prefixes = prefixes
@@ -59,9 +59,9 @@
 
     def _call(self, number: int) -> None:
         address = self._random.choice(self._addresses)
-        read, write = self._random.choice(self._prefixes)
+        read_prefix, write_prefix = self._random.choice(self._prefixes)
         is_write = number % (READS_PER_WRITE + 1) == 0
-        method, prefix = ("POST", write) if is_write else ("GET", read)
+        method, prefix = ("POST", write_prefix) if is_write else ("GET", read_prefix)
         try:
             response = self._http.request(
                 method,
@@ -72,7 +72,7 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             self.outcomes["lost"] += 1
-            self.wrong.append(f"call {number} to {address}: {error}")
+            self.failures.append(f"call {number} to {address}: {error}")
             return
         self._check(number, response)
 
@@ -81,7 +81,7 @@
         kind = f"{outcome}-{response.status}"
         self.outcomes[kind] += 1
         if outcome == "none":
-            self.wrong.append(f"call {number}: no outcome, status {response.status}")
+            self.failures.append(f"call {number}: no outcome, status {response.status}")
         request_id = response.headers.get(REQUEST_ID_HEADER, "")
         if outcome == "answered" and request_id.encode() not in response.data:
-            self.wrong.append(f"call {number}: the answer to another request")
+            self.failures.append(f"call {number}: the answer to another request")
--- a/tests/deployment/test_processes.py
+++ b/tests/deployment/test_processes.py
@@ -15,13 +15,13 @@
 import urllib3
 
 from bench.rig import ADMIN_TOKEN, PROFILE, Rig, Vm
-from jayswitch.embedded.deployments import Deployment, ServiceShape
+from jayswitch.embedded.deployments import Deployment, ServiceSpec
 
 SMALL = Deployment(
     name="small",
     region="swwa",
     data_centres=("bunbury", "busselton", "harvey"),
-    services=(ServiceShape("herdview", 3, 20, 120, "/herd", "/treatments"),),
+    services=(ServiceSpec("herdview", 3, 20, 120, "/herd", "/treatments"),),
 )
 LARGE_BYTES = 3_000_000
 
