Reword the texts of the node package

The node spoke of upstreams that "fell silent", a "planned stop" and an outside world that "comes in". Doc comments now name components, callbacks, draining and activation. Two log lines read "upstream announcement changed" and "upstream announcement expired", as the gate calls them. Behaviour is the same.

--- a/src/jayswitch/node/dump.py
+++ b/src/jayswitch/node/dump.py
@@ -1,4 +1,4 @@
-"""A dump of a node's state, for operators and for reports of faults."""
+"""Dump of a node's state for operators and fault reports."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
     @classmethod
     def from_link(cls, link: Link, now_ms: float) -> LinkDump:
-        """Returns what an operator needs to know of a link."""
+        """Returns the dump of a link."""
         return cls(
             peer=link.peer,
             role=link.role.value,
@@ -42,7 +42,7 @@
 
 
 class GateDump(msgspec.Struct):
-    """The gate and its upstream."""
+    """State of the gate and its upstream."""
 
     service: str
     version: str
@@ -59,7 +59,7 @@
 
     @classmethod
     def from_gate(cls, gate: Gate) -> GateDump:
-        """Returns the gate's state."""
+        """Returns the dump of a gate."""
         announced = gate.announcement
         return cls(
             service=announced.service if announced else "",
@@ -78,7 +78,7 @@
 
 
 class NodeDump(msgspec.Struct):
-    """The whole state of a node, but for the configuration's text."""
+    """Complete state of a node, except for the contents of the configuration."""
 
     node: str
     data_centre: str
@@ -102,7 +102,7 @@
 
 
 def dump_node(node: Node) -> NodeDump:
-    """Returns the node's state as it is now."""
+    """Returns the current state of a node."""
     parts = node.parts
     state = parts.replica.state
     moves = sorted(state.moves_by_id.values(), key=lambda move: move.id)
--- a/src/jayswitch/node/factory.py
+++ b/src/jayswitch/node/factory.py
@@ -1,4 +1,4 @@
-"""Makes nodes from their settings."""
+"""Builds nodes from their settings."""
 
 from __future__ import annotations
 
@@ -30,7 +30,11 @@
 
 
 class NodeFactory:
-    """Joins a node's parts; the outside world comes in through four interfaces."""
+    """Builds a node and its parts.
+
+    External dependencies are the store, two transports, the upstream client and the
+    clock; all of them can be replaced in tests.
+    """
 
     def __init__(
         self,
@@ -42,7 +46,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Takes the settings, the interfaces and the source of random numbers."""
+        """Takes the settings, the dependencies and the random number generator."""
         self._settings = settings
         self._store = store
         self._data = data
@@ -55,7 +59,10 @@
     def from_settings(
         cls, settings: NodeSettings, store: Store | None = None
     ) -> NodeFactory:
-        """Returns a factory for real sockets; the store defaults to the settings'."""
+        """Returns a factory that uses sockets.
+
+        The store defaults to the HTTP store named in the settings.
+        """
         from jayswitch.http.upstream_client import HttpUpstreamClient
         from jayswitch.store.http import HttpStore
         from jayswitch.transport.nng import NngTransport
@@ -71,7 +78,7 @@
         )
 
     def make(self) -> Node:
-        """Returns the node, not yet started."""
+        """Returns a node that is not started yet."""
         parts = NodeParts()
         parts.settings = self._settings
         parts.clock = self._clock
--- a/src/jayswitch/node/node.py
+++ b/src/jayswitch/node/node.py
@@ -1,4 +1,4 @@
-"""One node: its parts, what flows between them, and its planned stop."""
+"""A node: connects its components, runs its periodic tasks and drains it."""
 
 from __future__ import annotations
 
@@ -52,10 +52,10 @@
 
 
 class Node:
-    """The process beside one upstream: entry, gate, and its place in the tree."""
+    """Router, gate and distribution tree member beside one upstream."""
 
     def __init__(self, parts: NodeParts) -> None:
-        """Takes the parts that the factory has made and connects them."""
+        """Takes the parts that the factory has built and connects their callbacks."""
         self.parts = parts
         self.name = parts.settings.vm
         self._member = self._describe_member()
@@ -70,7 +70,7 @@
         parts.driver.has_upstream = self._has_version
 
     def start(self) -> None:
-        """Starts every task of the node."""
+        """Starts the components and the periodic tasks."""
         self._publish_member()
         self.parts.data.listen(self.receive)
         self.parts.tree.start()
@@ -85,10 +85,10 @@
             eventlet.spawn(self._run_periodically, task, period_ms)
 
     def drain(self) -> bool:
-        """Stops taking new work and waits for work in flight; False on timeout.
+        """Makes the gate refuse new calls and waits until idle; False on timeout.
 
-        The caller keeps accepting requests for the grace period, so that callers
-        have time to learn of it; they are routed to other upstreams.
+        The process keeps accepting requests during the grace period, so that callers
+        have time to notice; these requests are routed to other upstreams.
         """
         clock = self.parts.clock
         self.parts.gate.draining = True
@@ -109,7 +109,7 @@
         return True
 
     def stop(self) -> None:
-        """Ends every task and closes every connection."""
+        """Stops every task and closes every connection."""
         self._stopped = True
         self.parts.driver.stop()
         self.parts.relay.stop()
@@ -119,12 +119,12 @@
 
     @property
     def requests_in_flight(self) -> int:
-        """Returns the requests that callers or other nodes wait for here."""
+        """Returns the number of requests that this node is processing or queueing."""
         admission = self.parts.gate.admission
         return self.parts.router.in_flight + admission.in_flight + admission.waiting
 
     def members(self, service: str = "") -> list[Member]:
-        """Returns every member known, or those of one service, by name."""
+        """Returns all known members, or those of one service, sorted by node name."""
         records = [
             record
             for record in self.parts.table.by_kind(KIND_MEMBER)
@@ -141,16 +141,18 @@
         )
 
     def announce(self, announcement: Announcement) -> None:
-        """Takes an announcement of the local upstream."""
+        """Processes an announcement of the local upstream."""
         if self.parts.gate.announce(announcement):
-            logger.info("upstream announced", extra={"upstream": repr(announcement)})
+            logger.info(
+                "upstream announcement changed", extra={"upstream": repr(announcement)}
+            )
             self._publish_member()
 
     # Messages on the data port
 
     @singledispatchmethod
     def receive(self, message: AnyMessage) -> None:
-        """Handles a message from the data inbox."""
+        """Handles a message received on the data port."""
         self.parts.router.counts["unexpected_messages"] += 1
 
     @receive.register
@@ -204,7 +206,7 @@
             self._rebuild_directory()
 
     def _rebuild_directory(self) -> None:
-        """Decodes the members of the services that this node routes to, no others."""
+        """Restricts the directory to members of services that this node routes to."""
         directory = self.parts.directory
         for name, member in list(directory.by_node.items()):
             if member.service not in self._routed_services:
@@ -217,7 +219,10 @@
         return [t.service for t in profile.targets] if profile is not None else []
 
     def _activate_when_settled(self) -> None:
-        """Routes by a new version once the upstreams it depends on are known."""
+        """Activates a pending configuration once the upstreams it needs are known.
+
+        After SETTLE_TIMEOUT_MS it is activated regardless.
+        """
         clock = self.parts.clock
         deadline_ms = clock.now_ms() + SETTLE_TIMEOUT_MS
         while self._pending_state is not None and not self._stopped:
@@ -291,7 +296,7 @@
 
     def _maintain_gate(self) -> None:
         if self.parts.gate.expire_announcement():
-            logger.warning("upstream fell silent")
+            logger.warning("upstream announcement expired")
             self._publish_member()
         self.parts.gate.admission.grant_free_slots()
 
@@ -306,7 +311,10 @@
         )
 
     def _find_evaluator(self) -> str:
-        """Returns the driver, which judges the gates' reports, if it still relays."""
+        """Returns the driver, which evaluates outcomes, if it is still a relay.
+
+        Returns an empty string otherwise.
+        """
         driver = self.parts.replica.state.driver_node
         relays = {slot.node for slot in self.parts.relay.relays}
         return driver if driver in relays else ""
--- a/src/jayswitch/node/parts.py
+++ b/src/jayswitch/node/parts.py
@@ -1,4 +1,4 @@
-"""The parts of a node, as the factory hands them over."""
+"""The components that a node consists of."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class NodeParts:
-    """Everything a node consists of; filled in by the factory."""
+    """Components of a node; the factory assigns them."""
 
     __slots__ = (
         "balancer",
--- a/src/jayswitch/node/process.py
+++ b/src/jayswitch/node/process.py
@@ -1,4 +1,4 @@
-"""A node with its HTTP servers: what runs beside one upstream."""
+"""Process that runs a node and its HTTP servers beside one upstream."""
 
 from __future__ import annotations
 
@@ -18,10 +18,10 @@
 
 
 class NodeProcess:
-    """Serves callers and operators for one node."""
+    """A node with HTTP servers for callers and operators."""
 
     def __init__(self, node: Node, settings: NodeSettings) -> None:
-        """Binds every port at once, so that a taken one fails at start-up."""
+        """Binds every port, so that a port in use is reported at start-up."""
         self.node = node
         self._caller_app = CallerApplication(node.parts.router, settings.max_body_bytes)
         self.callers = HttpServer(
@@ -35,7 +35,7 @@
     def from_settings(
         cls, settings: NodeSettings, store: Store | None = None
     ) -> NodeProcess:
-        """Returns the process for the settings, not yet started."""
+        """Returns a process that is not started yet."""
         node = NodeFactory.from_settings(settings, store).make()
         return cls(node, settings)
 
@@ -47,7 +47,7 @@
         logger.info("started", extra={"callers": self.callers.address})
 
     def stop(self) -> bool:
-        """Stops without cutting a request; False if some were still in flight."""
+        """Stops gracefully; returns False if requests were still in flight."""
         logger.info("draining")
         self._caller_app.draining = True
         drained = self.node.drain()
