Reword the texts of the stand-ins

A stand-in upstream "fell over", "turned cold without warning" and had a health endpoint that "lies"; the store "showed" faults. Doc comments now name capacity, overload, warm-up, lease expiry and fault injection, and say what UpstreamBehaviour's cold capacity does. Descriptions of two flags and three errors are reworded. Behaviour is the same.

--- a/src/jayswitch/standins/announcer.py
+++ b/src/jayswitch/standins/announcer.py
@@ -1,4 +1,4 @@
-"""Announces a stand-in upstream to the node beside it."""
+"""Announces a stand-in upstream to its local node."""
 
 from __future__ import annotations
 
@@ -19,12 +19,12 @@
 
 
 class Announcer:
-    """Repeats the announcement until it is stopped."""
+    """Repeats an announcement periodically until it is stopped."""
 
     def __init__(
         self, announcement: Announcement, admin_address: str, token: str, clock: Clock
     ) -> None:
-        """Takes the node's administration address and the upstream token."""
+        """Takes the admin address of the node and the token of the upstream."""
         self.announcement = announcement
         self._url = f"{admin_address}/v1/announce"
         self._headers = {"Authorization": f"Bearer {token}"}
@@ -33,20 +33,20 @@
         self._stopped = False
 
     def start(self) -> None:
-        """Starts the announcing task."""
+        """Starts the task that announces the upstream."""
         eventlet.spawn(self._run)
 
     def leave(self) -> None:
-        """Announces at once that the upstream takes no new work."""
+        """Announces immediately that the upstream accepts no new requests."""
         self.announcement = msgspec.structs.replace(self.announcement, leaving=True)
         self.announce()
 
     def stop(self) -> None:
-        """Falls silent."""
+        """Stops announcing the upstream."""
         self._stopped = True
 
     def announce(self) -> bool:
-        """Sends one announcement; tells whether the node took it."""
+        """Sends one announcement; returns whether the node acknowledged it."""
         try:
             response = self._http.request(
                 "POST",
--- a/src/jayswitch/standins/control_app.py
+++ b/src/jayswitch/standins/control_app.py
@@ -1,4 +1,4 @@
-"""Control of a stand-in upstream from outside: behaviour, leaving and counters."""
+"""HTTP interface that controls a stand-in upstream and reads its counters."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class UpstreamReport(msgspec.Struct):
-    """What the stand-in has counted."""
+    """Counters of a stand-in; repeated_ids holds requests that ran more than once."""
 
     counts: dict[str, int]
     highest_in_flight: int
@@ -24,17 +24,17 @@
 
 
 class UpstreamControlApplication:
-    """Serves the upstream, and its controls below /standin/."""
+    """WSGI application that serves the upstream, and its controls below /standin/."""
 
     def __init__(self, upstream: StandInUpstream) -> None:
-        """Takes the upstream; the announcer is set where there is one."""
+        """Takes the upstream; the announcer is optional and set afterwards."""
         self.announcer: Announcer | None = None
         self._upstream = upstream
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable
     ) -> Iterable[bytes]:
-        """Serves one request."""
+        """Handles one request."""
         path = environ["PATH_INFO"]
         if not path.startswith(CONTROL_PREFIX):
             return self._upstream(environ, start_response)
--- a/src/jayswitch/standins/main.py
+++ b/src/jayswitch/standins/main.py
@@ -1,4 +1,4 @@
-"""Runs a stand-in as a plain process: the store, or an upstream beside a node."""
+"""Runs a stand-in process: a store, or an upstream beside a node."""
 
 from __future__ import annotations
 
@@ -28,12 +28,12 @@
 
 FLAGS = flags.FLAGS
 
-flags.DEFINE_string("ip", "127.0.0.1", "IP number to listen on.")
+flags.DEFINE_string("ip", "127.0.0.1", "IP address to listen on.")
 flags.DEFINE_integer("port", 7000, "Port to listen on.")
 flags.DEFINE_string("name", "upstream", "Name of the upstream.")
 flags.DEFINE_string("service", "", "Service that the upstream runs.")
 flags.DEFINE_string("version", "v1", "Version that the upstream runs.")
-flags.DEFINE_string("admin_address", "", "Administration address of its node.")
+flags.DEFINE_string("admin_address", "", "Admin address of the upstream's node.")
 flags.DEFINE_string("upstream_token", "", "Token that the upstream presents.")
 flags.DEFINE_string("behaviour", "{}", "UpstreamBehaviour as JSON.")
 
@@ -41,14 +41,14 @@
 
 
 def run_store(clock: Clock) -> None:
-    """Serves an in-memory store."""
+    """Serves an in-memory store over HTTP."""
     server = HttpServer(FLAGS.ip, FLAGS.port, StoreApplication(MemoryStore(clock)))
     server.start()
     print(f"store stand-in on {server.address}", flush=True)
 
 
 def run_upstream(clock: Clock) -> None:
-    """Serves an upstream and announces it."""
+    """Serves an upstream and announces it to its node."""
     behaviour = msgspec.json.decode(FLAGS.behaviour, type=UpstreamBehaviour)
     upstream = StandInUpstream(FLAGS.name, FLAGS.version, behaviour, clock)
     application = UpstreamControlApplication(upstream)
--- a/src/jayswitch/standins/memory_store.py
+++ b/src/jayswitch/standins/memory_store.py
@@ -1,4 +1,4 @@
-"""In-memory stand-in for the platform's key-value service, with faults."""
+"""In-memory stand-in for the platform's key-value store, with fault injection."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 
 class StoreFaults:
-    """Faults that the stand-in shows on request."""
+    """Faults to inject, and rate limits; lose_answers is a fraction of the writes."""
 
     __slots__ = ("down", "slow_ms", "lose_answers", "reads_per_s", "writes_per_s")
 
@@ -58,7 +58,7 @@
 
 
 class _TokenBucket:
-    """A token bucket that holds one second's worth of calls."""
+    """Token bucket whose capacity is the number of calls allowed in one second."""
 
     __slots__ = ("tokens", "refilled_ms")
 
@@ -77,10 +77,10 @@
 
 
 class MemoryStore:
-    """Compare-and-swap, leases and watches in one process's memory."""
+    """In-memory store with compare-and-swap, leases and watches."""
 
     def __init__(self, clock: Clock, seed: int = 1) -> None:
-        """Takes the clock that leases lapse by and the seed of lost answers."""
+        """Takes the clock for lease expiry and the seed for lost responses."""
         self.faults = StoreFaults()
         self.calls_by_kind: Counter[str] = Counter()
         self._clock = clock
@@ -95,7 +95,7 @@
         self._write_bucket = _TokenBucket()
 
     def get(self, key: str) -> Result[StoredValue | None, StoreError]:
-        """Returns the key's value, or None where there is none."""
+        """Returns the key's value, or None if the key does not exist."""
         rejection = self._admit("get", self._read_bucket)
         if rejection is not None:
             return Failure(rejection)
@@ -125,7 +125,7 @@
     def put(
         self, key: str, value: bytes, expected_revision: int, lease: str = ""
     ) -> Result[int, StoreError]:
-        """Writes if the key has the expected revision (0: if it does not exist)."""
+        """Writes the key if it has the expected revision (0: if it does not exist)."""
         rejection = self._admit("put", self._write_bucket)
         if rejection is not None:
             return Failure(rejection)
@@ -141,7 +141,7 @@
         return self._answer(self._revision, write=True)
 
     def commit(self, writes: list[Write]) -> Result[int, StoreError]:
-        """Writes all of the keys or none; returns the new revision."""
+        """Writes all keys atomically and returns the new revision."""
         rejection = self._admit("commit", self._write_bucket)
         if rejection is not None:
             return Failure(rejection)
@@ -171,7 +171,7 @@
         return self._answer(None, write=True)
 
     def grant_lease(self, ttl_ms: int) -> Result[str, StoreError]:
-        """Returns the id of a new lease."""
+        """Creates a lease and returns its id."""
         rejection = self._admit("grant_lease", self._write_bucket)
         if rejection is not None:
             return Failure(rejection)
@@ -182,7 +182,7 @@
         return self._answer(lease, write=True)
 
     def keep_alive(self, lease: str) -> Result[None, StoreError]:
-        """Extends the lease by its time to live."""
+        """Renews the lease for its time to live."""
         rejection = self._admit("keep_alive", self._write_bucket)
         if rejection is not None:
             return Failure(rejection)
@@ -193,7 +193,7 @@
         return self._answer(None, write=True)
 
     def revoke(self, lease: str) -> Result[None, StoreError]:
-        """Ends the lease and deletes its keys."""
+        """Revokes the lease, which deletes its keys."""
         rejection = self._admit("revoke", self._write_bucket)
         if rejection is not None:
             return Failure(rejection)
@@ -217,7 +217,7 @@
             remaining_ms = deadline_ms - self._clock.now_ms()
             if batch.events or batch.compacted or remaining_ms <= 0:
                 return Success(batch)
-            # An event of its own for each watcher, so that they wake in order.
+            # Each watch waits for its own event, so that watches wake up in order.
             changed = Event()
             self._waiters.append(changed)
             with eventlet.Timeout(min(remaining_ms, MS_PER_S) / MS_PER_S, False):
@@ -227,7 +227,7 @@
             self._expire_due_leases()
 
     def expire_lease(self, lease: str) -> None:
-        """Ends a lease at once, as if its time had run out."""
+        """Expires a lease immediately and deletes its keys."""
         held = self._leases_by_id.pop(lease, None)
         if held is None:
             return
--- a/src/jayswitch/standins/store_app.py
+++ b/src/jayswitch/standins/store_app.py
@@ -22,7 +22,7 @@
 
 
 class StoreApplication:
-    """Serves a MemoryStore; POST /faults changes its faults."""
+    """WSGI application that serves a MemoryStore; POST /faults injects faults."""
 
     def __init__(self, store: MemoryStore) -> None:
         """Takes the store to serve."""
@@ -31,7 +31,7 @@
     def __call__(
         self, environ: dict[str, Any], start_response: Callable
     ) -> Iterable[bytes]:
-        """Serves one call."""
+        """Handles one call."""
         body = environ["wsgi.input"].read()
         query = {
             key: values[0]
@@ -45,7 +45,7 @@
             case Failure(error):
                 start_response(status_line(error.status), [])
                 return [msgspec.json.encode(ErrorBody(error.code, error.cause))]
-        raise AssertionError("a result is a success or a failure")
+        raise AssertionError("result is neither a success nor a failure")
 
     def _call(
         self, method: str, path: str, query: dict[str, str], body: bytes
@@ -88,4 +88,6 @@
                 return Success(None)
             case "GET", ["calls"]:
                 return Success(dict(store.calls_by_kind))
-        return Failure(StoreError(f"no call {method} {path}", "see store/interface.py"))
+        return Failure(
+            StoreError(f"unknown call {method} {path}", "see store/interface.py")
+        )
--- a/src/jayswitch/standins/upstream.py
+++ b/src/jayswitch/standins/upstream.py
@@ -1,4 +1,4 @@
-"""Stand-in for an upstream: slots, cold start, shedding, faults and counters."""
+"""Stand-in for an upstream, with cold start, load shedding and fault injection."""
 
 from __future__ import annotations
 
@@ -25,10 +25,12 @@
 
 
 class UpstreamBehaviour(msgspec.Struct, kw_only=True):
-    """How the stand-in behaves; may be changed while it runs.
+    """Behaviour of the stand-in; may be changed while it runs.
 
-    Fractions lie between 0 and 1. A cold upstream bears a fifth of its slots and
-    falls over beyond that; the time to warm up is counted from start or chill.
+    Fractions lie between 0 and 1. The capacity of an upstream is a fifth of its
+    slots when cold and increases to all slots during warm-up. Above its capacity it
+    becomes overloaded and returns errors for a time. The warm-up starts when the
+    upstream starts or its warm-up is reset.
     """
 
     slots: int = 20
@@ -46,12 +48,12 @@
 
 
 class StandInUpstream:
-    """A WSGI application that counts what it ran, by request id."""
+    """WSGI application that counts executions by request id."""
 
     def __init__(
         self, name: str, version: str, behaviour: UpstreamBehaviour, clock: Clock
     ) -> None:
-        """Starts cold if the behaviour has a warm-up time."""
+        """Starts cold if the behaviour sets a warm-up time."""
         self.behaviour = behaviour
         self.runs_by_id: Counter[str] = Counter()
         self.counts: Counter[str] = Counter()
@@ -66,16 +68,16 @@
         self._cancelled: set[str] = set()
 
     def reset_warm_up(self) -> None:
-        """Turns cold again without warning."""
+        """Makes the upstream cold again, without announcing it."""
         self._started_ms = self._clock.now_ms()
 
     @property
     def is_cold(self) -> bool:
-        """Tells whether the warm-up time still runs."""
+        """Returns whether the upstream is still warming up."""
         return self._clock.now_ms() - self._started_ms < self.behaviour.warm_up_ms
 
     def capacity(self) -> int:
-        """Returns how many requests it can run at once now."""
+        """Returns the number of requests that can currently run concurrently."""
         slots = self.behaviour.slots
         if not self.is_cold:
             return slots
@@ -87,7 +89,7 @@
     def __call__(
         self, environ: dict[str, Any], start_response: Callable
     ) -> Iterable[bytes]:
-        """Serves one request."""
+        """Handles one request."""
         path = environ["PATH_INFO"]
         method = environ["REQUEST_METHOD"]
         if method == "DELETE" and path.startswith("/requests/"):
@@ -127,13 +129,13 @@
         return not self.is_cold and self.in_flight >= self.behaviour.slots
 
     def _reports_healthy(self) -> bool:
-        """Tells what the health endpoint says, which may lag or lie."""
+        """Returns the reported health, which may lag behind the state or ignore it."""
         at_ms = self._clock.now_ms() - self.behaviour.health_lag_ms
         reported_cold = 0 <= at_ms - self._started_ms < self.behaviour.warm_up_ms
         return self.behaviour.lying_health or not reported_cold
 
     def _simulate_work(self, environ: dict[str, Any], path: str) -> None:
-        """Takes the request's time; ends early at its cancellation or deadline."""
+        """Sleeps for the latency; returns early on cancellation or at the deadline."""
         latency_ms = self.behaviour.latency_ms
         if self.is_cold:
             latency_ms *= COLD_SLOWDOWN
@@ -194,4 +196,4 @@
     def _truncated_body(self, head: bytes) -> Iterator[bytes]:
         self.counts["cut"] += 1
         yield head
-        raise ConnectionAbortedError("cut on request")
+        raise ConnectionAbortedError("response truncated by fault injection")
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -1,4 +1,4 @@
-"""Tests of the stand-in upstream: what scenarios rely on."""
+"""Tests of the stand-in upstream's behaviour that the scenarios depend on."""
 
 from __future__ import annotations
 
@@ -12,17 +12,17 @@
 
 
 class TestStandInUpstream:
-    """Cancellation, deadlines and a health endpoint that lags."""
+    """Cancellation, deadlines and delayed health reports."""
 
     def make(self, **behaviour: object) -> StandInUpstream:
-        """Returns a stand-in on virtual time."""
+        """Returns a stand-in that uses a virtual clock."""
         clock = VirtualClock()
         return StandInUpstream("u", "v1", UpstreamBehaviour(**behaviour), clock)
 
-    def ask(
+    def send(
         self, upstream: StandInUpstream, method: str, path: str, timeout: str = "9999"
     ) -> bytes:
-        """Sends a request with the id r and returns the body."""
+        """Sends a request with the id "r" and returns the response body."""
         environ: dict[str, Any] = {
             "REQUEST_METHOD": method,
             "PATH_INFO": path,
@@ -35,24 +35,24 @@
     def test_cancelled_request_stops_early(self) -> None:
         upstream = self.make(latency_ms=1000.0)
         clock = VirtualClock()
-        task = eventlet.spawn(self.ask, upstream, "POST", "/treatments")
+        task = eventlet.spawn(self.send, upstream, "POST", "/treatments")
         clock.sleep_ms(50)
-        self.ask(upstream, "DELETE", "/requests/r")
+        self.send(upstream, "DELETE", "/requests/r")
         task.wait()
         assert clock.now_ms() < 100
         assert upstream.counts["stopped_early"] == 1
 
     def test_request_ends_at_its_deadline(self) -> None:
         upstream = self.make(latency_ms=1000.0)
-        self.ask(upstream, "GET", "/herd", timeout="200")
+        self.send(upstream, "GET", "/herd", timeout="200")
         assert round(VirtualClock().now_ms()) == 200
         assert upstream.counts["past_deadline"] == 1
 
-    def test_health_lags(self) -> None:
+    def test_reported_health_lags(self) -> None:
         upstream = self.make(warm_up_ms=1000.0, health_lag_ms=500.0)
         clock = VirtualClock()
-        assert self.ask(upstream, "GET", "/health") == b"ok"
+        assert self.send(upstream, "GET", "/health") == b"ok"
         clock.sleep_ms(1200)
-        assert self.ask(upstream, "GET", "/health") == b"no"
+        assert self.send(upstream, "GET", "/health") == b"no"
         clock.sleep_ms(400)
-        assert self.ask(upstream, "GET", "/health") == b"ok"
+        assert self.send(upstream, "GET", "/health") == b"ok"
