Reword the texts of the embedded mode

Doc comments spoke of "a little traffic", "a whole mesh" and calls "answered wrongly". They now name deployments, nodes and checks of responses, and say what a service specification holds. Printed lines are reworded as well: "failed:" instead of "wrong:", "in progress" instead of "under way", "executed more than once by one upstream" and "nodes were not ready in time". The lines that the test matches stay. Behaviour is the same.

--- a/src/jayswitch/embedded/deployments.py
+++ b/src/jayswitch/embedded/deployments.py
@@ -1,4 +1,4 @@
-"""The two deployments that the embedded mode and the bench are modelled on."""
+"""Two example deployments, used by the embedded mode and the benchmarks."""
 
 from __future__ import annotations
 
@@ -6,9 +6,9 @@
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
-    """A service, its upstreams, and the shape of one of them.
+    """A service, the number of its upstreams, and the capacity of each.
 
-    The prefixes are of a route that only reads and of one that writes.
+    read_prefix belongs to a read-only route, write_prefix to a route that writes.
     """
 
     name: str
@@ -20,7 +20,7 @@
 
 
 class Deployment(msgspec.Struct, frozen=True):
-    """Data centres of one region and the services in them."""
+    """The data centres of one region and the services that run in them."""
 
     name: str
     region: str
@@ -28,7 +28,7 @@
     services: tuple[ServiceSpec, ...]
 
     def data_centre_of(self, number: int) -> str:
-        """Returns the data centre of the upstream with a running number."""
+        """Returns the data centre of an upstream; numbers are assigned round-robin."""
         return self.data_centres[number % len(self.data_centres)]
 
     def profile(self, name: str, version: str, move_within_ms: int) -> dict:
--- a/src/jayswitch/embedded/main.py
+++ b/src/jayswitch/embedded/main.py
@@ -1,4 +1,4 @@
-"""make run: a mesh in one process, with a little traffic and a running report."""
+"""Embedded mode (make run): a mesh in one process, under light traffic."""
 
 from __future__ import annotations
 
@@ -25,12 +25,14 @@
 
 FLAGS = flags.FLAGS
 
-flags.DEFINE_float("seconds", 0.0, "Stop after this time; 0 runs until Ctrl-C.")
+flags.DEFINE_float("seconds", 0.0, "Time to run in seconds; 0 runs until Ctrl-C.")
 flags.DEFINE_enum(
     "deployment", "paddockline", sorted(DEPLOYMENTS), "Deployment to model."
 )
-flags.DEFINE_integer("upstreams", 3, "Most upstreams of each service.", lower_bound=1)
-flags.DEFINE_float("calls_per_s", 40.0, "Calls a second.", lower_bound=0.1)
+flags.DEFINE_integer(
+    "upstreams", 3, "Maximum number of upstreams of each service.", lower_bound=1
+)
+flags.DEFINE_float("calls_per_s", 40.0, "Calls per second.", lower_bound=0.1)
 
 READY_TIMEOUT_MS = 20_000.0
 REPORT_INTERVAL_MS = 5000.0
@@ -39,7 +41,7 @@
 
 
 def print_usage_hints(mesh: EmbeddedMesh) -> None:
-    """Prints the addresses and three commands to try."""
+    """Prints the addresses of the nodes and three example commands."""
     print("\nnode               data centre     callers                  admin")
     for upstream in mesh.upstreams:
         parts = upstream.process.node.parts
@@ -51,14 +53,14 @@
     ctl = f".venv/bin/jayswitchctl --token={ADMIN_TOKEN} --node={first.admin.address}"
     prefix = mesh.deployment.services[0].read_prefix
     data_centre = mesh.deployment.data_centres[0]
-    print("\nTry, from another terminal:")
+    print("\nTry these commands in another terminal:")
     print(f"  curl -i {first.callers.address}{prefix}/1")
     print(f"  {ctl} profiles get {PROFILE_NAME}")
     print(f"  {ctl} data-centres out {data_centre}\n", flush=True)
 
 
 def print_progress(mesh: EmbeddedMesh, traffic: TrafficGenerator) -> None:
-    """Prints one line on calls, versions and data centres out of service."""
+    """Prints calls, versions and data centres out of service, and any moves."""
     state = mesh.upstreams[0].process.node.parts.replica.state
     out = [
         name for name in mesh.deployment.data_centres if state.is_out_of_service(name)
@@ -70,14 +72,14 @@
         flush=True,
     )
     for move in state.moves_by_id.values():
-        status = "under way" if move.active else ("done" if move.done else "reversed")
+        status = "in progress" if move.active else ("done" if move.done else "reversed")
         print(f"  move {move.id}: {move.percent}% {status} {move.reason}", flush=True)
 
 
 def run_until_stopped(
     mesh: EmbeddedMesh, traffic: TrafficGenerator, stopping: Event
 ) -> None:
-    """Reports until the time is up or a signal comes."""
+    """Prints the progress until the time has elapsed or a signal arrives."""
     clock = mesh.clock
     deadline_ms = clock.now_ms() + FLAGS.seconds * MS_PER_S
     while not stopping.ready():
@@ -92,14 +94,14 @@
 
 
 def make_traffic(mesh: EmbeddedMesh, deployment: Deployment) -> TrafficGenerator:
-    """Returns traffic over every node and route."""
+    """Returns a traffic generator that calls every node and route."""
     addresses = [upstream.process.callers.address for upstream in mesh.upstreams]
     prefixes = [(s.read_prefix, s.write_prefix) for s in deployment.services]
     return TrafficGenerator(addresses, prefixes, FLAGS.calls_per_s, mesh.clock)
 
 
 def main(argv: list[str]) -> int:
-    """Returns 0 if no call was lost or answered wrongly."""
+    """Runs the mesh; returns 0 if every call got a correct response."""
     configure_logging("warning", "demo")
     stopping = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -109,7 +111,7 @@
     print(f"starting {len(mesh.upstreams)} nodes", flush=True)
     mesh.start()
     if not mesh.wait_until_ready(READY_TIMEOUT_MS):
-        print("the nodes did not become ready in time", file=sys.stderr)
+        print("nodes were not ready in time", file=sys.stderr)
         return EXIT_NOT_READY
     print_usage_hints(mesh)
     traffic = make_traffic(mesh, deployment)
@@ -134,9 +136,11 @@
         print(f"  {kind}: {count}")
     print(f"configuration version in force: {sorted(set(mesh.versions_in_force()))}")
     for line in traffic.failures[:10]:
-        print(f"wrong: {line}", file=sys.stderr)
+        print(f"failed: {line}", file=sys.stderr)
     if repeated:
-        print(f"run more than once by one upstream: {repeated[:5]}", file=sys.stderr)
+        print(
+            f"executed more than once by one upstream: {repeated[:5]}", file=sys.stderr
+        )
     answered = sum(traffic.outcomes.values()) == traffic.started
     return (
         0
--- a/src/jayswitch/embedded/mesh.py
+++ b/src/jayswitch/embedded/mesh.py
@@ -1,4 +1,4 @@
-"""A whole mesh in one process: store, nodes and upstreams on loopback addresses."""
+"""Mesh in one process: store, nodes and upstreams on loopback addresses."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 class EmbeddedUpstream:
-    """One upstream and its node."""
+    """A stand-in upstream and the node beside it."""
 
     __slots__ = ("announcer", "process", "server", "standin")
 
@@ -42,7 +42,7 @@
         server: HttpServer,
         announcer: Announcer,
     ) -> None:
-        """Takes the four parts; none of them is started."""
+        """Takes the four parts, which are not started yet."""
         self.process = process
         self.standin = standin
         self.server = server
@@ -55,7 +55,7 @@
         self.announcer.start()
 
     def stop(self) -> bool:
-        """Leaves and stops; False if a request was still in flight."""
+        """Leaves, drains and stops; returns False if requests were still in flight."""
         self.announcer.leave()
         self.announcer.stop()
         drained = self.process.stop()
@@ -64,10 +64,10 @@
 
 
 class EmbeddedMesh:
-    """Every part of a small deployment; each VM has its own loopback address."""
+    """A small deployment in which each VM has its own loopback address."""
 
     def __init__(self, deployment: Deployment, upstreams_per_service: int) -> None:
-        """Takes the deployment and bounds its size."""
+        """Takes the deployment and the maximum number of upstreams per service."""
         self.clock = Clock()
         self.store = MemoryStore(self.clock)
         self.deployment = deployment
@@ -77,7 +77,7 @@
                 self.add_upstream(service, "v1")
 
     def add_upstream(self, service: ServiceSpec, version: str) -> EmbeddedUpstream:
-        """Adds an upstream with its node; the caller starts it."""
+        """Adds an upstream with its node; the caller has to start it."""
         number = len(self.upstreams)
         settings = NodeSettings(
             vm=f"{service.name}-{number}",
@@ -114,18 +114,18 @@
         return upstream
 
     def start(self) -> None:
-        """Starts everything and configures the services and their profile."""
+        """Starts every upstream and node, and configures services and profile."""
         for upstream in self.upstreams:
             upstream.start()
         self._configure()
 
     def stop(self) -> bool:
-        """Stops every node without cutting a request; False if one was cut."""
+        """Stops every node gracefully; returns False if requests were in flight."""
         pool = eventlet.GreenPool(len(self.upstreams))
         return all(list(pool.imap(EmbeddedUpstream.stop, self.upstreams)))
 
     def wait_until_ready(self, timeout_ms: float) -> bool:
-        """Waits until every node routes by the newest version to live upstreams."""
+        """Waits until every node uses the newest version and knows its upstreams."""
         deadline_ms = self.clock.now_ms() + timeout_ms
         while self.clock.now_ms() < deadline_ms:
             if all(self._is_ready(upstream) for upstream in self.upstreams):
@@ -134,14 +134,14 @@
         return False
 
     def versions_in_force(self) -> list[int]:
-        """Returns the configuration version that each node routes by."""
+        """Returns the configuration version that each node uses for routing."""
         return [
             upstream.process.node.parts.router.table.config.version
             for upstream in self.upstreams
         ]
 
     def newest_version(self) -> int:
-        """Returns the newest version that any node has."""
+        """Returns the newest configuration version of all nodes."""
         return max(
             upstream.process.node.parts.replica.version for upstream in self.upstreams
         )
--- a/src/jayswitch/embedded/traffic.py
+++ b/src/jayswitch/embedded/traffic.py
@@ -1,4 +1,4 @@
-"""A little steady traffic against an embedded mesh, and a check of every answer."""
+"""Light traffic for an embedded mesh, with a check of every response."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class TrafficGenerator:
-    """Calls at a steady rate; each answer must be whole and to its own request."""
+    """Calls nodes at a constant rate; each response must be complete and match."""
 
     def __init__(
         self,
@@ -29,7 +29,7 @@
         calls_per_s: float,
         clock: Clock,
     ) -> None:
-        """Takes the nodes to call and pairs of read and write prefixes."""
+        """Takes the addresses of nodes and pairs of read and write prefixes."""
         self.outcomes: Counter[str] = Counter()
         self.failures: list[str] = []
         self.started = 0
@@ -43,11 +43,11 @@
         self._stopped = False
 
     def start(self) -> None:
-        """Starts the calling task."""
+        """Starts the task that makes the calls."""
         eventlet.spawn(self._run)
 
     def stop(self) -> None:
-        """Stops calling and waits for the calls in flight."""
+        """Stops making calls and waits for those in flight."""
         self._stopped = True
         self._pool.waitall()
 
@@ -81,7 +81,9 @@
         kind = f"{outcome}-{response.status}"
         self.outcomes[kind] += 1
         if outcome == "none":
-            self.failures.append(f"call {number}: no outcome, status {response.status}")
+            self.failures.append(
+                f"call {number}: no outcome header, status {response.status}"
+            )
         request_id = response.headers.get(REQUEST_ID_HEADER, "")
         if outcome == "answered" and request_id.encode() not in response.data:
-            self.failures.append(f"call {number}: the answer to another request")
+            self.failures.append(f"call {number}: response belongs to another request")
--- a/tests/embedded/test_main.py
+++ b/tests/embedded/test_main.py
@@ -1,4 +1,4 @@
-"""Tests of the embedded mode, as a user runs it."""
+"""Tests of the embedded mode, run as a subprocess."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 
 class TestEmbeddedMode:
-    """The whole path in one process on real sockets."""
+    """Store, nodes and upstreams in one process that uses sockets."""
 
     def test_serves_calls_and_exits_cleanly(self) -> None:
         finished = subprocess.run(
