Name decoded bodies of the platform's store apart from responses

Both are named decoded. Behaviour is the same.

Checks: make lint passes; loopback tests of upstreams, which use this client, 11 passed.

--- a/src/jayswitch/platform/store.py
+++ b/src/jayswitch/platform/store.py
@@ -169,7 +169,7 @@
             "remove": [],
         }
         result = self._call("POST", "/kv-txn", RevisionBody, body)
-        return result.map(lambda response: response.revision)
+        return result.map(lambda decoded: decoded.revision)
 
     def delete(self, key: str, expected_revision: int) -> Result[None, StoreError]:
         """Deletes the key if it has the expected revision."""
@@ -183,7 +183,7 @@
     def grant_lease(self, ttl_ms: int) -> Result[str, StoreError]:
         """Creates a lease and returns its id."""
         result = self._call("POST", "/kv-lease", LeaseBody, {"ttl_ms": ttl_ms})
-        return result.map(lambda response: str(response.lease))
+        return result.map(lambda decoded: str(decoded.lease))
 
     def keep_alive(self, lease: str) -> Result[None, StoreError]:
         """Renews the lease for its time to live."""
