Say more exactly what stand-ins and deployments do

The reworded comments left out that lost responses belong to writes that are applied, and that an expired lease ends as if its time had elapsed. Behaviour is the same.

--- a/src/jayswitch/embedded/deployments.py
+++ b/src/jayswitch/embedded/deployments.py
@@ -1,4 +1,4 @@
-"""Two example deployments, used by the embedded mode and the benchmarks."""
+"""The two deployments that the embedded mode and the benchmarks model."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
     services: tuple[ServiceSpec, ...]
 
     def data_centre_of(self, number: int) -> str:
-        """Returns the data centre of an upstream; numbers are assigned round-robin."""
+        """Returns the data centre of the upstream with a number, round-robin."""
         return self.data_centres[number % len(self.data_centres)]
 
     def profile(self, name: str, version: str, move_within_ms: int) -> dict:
--- a/src/jayswitch/node/node.py
+++ b/src/jayswitch/node/node.py
@@ -311,7 +311,7 @@
         )
 
     def _find_evaluator(self) -> str:
-        """Returns the driver, which evaluates outcomes, if it is still a relay.
+        """Returns the driver, which evaluates the gates' outcomes, if it is a relay.
 
         Returns an empty string otherwise.
         """
--- a/src/jayswitch/standins/memory_store.py
+++ b/src/jayswitch/standins/memory_store.py
@@ -35,7 +35,10 @@
 
 
 class StoreFaults:
-    """Faults to inject, and rate limits; lose_answers is a fraction of the writes."""
+    """Faults to inject, and rate limits.
+
+    lose_answers is the fraction of writes that are applied without a response.
+    """
 
     __slots__ = ("down", "slow_ms", "lose_answers", "reads_per_s", "writes_per_s")
 
@@ -227,7 +230,7 @@
             self._expire_due_leases()
 
     def expire_lease(self, lease: str) -> None:
-        """Expires a lease immediately and deletes its keys."""
+        """Expires a lease immediately, as if its time to live had elapsed."""
         held = self._leases_by_id.pop(lease, None)
         if held is None:
             return
