--- a/src/jayswitch/embedded/deployments.py
+++ b/src/jayswitch/embedded/deployments.py
@@ -1,14 +1,14 @@
-"""The two deployments that the embedded mode and the bench are modelled on."""
+"""The two deployments that the embedded mode and the benchmarks model."""
 
 from __future__ import annotations
 
 import msgspec
 
 
-class ServiceShape(msgspec.Struct, frozen=True):
-    """A service, its upstreams, and the shape of one of them.
+class ServiceSpec(msgspec.Struct, frozen=True):
+    """A service, the number of its upstreams, and the capacity of each.
 
-    The prefixes are of a route that only reads and of one that writes.
+    read_prefix belongs to a read-only route, write_prefix to a route that writes.
     """
 
     name: str
@@ -20,15 +20,15 @@
 
 
 class Deployment(msgspec.Struct, frozen=True):
-    """Data centres of one region and the services in them."""
+    """The data centres of one region and the services that run in them."""
 
     name: str
     region: str
     data_centres: tuple[str, ...]
-    services: tuple[ServiceShape, ...]
+    services: tuple[ServiceSpec, ...]
 
     def data_centre_of(self, number: int) -> str:
-        """Returns the data centre of the upstream with a running number."""
+        """Returns the data centre of the upstream with a number, round-robin."""
         return self.data_centres[number % len(self.data_centres)]
 
     def profile(self, name: str, version: str, move_within_ms: int) -> dict:
@@ -67,8 +67,8 @@
     region="swwa",
     data_centres=("bunbury", "busselton", "harvey"),
     services=(
-        ServiceShape("herdview", 8, 20, 120, "/herd", "/treatments"),
-        ServiceShape("robotdesk", 3, 20, 120, "/identity", "/alarms"),
+        ServiceSpec("herdview", 8, 20, 120, "/herd", "/treatments"),
+        ServiceSpec("robotdesk", 3, 20, 120, "/identity", "/alarms"),
     ),
 )
 GCTIA = Deployment(
@@ -76,8 +76,8 @@
     region="gulf-south",
     data_centres=("baton-rouge", "lake-charles", "corpus-christi"),
     services=(
-        ServiceShape("tank-ledger", 7, 6, 110, "/levels", "/transfers"),
-        ServiceShape("ticket-records", 3, 6, 110, "/archives", "/tickets"),
+        ServiceSpec("tank-ledger", 7, 6, 110, "/levels", "/transfers"),
+        ServiceSpec("ticket-records", 3, 6, 110, "/archives", "/tickets"),
     ),
 )
 DEPLOYMENTS = {deployment.name: deployment for deployment in (PADDOCKLINE, GCTIA)}
--- a/src/jayswitch/embedded/traffic.py
+++ b/src/jayswitch/embedded/traffic.py
@@ -1,4 +1,4 @@
-"""A little steady traffic against an embedded mesh, and a check of every answer."""
+"""Light traffic for an embedded mesh, with a check of every response."""
 
 from __future__ import annotations
 
@@ -19,8 +19,8 @@
 READS_PER_WRITE = 4
 
 
-class Traffic:
-    """Calls at a steady rate; each answer must be whole and to its own request."""
+class TrafficGenerator:
+    """Calls nodes at a constant rate; each response must be complete and match."""
 
     def __init__(
         self,
@@ -29,9 +29,9 @@
         calls_per_s: float,
         clock: Clock,
     ) -> None:
-        """Takes the nodes to call and pairs of read and write prefixes."""
+        """Takes the addresses of nodes and pairs of read and write prefixes."""
         self.outcomes: Counter[str] = Counter()
-        self.wrong: list[str] = []
+        self.failures: list[str] = []
         self.started = 0
         self._addresses = addresses
         self._prefixes = prefixes
@@ -43,11 +43,11 @@
         self._stopped = False
 
     def start(self) -> None:
-        """Starts the calling task."""
+        """Starts the task that makes the calls."""
         eventlet.spawn(self._run)
 
     def stop(self) -> None:
-        """Stops calling and waits for the calls in flight."""
+        """Stops making calls and waits for those in flight."""
         self._stopped = True
         self._pool.waitall()
 
@@ -59,9 +59,9 @@
 
     def _call(self, number: int) -> None:
         address = self._random.choice(self._addresses)
-        read, write = self._random.choice(self._prefixes)
+        read_prefix, write_prefix = self._random.choice(self._prefixes)
         is_write = number % (READS_PER_WRITE + 1) == 0
-        method, prefix = ("POST", write) if is_write else ("GET", read)
+        method, prefix = ("POST", write_prefix) if is_write else ("GET", read_prefix)
         try:
             response = self._http.request(
                 method,
@@ -72,7 +72,7 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             self.outcomes["lost"] += 1
-            self.wrong.append(f"call {number} to {address}: {error}")
+            self.failures.append(f"call {number} to {address}: {error}")
             return
         self._check(number, response)
 
@@ -81,7 +81,9 @@
         kind = f"{outcome}-{response.status}"
         self.outcomes[kind] += 1
         if outcome == "none":
-            self.wrong.append(f"call {number}: no outcome, status {response.status}")
+            self.failures.append(
+                f"call {number}: no outcome header, status {response.status}"
+            )
         request_id = response.headers.get(REQUEST_ID_HEADER, "")
         if outcome == "answered" and request_id.encode() not in response.data:
-            self.wrong.append(f"call {number}: the answer to another request")
+            self.failures.append(f"call {number}: response belongs to another request")
--- a/src/jayswitch/node/process.py
+++ b/src/jayswitch/node/process.py
@@ -1,4 +1,4 @@
-"""A node with its HTTP servers: what runs beside one upstream."""
+"""Process that runs a node and its HTTP servers beside one upstream."""
 
 from __future__ import annotations
 
@@ -12,16 +12,16 @@
 from jayswitch.settings.generated import NodeSettings
 from jayswitch.store.interface import Store
 
-LINGER_MS = 300.0
+LATE_REQUEST_GRACE_MS = 300.0
 
 logger = logging.getLogger(__name__)
 
 
 class NodeProcess:
-    """Serves callers and operators for one node."""
+    """A node with HTTP servers for callers and operators."""
 
     def __init__(self, node: Node, settings: NodeSettings) -> None:
-        """Binds every port at once, so that a taken one fails at start-up."""
+        """Binds every port, so that a port in use is reported at start-up."""
         self.node = node
         self._caller_app = CallerApplication(node.parts.router, settings.max_body_bytes)
         self.callers = HttpServer(
@@ -35,7 +35,7 @@
     def from_settings(
         cls, settings: NodeSettings, store: Store | None = None
     ) -> NodeProcess:
-        """Returns the process for the settings, not yet started."""
+        """Returns a process that is not started yet."""
         node = NodeFactory.from_settings(settings, store).make()
         return cls(node, settings)
 
@@ -47,19 +47,19 @@
         logger.info("started", extra={"callers": self.callers.address})
 
     def stop(self) -> bool:
-        """Stops without cutting a request; False if some were still in flight."""
+        """Stops gracefully; returns False if requests were still in flight."""
         logger.info("draining")
         self._caller_app.draining = True
         drained = self.node.drain()
         self.callers.stop_accepting()
-        drained = self._serve_late_requests() and drained
+        drained = self._finish_late_requests() and drained
         self.callers.stop()
         self.admin.stop()
         self.node.stop()
         logger.info("stopped", extra={"drained": drained})
         return drained
 
-    def _serve_late_requests(self) -> bool:
+    def _finish_late_requests(self) -> bool:
         """Serves callers that connected just before the port was closed."""
-        self.node.parts.clock.sleep_ms(LINGER_MS)
+        self.node.parts.clock.sleep_ms(LATE_REQUEST_GRACE_MS)
         return self.node.wait_until_idle()
--- a/src/jayswitch/platform/factory.py
+++ b/src/jayswitch/platform/factory.py
@@ -1,4 +1,4 @@
-"""Makes a proxy that speaks the platform's protocols."""
+"""Builds a proxy that uses the platform's protocols."""
 
 from __future__ import annotations
 
@@ -7,7 +7,11 @@
 from jayswitch.catalog.orders import Orders
 from jayswitch.platform.headers import platform_headers
 from jayswitch.platform.heartbeats import HeartbeatApplication
-from jayswitch.platform.operator import OPERATOR_PREFIX, OperatorKeys, write_status
+from jayswitch.platform.operator import (
+    OPERATOR_PREFIX,
+    OperatorKeyHandler,
+    encode_status,
+)
 from jayswitch.platform.store import PlatformStore
 from jayswitch.proxy.process import ProxyProcess
 
@@ -20,15 +24,15 @@
 def start_proxy(
     settings: ProxySettings, clock: Clock, logs: BoundedLogHandler | None = None
 ) -> ProxyProcess:
-    """Returns a proxy whose servers and tasks run."""
+    """Builds a proxy, starts its servers and tasks, and returns it."""
     orders = Orders()
     process = ProxyProcess(
         settings,
         PlatformStore(settings.store_address, clock),
         orders,
         OPERATOR_PREFIX,
-        OperatorKeys(orders, clock).apply,
-        write_status,
+        OperatorKeyHandler(orders, clock).apply,
+        encode_status,
         platform_headers(),
         clock,
     )
--- a/src/jayswitch/platform/heartbeats.py
+++ b/src/jayswitch/platform/heartbeats.py
@@ -1,4 +1,4 @@
-"""The interface that upstreams announce themselves at."""
+"""WSGI application that receives heartbeats and deregistrations of upstreams."""
 
 from __future__ import annotations
 
@@ -18,19 +18,19 @@
 
 HEARTBEAT_CALL = "instances.heartbeat"
 DEREGISTER_CALL = "instances.deregister"
-# "draining" is an upstream that leaves: it still serves, but takes no new work.
-STATE_BY_WORD = {"ready": UpstreamState.READY, "draining": UpstreamState.LEAVING}
-# A heartbeat's answer counts for a second; longer ones go to the next proxy.
+# A draining upstream finishes its requests but accepts no new ones.
+STATE_BY_NAME = {"ready": UpstreamState.READY, "draining": UpstreamState.LEAVING}
+# An upstream waits one second for the response, then calls the next proxy.
 MAX_BODY_BYTES = 64 * 1024
 
 logger = logging.getLogger(__name__)
 
 
-class BeatBody(msgspec.Struct):
-    """What an upstream says of itself.
+class HeartbeatBody(msgspec.Struct):
+    """Body of a heartbeat.
 
-    seq counts its calls; born is the Unix millisecond of its start;
-    warmup_left_ms tells how much longer it is cold.
+    seq is the sequence number of the call, born the start time of the upstream in
+    Unix milliseconds, and warmup_left_ms the time until it has warmed up.
     """
 
     service: str
@@ -44,28 +44,28 @@
     born: int = 0
 
 
-class LeaveBody(msgspec.Struct):
-    """What comes with a deregistration, if anything does."""
+class DeregistrationBody(msgspec.Struct):
+    """Optional body of a deregistration."""
 
     born: int = 0
 
 
 class HeartbeatApplication:
-    """Answers 200 once what an upstream said is known and, if need be, stored."""
+    """Responds 200 once a call has been processed and, if necessary, persisted."""
 
     def __init__(
         self,
-        hear: Callable[[Heartbeat], bool],
-        leave: Callable[[str, int], bool],
+        on_heartbeat: Callable[[Heartbeat], bool],
+        on_deregistration: Callable[[str, int], bool],
     ) -> None:
-        """Takes functions that tell whether the call may be acknowledged."""
-        self._hear = hear
-        self._leave = leave
+        """Takes handlers that return whether the call may be acknowledged."""
+        self._on_heartbeat = on_heartbeat
+        self._on_deregistration = on_deregistration
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Serves one call of an upstream."""
+        """Handles one call of an upstream."""
         query = parse_qs(environ.get("QUERY_STRING", ""))
         call = query.get("call", [""])[0]
         upstream_id = query.get("of", [""])[0]
@@ -80,31 +80,33 @@
             return 404
         try:
             if call == DEREGISTER_CALL:
-                told = msgspec.json.decode(body or b"{}", type=LeaveBody)
-                return 200 if self._leave(upstream_id, told.born) else 503
+                decoded = msgspec.json.decode(body or b"{}", type=DeregistrationBody)
+                return (
+                    200 if self._on_deregistration(upstream_id, decoded.born) else 503
+                )
             heartbeat = decode_heartbeat(upstream_id, body)
         except (msgspec.MsgspecError, KeyError) as error:
             logger.warning(
-                "heartbeat unreadable",
+                "invalid heartbeat or deregistration",
                 extra={"upstream": upstream_id, "reason": str(error)},
             )
             return 400
-        return 200 if self._hear(heartbeat) else 503
+        return 200 if self._on_heartbeat(heartbeat) else 503
 
 
 def decode_heartbeat(upstream_id: str, body: bytes) -> Heartbeat:
-    """Returns a heartbeat in jayswitch's terms.
+    """Decodes a heartbeat into jayswitch's own type.
 
-    Raises MsgspecError or KeyError where a field is missing or has no meaning.
+    Raises MsgspecError or KeyError if a field is missing or invalid.
     """
-    told = msgspec.json.decode(body, type=BeatBody)
+    decoded = msgspec.json.decode(body, type=HeartbeatBody)
     upstream = Upstream(
         id=upstream_id,
-        started_ms=told.born,
-        service=told.service,
-        version=told.version,
-        slots=told.slots,
-        state=STATE_BY_WORD[told.state],
-        sequence=told.seq,
+        started_ms=decoded.born,
+        service=decoded.service,
+        version=decoded.version,
+        slots=decoded.slots,
+        state=STATE_BY_NAME[decoded.state],
+        sequence=decoded.seq,
     )
-    return Heartbeat(upstream, told.warmup_left_ms)
+    return Heartbeat(upstream, decoded.warmup_left_ms)
--- a/src/jayswitch/standins/control_app.py
+++ b/src/jayswitch/standins/control_app.py
@@ -1,4 +1,4 @@
-"""Control of a stand-in upstream from outside: behaviour, leaving and counters."""
+"""HTTP interface that controls a stand-in upstream and reads its counters."""
 
 from __future__ import annotations
 
@@ -12,43 +12,43 @@
 if TYPE_CHECKING:
     from jayswitch.standins.announcer import Announcer
 
-PREFIX = "/standin/"
+CONTROL_PREFIX = "/standin/"
 
 
 class UpstreamReport(msgspec.Struct):
-    """What the stand-in has counted."""
+    """Counters of a stand-in; repeated_ids holds requests that ran more than once."""
 
     counts: dict[str, int]
     highest_in_flight: int
     repeated_ids: list[str]
 
 
-class ControlledUpstream:
-    """Serves the upstream, and its controls below /standin/."""
+class UpstreamControlApplication:
+    """WSGI application that serves the upstream, and its controls below /standin/."""
 
     def __init__(self, upstream: StandInUpstream) -> None:
-        """Takes the upstream; the announcer is set where there is one."""
+        """Takes the upstream; the announcer is optional and set afterwards."""
         self.announcer: Announcer | None = None
         self._upstream = upstream
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable
     ) -> Iterable[bytes]:
-        """Serves one request."""
+        """Handles one request."""
         path = environ["PATH_INFO"]
-        if not path.startswith(PREFIX):
+        if not path.startswith(CONTROL_PREFIX):
             return self._upstream(environ, start_response)
         body = environ["wsgi.input"].read()
-        answer = self._control(path.removeprefix(PREFIX), body)
+        answer = self._run_action(path.removeprefix(CONTROL_PREFIX), body)
         start_response("200 OK", [("Content-Type", "application/json")])
         return [msgspec.json.encode(answer)]
 
-    def _control(self, action: str, body: bytes) -> Any:
+    def _run_action(self, action: str, body: bytes) -> Any:
         upstream = self._upstream
         if action == "behaviour":
             upstream.behaviour = msgspec.json.decode(body, type=UpstreamBehaviour)
         elif action == "chill":
-            upstream.chill()
+            upstream.reset_warm_up()
         elif action == "leave" and self.announcer is not None:
             self.announcer.leave()
         elif action == "runs":
--- a/src/jayswitch/standins/main.py
+++ b/src/jayswitch/standins/main.py
@@ -1,4 +1,4 @@
-"""Runs a stand-in as a plain process: the store, or an upstream beside a node."""
+"""Runs a stand-in process: a store, or an upstream beside a node."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 from jayswitch.gate.upstream import Announcement  # noqa: E402
 from jayswitch.http.server import HttpServer  # noqa: E402
 from jayswitch.standins.announcer import Announcer  # noqa: E402
-from jayswitch.standins.control_app import ControlledUpstream  # noqa: E402
+from jayswitch.standins.control_app import UpstreamControlApplication  # noqa: E402
 from jayswitch.standins.memory_store import MemoryStore  # noqa: E402
 from jayswitch.standins.store_app import StoreApplication  # noqa: E402
 from jayswitch.standins.upstream import (  # noqa: E402
@@ -28,12 +28,12 @@
 
 FLAGS = flags.FLAGS
 
-flags.DEFINE_string("ip", "127.0.0.1", "IP number to listen on.")
+flags.DEFINE_string("ip", "127.0.0.1", "IP address to listen on.")
 flags.DEFINE_integer("port", 7000, "Port to listen on.")
 flags.DEFINE_string("name", "upstream", "Name of the upstream.")
 flags.DEFINE_string("service", "", "Service that the upstream runs.")
 flags.DEFINE_string("version", "v1", "Version that the upstream runs.")
-flags.DEFINE_string("admin_address", "", "Administration address of its node.")
+flags.DEFINE_string("admin_address", "", "Admin address of the upstream's node.")
 flags.DEFINE_string("upstream_token", "", "Token that the upstream presents.")
 flags.DEFINE_string("behaviour", "{}", "UpstreamBehaviour as JSON.")
 
@@ -41,18 +41,18 @@
 
 
 def run_store(clock: Clock) -> None:
-    """Serves an in-memory store."""
+    """Serves an in-memory store over HTTP."""
     server = HttpServer(FLAGS.ip, FLAGS.port, StoreApplication(MemoryStore(clock)))
     server.start()
     print(f"store stand-in on {server.address}", flush=True)
 
 
 def run_upstream(clock: Clock) -> None:
-    """Serves an upstream and announces it."""
+    """Serves an upstream and announces it to its node."""
     behaviour = msgspec.json.decode(FLAGS.behaviour, type=UpstreamBehaviour)
     upstream = StandInUpstream(FLAGS.name, FLAGS.version, behaviour, clock)
-    controlled = ControlledUpstream(upstream)
-    server = HttpServer(FLAGS.ip, FLAGS.port, controlled)
+    application = UpstreamControlApplication(upstream)
+    server = HttpServer(FLAGS.ip, FLAGS.port, application)
     server.start()
     announcement = Announcement(
         service=FLAGS.service,
@@ -64,7 +64,7 @@
     announcer = Announcer(
         announcement, FLAGS.admin_address, FLAGS.upstream_token, clock
     )
-    controlled.announcer = announcer
+    application.announcer = announcer
     announcer.start()
     print(f"upstream stand-in on {server.address}", flush=True)
 
--- a/src/jayswitch/standins/memory_store.py
+++ b/src/jayswitch/standins/memory_store.py
@@ -1,4 +1,4 @@
-"""In-memory stand-in for the platform's key-value service, with faults."""
+"""In-memory stand-in for the platform's key-value store, with fault injection."""
 
 from __future__ import annotations
 
@@ -30,12 +30,15 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
 
-EVENT_HISTORY = 10_000
-DOWN_ANSWER_MS = 50
+MAX_EVENTS = 10_000
+UNAVAILABLE_DELAY_MS = 50
 
 
 class StoreFaults:
-    """Faults that the stand-in shows on request."""
+    """Faults to inject, and rate limits.
+
+    lose_answers is the fraction of writes that are applied without a response.
+    """
 
     __slots__ = ("down", "slow_ms", "lose_answers", "reads_per_s", "writes_per_s")
 
@@ -57,8 +60,8 @@
         self.keys: set[str] = set()
 
 
-class _Rate:
-    """A token bucket that holds one second's worth of calls."""
+class _TokenBucket:
+    """Token bucket whose capacity is the number of calls allowed in one second."""
 
     __slots__ = ("tokens", "refilled_ms")
 
@@ -77,37 +80,37 @@
 
 
 class MemoryStore:
-    """Compare-and-swap, leases and watches in one process's memory."""
+    """In-memory store with compare-and-swap, leases and watches."""
 
     def __init__(self, clock: Clock, seed: int = 1) -> None:
-        """Takes the clock that leases lapse by and the seed of lost answers."""
+        """Takes the clock for lease expiry and the seed for lost responses."""
         self.faults = StoreFaults()
         self.calls_by_kind: Counter[str] = Counter()
         self._clock = clock
         self._random = random.Random(seed)
         self._values_by_key: SortedDict = SortedDict()
         self._leases_by_id: dict[str, _Lease] = {}
-        self._events: deque[WatchEvent] = deque(maxlen=EVENT_HISTORY)
+        self._events: deque[WatchEvent] = deque(maxlen=MAX_EVENTS)
         self._revision = 0
-        self._lease_serial = 0
-        self._watchers: list[Event] = []
-        self._reads = _Rate()
-        self._writes = _Rate()
+        self._last_lease_number = 0
+        self._waiters: list[Event] = []
+        self._read_bucket = _TokenBucket()
+        self._write_bucket = _TokenBucket()
 
     def get(self, key: str) -> Result[StoredValue | None, StoreError]:
-        """Returns the key's value, or None where there is none."""
-        refused = self._admit("get", self._reads)
-        if refused is not None:
-            return Failure(refused)
+        """Returns the key's value, or None if the key does not exist."""
+        rejection = self._admit("get", self._read_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         return self._answer(self._values_by_key.get(key))
 
     def scan(
         self, prefix: str, after: str = "", limit: int = 1000
     ) -> Result[list[StoredValue], StoreError]:
         """Returns the values below a prefix, ordered by key, after the given key."""
-        refused = self._admit("scan", self._reads)
-        if refused is not None:
-            return Failure(refused)
+        rejection = self._admit("scan", self._read_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         found: list[StoredValue] = []
         for key in self._values_by_key.irange(max(prefix, after)):
             if not key.startswith(prefix) or len(found) >= limit:
@@ -125,10 +128,10 @@
     def put(
         self, key: str, value: bytes, expected_revision: int, lease: str = ""
     ) -> Result[int, StoreError]:
-        """Writes if the key has the expected revision (0: if it does not exist)."""
-        refused = self._admit("put", self._writes)
-        if refused is not None:
-            return Failure(refused)
+        """Writes the key if it has the expected revision (0: if it does not exist)."""
+        rejection = self._admit("put", self._write_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         if lease and lease not in self._leases_by_id:
             return Failure(LeaseExpired(lease))
         if self._revision_of(key) != expected_revision:
@@ -141,10 +144,10 @@
         return self._answer(self._revision, write=True)
 
     def commit(self, writes: list[Write]) -> Result[int, StoreError]:
-        """Writes all of the keys or none; returns the new revision."""
-        refused = self._admit("commit", self._writes)
-        if refused is not None:
-            return Failure(refused)
+        """Writes all keys atomically and returns the new revision."""
+        rejection = self._admit("commit", self._write_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         for write in writes:
             if write.lease and write.lease not in self._leases_by_id:
                 return Failure(LeaseExpired(write.lease))
@@ -162,30 +165,30 @@
 
     def delete(self, key: str, expected_revision: int) -> Result[None, StoreError]:
         """Deletes the key if it has the expected revision."""
-        refused = self._admit("delete", self._writes)
-        if refused is not None:
-            return Failure(refused)
+        rejection = self._admit("delete", self._write_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         if self._revision_of(key) != expected_revision:
             return Failure(CasConflict(key))
         self._remove(key)
         return self._answer(None, write=True)
 
     def grant_lease(self, ttl_ms: int) -> Result[str, StoreError]:
-        """Returns the id of a new lease."""
-        refused = self._admit("grant_lease", self._writes)
-        if refused is not None:
-            return Failure(refused)
-        self._lease_serial += 1
-        lease = f"lease-{self._lease_serial}"
+        """Creates a lease and returns its id."""
+        rejection = self._admit("grant_lease", self._write_bucket)
+        if rejection is not None:
+            return Failure(rejection)
+        self._last_lease_number += 1
+        lease = f"lease-{self._last_lease_number}"
         expires_ms = self._clock.now_ms() + ttl_ms
         self._leases_by_id[lease] = _Lease(ttl_ms, expires_ms)
         return self._answer(lease, write=True)
 
     def keep_alive(self, lease: str) -> Result[None, StoreError]:
-        """Extends the lease by its time to live."""
-        refused = self._admit("keep_alive", self._writes)
-        if refused is not None:
-            return Failure(refused)
+        """Renews the lease for its time to live."""
+        rejection = self._admit("keep_alive", self._write_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         held = self._leases_by_id.get(lease)
         if held is None:
             return Failure(LeaseExpired(lease))
@@ -193,10 +196,10 @@
         return self._answer(None, write=True)
 
     def revoke(self, lease: str) -> Result[None, StoreError]:
-        """Ends the lease and deletes its keys."""
-        refused = self._admit("revoke", self._writes)
-        if refused is not None:
-            return Failure(refused)
+        """Revokes the lease, which deletes its keys."""
+        rejection = self._admit("revoke", self._write_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         self.expire_lease(lease)
         return self._answer(None, write=True)
 
@@ -204,30 +207,30 @@
         self, prefix: str, after_revision: int, timeout_ms: int
     ) -> Result[WatchBatch, StoreError]:
         """Waits for changes below the prefix after the revision."""
-        refused = self._admit("watch", self._reads)
-        if refused is not None:
-            return Failure(refused)
+        rejection = self._admit("watch", self._read_bucket)
+        if rejection is not None:
+            return Failure(rejection)
         if after_revision < 0:
             return Success(WatchBatch(self._revision, []))
-        until_ms = self._clock.now_ms() + timeout_ms
+        deadline_ms = self._clock.now_ms() + timeout_ms
         while True:
             if self.faults.down:
                 return Failure(StoreUnavailable("the service is down"))
             batch = self._batch_after(prefix, after_revision)
-            left_ms = until_ms - self._clock.now_ms()
-            if batch.events or batch.compacted or left_ms <= 0:
+            remaining_ms = deadline_ms - self._clock.now_ms()
+            if batch.events or batch.compacted or remaining_ms <= 0:
                 return Success(batch)
-            # An event of its own for each watcher, so that they wake in order.
+            # Each watch waits for its own event, so that watches wake up in order.
             changed = Event()
-            self._watchers.append(changed)
-            with eventlet.Timeout(min(left_ms, MS_PER_S) / MS_PER_S, False):
+            self._waiters.append(changed)
+            with eventlet.Timeout(min(remaining_ms, MS_PER_S) / MS_PER_S, False):
                 changed.wait()
-            if changed in self._watchers:
-                self._watchers.remove(changed)
-            self._lapse_leases()
+            if changed in self._waiters:
+                self._waiters.remove(changed)
+            self._expire_due_leases()
 
     def expire_lease(self, lease: str) -> None:
-        """Ends a lease at once, as if its time had run out."""
+        """Expires a lease immediately, as if its time to live had elapsed."""
         held = self._leases_by_id.pop(lease, None)
         if held is None:
             return
@@ -235,24 +238,24 @@
             if key in self._values_by_key and self._values_by_key[key].lease == lease:
                 self._remove(key)
 
-    def _admit(self, kind: str, rate: _Rate) -> StoreError | None:
+    def _admit(self, kind: str, bucket: _TokenBucket) -> StoreError | None:
         self.calls_by_kind[kind] += 1
         if self.faults.slow_ms:
             self._clock.sleep_ms(self.faults.slow_ms)
         if self.faults.down:
-            self._clock.sleep_ms(DOWN_ANSWER_MS)
+            self._clock.sleep_ms(UNAVAILABLE_DELAY_MS)
             return StoreUnavailable("the service is down")
-        self._lapse_leases()
-        is_write = rate is self._writes
+        self._expire_due_leases()
+        is_write = bucket is self._write_bucket
         per_s = self.faults.writes_per_s if is_write else self.faults.reads_per_s
-        if not rate.take(self._clock.now_ms(), per_s):
+        if not bucket.take(self._clock.now_ms(), per_s):
             self.calls_by_kind["throttled"] += 1
             return StoreThrottled()
         return None
 
     def _answer(self, value: Any, write: bool = False) -> Result[Any, StoreError]:
-        lost = self.faults.lose_answers
-        if write and lost and self._random.random() < lost:
+        loss_fraction = self.faults.lose_answers
+        if write and loss_fraction and self._random.random() < loss_fraction:
             return Failure(StoreUnavailable("the answer was lost"))
         return Success(value)
 
@@ -267,18 +270,18 @@
 
     def _publish(self, event: WatchEvent) -> None:
         self._events.append(event)
-        watchers, self._watchers = self._watchers, []
-        for watcher in watchers:
-            watcher.send(None)
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter.send(None)
 
-    def _lapse_leases(self) -> None:
+    def _expire_due_leases(self) -> None:
         now_ms = self._clock.now_ms()
-        lapsed = [
+        expired = [
             lease
             for lease, held in self._leases_by_id.items()
             if held.expires_ms <= now_ms
         ]
-        for lease in lapsed:
+        for lease in expired:
             self.expire_lease(lease)
 
     def _batch_after(self, prefix: str, after_revision: int) -> WatchBatch:
--- a/src/jayswitch/standins/upstream.py
+++ b/src/jayswitch/standins/upstream.py
@@ -1,4 +1,4 @@
-"""Stand-in for an upstream: slots, cold start, shedding, faults and counters."""
+"""Stand-in for an upstream, with cold start, load shedding and fault injection."""
 
 from __future__ import annotations
 
@@ -17,18 +17,20 @@
 
 REQUEST_ID_VARIABLE = "HTTP_" + REQUEST_ID_HEADER.upper().replace("-", "_")
 TIMEOUT_VARIABLE = "HTTP_X_REQUEST_TIMEOUT_MS"
-BODY_PART = b"." * 65_536
+BODY_CHUNK = b"." * 65_536
 COLD_SLOTS_SHARE = 0.2
 COLD_SLOWDOWN = 3.0
-FALL_MS = 2000.0
+OVERLOAD_FAILURE_MS = 2000.0
 CANCEL_POLL_MS = 10.0
 
 
 class UpstreamBehaviour(msgspec.Struct, kw_only=True):
-    """How the stand-in behaves; may be changed while it runs.
+    """Behaviour of the stand-in; may be changed while it runs.
 
-    Fractions lie between 0 and 1. A cold upstream bears a fifth of its slots and
-    falls over beyond that; the time to warm up is counted from start or chill.
+    Fractions lie between 0 and 1. The capacity of an upstream is a fifth of its
+    slots when cold and increases to all slots during warm-up. Above its capacity it
+    becomes overloaded and returns errors for a time. The warm-up starts when the
+    upstream starts or its warm-up is reset.
     """
 
     slots: int = 20
@@ -46,12 +48,12 @@
 
 
 class StandInUpstream:
-    """A WSGI application that counts what it ran, by request id."""
+    """WSGI application that counts executions by request id."""
 
     def __init__(
         self, name: str, version: str, behaviour: UpstreamBehaviour, clock: Clock
     ) -> None:
-        """Starts cold if the behaviour has a warm-up time."""
+        """Starts cold if the behaviour sets a warm-up time."""
         self.behaviour = behaviour
         self.runs_by_id: Counter[str] = Counter()
         self.counts: Counter[str] = Counter()
@@ -62,32 +64,32 @@
         self._clock = clock
         self._random = random.Random(f"{name}-{version}")
         self._started_ms = clock.now_ms()
-        self._fallen_until_ms = float("-inf")
+        self._overloaded_until_ms = float("-inf")
         self._cancelled: set[str] = set()
 
-    def chill(self) -> None:
-        """Turns cold again without warning."""
+    def reset_warm_up(self) -> None:
+        """Makes the upstream cold again, without announcing it."""
         self._started_ms = self._clock.now_ms()
 
     @property
     def is_cold(self) -> bool:
-        """Tells whether the warm-up time still runs."""
+        """Returns whether the upstream is still warming up."""
         return self._clock.now_ms() - self._started_ms < self.behaviour.warm_up_ms
 
-    def bearable(self) -> int:
-        """Returns how many requests it can run at once now."""
+    def capacity(self) -> int:
+        """Returns the number of requests that can currently run concurrently."""
         slots = self.behaviour.slots
         if not self.is_cold:
             return slots
         warmed_ms = self._clock.now_ms() - self._started_ms
-        warmth = warmed_ms / self.behaviour.warm_up_ms
-        share = COLD_SLOTS_SHARE + (1 - COLD_SLOTS_SHARE) * warmth
+        warm_fraction = warmed_ms / self.behaviour.warm_up_ms
+        share = COLD_SLOTS_SHARE + (1 - COLD_SLOTS_SHARE) * warm_fraction
         return max(1, int(slots * share))
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable
     ) -> Iterable[bytes]:
-        """Serves one request."""
+        """Handles one request."""
         path = environ["PATH_INFO"]
         method = environ["REQUEST_METHOD"]
         if method == "DELETE" and path.startswith("/requests/"):
@@ -97,7 +99,7 @@
             return [b""]
         if path == "/health":
             start_response("200 OK", [])
-            return [b"ok" if self._seems_healthy() else b"no"]
+            return [b"ok" if self._reports_healthy() else b"no"]
         environ["wsgi.input"].read()
         return self._serve(environ, path, start_response)
 
@@ -113,27 +115,27 @@
         self.counts["runs"] += 1
         self.in_flight += 1
         self.highest_in_flight = max(self.highest_in_flight, self.in_flight)
-        if self.in_flight > self.bearable():
+        if self.in_flight > self.capacity():
             self.counts["overloads"] += 1
-            self._fallen_until_ms = self._clock.now_ms() + FALL_MS
+            self._overloaded_until_ms = self._clock.now_ms() + OVERLOAD_FAILURE_MS
         try:
-            self._work(environ, path)
-            status = self._status(path)
+            self._simulate_work(environ, path)
+            status = self._choose_status(path)
         finally:
             self.in_flight -= 1
-        return self._answer(status, request_id, start_response)
+        return self._respond(status, request_id, start_response)
 
     def _sheds(self) -> bool:
         return not self.is_cold and self.in_flight >= self.behaviour.slots
 
-    def _seems_healthy(self) -> bool:
-        """Tells what the health endpoint says, which may lag or lie."""
+    def _reports_healthy(self) -> bool:
+        """Returns the reported health, which may lag behind the state or ignore it."""
         at_ms = self._clock.now_ms() - self.behaviour.health_lag_ms
-        was_cold = 0 <= at_ms - self._started_ms < self.behaviour.warm_up_ms
-        return self.behaviour.lying_health or not was_cold
+        reported_cold = 0 <= at_ms - self._started_ms < self.behaviour.warm_up_ms
+        return self.behaviour.lying_health or not reported_cold
 
-    def _work(self, environ: dict[str, Any], path: str) -> None:
-        """Takes the request's time; ends early at its cancellation or deadline."""
+    def _simulate_work(self, environ: dict[str, Any], path: str) -> None:
+        """Sleeps for the latency; returns early on cancellation or at the deadline."""
         latency_ms = self.behaviour.latency_ms
         if self.is_cold:
             latency_ms *= COLD_SLOWDOWN
@@ -144,26 +146,26 @@
         deadline_ms = float(environ.get(TIMEOUT_VARIABLE, "inf"))
         if latency_ms > deadline_ms:
             self.counts["past_deadline"] += 1
-        left_ms = min(latency_ms, deadline_ms)
+        remaining_ms = min(latency_ms, deadline_ms)
         request_id = environ.get(REQUEST_ID_VARIABLE, "")
-        while left_ms > 0:
+        while remaining_ms > 0:
             if request_id in self._cancelled:
                 self._cancelled.discard(request_id)
                 self.counts["stopped_early"] += 1
                 return
-            self._clock.sleep_ms(min(left_ms, CANCEL_POLL_MS))
-            left_ms -= CANCEL_POLL_MS
+            self._clock.sleep_ms(min(remaining_ms, CANCEL_POLL_MS))
+            remaining_ms -= CANCEL_POLL_MS
 
-    def _status(self, path: str) -> int:
-        if self._clock.now_ms() < self._fallen_until_ms:
+    def _choose_status(self, path: str) -> int:
+        if self._clock.now_ms() < self._overloaded_until_ms:
             return 500
         behaviour = self.behaviour
-        applies = path.startswith(behaviour.error_route)
-        loaded = self.in_flight > behaviour.error_above_in_flight
+        route_matches = path.startswith(behaviour.error_route)
+        above_in_flight = self.in_flight > behaviour.error_above_in_flight
         failed = self._random.random() < behaviour.error_fraction
-        return 500 if applies and loaded and failed else 200
+        return 500 if route_matches and above_in_flight and failed else 200
 
-    def _answer(
+    def _respond(
         self, status: int, request_id: str, start_response: Callable
     ) -> Iterable[bytes]:
         self.counts[f"status_{status}"] += 1
@@ -177,21 +179,21 @@
         ]
         start_response(status_line(status), headers)
         if self._random.random() < self.behaviour.cut_fraction:
-            return self._cut_body(head)
+            return self._truncated_body(head)
         return self._body(head, size)
 
     def _body(self, head: bytes, size: int) -> Iterator[bytes]:
-        left = size - len(head)
-        if left <= len(BODY_PART):
-            yield head + BODY_PART[:left]
+        remaining = size - len(head)
+        if remaining <= len(BODY_CHUNK):
+            yield head + BODY_CHUNK[:remaining]
             return
         yield head
-        while left > 0:
-            part = BODY_PART[: min(left, len(BODY_PART))]
-            left -= len(part)
-            yield part
+        while remaining > 0:
+            chunk = BODY_CHUNK[: min(remaining, len(BODY_CHUNK))]
+            remaining -= len(chunk)
+            yield chunk
 
-    def _cut_body(self, head: bytes) -> Iterator[bytes]:
+    def _truncated_body(self, head: bytes) -> Iterator[bytes]:
         self.counts["cut"] += 1
         yield head
-        raise ConnectionAbortedError("cut on request")
+        raise ConnectionAbortedError("response truncated by fault injection")
--- a/tests/fleet/test_publisher.py
+++ b/tests/fleet/test_publisher.py
@@ -85,7 +85,7 @@
         fixture.store.faults.down = True
         fixture.clock.sleep_ms(3 * LEASE_TTL_MS)
         fixture.store.faults.down = False
-        fixture.store._lapse_leases()
+        fixture.store._expire_due_leases()
         assert fixture.node() is None
         fixture.clock.sleep_ms(2000)
         assert fixture.node() is not None
