Name the bandwidth-limited links of the test harness

Thin links, distant stores, silent feeds and a store that turns callers away read as figures of speech. thin_links becomes limited_links with LimitedLink, RemoteStore and RemoteFeeds; silent feeds become unresponsive, seen_by becomes over_link, carry becomes transmit. tests/load follows.

The checks, bounds, seeds and literals are the same.

--- a/tests/harness/thin_links.py
+++ b/tests/harness/limited_links.py
@@ -18,42 +18,44 @@
 from jayswitch.store.exceptions import StoreUnavailable
 from jayswitch.store.follower import TEXT_BYTES_PER_BYTE
 
-HEAD_BYTES = 200
+ANSWER_OVERHEAD_BYTES = 200
 # What a call waits for a store that does not answer.
-SILENCE_S = 1.2
+NO_ANSWER_DELAY_S = 1.2
 
 
-class Link:
+class LimitedLink:
     """Carries bytes in the order in which they were handed over."""
 
     def __init__(self, clock: Clock, mbit_per_s: float) -> None:
         """Takes the bandwidth in millions of bits a second."""
-        self.bytes_carried = 0
+        self.bytes_sent = 0
         self._clock = clock
         self._bytes_per_ms = mbit_per_s * 1e6 / 8 / MS_PER_S
-        self._free_ms = 0.0
+        self._busy_until_ms = 0.0
 
-    def carry(self, size: int) -> None:
+    def transmit(self, size: int) -> None:
         """Waits until the bytes have arrived."""
         now_ms = self._clock.now_ms()
-        self.bytes_carried += size
-        self._free_ms = max(self._free_ms, now_ms) + size / self._bytes_per_ms
-        self._clock.sleep_ms(self._free_ms - now_ms)
+        self.bytes_sent += size
+        self._busy_until_ms = (
+            max(self._busy_until_ms, now_ms) + size / self._bytes_per_ms
+        )
+        self._clock.sleep_ms(self._busy_until_ms - now_ms)
 
 
-class DistantStore:
+class RemoteStore:
     """A store whose answers pass the store's link and a VM's link."""
 
     def __init__(
         self,
         store: MemoryStore,
-        store_link: Link,
-        vm_link: Link,
-        is_turned_away: Callable[[], bool] = lambda: False,
+        store_link: LimitedLink,
+        vm_link: LimitedLink,
+        is_unavailable: Callable[[], bool] = lambda: False,
     ) -> None:
         """Takes the store, both links and whether the store does not answer."""
         self._store = store
-        self._is_turned_away = is_turned_away
+        self._is_unavailable = is_unavailable
         self._links = (store_link, vm_link)
 
     def __getattr__(self, name: str) -> Any:
@@ -62,34 +64,34 @@
 
         def answer(*arguments: Any) -> Result[Any, Any]:
             result = call(*arguments)
-            if self._is_turned_away():
-                eventlet.sleep(SILENCE_S)
+            if self._is_unavailable():
+                eventlet.sleep(NO_ANSWER_DELAY_S)
                 return Failure(StoreUnavailable("no answer came in time"))
             if isinstance(result, Success):
                 size = _answer_bytes(result.unwrap())
                 for link in self._links:
-                    link.carry(size)
+                    link.transmit(size)
             return result
 
         return answer
 
 
-class DistantFeeds:
+class RemoteFeeds:
     """The feeds of proxies; an answer passes the links of both."""
 
     def __init__(self) -> None:
         """Starts without proxies."""
         self.server_by_address: dict[str, FeedServer] = {}
-        self.link_by_address: dict[str, Link] = {}
-        self.silent: set[str] = set()
+        self.link_by_address: dict[str, LimitedLink] = {}
+        self.unresponsive: set[str] = set()
 
-    def seen_by(self, link: Link) -> FeedSource:
+    def over_link(self, link: LimitedLink) -> FeedSource:
         """Returns the feeds as they come to a VM behind a link."""
-        return _SeenFeeds(self, link)
+        return _FeedsOverLink(self, link)
 
 
-class _SeenFeeds:
-    def __init__(self, feeds: DistantFeeds, link: Link) -> None:
+class _FeedsOverLink:
+    def __init__(self, feeds: RemoteFeeds, link: LimitedLink) -> None:
         self._feeds = feeds
         self._link = link
 
@@ -98,15 +100,15 @@
     ) -> Result[FeedAnswer, FeedError]:
         """Returns the answer of the proxy at an address."""
         feeds = self._feeds
-        if address in feeds.silent:
+        if address in feeds.unresponsive:
             eventlet.sleep(request.wait_ms / MS_PER_S + 1)
             return Failure(FeedUnavailable(address, "no answer came in time"))
         answer = feeds.server_by_address[address].answer(request)
         if answer is None:
             return Failure(FeedUnavailable(address, "status 503"))
-        size = len(msgspec.msgpack.encode(answer)) + HEAD_BYTES
+        size = len(msgspec.msgpack.encode(answer)) + ANSWER_OVERHEAD_BYTES
         for link in (feeds.link_by_address[address], self._link):
-            link.carry(size)
+            link.transmit(size)
         return Success(answer)
 
 
@@ -116,5 +118,6 @@
         values = answer
     values = values if isinstance(values, list) else []
     return (
-        int(sum(len(v.value or b"") for v in values) * TEXT_BYTES_PER_BYTE) + HEAD_BYTES
+        int(sum(len(v.value or b"") for v in values) * TEXT_BYTES_PER_BYTE)
+        + ANSWER_OVERHEAD_BYTES
     )
--- a/tests/load/test_large_config_storm.py
+++ b/tests/load/test_large_config_storm.py
@@ -18,7 +18,7 @@
 from jayswitch.standins.memory_store import MemoryStore
 from jayswitch.store.follower import PrefixFollower, carried_bytes
 from jayswitch.store.interface import WatchEvent, Write
-from tests.harness.thin_links import DistantFeeds, DistantStore, Link
+from tests.harness.limited_links import LimitedLink, RemoteFeeds, RemoteStore
 
 # The grown deployments of the users: 65 VMs and more, links of 5.5 to 100 Mbit/s,
 # a configuration of 800 routes that grows by 1,400; it is in force within 2.5 s.
@@ -55,11 +55,11 @@
         self.store = MemoryStore(self.clock)
         self.in_force_ms: dict[tuple[str, int], float] = {}
         self.acknowledged_ms: dict[int, float] = {}
-        self._store_link = Link(self.clock, STORE_MBIT_PER_S)
+        self._store_link = LimitedLink(self.clock, STORE_MBIT_PER_S)
         self._rng = random.Random(14)
         self._version = 0
         self.directory = Directory()
-        self.feeds = DistantFeeds()
+        self.feeds = RemoteFeeds()
         self.turned_away: set[str] = set()
         self.knowledge_by_vm: dict[str, RevisionExchange] = {}
         self.vms = [f"vm-{number:02}" for number in range(VMS)]
@@ -67,16 +67,16 @@
         for number, vm in enumerate(self.vms):
             wide = number < wide_vms
             mbit_per_s = WIDE_MBIT_PER_S if wide else THIN_MBIT_PER_S
-            self._start(vm, Link(self.clock, mbit_per_s), mbit_per_s)
+            self._start(vm, LimitedLink(self.clock, mbit_per_s), mbit_per_s)
         self.clock.sleep_ms(5000)
 
-    def _start(self, vm: str, link: Link, mbit_per_s: float) -> None:
+    def _start(self, vm: str, link: LimitedLink, mbit_per_s: float) -> None:
         def note(event: WatchEvent) -> None:
             assert event.value is not None
             version = int(msgspec.json.decode(event.value)["version"][1:])
             self.in_force_ms.setdefault((vm, version), self.clock.now_ms())
 
-        store = DistantStore(
+        store = RemoteStore(
             self.store, self._store_link, link, lambda: vm in self.turned_away
         )
         follower = PrefixFollower(store, "op/", note, self.clock, ORDERS_PAUSE)
@@ -88,7 +88,7 @@
         data_centre = self._data_centre(vm)
         relays = Relays(vm, data_centre, self.directory, self.clock)
         feed = FeedFollower(
-            "op/", follower, relays, self.feeds.seen_by(link), self.clock
+            "op/", follower, relays, self.feeds.over_link(link), self.clock
         )
         record = NodeRecord(vm, data_centre, "swwa", vm, link_mbit_per_s=mbit_per_s)
         key = NODE_PREFIX + vm
@@ -109,7 +109,10 @@
         while True:
             self.clock.sleep_ms(self._rng.uniform(0, 2 * REQUEST_INTERVAL_MS))
             other = self._rng.choice(self.vms)
-            if other not in self.feeds.silent and vm not in self.feeds.silent:
+            if (
+                other not in self.feeds.unresponsive
+                and vm not in self.feeds.unresponsive
+            ):
                 known = self.knowledge_by_vm[other].header_value()
                 self.knowledge_by_vm[vm].compare(known, other)
 
@@ -118,7 +121,7 @@
         self._version += 1
         document = _document(self._version, self._rng)
         assert self.store.commit([Write(CONFIG_KEY, document)]).unwrap()
-        self._store_link.carry(200)
+        self._store_link.transmit(200)
         self.acknowledged_ms[self._version] = self.clock.now_ms()
 
     def delays_ms(self) -> dict[tuple[str, int], float]:
@@ -168,7 +171,7 @@
 
     def test_relays_that_stand_still_are_passed_round(self) -> None:
         fleet = Fleet()
-        fleet.feeds.silent |= {"vm-00", "vm-03", "vm-01"}
+        fleet.feeds.unresponsive |= {"vm-00", "vm-03", "vm-01"}
         fleet.start_requests()
         for _ in range(10):
             fleet.change()
