Name the faults and records of the simulated mesh

loss, repetition, cuts and held messages of the fake network become loss_rate, duplication_rate, partitions and queued messages. The oracle's in_force_ms and backward_steps become applied_ms_by_version and version_regressions, note becomes record; mark_data_centre, change and configure say what they write. store.py becomes node_store.py, since platform_store.py stands beside it.

The checks, bounds, seeds and literals are the same.

--- a/tests/harness/mesh.py
+++ b/tests/harness/mesh.py
@@ -19,12 +19,12 @@
 from jayswitch.standins.memory_store import MemoryStore
 from jayswitch.standins.upstream import StandInUpstream, UpstreamBehaviour
 from tests.harness.network import FakeNetwork
+from tests.harness.node_store import NodeStore
 from tests.harness.oracle import CallRecord, Oracle
-from tests.harness.store import NodeStore
 from tests.harness.upstreams import FakeUpstreamClient, RunLog
 
 PROFILE = "everyday"
-ANNOUNCE_MS = 1000.0
+ANNOUNCE_INTERVAL_MS = 1000.0
 
 
 class ScenarioNode:
@@ -95,7 +95,7 @@
                     leaving=self.leaving,
                 )
             )
-            self._clock.sleep_ms(ANNOUNCE_MS)
+            self._clock.sleep_ms(ANNOUNCE_INTERVAL_MS)
 
 
 class Mesh:
@@ -139,12 +139,12 @@
             "warm_up_ms": 2000,
             **settings,
         }
-        made = NodeSettings(**values)  # type: ignore[arg-type]
-        chosen = behaviour or UpstreamBehaviour(latency_ms=5.0)
-        standin = StandInUpstream(name, version, chosen, self.clock)
-        node = ScenarioNode(self, made, standin)
+        node_settings = NodeSettings(**values)  # type: ignore[arg-type]
+        upstream_behaviour = behaviour or UpstreamBehaviour(latency_ms=5.0)
+        standin = StandInUpstream(name, version, upstream_behaviour, self.clock)
+        node = ScenarioNode(self, node_settings, standin)
         self.nodes_by_name[name] = node
-        self.oracle.watch(node.node)
+        self.oracle.observe(node.node)
         node.start(service, version)
         return node
 
@@ -158,13 +158,13 @@
 
     # Operators
 
-    def change(self, change: object, via: ScenarioNode | None = None) -> object:
+    def append_change(self, change: object, via: ScenarioNode | None = None) -> object:
         """Appends a change through a node; returns the entry or raises."""
         node = via or self.live_nodes()[0]
         result = node.node.parts.log.append(change, "operator")
         if isinstance(result, Success):
             entry = result.unwrap()
-            self.oracle.note_accepted(entry.index, self.clock.now_ms())
+            self.oracle.record_accepted(entry.index, self.clock.now_ms())
             return entry
         raise result.failure()
 
@@ -189,19 +189,19 @@
         document = {"name": PROFILE, "routes": routes, "targets": targets}
         profile = msgspec.convert(document, Profile)
         change = ProfileSet(profile=profile, expected_version=expected_version)
-        return self.change(change, via)
+        return self.append_change(change, via)
 
-    def configure(self, services: list[str]) -> None:
+    def configure_services(self, services: list[str]) -> None:
         """Declares services at version v1, all under one profile."""
         for service in services:
-            self.change(ServiceSet(service=service))
+            self.append_change(ServiceSet(service=service))
         self.set_profile({service: "v1" for service in services})
         for service in services:
-            self.change(ServiceSet(service=service, profile=PROFILE))
+            self.append_change(ServiceSet(service=service, profile=PROFILE))
 
-    def mark_data_centre(self, name: str, out: bool) -> None:
+    def set_data_centre_out(self, name: str, out: bool) -> None:
         """Takes a data centre out of service or back in."""
-        self.change(DataCentreSet(data_centre=name, out=out))
+        self.append_change(DataCentreSet(data_centre=name, out=out))
 
     # Callers
 
@@ -216,7 +216,7 @@
         request = CallerRequest(method, path, [], b"", timeout_ms)
         match node.node.parts.router.call(request):
             case Success(answer):
-                self._read(record, answer)
+                self._read_answer(record, answer)
             case Failure(error):
                 record.outcome = "not-run" if error.not_run else "unknown"
                 record.reason = str(error)
@@ -230,24 +230,26 @@
     ) -> None:
         """Starts calls at random live nodes."""
         self._traffic_on = True
-        eventlet.spawn(self._make_traffic, 1000.0 / calls_per_s, service, write_share)
+        eventlet.spawn(
+            self._generate_traffic, 1000.0 / calls_per_s, service, write_share
+        )
 
     def stop_traffic(self) -> None:
         """Stops calling and lets the calls in flight end."""
         self._traffic_on = False
         self.wait(15)
 
-    def _make_traffic(
+    def _generate_traffic(
         self, interval_ms: float, service: str, write_share: float
     ) -> None:
         while self._traffic_on:
-            node = self.random.choice(self._started_nodes())
+            node = self.random.choice(self._nodes_with_profile())
             is_write = self.random.random() < write_share
             kind, method = ("write", "POST") if is_write else ("read", "GET")
             eventlet.spawn_n(self.call, node, f"/{service}/{kind}", method)
             self.clock.sleep_ms(interval_ms)
 
-    def _started_nodes(self) -> list[ScenarioNode]:
+    def _nodes_with_profile(self) -> list[ScenarioNode]:
         """Returns the nodes that callers use: those that have a profile."""
         return [
             node
@@ -255,7 +257,7 @@
             if node.node.parts.router.table.profile is not None
         ]
 
-    def _read(self, record: CallRecord, answer: object) -> None:
+    def _read_answer(self, record: CallRecord, answer: object) -> None:
         try:
             record.body = b"".join(answer.body)
             record.outcome = "answered"
--- a/tests/harness/network.py
+++ b/tests/harness/network.py
@@ -17,14 +17,14 @@
 
     def __init__(self, clock: Clock, seed: int) -> None:
         """Takes the seed of delays and losses."""
-        self.loss = 0.0
-        self.repetition = 0.0
+        self.loss_rate = 0.0
+        self.duplication_rate = 0.0
         self.delay_ms = (0.3, 1.5)
         self.lost_calls = 0
         self.clock = clock
         self.random = random.Random(seed)
         self._transport_by_address: dict[str, FakeTransport] = {}
-        self._cuts: set[frozenset[str]] = set()
+        self._partitions: set[frozenset[str]] = set()
 
     def transport(self, address: str, node: str, data_centre: str) -> FakeTransport:
         """Returns the transport of a node that starts or starts again."""
@@ -32,17 +32,17 @@
         self._transport_by_address[address] = transport
         return transport
 
-    def cut(self, one: str, other: str) -> None:
+    def partition(self, one: str, other: str) -> None:
         """Cuts two data centres off from each other."""
-        self._cuts.add(frozenset((one, other)))
+        self._partitions.add(frozenset((one, other)))
 
     def heal(self) -> None:
         """Ends every cut."""
-        self._cuts.clear()
+        self._partitions.clear()
 
-    def is_cut(self, one: str, other: str) -> bool:
+    def is_partitioned(self, one: str, other: str) -> bool:
         """Tells whether two data centres are cut off from each other."""
-        return frozenset((one, other)) in self._cuts
+        return frozenset((one, other)) in self._partitions
 
     def find(self, address: str) -> FakeTransport | None:
         """Returns the live transport under an address."""
@@ -65,7 +65,7 @@
         self.paused = False
         self._network = network
         self._handler: MessageHandler | None = None
-        self._held: list[bytes] = []
+        self._queued: list[bytes] = []
 
     def listen(self, handler: MessageHandler) -> None:
         """Calls the handler for each message that arrives."""
@@ -83,13 +83,13 @@
             return False
         data = encode(message)
         self.bytes_sent += len(data)
-        if network.is_cut(self.data_centre, target.data_centre):
+        if network.is_partitioned(self.data_centre, target.data_centre):
             network.lost_calls += isinstance(message, Call)
             return True
-        if network.random.random() < network.loss:
+        if network.random.random() < network.loss_rate:
             network.lost_calls += isinstance(message, Call)
             return True
-        copies = 2 if network.random.random() < network.repetition else 1
+        copies = 2 if network.random.random() < network.duplication_rate else 1
         for _ in range(copies):
             delay_ms = network.random.uniform(*network.delay_ms)
             eventlet.spawn_after(delay_ms / MS_PER_S, target.deliver, data)
@@ -100,15 +100,15 @@
         if not self.alive or self._handler is None:
             return
         if self.paused:
-            self._held.append(data)
+            self._queued.append(data)
             return
         self._handler(decode(data).unwrap())
 
     def resume(self) -> None:
         """Ends a pause; what arrived meanwhile is delivered."""
         self.paused = False
-        held, self._held = self._held, []
-        for data in held:
+        queued, self._queued = self._queued, []
+        for data in queued:
             self.deliver(data)
 
     def forget(self, address: str) -> None:
--- a/tests/harness/store.py
+++ b/tests/harness/node_store.py
@@ -10,7 +10,7 @@
 from jayswitch.standins.memory_store import MemoryStore
 from jayswitch.store.exceptions import StoreUnavailable
 
-CALLS = (
+STORE_METHODS = (
     "get",
     "scan",
     "put",
@@ -34,7 +34,7 @@
 
     def __getattr__(self, name: str) -> Any:
         """Returns a guarded call of the shared store."""
-        if name not in CALLS:
+        if name not in STORE_METHODS:
             raise AttributeError(name)
 
         def call(*arguments: Any) -> Any:
--- a/tests/harness/oracle.py
+++ b/tests/harness/oracle.py
@@ -42,26 +42,28 @@
     def __init__(self, runs: RunLog) -> None:
         """Takes the upstreams' own counts."""
         self.calls: list[CallRecord] = []
-        self.backward_steps: list[str] = []
-        self.in_force_ms: dict[int, dict[str, float]] = {}
+        self.version_regressions: list[str] = []
+        self.applied_ms_by_version: dict[int, dict[str, float]] = {}
         self.accepted_ms_by_version: dict[int, float] = {}
         self._runs = runs
 
-    def watch(self, node: Node) -> None:
+    def observe(self, node: Node) -> None:
         """Notes each version that a node takes, and each step backwards."""
         seen = {"version": 0}
 
-        def note(state: object) -> None:
+        def record_version(state: object) -> None:
             version = state.version
             if version < seen["version"]:
-                self.backward_steps.append(f"{node.name} to {version}")
+                self.version_regressions.append(f"{node.name} to {version}")
             seen["version"] = version
             now_ms = node.parts.clock.now_ms()
-            self.in_force_ms.setdefault(version, {}).setdefault(node.name, now_ms)
+            self.applied_ms_by_version.setdefault(version, {}).setdefault(
+                node.name, now_ms
+            )
 
-        node.parts.replica.on_change(note)
+        node.parts.replica.on_change(record_version)
 
-    def note_accepted(self, version: int, now_ms: float) -> None:
+    def record_accepted(self, version: int, now_ms: float) -> None:
         """Notes when an operator was told that a change is accepted."""
         self.accepted_ms_by_version[version] = now_ms
 
@@ -74,17 +76,19 @@
     def check(self) -> None:
         """Checks every invariant that must hold at any time."""
         self.check_calls()
-        assert not self.backward_steps, self.backward_steps
+        assert not self.version_regressions, self.version_regressions
 
     def check_calls(self) -> None:
         """Checks truth, wholeness and at-most-once on every call."""
         for call in self.calls:
             runs = self._runs.runs_by_path[call.path]
-            told = f"{call.method} {call.path}: {call.outcome} ({call.reason})"
+            description = f"{call.method} {call.path}: {call.outcome} ({call.reason})"
             if call.method == "POST":
-                assert runs <= 1, f"{told}, run {runs} times"
+                assert runs <= 1, f"{description}, run {runs} times"
             if call.outcome == "not-run":
-                assert runs == 0, f"{told}, run {runs} times"
+                assert runs == 0, f"{description}, run {runs} times"
             if call.outcome == "answered":
-                assert runs >= 1, f"{told}, never run"
-                assert call.path.encode() in call.body, f"{told}: {call.body[:80]!r}"
+                assert runs >= 1, f"{description}, never run"
+                assert (
+                    call.path.encode() in call.body
+                ), f"{description}: {call.body[:80]!r}"
--- a/tests/harness/upstreams.py
+++ b/tests/harness/upstreams.py
@@ -31,7 +31,7 @@
         self.started: list[tuple[float, str, str, str]] = []
         self._clock = clock
 
-    def note(self, path: str, node: str, data_centre: str, version: str) -> None:
+    def record(self, path: str, node: str, data_centre: str, version: str) -> None:
         """Counts one run."""
         self.runs_by_path[path] += 1
         self.started.append((self._clock.now_ms(), node, data_centre, version))
@@ -98,7 +98,7 @@
 
         if not self.standin._sheds():
             version = self.standin._version
-            self._log.note(call.path, self._node, self._data_centre, version)
+            self._log.record(call.path, self._node, self._data_centre, version)
         environ: dict[str, Any] = {
             "PATH_INFO": call.path,
             "REQUEST_METHOD": call.method,
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -99,7 +99,7 @@
         for number in range(2):
             mesh.add(f"old-{number}", "x", "herdview")
         mesh.wait(6)
-        mesh.configure(["herdview"])
+        mesh.configure_services(["herdview"])
         new = mesh.add("new", "x", "herdview", "v2")
         mesh.wait(8)
         mesh.set_profile({"herdview": "v2"})
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -75,7 +75,7 @@
         name = f"{service}-{number}"
         mesh.add(name, names[number % len(names)], service)
     mesh.wait(6)
-    mesh.configure([service])
+    mesh.configure_services([service])
     mesh.wait(6)
 
 
@@ -152,26 +152,26 @@
 
 @when(parsers.parse("{share:d} percent of messages are lost"))
 def lose_messages(mesh: Mesh, share: int) -> None:
-    mesh.network.loss = share / 100
+    mesh.network.loss_rate = share / 100
 
 
 @when(parsers.parse("{share:d} percent of messages arrive twice, up to {ms:d} ms late"))
 def repeat_messages(mesh: Mesh, share: int, ms: int) -> None:
-    mesh.network.repetition = share / 100
+    mesh.network.duplication_rate = share / 100
     mesh.network.delay_ms = (0.3, float(ms))
 
 
 @when("the network is sound again")
 def sound_network(mesh: Mesh) -> None:
-    mesh.network.loss = 0.0
-    mesh.network.repetition = 0.0
+    mesh.network.loss_rate = 0.0
+    mesh.network.duplication_rate = 0.0
     mesh.network.delay_ms = (0.3, 1.5)
     mesh.network.heal()
 
 
 @when(parsers.parse('"{one}" and "{other}" are cut off from each other'))
 def cut(mesh: Mesh, one: str, other: str) -> None:
-    mesh.network.cut(one, other)
+    mesh.network.partition(one, other)
 
 
 @when("the store is down")
@@ -248,12 +248,12 @@
 
 @when(parsers.parse('the operator takes "{centre}" out'))
 def take_out(mesh: Mesh, centre: str) -> None:
-    mesh.mark_data_centre(centre, True)
+    mesh.set_data_centre_out(centre, True)
 
 
 @when(parsers.parse('the operator takes "{centre}" in'))
 def take_in(mesh: Mesh, centre: str) -> None:
-    mesh.mark_data_centre(centre, False)
+    mesh.set_data_centre_out(centre, False)
 
 
 @when(parsers.parse('{count:d} upstreams of a {fault} version "{version}" start'))
@@ -280,7 +280,7 @@
 @when("the operator aborts the move")
 def abort(mesh: Mesh, context: Context) -> None:
     at_ms = mesh.clock.wall_ms()
-    mesh.change(MoveAborted(move=context.move_id, at_ms=at_ms))
+    mesh.append_change(MoveAborted(move=context.move_id, at_ms=at_ms))
 
 
 @when(parsers.parse("{count:d} operators apply the profile at once"))
@@ -387,7 +387,7 @@
     accepted = mesh.oracle.accepted_ms_by_version
     assert accepted
     for version, accepted_ms in accepted.items():
-        reached = mesh.oracle.in_force_ms.get(version, {})
+        reached = mesh.oracle.applied_ms_by_version.get(version, {})
         late = {
             name: reached.get(name)
             for name in names
--- a/tests/scenarios/test_controls.py
+++ b/tests/scenarios/test_controls.py
@@ -36,7 +36,7 @@
     for number in range(count):
         mesh.add(f"herdview-{number}", CENTRES[number % 3], "herdview")
     mesh.wait(6)
-    mesh.configure(["herdview"])
+    mesh.configure_services(["herdview"])
     mesh.wait(6)
     mesh.start_traffic(rate, "herdview")
     mesh.wait(5)
@@ -51,7 +51,7 @@
 def repeated_messages(mesh: Mesh) -> None:
     """Messages arrive twice."""
     build(mesh)
-    mesh.network.repetition = 0.3
+    mesh.network.duplication_rate = 0.3
     mesh.wait(15)
     finish(mesh)
 
@@ -85,7 +85,7 @@
 def data_centre_out(mesh: Mesh) -> None:
     """A data centre is taken out, and must then begin no work."""
     build(mesh)
-    mesh.mark_data_centre("bunbury", True)
+    mesh.set_data_centre_out("bunbury", True)
     mesh.wait(10)
     finish(mesh)
     assert mesh.runs.count(mesh.clock.now_ms() - 22_000, data_centre="bunbury") == 0
@@ -136,7 +136,7 @@
         behaviour = UpstreamBehaviour(latency_ms=400.0, slots=20)
         mesh.add(f"herdview-{node}", CENTRES[node], "herdview", "v1", behaviour)
     mesh.wait(6)
-    mesh.configure(["herdview"])
+    mesh.configure_services(["herdview"])
     mesh.wait(6)
     mesh.start_traffic(20, "herdview")
     mesh.wait(20)
@@ -159,7 +159,7 @@
     build(mesh)
     replica = mesh.nodes_by_name["herdview-0"].node.parts.replica
     old = replica.snapshot()
-    mesh.mark_data_centre("harvey", False)
+    mesh.set_data_centre_out("harvey", False)
     mesh.wait(3)
     replica.apply_snapshot(old)
     finish(mesh)
@@ -179,13 +179,13 @@
 def lossy_changes(mesh: Mesh) -> None:
     """Changes must be in force everywhere although messages are lost."""
     build(mesh, count=18, rate=10)
-    mesh.network.loss = 0.4
+    mesh.network.loss_rate = 0.4
     for _ in range(5):
-        mesh.mark_data_centre("harvey", False)
+        mesh.set_data_centre_out("harvey", False)
         mesh.wait(2)
     mesh.wait(6)
     versions = {n.node.parts.replica.version for n in mesh.live_nodes()}
-    mesh.network.loss = 0.0
+    mesh.network.loss_rate = 0.0
     finish(mesh)
     assert len(versions) == 1, versions
 
