Name the parts of the loopback harness

Loopback, Seen, Answer, beat, told and signed did not say what they are. They become LoopbackDeployment, ReceivedRequest, AnswerHandler, send_heartbeat, heartbeat and signature_headers. beat was both a method and a flag: the flag becomes send_first_heartbeat.

The checks, bounds, seeds and literals are the same.

--- a/tests/harness/loopback.py
+++ b/tests/harness/loopback.py
@@ -20,7 +20,7 @@
 HOST = "herd.example"
 SERVICE = "herdview"
 RECEIVE_TIMEOUT_S = 10.0
-WAIT_S = 10.0
+WAIT_TIMEOUT_S = 10.0
 
 CONFIG = {
     "version": "r1",
@@ -59,10 +59,10 @@
     },
 }
 
-Answer = Callable[["RawUpstream", GreenSocket, "Seen"], None]
+AnswerHandler = Callable[["RawUpstream", GreenSocket, "ReceivedRequest"], None]
 
 
-class Seen:
+class ReceivedRequest:
     """A request as it arrived at an upstream."""
 
     def __init__(self, head: str, body: bytes) -> None:
@@ -83,9 +83,9 @@
     def __init__(self, upstream_id: str) -> None:
         """Listens on a free port; answers 200 until told otherwise."""
         self.id = upstream_id
-        self.seen: list[Seen] = []
+        self.received_requests: list[ReceivedRequest] = []
         self.closed_early = 0
-        self.answer: Answer = answer_ok
+        self.answer: AnswerHandler = answer_ok
         self._listener = eventlet.listen(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         eventlet.spawn(self._accept)
@@ -104,34 +104,38 @@
                     return
                 buffer += data
             head, _, buffer = buffer.partition(b"\r\n\r\n")
-            seen = Seen(head.decode("latin-1"), b"")
-            length = int(seen.header("Content-Length") or 0)
+            received = ReceivedRequest(head.decode("latin-1"), b"")
+            length = int(received.header("Content-Length") or 0)
             while len(buffer) < length:
                 buffer += connection.recv(65536)
-            seen.body, buffer = buffer[:length], buffer[length:]
-            if seen.request_line.startswith("GET /health "):
-                send(connection, f"Instance-Id: {self.id}\r\n")
+            received.body, buffer = buffer[:length], buffer[length:]
+            if received.request_line.startswith("GET /health "):
+                send_answer(connection, f"Instance-Id: {self.id}\r\n")
                 continue
-            self.seen.append(seen)
-            self.answer(self, connection, seen)
+            self.received_requests.append(received)
+            self.answer(self, connection, received)
             if connection.fileno() < 0:
                 return
 
 
-def send(connection: GreenSocket, headers: str = "", body: bytes = b"ok") -> None:
+def send_answer(
+    connection: GreenSocket, headers: str = "", body: bytes = b"ok"
+) -> None:
     """Sends a framed answer."""
     head = f"HTTP/1.1 200 OK\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
     connection.sendall(head.encode() + body)
 
 
-def answer_ok(upstream: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+def answer_ok(
+    upstream: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+) -> None:
     """Answers as a sound upstream does."""
-    send(connection, signed(seen), b"whole body")
+    send_answer(connection, signature_headers(received), b"whole body")
 
 
-def signed(seen: Seen) -> str:
+def signature_headers(received: ReceivedRequest) -> str:
     """Returns the headers by which an answer is known as a request's own."""
-    return f"Request-Id: {seen.header('Request-Id')}\r\nServer-Signature: s\r\n"
+    return f"Request-Id: {received.header('Request-Id')}\r\nServer-Signature: s\r\n"
 
 
 def free_port() -> int:
@@ -141,7 +145,7 @@
         return probe.getsockname()[1]
 
 
-class Loopback:
+class LoopbackDeployment:
     """A store, proxies and upstreams in one process, over real sockets."""
 
     def __init__(self) -> None:
@@ -153,13 +157,17 @@
         self.store.put("op/config", CONFIG)
         self.proxies: list[ProxyProcess] = []
 
-    def add(
-        self, vm: str, upstream: RawUpstream, version: str = "v1", beat: bool = True
+    def add_vm(
+        self,
+        vm: str,
+        upstream: RawUpstream,
+        version: str = "v1",
+        send_first_heartbeat: bool = True,
     ) -> ProxyProcess:
         """Starts a proxy beside an upstream, which announces itself."""
         proxy = self.start_proxy(vm, upstream)
-        if beat:
-            assert self.beat(proxy, upstream, version=version) == 200
+        if send_first_heartbeat:
+            assert self.send_heartbeat(proxy, upstream, version=version) == 200
         return proxy
 
     def start_proxy(self, vm: str, upstream: RawUpstream) -> ProxyProcess:
@@ -192,11 +200,11 @@
         self.proxies.append(proxy)
         return proxy
 
-    def beat(
+    def send_heartbeat(
         self, proxy: ProxyProcess, upstream: RawUpstream, seq: int = 1, **changes: Any
     ) -> int:
         """Sends a heartbeat; returns the status of its answer."""
-        told = {
+        heartbeat = {
             "service": SERVICE,
             "address": upstream.address,
             "zone": "bunbury",
@@ -207,7 +215,7 @@
             "warmup_left_ms": 0,
             "born": 1000,
         } | changes
-        body = msgspec.json.encode(told)
+        body = msgspec.json.encode(heartbeat)
         path = f"/rpc?call=instances.heartbeat&of={upstream.id}"
         head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
         address = proxy.settings.heartbeats_address
@@ -254,7 +262,7 @@
     """Reads until an answer is whole or the connection ends."""
     connection.settimeout(RECEIVE_TIMEOUT_S)
     data = b""
-    while not _is_whole(data):
+    while not _is_complete(data):
         try:
             part = connection.recv(65536)
         except OSError:
@@ -267,12 +275,12 @@
 
 def wait_until(condition: Callable[[], bool]) -> None:
     """Waits until a condition holds."""
-    with eventlet.Timeout(WAIT_S):
+    with eventlet.Timeout(WAIT_TIMEOUT_S):
         while not condition():
             eventlet.sleep(0.005)
 
 
-def _is_whole(data: bytes) -> bool:
+def _is_complete(data: bytes) -> bool:
     head, separator, body = data.partition(b"\r\n\r\n")
     if not separator:
         return False
--- a/tests/harness/platform_store.py
+++ b/tests/harness/platform_store.py
@@ -25,7 +25,7 @@
     def __init__(self, clock: Clock) -> None:
         """Starts empty."""
         self.store = MemoryStore(clock)
-        self.refusing_status = 0
+        self.forced_status = 0
         self.calls = 0
 
     def put(self, key: str, document: Any) -> None:
@@ -48,7 +48,7 @@
         parsed = parse_qs(environ.get("QUERY_STRING", ""))
         query = {name: values[0] for name, values in parsed.items()}
         body = environ["wsgi.input"].read()
-        status, answer = self.refusing_status, {}
+        status, answer = self.forced_status, {}
         if not status:
             status, answer = self._serve(environ["PATH_INFO"], query, body)
         data = msgspec.json.encode(answer)
--- a/tests/loopback/test_feeds.py
+++ b/tests/loopback/test_feeds.py
@@ -9,7 +9,7 @@
 from tests.harness.loopback import (
     CONFIG,
     HOST,
-    Loopback,
+    LoopbackDeployment,
     RawUpstream,
     exchange,
     request,
@@ -22,10 +22,10 @@
 
     def __init__(self) -> None:
         """Waits until both feeds of the last proxy are open."""
-        self.loopback = Loopback()
+        self.loopback = LoopbackDeployment()
         self.upstreams = [RawUpstream(f"i-{number}") for number in range(3)]
         for number, upstream in enumerate(self.upstreams):
-            self.loopback.add(f"vm-{number}", upstream)
+            self.loopback.add_vm(f"vm-{number}", upstream)
         self.proxy = self.loopback.proxies[2]
         wait_until(lambda: len(self.proxy.orders_feed.relay_by_feed) == 2)
 
--- a/tests/loopback/test_forwarding.py
+++ b/tests/loopback/test_forwarding.py
@@ -13,15 +13,15 @@
 from jayswitch.proxy.process import ProxyProcess
 from tests.harness.loopback import (
     HOST,
-    Loopback,
+    LoopbackDeployment,
     RawUpstream,
-    Seen,
+    ReceivedRequest,
     connect,
     exchange,
     receive,
     request,
-    send,
-    signed,
+    send_answer,
+    signature_headers,
     wait_until,
 )
 
@@ -31,11 +31,13 @@
 
     def __init__(self) -> None:
         """Starts both."""
-        self.loopback = Loopback()
+        self.loopback = LoopbackDeployment()
         self.upstream = RawUpstream("i-1")
-        self.far = self.loopback.add("vm-far", self.upstream)
+        self.far = self.loopback.add_vm("vm-far", self.upstream)
         self.idle = RawUpstream("i-0")
-        self.near = self.loopback.add("vm-near", self.idle, beat=False)
+        self.near = self.loopback.add_vm(
+            "vm-near", self.idle, send_first_heartbeat=False
+        )
         wait_until(lambda: bool(self.near.directory.members("herdview")))
         self.address = self.near.settings.callers_address
 
@@ -61,15 +63,15 @@
     )
     def test_target_is_the_same_bytes(self, pair: Pair, path: str) -> None:
         assert exchange(pair.address, request(path)).status == 200
-        assert pair.upstream.seen[0].request_line == f"GET {path} HTTP/1.1"
+        assert pair.upstream.received_requests[0].request_line == f"GET {path} HTTP/1.1"
 
     def test_leading_slashes_are_not_merged(self, pair: Pair) -> None:
         assert exchange(pair.address, request("//read/1")).status == 404
-        assert pair.upstream.seen == []
+        assert pair.upstream.received_requests == []
 
     def test_nothing_is_added_in_the_callers_name(self, pair: Pair) -> None:
         exchange(pair.address, request(headers="X-Own: 1\r\n"))
-        names = {name.lower() for name, _ in pair.upstream.seen[0].headers}
+        names = {name.lower() for name, _ in pair.upstream.received_requests[0].headers}
         assert names == {
             "host",
             "request-id",
@@ -82,34 +84,41 @@
     def test_headers_of_one_connection_are_dropped(self, pair: Pair) -> None:
         headers = "Connection: close, X-Hop\r\nX-Hop: 1\r\nX-Jayswitch-Kind: once\r\n"
         exchange(pair.address, request(headers=headers))
-        seen = pair.upstream.seen[0]
-        assert seen.header("X-Hop") == "" and seen.header("X-Jayswitch-Kind") == ""
+        received = pair.upstream.received_requests[0]
+        assert (
+            received.header("X-Hop") == "" and received.header("X-Jayswitch-Kind") == ""
+        )
 
     def test_caller_service_is_the_machines(self, pair: Pair) -> None:
         exchange(pair.address, request(headers="Caller-Service: forged\r\n"))
         values = [
             value
-            for name, value in pair.upstream.seen[0].headers
+            for name, value in pair.upstream.received_requests[0].headers
             if name == "Caller-Service"
         ]
         assert values == ["herdview"]
 
     def test_time_left_only_shrinks(self, pair: Pair) -> None:
         exchange(pair.address, request())
-        assert 1000 < int(pair.upstream.seen[0].header("Deadline-Ms")) <= 2000
+        assert (
+            1000 < int(pair.upstream.received_requests[0].header("Deadline-Ms")) <= 2000
+        )
 
     def test_bodies_arrive_whole_with_length_and_in_chunks(self, pair: Pair) -> None:
         exchange(pair.address, request("/book/1", "POST", body=b"x" * 3000))
         chunked = "Transfer-Encoding: chunked\r\n"
         data = request("/book/1", "POST", headers=chunked)
         exchange(pair.address, data + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
-        assert [seen.body for seen in pair.upstream.seen] == [b"x" * 3000, b"abcde"]
+        assert [received.body for received in pair.upstream.received_requests] == [
+            b"x" * 3000,
+            b"abcde",
+        ]
 
     def test_long_body_passes_through(self, pair: Pair) -> None:
         body = b"y" * (700 * 1024)
         answer = exchange(pair.address, request("/book/1", "POST", body=body))
         assert answer.status == 200
-        assert pair.upstream.seen[0].body == body
+        assert pair.upstream.received_requests[0].body == body
 
 
 class TestConnections:
@@ -146,7 +155,7 @@
         answer = receive(connection)
         assert answer.status == 400
         assert "Connection: close" in answer.head
-        assert pair.upstream.seen == []
+        assert pair.upstream.received_requests == []
 
     def test_absolute_target_is_rejected(self, pair: Pair) -> None:
         assert exchange(pair.address, request(f"http://{HOST}/read/1")).status == 400
@@ -157,7 +166,7 @@
         connection.sendall(b"abc")
         connection.shutdown(socket.SHUT_WR)
         assert receive(connection).status in (0, 400)
-        assert pair.upstream.seen == []
+        assert pair.upstream.received_requests == []
 
     def test_too_large_bodies_and_heads_are_rejected(self, pair: Pair) -> None:
         headers = "Content-Length: 99999999\r\n"
@@ -174,8 +183,10 @@
     """A caller never takes for whole or for its own what is not."""
 
     def test_unframed_answer_that_is_reset_is_not_complete(self, pair: Pair) -> None:
-        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
-            head = f"HTTP/1.1 200 OK\r\n{signed(seen)}\r\n"
+        def answer(
+            _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
+            head = f"HTTP/1.1 200 OK\r\n{signature_headers(received)}\r\n"
             connection.sendall(head.encode() + b"x" * 500)
             eventlet.sleep(0.05)
             reset(connection)
@@ -185,8 +196,10 @@
         assert got.ended and not got.data.endswith(b"0\r\n\r\n")
 
     def test_unframed_answer_that_ends_is_complete(self, pair: Pair) -> None:
-        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
-            head = f"HTTP/1.1 200 OK\r\n{signed(seen)}\r\n"
+        def answer(
+            _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
+            head = f"HTTP/1.1 200 OK\r\n{signature_headers(received)}\r\n"
             connection.sendall(head.encode() + b"whole")
             connection.close()
 
@@ -195,19 +208,25 @@
         assert got.status == 200 and got.data.endswith(b"0\r\n\r\n")
 
     def test_cut_answer_to_a_booking_is_a_failure(self, pair: Pair) -> None:
-        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
-            head = f"HTTP/1.1 200 OK\r\n{signed(seen)}Content-Length: 99\r\n\r\n"
+        def answer(
+            _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
+            head = f"HTTP/1.1 200 OK\r\n{signature_headers(received)}Content-Length: 99\r\n\r\n"
             connection.sendall(head.encode() + b"x" * 50)
             connection.close()
 
         pair.upstream.answer = answer
         assert exchange(pair.address, request("/book/1", "POST")).status == 502
-        assert len(pair.upstream.seen) == 1
+        assert len(pair.upstream.received_requests) == 1
 
     def test_surplus_bytes_reach_nobody(self, pair: Pair) -> None:
-        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
-            send(connection, signed(seen), b"first")
-            send(connection, "Request-Id: late\r\nServer-Signature: s\r\n", b"surplus")
+        def answer(
+            _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
+            send_answer(connection, signature_headers(received), b"first")
+            send_answer(
+                connection, "Request-Id: late\r\nServer-Signature: s\r\n", b"surplus"
+            )
 
         pair.upstream.answer = answer
         for _ in range(4):
@@ -215,14 +234,18 @@
             assert (got.status, got.body) == (200, b"first")
 
     def test_answer_of_another_request_is_not_delivered(self, pair: Pair) -> None:
-        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
-            send(connection, "Request-Id: other\r\nServer-Signature: s\r\n")
+        def answer(
+            _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
+            send_answer(connection, "Request-Id: other\r\nServer-Signature: s\r\n")
 
         pair.upstream.answer = answer
         assert exchange(pair.address, request("/book/1", "POST")).status == 502
 
     def test_bytes_that_are_no_answer_are_a_failure(self, pair: Pair) -> None:
-        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+        def answer(
+            _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
             connection.sendall(b"garbage\r\n\r\n")
             connection.close()
 
@@ -262,7 +285,9 @@
     ) -> None:
         sent = []
 
-        def endless(up: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+        def endless(
+            up: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
             sent.append(self._send_forever(connection, start, b"a" * 65536))
             connection.close()
 
@@ -273,8 +298,10 @@
         assert max(sent) < self.LONGEST_BYTES
 
     def test_endless_signed_body_ends_with_the_deadline(self, pair: Pair) -> None:
-        def endless(up: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
-            start = f"HTTP/1.1 200 OK\r\n{signed(seen)}\r\n".encode()
+        def endless(
+            up: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
+            start = f"HTTP/1.1 200 OK\r\n{signature_headers(received)}\r\n".encode()
             connection.sendall(start)
             with contextlib.suppress(OSError):
                 while True:
@@ -300,7 +327,9 @@
     def test_rejected_booking_is_refused_with_a_time_to_come_back(
         self, pair: Pair
     ) -> None:
-        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+        def answer(
+            _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
             head = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
             connection.sendall(head.encode())
 
@@ -311,30 +340,36 @@
     def test_rejection_of_another_request_says_nothing_of_this_one(
         self, pair: Pair
     ) -> None:
-        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+        def answer(
+            _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
             head = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRequest-Id: earlier\r\n"
             connection.sendall(f"{head}Content-Length: 0\r\n\r\n".encode())
 
         pair.upstream.answer = answer
         assert exchange(pair.address, request("/book/1", "POST")).status == 502
-        assert len(pair.upstream.seen) == 1
+        assert len(pair.upstream.received_requests) == 1
 
     def test_booking_without_an_answer_is_not_said_to_be_refused(
         self, pair: Pair
     ) -> None:
-        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+        def answer(
+            _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
             reset(connection)
 
         pair.upstream.answer = answer
         assert exchange(pair.address, request("/book/1", "POST")).status == 502
-        assert len(pair.upstream.seen) == 1
+        assert len(pair.upstream.received_requests) == 1
 
     def test_read_without_an_answer_goes_to_another_upstream(self, pair: Pair) -> None:
-        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+        def answer(
+            _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
             reset(connection)
 
         pair.upstream.answer = answer
-        assert pair.loopback.beat(pair.near, pair.idle) == 200
+        assert pair.loopback.send_heartbeat(pair.near, pair.idle) == 200
         wait_until(lambda: len(pair.near.directory.members("herdview")) == 2)
         statuses = [exchange(pair.address, request()).status for _ in range(6)]
         assert statuses == [200] * 6
@@ -351,13 +386,15 @@
     def test_closed_connection_reaches_the_upstream(self, pair: Pair) -> None:
         ended: list[bool] = []
 
-        def answer(_: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+        def answer(
+            _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
             ended.append(connection.recv(1) == b"")
 
         pair.upstream.answer = answer
         connection = connect(pair.address)
         connection.sendall(request())
-        wait_until(lambda: len(pair.upstream.seen) == 1)
+        wait_until(lambda: len(pair.upstream.received_requests) == 1)
         connection.close()
         wait_until(lambda: ended == [True])
         wait_until(lambda: _idle(pair.near) and _idle(pair.far))
--- a/tests/loopback/test_stop.py
+++ b/tests/loopback/test_stop.py
@@ -6,9 +6,9 @@
 from eventlet.greenio import GreenSocket
 
 from tests.harness.loopback import (
-    Loopback,
+    LoopbackDeployment,
     RawUpstream,
-    Seen,
+    ReceivedRequest,
     answer_ok,
     connect,
     exchange,
@@ -23,8 +23,8 @@
 
     def __init__(self) -> None:
         """Starts the proxy."""
-        self.loopback, self.upstream = Loopback(), RawUpstream("i-1")
-        self.proxy = self.loopback.add("vm-1", self.upstream)
+        self.loopback, self.upstream = LoopbackDeployment(), RawUpstream("i-1")
+        self.proxy = self.loopback.add_vm("vm-1", self.upstream)
         self.address = self.proxy.settings.callers_address
         wait_until(lambda: exchange(self.address, request()).status == 200)
 
@@ -40,9 +40,11 @@
     def test_callers_that_keep_coming_are_never_cut(self) -> None:
         stopping = Stopping()
 
-        def slowly(up: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+        def slowly(
+            up: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
             eventlet.sleep(0.2)
-            answer_ok(up, connection, seen)
+            answer_ok(up, connection, received)
 
         stopping.upstream.answer = slowly
         stop = eventlet.spawn(stopping.proxy.stop)
@@ -67,7 +69,9 @@
         stopping = Stopping()
         wait_until(lambda: "vm-1" in stopping.proxy.directory.record_by_vm)
 
-        def forever(up: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
+        def forever(
+            up: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+        ) -> None:
             eventlet.sleep(60)
 
         stopping.upstream.answer = forever
