Name the loopback tests after what they check

Test names such as comes_and_goes, reach_nobody or is_the_machines were figurative, and Fed, Pair and Stopping vague. The tests are named after the checked behaviour. test_stop_that_nobody_disturbs_is_short_of_the_grace_period measures no duration; it is named after what it checks, the removal of the node record.

--- a/tests/loopback/test_feeds.py
+++ b/tests/loopback/test_feeds.py
@@ -17,7 +17,7 @@
 )
 
 
-class Fed:
+class FeedDeployment:
     """Three proxies, of which the last one follows the others."""
 
     def __init__(self) -> None:
@@ -29,14 +29,14 @@
         self.proxy = self.loopback.proxies[2]
         wait_until(lambda: len(self.proxy.orders_feed.relay_by_feed) == 2)
 
-    def turn_away(self) -> None:
+    def make_store_unavailable(self) -> None:
         """Lets the store answer no call of the last proxy."""
         failure = Failure(StoreUnavailable("turned away"))
         store = self.proxy.orders_follower._store
         for name in ("read", "watch"):
             setattr(store, name, lambda *arguments: failure)
 
-    def change(self, version: int) -> None:
+    def publish_config(self, version: int) -> None:
         """Writes a configuration with one route more."""
         added = {**CONFIG["routes"][0], "name": "new", "prefix": "/new/"}
         routes = [*CONFIG["routes"], added]
@@ -48,37 +48,37 @@
 class TestFeeds:
     """A proxy that the store turns away gets what the others get."""
 
-    def test_added_route_is_served_by_a_proxy_that_the_store_turns_away(self) -> None:
-        fed = Fed()
-        fed.turn_away()
-        fed.change(2)
-        wait_until(lambda: fed.proxy.orders.catalog.version == 2)
-        address = fed.proxy.settings.callers_address
-        assert fed.proxy.orders.catalog.route_for(HOST, "/new/1") is not None
+    def test_added_route_is_served_by_a_proxy_without_store_access(self) -> None:
+        deployment = FeedDeployment()
+        deployment.make_store_unavailable()
+        deployment.publish_config(2)
+        wait_until(lambda: deployment.proxy.orders.catalog.version == 2)
+        address = deployment.proxy.settings.callers_address
+        assert deployment.proxy.orders.catalog.route_for(HOST, "/new/1") is not None
         assert exchange(address, request("/new/1")).status == 200
 
-    def test_evacuation_comes_and_goes_over_a_feed(self) -> None:
-        fed = Fed()
-        fed.turn_away()
-        fed.loopback.store.put("op/evacuate/elsewhere", {})
-        wait_until(lambda: "elsewhere" in fed.proxy.orders.evacuated)
-        stored = fed.loopback.store.store.get("op/evacuate/elsewhere").unwrap()
-        fed.loopback.store.store.delete("op/evacuate/elsewhere", stored.revision)
-        wait_until(lambda: "elsewhere" not in fed.proxy.orders.evacuated)
+    def test_evacuation_is_set_and_cleared_over_a_feed(self) -> None:
+        deployment = FeedDeployment()
+        deployment.make_store_unavailable()
+        deployment.loopback.store.put("op/evacuate/elsewhere", {})
+        wait_until(lambda: "elsewhere" in deployment.proxy.orders.evacuated)
+        stored = deployment.loopback.store.store.get("op/evacuate/elsewhere").unwrap()
+        deployment.loopback.store.store.delete("op/evacuate/elsewhere", stored.revision)
+        wait_until(lambda: "elsewhere" not in deployment.proxy.orders.evacuated)
 
-    def test_unreadable_request_for_a_feed_is_refused(self) -> None:
-        fed = Fed()
+    def test_undecodable_feed_request_is_rejected(self) -> None:
+        deployment = FeedDeployment()
         head = (
             "GET /x-jayswitch/feed HTTP/1.1\r\nHost: x\r\nX-Jayswitch-Feed: {\r\n\r\n"
         )
-        address = fed.proxy.settings.proxies_address
+        address = deployment.proxy.settings.proxies_address
         assert exchange(address, head.encode()).status == 400
 
-    def test_feed_of_a_stopping_proxy_ends(self) -> None:
-        fed = Fed()
-        relay = fed.loopback.proxies[0]
+    def test_stopping_proxy_ends_its_feeds(self) -> None:
+        deployment = FeedDeployment()
+        relay = deployment.loopback.proxies[0]
         relay.inbound.draining = True
-        asked = msgspec.json.encode({"prefix": "op/", "after": -1}).decode()
-        head = f"GET /x-jayswitch/feed HTTP/1.1\r\nHost: x\r\nX-Jayswitch-Feed: {asked}"
+        query = msgspec.json.encode({"prefix": "op/", "after": -1}).decode()
+        head = f"GET /x-jayswitch/feed HTTP/1.1\r\nHost: x\r\nX-Jayswitch-Feed: {query}"
         answer = exchange(relay.settings.proxies_address, f"{head}\r\n\r\n".encode())
         assert answer.status == 503 and "Connection: close" in answer.head
--- a/tests/loopback/test_forwarding.py
+++ b/tests/loopback/test_forwarding.py
@@ -26,7 +26,7 @@
 )
 
 
-class Pair:
+class ProxyPair:
     """Two proxies; callers use the first, the only upstream is at the second."""
 
     def __init__(self) -> None:
@@ -34,42 +34,42 @@
         self.loopback = LoopbackDeployment()
         self.upstream = RawUpstream("i-1")
         self.far = self.loopback.add_vm("vm-far", self.upstream)
-        self.idle = RawUpstream("i-0")
+        self.idle_upstream = RawUpstream("i-0")
         self.near = self.loopback.add_vm(
-            "vm-near", self.idle, send_first_heartbeat=False
+            "vm-near", self.idle_upstream, send_first_heartbeat=False
         )
         wait_until(lambda: bool(self.near.directory.members("herdview")))
         self.address = self.near.settings.callers_address
 
 
 @pytest.fixture
-def pair() -> Pair:
+def pair() -> ProxyPair:
     """Returns two proxies that serve."""
-    return Pair()
+    return ProxyPair()
 
 
-def reset(connection: GreenSocket) -> None:
+def reset_connection(connection: GreenSocket) -> None:
     """Ends a connection with a reset."""
     linger = struct.pack("ii", 1, 0)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     connection.close()
 
 
-class TestFidelity:
+class TestPassThrough:
     """What a caller sent is what the upstream gets, and the other way round."""
 
     @pytest.mark.parametrize(
         "path", ["/read/a%2fb?q=[1]", "/read/%zz", "/read//x?", "/read/a;b=c?x=%5B"]
     )
-    def test_target_is_the_same_bytes(self, pair: Pair, path: str) -> None:
+    def test_target_is_the_same_bytes(self, pair: ProxyPair, path: str) -> None:
         assert exchange(pair.address, request(path)).status == 200
         assert pair.upstream.received_requests[0].request_line == f"GET {path} HTTP/1.1"
 
-    def test_leading_slashes_are_not_merged(self, pair: Pair) -> None:
+    def test_leading_slashes_are_not_merged(self, pair: ProxyPair) -> None:
         assert exchange(pair.address, request("//read/1")).status == 404
         assert pair.upstream.received_requests == []
 
-    def test_nothing_is_added_in_the_callers_name(self, pair: Pair) -> None:
+    def test_only_protocol_headers_are_added(self, pair: ProxyPair) -> None:
         exchange(pair.address, request(headers="X-Own: 1\r\n"))
         names = {name.lower() for name, _ in pair.upstream.received_requests[0].headers}
         assert names == {
@@ -81,7 +81,7 @@
             "caller-service",
         }
 
-    def test_headers_of_one_connection_are_dropped(self, pair: Pair) -> None:
+    def test_hop_by_hop_headers_are_dropped(self, pair: ProxyPair) -> None:
         headers = "Connection: close, X-Hop\r\nX-Hop: 1\r\nX-Jayswitch-Kind: once\r\n"
         exchange(pair.address, request(headers=headers))
         received = pair.upstream.received_requests[0]
@@ -89,7 +89,7 @@
             received.header("X-Hop") == "" and received.header("X-Jayswitch-Kind") == ""
         )
 
-    def test_caller_service_is_the_machines(self, pair: Pair) -> None:
+    def test_caller_service_is_overwritten_by_the_proxy(self, pair: ProxyPair) -> None:
         exchange(pair.address, request(headers="Caller-Service: forged\r\n"))
         values = [
             value
@@ -98,13 +98,15 @@
         ]
         assert values == ["herdview"]
 
-    def test_time_left_only_shrinks(self, pair: Pair) -> None:
+    def test_deadline_header_does_not_increase(self, pair: ProxyPair) -> None:
         exchange(pair.address, request())
         assert (
             1000 < int(pair.upstream.received_requests[0].header("Deadline-Ms")) <= 2000
         )
 
-    def test_bodies_arrive_whole_with_length_and_in_chunks(self, pair: Pair) -> None:
+    def test_bodies_with_length_and_in_chunks_arrive_complete(
+        self, pair: ProxyPair
+    ) -> None:
         exchange(pair.address, request("/book/1", "POST", body=b"x" * 3000))
         chunked = "Transfer-Encoding: chunked\r\n"
         data = request("/book/1", "POST", headers=chunked)
@@ -114,7 +116,7 @@
             b"abcde",
         ]
 
-    def test_long_body_passes_through(self, pair: Pair) -> None:
+    def test_long_body_is_forwarded(self, pair: ProxyPair) -> None:
         body = b"y" * (700 * 1024)
         answer = exchange(pair.address, request("/book/1", "POST", body=body))
         assert answer.status == 200
@@ -124,7 +126,9 @@
 class TestConnections:
     """Connections to proxies and upstreams are kept."""
 
-    def test_requests_one_after_another_share_a_connection(self, pair: Pair) -> None:
+    def test_requests_one_after_another_share_a_connection(
+        self, pair: ProxyPair
+    ) -> None:
         for _ in range(10):
             assert exchange(pair.address, request()).status == 200
         assert pair.near.hop_client.connections_opened == 1
@@ -147,7 +151,7 @@
             "X-Folded: a\r\n b\r\n",
         ],
     )
-    def test_ambiguous_head_is_rejected(self, pair: Pair, headers: str) -> None:
+    def test_ambiguous_head_is_rejected(self, pair: ProxyPair, headers: str) -> None:
         smuggled = b"abc" + request("/read/smuggled")
         data = request("/book/1", "POST", headers=headers) + smuggled
         connection = connect(pair.address)
@@ -157,10 +161,10 @@
         assert "Connection: close" in answer.head
         assert pair.upstream.received_requests == []
 
-    def test_absolute_target_is_rejected(self, pair: Pair) -> None:
+    def test_absolute_target_is_rejected(self, pair: ProxyPair) -> None:
         assert exchange(pair.address, request(f"http://{HOST}/read/1")).status == 400
 
-    def test_body_that_ends_early_is_not_passed_on(self, pair: Pair) -> None:
+    def test_body_that_ends_early_is_not_forwarded(self, pair: ProxyPair) -> None:
         connection = connect(pair.address)
         connection.sendall(request("/book/1", "POST", headers="Content-Length: 10\r\n"))
         connection.sendall(b"abc")
@@ -168,34 +172,36 @@
         assert receive(connection).status in (0, 400)
         assert pair.upstream.received_requests == []
 
-    def test_too_large_bodies_and_heads_are_rejected(self, pair: Pair) -> None:
+    def test_too_large_bodies_and_heads_are_rejected(self, pair: ProxyPair) -> None:
         headers = "Content-Length: 99999999\r\n"
         assert exchange(pair.address, request("/book/1", "POST", headers)).status == 413
         long = f"X-Long: {'a' * 17000}\r\n"
         assert exchange(pair.address, request(headers=long)).status == 431
 
-    def test_long_header_within_the_limits_is_served(self, pair: Pair) -> None:
+    def test_long_header_within_the_limits_is_served(self, pair: ProxyPair) -> None:
         long = f"X-Long: {'a' * 12000}\r\n"
         assert exchange(pair.address, request(headers=long)).status == 200
 
 
-class TestBrokenAnswers:
+class TestInvalidAnswers:
     """A caller never takes for whole or for its own what is not."""
 
-    def test_unframed_answer_that_is_reset_is_not_complete(self, pair: Pair) -> None:
+    def test_unframed_answer_that_is_reset_is_not_complete(
+        self, pair: ProxyPair
+    ) -> None:
         def answer(
             _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
         ) -> None:
             head = f"HTTP/1.1 200 OK\r\n{signature_headers(received)}\r\n"
             connection.sendall(head.encode() + b"x" * 500)
             eventlet.sleep(0.05)
-            reset(connection)
+            reset_connection(connection)
 
         pair.upstream.answer = answer
         got = exchange(pair.address, request("/book/1", "POST"))
         assert got.ended and not got.data.endswith(b"0\r\n\r\n")
 
-    def test_unframed_answer_that_ends_is_complete(self, pair: Pair) -> None:
+    def test_unframed_answer_that_ends_is_complete(self, pair: ProxyPair) -> None:
         def answer(
             _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
         ) -> None:
@@ -207,11 +213,16 @@
         got = exchange(pair.address, request())
         assert got.status == 200 and got.data.endswith(b"0\r\n\r\n")
 
-    def test_cut_answer_to_a_booking_is_a_failure(self, pair: Pair) -> None:
+    def test_truncated_answer_to_an_unsafe_request_is_a_failure(
+        self, pair: ProxyPair
+    ) -> None:
         def answer(
             _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
         ) -> None:
-            head = f"HTTP/1.1 200 OK\r\n{signature_headers(received)}Content-Length: 99\r\n\r\n"
+            head = (
+                f"HTTP/1.1 200 OK\r\n{signature_headers(received)}"
+                "Content-Length: 99\r\n\r\n"
+            )
             connection.sendall(head.encode() + b"x" * 50)
             connection.close()
 
@@ -219,7 +230,7 @@
         assert exchange(pair.address, request("/book/1", "POST")).status == 502
         assert len(pair.upstream.received_requests) == 1
 
-    def test_surplus_bytes_reach_nobody(self, pair: Pair) -> None:
+    def test_surplus_bytes_are_not_delivered(self, pair: ProxyPair) -> None:
         def answer(
             _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
         ) -> None:
@@ -233,7 +244,7 @@
             got = exchange(pair.address, request())
             assert (got.status, got.body) == (200, b"first")
 
-    def test_answer_of_another_request_is_not_delivered(self, pair: Pair) -> None:
+    def test_answer_of_another_request_is_not_delivered(self, pair: ProxyPair) -> None:
         def answer(
             _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
         ) -> None:
@@ -242,7 +253,7 @@
         pair.upstream.answer = answer
         assert exchange(pair.address, request("/book/1", "POST")).status == 502
 
-    def test_bytes_that_are_no_answer_are_a_failure(self, pair: Pair) -> None:
+    def test_malformed_answer_is_a_failure(self, pair: ProxyPair) -> None:
         def answer(
             _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
         ) -> None:
@@ -253,17 +264,19 @@
         assert exchange(pair.address, request("/book/1", "POST")).status == 502
 
 
-class TestBytesWithoutEnd:
+class TestEndlessInput:
     """Upstreams and callers that never stop sending are cut off early."""
 
-    LONGEST_BYTES = 32 * 1024 * 1024
+    MAX_SENT_BYTES = 32 * 1024 * 1024
 
-    def _send_forever(self, connection: GreenSocket, start: bytes, part: bytes) -> int:
+    def _send_until_closed(
+        self, connection: GreenSocket, start: bytes, part: bytes
+    ) -> int:
         """Returns how many bytes were sent until the other side closed."""
         sent = 0
         try:
             connection.sendall(start)
-            while sent < self.LONGEST_BYTES:
+            while sent < self.MAX_SENT_BYTES:
                 connection.sendall(part)
                 sent += len(part)
                 eventlet.sleep(0)
@@ -281,24 +294,24 @@
         ids=["head", "body-without-signature", "body-of-a-rejection"],
     )
     def test_endless_answer_ends_early(
-        self, pair: Pair, start: bytes, status: int
+        self, pair: ProxyPair, start: bytes, status: int
     ) -> None:
         sent = []
 
-        def endless(
+        def send_endless_answer(
             up: RawUpstream, connection: GreenSocket, received: ReceivedRequest
         ) -> None:
-            sent.append(self._send_forever(connection, start, b"a" * 65536))
+            sent.append(self._send_until_closed(connection, start, b"a" * 65536))
             connection.close()
 
-        pair.upstream.answer = endless
+        pair.upstream.answer = send_endless_answer
         answer = exchange(pair.address, request("/book/1", "POST"))
         assert answer.status == status
         wait_until(lambda: bool(sent))
-        assert max(sent) < self.LONGEST_BYTES
+        assert max(sent) < self.MAX_SENT_BYTES
 
-    def test_endless_signed_body_ends_with_the_deadline(self, pair: Pair) -> None:
-        def endless(
+    def test_endless_signed_body_ends_with_the_deadline(self, pair: ProxyPair) -> None:
+        def send_endless_answer(
             up: RawUpstream, connection: GreenSocket, received: ReceivedRequest
         ) -> None:
             start = f"HTTP/1.1 200 OK\r\n{signature_headers(received)}\r\n".encode()
@@ -308,24 +321,27 @@
                     connection.sendall(b"a" * 1024)
                     eventlet.sleep(0.01)
 
-        pair.upstream.answer = endless
+        pair.upstream.answer = send_endless_answer
         connection = connect(pair.address)
         connection.sendall(request())
         answer = receive(connection)
         assert answer.ended
         assert not answer.data.endswith(b"0\r\n\r\n")
 
-    def test_endless_head_of_a_caller_is_refused(self, pair: Pair) -> None:
+    def test_endless_request_head_is_refused(self, pair: ProxyPair) -> None:
         connection = connect(pair.address)
         start = b"GET /read/1 HTTP/1.1\r\nHost: x\r\nX: "
-        assert self._send_forever(connection, start, b"a" * 65536) < self.LONGEST_BYTES
+        assert (
+            self._send_until_closed(connection, start, b"a" * 65536)
+            < self.MAX_SENT_BYTES
+        )
 
 
-class TestTruth:
+class TestRefusals:
     """503 means that the request has not run and will not."""
 
-    def test_rejected_booking_is_refused_with_a_time_to_come_back(
-        self, pair: Pair
+    def test_rejected_unsafe_request_is_refused_with_retry_after(
+        self, pair: ProxyPair
     ) -> None:
         def answer(
             _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
@@ -337,8 +353,8 @@
         got = exchange(pair.address, request("/book/1", "POST"))
         assert got.status == 503 and "Retry-After: 0." in got.head
 
-    def test_rejection_of_another_request_says_nothing_of_this_one(
-        self, pair: Pair
+    def test_rejection_of_another_request_is_not_a_refusal(
+        self, pair: ProxyPair
     ) -> None:
         def answer(
             _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
@@ -350,31 +366,33 @@
         assert exchange(pair.address, request("/book/1", "POST")).status == 502
         assert len(pair.upstream.received_requests) == 1
 
-    def test_booking_without_an_answer_is_not_said_to_be_refused(
-        self, pair: Pair
+    def test_unsafe_request_without_an_answer_is_not_reported_as_refused(
+        self, pair: ProxyPair
     ) -> None:
         def answer(
             _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
         ) -> None:
-            reset(connection)
+            reset_connection(connection)
 
         pair.upstream.answer = answer
         assert exchange(pair.address, request("/book/1", "POST")).status == 502
         assert len(pair.upstream.received_requests) == 1
 
-    def test_read_without_an_answer_goes_to_another_upstream(self, pair: Pair) -> None:
+    def test_unanswered_read_is_retried_on_another_upstream(
+        self, pair: ProxyPair
+    ) -> None:
         def answer(
             _: RawUpstream, connection: GreenSocket, received: ReceivedRequest
         ) -> None:
-            reset(connection)
+            reset_connection(connection)
 
         pair.upstream.answer = answer
-        assert pair.loopback.send_heartbeat(pair.near, pair.idle) == 200
+        assert pair.loopback.send_heartbeat(pair.near, pair.idle_upstream) == 200
         wait_until(lambda: len(pair.near.directory.members("herdview")) == 2)
         statuses = [exchange(pair.address, request()).status for _ in range(6)]
         assert statuses == [200] * 6
 
-    def test_deadline_ends_a_request_with_504(self, pair: Pair) -> None:
+    def test_deadline_ends_a_request_with_504(self, pair: ProxyPair) -> None:
         pair.upstream.answer = lambda *_: eventlet.sleep(5)
         data = request("/book/1", "POST").replace(b"-Ms: 2000", b"-Ms: 300")
         assert exchange(pair.address, data).status == 504
@@ -383,7 +401,7 @@
 class TestCancellation:
     """A caller that leaves frees the upstream."""
 
-    def test_closed_connection_reaches_the_upstream(self, pair: Pair) -> None:
+    def test_closed_connection_reaches_the_upstream(self, pair: ProxyPair) -> None:
         ended: list[bool] = []
 
         def answer(
@@ -397,8 +415,8 @@
         wait_until(lambda: len(pair.upstream.received_requests) == 1)
         connection.close()
         wait_until(lambda: ended == [True])
-        wait_until(lambda: _idle(pair.near) and _idle(pair.far))
+        wait_until(lambda: _is_idle(pair.near) and _is_idle(pair.far))
 
 
-def _idle(proxy: ProxyProcess) -> bool:
+def _is_idle(proxy: ProxyProcess) -> bool:
     return proxy.in_flight == 0 and proxy.gate.slots.running == 0
--- a/tests/loopback/test_stop.py
+++ b/tests/loopback/test_stop.py
@@ -18,7 +18,7 @@
 )
 
 
-class Stopping:
+class StoppingProxy:
     """One proxy that is being stopped while callers keep coming."""
 
     def __init__(self) -> None:
@@ -28,7 +28,7 @@
         self.address = self.proxy.settings.callers_address
         wait_until(lambda: exchange(self.address, request()).status == 200)
 
-    def ready(self) -> int:
+    def readiness_status(self) -> int:
         """Returns the status of the readiness check."""
         head = b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n"
         return exchange(self.proxy.settings.readiness_address, head).status
@@ -37,16 +37,16 @@
 class TestPlannedStop:
     """No request that was taken is cut, however long callers keep coming."""
 
-    def test_callers_that_keep_coming_are_never_cut(self) -> None:
-        stopping = Stopping()
+    def test_requests_during_a_stop_are_never_cut(self) -> None:
+        stopping = StoppingProxy()
 
-        def slowly(
+        def answer_slowly(
             up: RawUpstream, connection: GreenSocket, received: ReceivedRequest
         ) -> None:
             eventlet.sleep(0.2)
             answer_ok(up, connection, received)
 
-        stopping.upstream.answer = slowly
+        stopping.upstream.answer = answer_slowly
         stop = eventlet.spawn(stopping.proxy.stop)
         statuses: list[int] = []
         cut = 0
@@ -66,39 +66,39 @@
 
     def test_request_that_may_outlast_the_process_is_refused(self) -> None:
         # Guards against requests that are taken late and cut by the process's end.
-        stopping = Stopping()
+        stopping = StoppingProxy()
         wait_until(lambda: "vm-1" in stopping.proxy.directory.record_by_vm)
 
-        def forever(
+        def answer_too_late(
             up: RawUpstream, connection: GreenSocket, received: ReceivedRequest
         ) -> None:
             eventlet.sleep(60)
 
-        stopping.upstream.answer = forever
+        stopping.upstream.answer = answer_too_late
         stop = eventlet.spawn(stopping.proxy.stop)
         eventlet.sleep(4.3)
         answer = exchange(stopping.address, request("/book/1", "POST"))
         assert answer.status == 503
         assert stop.wait() is True
 
-    def test_readiness_ends_at_once_and_answers_say_close(self) -> None:
-        stopping = Stopping()
-        assert stopping.ready() == 200
+    def test_stop_ends_readiness_at_once_and_closes_connections(self) -> None:
+        stopping = StoppingProxy()
+        assert stopping.readiness_status() == 200
         eventlet.spawn(stopping.proxy.stop)
         eventlet.sleep(0)
-        assert stopping.ready() == 503
+        assert stopping.readiness_status() == 503
         answer = exchange(stopping.address, request())
         assert answer.status == 200 and "Connection: close" in answer.head
 
-    def test_stop_that_nobody_disturbs_is_short_of_the_grace_period(self) -> None:
-        stopping = Stopping()
+    def test_stop_without_requests_removes_the_node_record(self) -> None:
+        stopping = StoppingProxy()
         store = stopping.loopback.store
         assert stopping.proxy.stop() is True
         wait_until(lambda: store.read("jayswitch/nodes/vm-1") is None)
         assert store.read("jayswitch-last/vm-1") is not None
 
     def test_last_proxy_of_a_data_centre_stays_as_long_as_it_may(self) -> None:
-        stopping = Stopping()
+        stopping = StoppingProxy()
         wait_until(lambda: "vm-1" in stopping.proxy.directory.record_by_vm)
         stop = eventlet.spawn(stopping.proxy.stop)
         # Longer than a stop takes that leaves its callers to others.
--- a/tests/loopback/test_upstreams.py
+++ b/tests/loopback/test_upstreams.py
@@ -21,7 +21,7 @@
 class TestLeaving:
     """An acknowledged leaving binds every proxy, also after a restart."""
 
-    def test_leaving_upstream_gets_nothing_new(self) -> None:
+    def test_leaving_upstream_gets_no_new_requests(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
         proxy = loopback.add_vm("vm-1", upstream)
         wait_until(lambda: _status(loopback) == 200)
@@ -42,36 +42,36 @@
         stored = loopback.store.read("jayswitch-last/vm-1")
         assert stored["state"] == "leaving"
 
-    def test_restarted_proxy_knows_that_the_upstream_leaves(self) -> None:
+    def test_restarted_proxy_knows_that_the_upstream_is_leaving(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
         proxy = loopback.add_vm("vm-1", upstream)
         assert loopback.send_heartbeat(proxy, upstream, seq=5, state="draining") == 200
-        again = loopback.start_proxy("vm-1", upstream)
-        loopback.send_heartbeat(again, upstream, seq=6)
-        assert exchange(again.settings.callers_address, request()).status == 503
+        restarted = loopback.start_proxy("vm-1", upstream)
+        loopback.send_heartbeat(restarted, upstream, seq=6)
+        assert exchange(restarted.settings.callers_address, request()).status == 503
         assert upstream.received_requests == []
 
 
 class TestRestart:
     """A proxy that comes back serves its living upstream without delay."""
 
-    def test_living_upstream_is_served_before_its_next_heartbeat(self) -> None:
+    def test_live_upstream_is_served_before_its_next_heartbeat(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
         loopback.add_vm("vm-1", upstream)
         wait_until(lambda: loopback.store.read("jayswitch-last/vm-1") is not None)
-        again = loopback.start_proxy("vm-1", upstream)
-        wait_until(lambda: again.local.usable is not None)
-        assert exchange(again.settings.callers_address, request()).status == 200
+        restarted = loopback.start_proxy("vm-1", upstream)
+        wait_until(lambda: restarted.local.usable is not None)
+        assert exchange(restarted.settings.callers_address, request()).status == 200
 
-    def test_another_upstream_at_the_address_is_not(self) -> None:
+    def test_another_upstream_at_the_address_is_not_served(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
         loopback.add_vm("vm-1", upstream)
         wait_until(lambda: loopback.store.read("jayswitch-last/vm-1") is not None)
         upstream.id = "i-2"
-        again = loopback.start_proxy("vm-1", upstream)
-        wait_until(lambda: again.gate.counts["health_checks"] == 1)
+        restarted = loopback.start_proxy("vm-1", upstream)
+        wait_until(lambda: restarted.gate.counts["health_checks"] == 1)
         eventlet.sleep(0.1)
-        assert again.local.usable is None
+        assert restarted.local.usable is None
 
 
 class TestHeartbeats:
@@ -91,7 +91,7 @@
             )
         wait_until(lambda: _status(loopback) == 200)
 
-    def test_cold_upstream_gets_its_share(self) -> None:
+    def test_cold_upstream_gets_a_limited_share(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
         loopback.add_vm("vm-1", upstream, send_first_heartbeat=False)
         proxy = loopback.proxies[0]
@@ -102,10 +102,10 @@
         assert set(statuses) == {200, 503}
 
 
-class TestOrders:
+class TestConfigAndEvacuation:
     """Configurations and evacuations are followed."""
 
-    def test_new_configuration_is_in_force(self) -> None:
+    def test_new_configuration_takes_effect(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
         proxy = loopback.add_vm("vm-1", upstream)
         wait_until(lambda: _status(loopback) == 200)
@@ -117,7 +117,7 @@
         assert exchange(address, request("/moved/1")).status == 200
         assert exchange(address, request("/read/1")).status == 404
 
-    def test_older_and_malformed_configurations_change_nothing(self) -> None:
+    def test_older_and_malformed_configurations_are_ignored(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
         proxy = loopback.add_vm("vm-1", upstream)
         config = loopback.store.read("op/config")
@@ -130,7 +130,7 @@
         assert proxy.orders.catalog.version == 9
         assert proxy.orders.catalog.route_for(HOST, "/read/1") is not None
 
-    def test_evacuated_data_centre_gets_nothing(self) -> None:
+    def test_evacuated_data_centre_gets_no_requests(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
         loopback.add_vm("vm-1", upstream)
         wait_until(lambda: _status(loopback) == 200)
@@ -140,12 +140,12 @@
         assert _status(loopback) == 503
         assert len(upstream.received_requests) == before
 
-    def test_watch_without_answers_is_noticed_through_another_proxy(self) -> None:
+    def test_stalled_watch_is_detected_from_another_proxys_revision(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
         proxy = loopback.add_vm("vm-1", upstream)
         follower = proxy.orders_follower
-        silent = lambda wait_ms: eventlet.sleep(60) or False  # noqa: E731
-        follower._watch_once = silent  # type: ignore[method-assign]
+        stalled_watch = lambda wait_ms: eventlet.sleep(60) or False  # noqa: E731
+        follower._watch_once = stalled_watch  # type: ignore[method-assign]
         wait_until(lambda: follower.synced)
         loopback.store.put("op/evacuate/elsewhere", {})
         eventlet.sleep(0)
