Name the steps and negative controls of the scenarios

Step functions such as shape, race, lapse or let_pass, and controls such as no_judge, no_ramp or never_send_again, named a picture instead of the mechanism. Step texts and feature files are unchanged. In planned_stop the loop variable node held a number and becomes index. tests/rollout follows.

The checks, bounds, seeds and literals are the same.

--- a/tests/rollout/test_shared_outage.py
+++ b/tests/rollout/test_shared_outage.py
@@ -5,8 +5,8 @@
 import pytest
 
 from tests.harness.mesh import Mesh
-from tests.scenarios.conftest import all_fail, new_nodes
-from tests.scenarios.test_controls import build
+from tests.scenarios.conftest import add_nodes, fail_all_upstreams
+from tests.scenarios.test_controls import build_mesh
 
 
 class TestSharedOutage:
@@ -15,12 +15,12 @@
     @pytest.mark.parametrize("seed", [1, 2, 8, 14])
     def test_new_version_is_not_marked_bad(self, seed: int) -> None:
         mesh = Mesh(seed)
-        build(mesh, count=4, rate=80)
-        new_nodes(mesh, 4, "herdview", "v2")
+        build_mesh(mesh, count=4, rate=80)
+        add_nodes(mesh, 4, "herdview", "v2")
         mesh.wait(5)
         mesh.set_profile({"herdview": "v2"}, 120_000)
         mesh.wait(30)
-        all_fail(mesh, 10)
+        fail_all_upstreams(mesh, 10)
         mesh.wait(20)
         marks = [node.node.parts.watcher.mark for node in mesh.live_nodes()]
         move = next(
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -23,7 +23,7 @@
 }
 
 
-class Context:
+class ScenarioContext:
     """What the steps of one scenario share."""
 
     def __init__(self) -> None:
@@ -34,31 +34,31 @@
 
 
 @pytest.fixture
-def context() -> Context:
+def context() -> ScenarioContext:
     """Returns the scenario's context."""
-    return Context()
+    return ScenarioContext()
 
 
-def new_nodes(
+def add_nodes(
     mesh: Mesh, count: int, service: str, version: str, **behaviour: object
 ) -> list[ScenarioNode]:
     """Adds upstreams over the data centres in turn."""
     centres = sorted({n.settings.data_centre for n in mesh.nodes_by_name.values()})
-    present = next(iter(mesh.nodes_by_name.values())).standin.behaviour
-    made = msgspec.structs.replace(present, **behaviour)
+    current = next(iter(mesh.nodes_by_name.values())).standin.behaviour
+    replaced = msgspec.structs.replace(current, **behaviour)
     return [
         mesh.add(
             f"{service}-{version}-{number}",
             centres[number % len(centres)],
             service,
             version,
-            made,
+            replaced,
         )
         for number in range(count)
     ]
 
 
-def newest_move(mesh: Mesh) -> Move:
+def latest_move(mesh: Mesh) -> Move:
     """Returns the move that began last, as the first live node knows it."""
     node = max(mesh.live_nodes(), key=lambda n: n.node.parts.replica.version)
     moves = node.node.parts.replica.state.moves_by_id.values()
@@ -69,7 +69,7 @@
 
 
 @given(parsers.parse('{count:d} upstreams of "{service}" over "{centres}"'))
-def build(mesh: Mesh, count: int, service: str, centres: str) -> None:
+def build_mesh(mesh: Mesh, count: int, service: str, centres: str) -> None:
     names = [name.strip() for name in centres.split(",")]
     for number in range(count):
         name = f"{service}-{number}"
@@ -80,7 +80,7 @@
 
 
 @given(parsers.parse("each upstream has {slots:d} slots and takes {latency:d} ms"))
-def shape(mesh: Mesh, slots: int, latency: int) -> None:
+def set_upstream_capacity(mesh: Mesh, slots: int, latency: int) -> None:
     for node in mesh.nodes_by_name.values():
         node.standin.behaviour = UpstreamBehaviour(
             slots=slots, latency_ms=float(latency)
@@ -89,13 +89,13 @@
 
 
 @given(parsers.parse("{rate:d} calls a second"))
-def traffic(mesh: Mesh, rate: int) -> None:
+def start_calls(mesh: Mesh, rate: int) -> None:
     mesh.start_traffic(rate, "herdview")
     mesh.wait(10)
 
 
 @given(parsers.parse("{rate:d} calls a second that only read"))
-def read_traffic(mesh: Mesh, rate: int) -> None:
+def start_read_traffic(mesh: Mesh, rate: int) -> None:
     mesh.start_traffic(rate, "herdview", write_share=0.0)
     mesh.wait(10)
 
@@ -110,7 +110,7 @@
 
 
 @when(parsers.parse('every node in "{centre}" is killed'))
-def kill_centre(mesh: Mesh, centre: str) -> None:
+def kill_data_centre(mesh: Mesh, centre: str) -> None:
     for node in mesh.live_nodes():
         if node.settings.data_centre == centre:
             node.kill()
@@ -145,7 +145,7 @@
 
 
 @when(parsers.parse('node "{name}" starts again'))
-def restart(mesh: Mesh, name: str) -> None:
+def restart_node(mesh: Mesh, name: str) -> None:
     old = mesh.nodes_by_name[name]
     mesh.add(name, old.settings.data_centre, old.service, old.version)
 
@@ -156,13 +156,13 @@
 
 
 @when(parsers.parse("{share:d} percent of messages arrive twice, up to {ms:d} ms late"))
-def repeat_messages(mesh: Mesh, share: int, ms: int) -> None:
+def duplicate_messages(mesh: Mesh, share: int, ms: int) -> None:
     mesh.network.duplication_rate = share / 100
     mesh.network.delay_ms = (0.3, float(ms))
 
 
 @when("the network is sound again")
-def sound_network(mesh: Mesh) -> None:
+def heal_network(mesh: Mesh) -> None:
     mesh.network.loss_rate = 0.0
     mesh.network.duplication_rate = 0.0
     mesh.network.delay_ms = (0.3, 1.5)
@@ -170,7 +170,7 @@
 
 
 @when(parsers.parse('"{one}" and "{other}" are cut off from each other'))
-def cut(mesh: Mesh, one: str, other: str) -> None:
+def partition(mesh: Mesh, one: str, other: str) -> None:
     mesh.network.partition(one, other)
 
 
@@ -188,35 +188,35 @@
 
 
 @when(parsers.parse("the store loses {share:d} percent of its answers to writes"))
-def store_loses(mesh: Mesh, share: int) -> None:
+def lose_store_answers(mesh: Mesh, share: int) -> None:
     mesh.store.faults.lose_answers = share / 100
 
 
 @when(parsers.parse("the store takes {ms:d} ms for each call"))
-def store_slow(mesh: Mesh, ms: int) -> None:
+def slow_store(mesh: Mesh, ms: int) -> None:
     mesh.store.faults.slow_ms = float(ms)
 
 
 @when("every lease lapses")
-def lapse(mesh: Mesh) -> None:
+def expire_leases(mesh: Mesh) -> None:
     for lease in list(mesh.store._leases_by_id):
         mesh.store.expire_lease(lease)
 
 
 @when(parsers.parse('upstream "{name}" turns cold and takes {seconds:d} s to warm up'))
-def chill(mesh: Mesh, name: str, seconds: int) -> None:
+def make_cold(mesh: Mesh, name: str, seconds: int) -> None:
     standin = mesh.nodes_by_name[name].standin
     standin.behaviour.warm_up_ms = seconds * 1000.0
     standin.chill()
 
 
 @when(parsers.parse('upstream "{name}" loses {share:d} percent of its answers'))
-def upstream_loses(mesh: Mesh, name: str, share: int) -> None:
+def lose_upstream_answers(mesh: Mesh, name: str, share: int) -> None:
     mesh.nodes_by_name[name].client.lose_answers = share / 100
 
 
 @when(parsers.parse("every upstream fails half of its calls for {seconds:d} seconds"))
-def all_fail(mesh: Mesh, seconds: int) -> None:
+def fail_all_upstreams(mesh: Mesh, seconds: int) -> None:
     def set_errors(fraction: float) -> None:
         for node in mesh.nodes_by_name.values():
             node.standin.behaviour.error_fraction = fraction
@@ -226,13 +226,13 @@
 
 
 @when(parsers.parse('upstream "{name}" leaves'))
-def leave(mesh: Mesh, name: str) -> None:
+def leave_upstream(mesh: Mesh, name: str) -> None:
     node = mesh.nodes_by_name[name]
     node.leaving = True
 
 
 @when(parsers.parse('node "{name}" is asked to stop'))
-def drain(mesh: Mesh, context: Context, name: str) -> None:
+def stop_node(mesh: Mesh, context: ScenarioContext, name: str) -> None:
     node = mesh.nodes_by_name[name]
 
     def stop() -> None:
@@ -258,19 +258,19 @@
 
 @when(parsers.parse('{count:d} upstreams of a {fault} version "{version}" start'))
 def start_version(mesh: Mesh, count: int, fault: str, version: str) -> None:
-    new_nodes(mesh, count, "herdview", version, **NEW_VERSION_FAULTS[fault])
+    add_nodes(mesh, count, "herdview", version, **NEW_VERSION_FAULTS[fault])
     mesh.wait(5)
 
 
 @when(parsers.parse('the operator moves to "{version}" within {seconds:d} seconds'))
-def move_to(mesh: Mesh, context: Context, version: str, seconds: int) -> None:
+def move_to(mesh: Mesh, context: ScenarioContext, version: str, seconds: int) -> None:
     context.mark_ms = mesh.clock.now_ms()
     mesh.set_profile({"herdview": version}, seconds * 1000)
-    context.move_id = newest_move(mesh).id
+    context.move_id = latest_move(mesh).id
 
 
 @when(parsers.parse('version "{version}" turns bad'))
-def turn_bad(mesh: Mesh, context: Context, version: str) -> None:
+def turn_bad(mesh: Mesh, context: ScenarioContext, version: str) -> None:
     context.mark_ms = mesh.clock.now_ms()
     for node in mesh.nodes_by_name.values():
         if node.version == version:
@@ -278,22 +278,24 @@
 
 
 @when("the operator aborts the move")
-def abort(mesh: Mesh, context: Context) -> None:
+def abort_move(mesh: Mesh, context: ScenarioContext) -> None:
     at_ms = mesh.clock.wall_ms()
     mesh.append_change(MoveAborted(move=context.move_id, at_ms=at_ms))
 
 
 @when(parsers.parse("{count:d} operators apply the profile at once"))
-def race(mesh: Mesh, context: Context, count: int) -> None:
+def apply_profile_concurrently(
+    mesh: Mesh, context: ScenarioContext, count: int
+) -> None:
     nodes = mesh.live_nodes()
     state = nodes[0].node.parts.replica.state
-    seen = state.profiles_by_name["everyday"].version
+    known_version = state.profiles_by_name["everyday"].version
 
     def apply(number: int) -> None:
         via = nodes[number % len(nodes)]
         versions = {"herdview": f"v{number + 2}"}
         try:
-            entry = mesh.set_profile(versions, 60_000, via, seen)
+            entry = mesh.set_profile(versions, 60_000, via, known_version)
             context.results.append(entry)
         except JayswitchError as error:
             context.results.append(error)
@@ -305,7 +307,7 @@
 
 
 @when(parsers.parse("the profile is applied {count:d} times"))
-def apply_often(mesh: Mesh, context: Context, count: int) -> None:
+def apply_profile_repeatedly(mesh: Mesh, context: ScenarioContext, count: int) -> None:
     for _ in range(count):
         try:
             context.results.append(mesh.set_profile({"herdview": "v1"}))
@@ -316,7 +318,7 @@
 
 @when(parsers.parse("{seconds:d} seconds pass"))
 @given(parsers.parse("{seconds:d} seconds pass"))
-def let_pass(mesh: Mesh, seconds: int) -> None:
+def advance_time(mesh: Mesh, seconds: int) -> None:
     mesh.wait(seconds)
 
 
@@ -326,7 +328,7 @@
 
 
 @when("the clock is marked")
-def mark(mesh: Mesh, context: Context) -> None:
+def mark_time(mesh: Mesh, context: ScenarioContext) -> None:
     context.mark_ms = mesh.clock.now_ms()
 
 
@@ -334,14 +336,14 @@
 
 
 @then("every invariant holds")
-def invariants(mesh: Mesh) -> None:
+def invariants_hold(mesh: Mesh) -> None:
     mesh.stop_traffic()
     assert mesh.oracle.calls
     mesh.oracle.check()
 
 
 @then(parsers.parse("{share:d} percent of the calls since the mark were answered"))
-def answered_share(mesh: Mesh, context: Context, share: int) -> None:
+def answered_share(mesh: Mesh, context: ScenarioContext, share: int) -> None:
     outcomes = mesh.oracle.outcomes(context.mark_ms)
     total = sum(outcomes.values()) - outcomes["open"]
     assert total, "no calls were made"
@@ -349,31 +351,31 @@
 
 
 @then(parsers.parse("no outcome since the mark is unknown"))
-def none_unknown(mesh: Mesh, context: Context) -> None:
+def no_unknown_outcomes(mesh: Mesh, context: ScenarioContext) -> None:
     outcomes = mesh.oracle.outcomes(context.mark_ms)
     assert not outcomes["unknown"] and not outcomes["cut"], outcomes
 
 
 @then(parsers.parse('"{centre}" began no work in the last {seconds:d} seconds'))
-def no_work(mesh: Mesh, centre: str, seconds: int) -> None:
+def data_centre_idle(mesh: Mesh, centre: str, seconds: int) -> None:
     since_ms = mesh.clock.now_ms() - seconds * 1000
     assert mesh.runs.count(since_ms, data_centre=centre) == 0
 
 
 @then(parsers.parse('"{centre}" began work in the last {seconds:d} seconds'))
-def some_work(mesh: Mesh, centre: str, seconds: int) -> None:
+def data_centre_not_idle(mesh: Mesh, centre: str, seconds: int) -> None:
     since_ms = mesh.clock.now_ms() - seconds * 1000
     assert mesh.runs.count(since_ms, data_centre=centre) > 0
 
 
 @then(parsers.parse('node "{name}" began no work in the last {seconds:d} seconds'))
-def node_no_work(mesh: Mesh, name: str, seconds: int) -> None:
+def node_idle(mesh: Mesh, name: str, seconds: int) -> None:
     since_ms = mesh.clock.now_ms() - seconds * 1000
     assert mesh.runs.count(since_ms, node=name) == 0
 
 
 @then(parsers.parse("every live node runs the newest version"))
-def all_newest(mesh: Mesh) -> None:
+def all_nodes_up_to_date(mesh: Mesh) -> None:
     versions = {
         node.settings.vm: node.node.parts.router.table.config.version
         for node in mesh.live_nodes()
@@ -382,7 +384,7 @@
 
 
 @then(parsers.parse("each accepted change was in force on every node within {s:d} s"))
-def convergence(mesh: Mesh, s: int) -> None:
+def changes_applied_in_time(mesh: Mesh, s: int) -> None:
     names = {node.settings.vm for node in mesh.live_nodes()}
     accepted = mesh.oracle.accepted_ms_by_version
     assert accepted
@@ -397,21 +399,21 @@
 
 
 @then(parsers.parse("the move is {ending}"))
-def move_ended(mesh: Mesh, context: Context, ending: str) -> None:
-    move = newest_move(mesh)
+def move_ended(mesh: Mesh, context: ScenarioContext, ending: str) -> None:
+    move = latest_move(mesh)
     assert not move.active, f"still at {move.percent}%"
     assert move.done == (ending == "done"), move.reason
 
 
 @then("the move ended by its deadline")
 def move_in_time(mesh: Mesh) -> None:
-    move = newest_move(mesh)
+    move = latest_move(mesh)
     assert move.ended_ms <= move.deadline_ms
 
 
 @then(parsers.parse('the reason of the move names "{text}"'))
 def move_reason(mesh: Mesh, text: str) -> None:
-    assert text in newest_move(mesh).reason
+    assert text in latest_move(mesh).reason
 
 
 @then(
@@ -423,7 +425,9 @@
 
 
 @then(parsers.parse('version "{version}" got at most {share:d} percent since the mark'))
-def version_share(mesh: Mesh, context: Context, version: str, share: int) -> None:
+def version_share(
+    mesh: Mesh, context: ScenarioContext, version: str, share: int
+) -> None:
     total = mesh.runs.count(context.mark_ms)
     count = mesh.runs.count(context.mark_ms, version=version)
     assert total
@@ -433,7 +437,7 @@
 @then(
     parsers.parse('version "{version}" does all work in the last {seconds:d} seconds')
 )
-def version_does_all(mesh: Mesh, version: str, seconds: int) -> None:
+def version_does_all_work(mesh: Mesh, version: str, seconds: int) -> None:
     since_ms = mesh.clock.now_ms() - seconds * 1000
     assert mesh.runs.count(since_ms) == mesh.runs.count(since_ms, version=version) > 0
 
@@ -444,7 +448,7 @@
 
 
 @then(parsers.parse('upstream "{name}" was overloaded at most {count:d} times'))
-def seldom_overloaded(mesh: Mesh, name: str, count: int) -> None:
+def overloaded_at_most(mesh: Mesh, name: str, count: int) -> None:
     assert mesh.nodes_by_name[name].standin.counts["overloads"] <= count
 
 
@@ -458,15 +462,15 @@
 
 
 @then("exactly one operator won")
-def one_winner(context: Context) -> None:
-    winners = [r for r in context.results if not isinstance(r, JayswitchError)]
-    assert len(winners) == 1, context.results
-    losers = [r for r in context.results if isinstance(r, JayswitchError)]
-    assert all(loser.code == "version-conflict" for loser in losers), losers
+def one_operator_succeeded(context: ScenarioContext) -> None:
+    successes = [r for r in context.results if not isinstance(r, JayswitchError)]
+    assert len(successes) == 1, context.results
+    conflicts = [r for r in context.results if isinstance(r, JayswitchError)]
+    assert all(conflict.code == "version-conflict" for conflict in conflicts), conflicts
 
 
 @then("each change that was accepted is in the log exactly once")
-def accepted_once(mesh: Mesh, context: Context) -> None:
+def accepted_once(mesh: Mesh, context: ScenarioContext) -> None:
     mesh.store.faults.lose_answers = 0.0
     stored = [value.value for value in mesh.store.scan("log/").unwrap()]
     for result in context.results:
@@ -479,5 +483,5 @@
 
 
 @then("the planned stop cut nothing")
-def nothing_cut(context: Context) -> None:
+def no_request_cut(context: ScenarioContext) -> None:
     assert context.results == [True]
--- a/tests/scenarios/test_controls.py
+++ b/tests/scenarios/test_controls.py
@@ -24,17 +24,17 @@
 from jayswitch.routing.table import RoutingTable, UpstreamDirectory, VersionSplit
 from jayswitch.standins.upstream import UpstreamBehaviour
 from tests.harness.mesh import Mesh
-from tests.scenarios.conftest import new_nodes
+from tests.scenarios.conftest import add_nodes
 
-CENTRES = ["bunbury", "busselton", "harvey"]
+DATA_CENTRES = ["bunbury", "busselton", "harvey"]
 Patch = Callable[[pytest.MonkeyPatch], None]
 Scenario = Callable[[Mesh], None]
 
 
-def build(mesh: Mesh, count: int = 6, rate: int = 60) -> None:
+def build_mesh(mesh: Mesh, count: int = 6, rate: int = 60) -> None:
     """Builds a mesh with steady traffic."""
     for number in range(count):
-        mesh.add(f"herdview-{number}", CENTRES[number % 3], "herdview")
+        mesh.add(f"herdview-{number}", DATA_CENTRES[number % 3], "herdview")
     mesh.wait(6)
     mesh.configure_services(["herdview"])
     mesh.wait(6)
@@ -42,83 +42,83 @@
     mesh.wait(5)
 
 
-def finish(mesh: Mesh) -> None:
+def stop_and_check(mesh: Mesh) -> None:
     """Ends the traffic and checks what must always hold."""
     mesh.stop_traffic()
     mesh.oracle.check()
 
 
-def repeated_messages(mesh: Mesh) -> None:
+def duplicated_messages(mesh: Mesh) -> None:
     """Messages arrive twice."""
-    build(mesh)
+    build_mesh(mesh)
     mesh.network.duplication_rate = 0.3
     mesh.wait(15)
-    finish(mesh)
+    stop_and_check(mesh)
 
 
 def lost_answers(mesh: Mesh) -> None:
     """An upstream runs requests and loses the answers."""
-    build(mesh)
+    build_mesh(mesh)
     mesh.nodes_by_name["herdview-0"].client.lose_answers = 0.5
     mesh.wait(10)
-    finish(mesh)
+    stop_and_check(mesh)
 
 
-def crossed_cancellations(mesh: Mesh) -> None:
+def reordered_cancellations(mesh: Mesh) -> None:
     """Calls arrive later than their cancellations."""
-    build(mesh)
+    build_mesh(mesh)
     mesh.network.delay_ms = (0.3, 6000.0)
     mesh.wait(15)
     mesh.network.delay_ms = (0.3, 1.5)
-    finish(mesh)
+    stop_and_check(mesh)
 
 
-def many_at_once(mesh: Mesh) -> None:
+def concurrent_calls(mesh: Mesh) -> None:
     """Each node waits for several answers at a time."""
-    build(mesh)
+    build_mesh(mesh)
     for node in mesh.nodes_by_name.values():
         node.standin.behaviour = UpstreamBehaviour(latency_ms=120.0)
     mesh.wait(10)
-    finish(mesh)
+    stop_and_check(mesh)
 
 
 def data_centre_out(mesh: Mesh) -> None:
     """A data centre is taken out, and must then begin no work."""
-    build(mesh)
+    build_mesh(mesh)
     mesh.set_data_centre_out("bunbury", True)
     mesh.wait(10)
-    finish(mesh)
+    stop_and_check(mesh)
     assert mesh.runs.count(mesh.clock.now_ms() - 22_000, data_centre="bunbury") == 0
 
 
 def cold_upstream(mesh: Mesh) -> None:
     """An upstream starts cold under full load, and must not be run over."""
-    build(mesh, count=3, rate=600)
+    build_mesh(mesh, count=3, rate=600)
     behaviour = UpstreamBehaviour(slots=10, latency_ms=20.0, warm_up_ms=4000.0)
     node = mesh.add("herdview-9", "bunbury", "herdview", "v1", behaviour)
     mesh.wait(8)
-    finish(mesh)
+    stop_and_check(mesh)
     assert node.standin.counts["overloads"] <= 3
 
 
 def bad_version(mesh: Mesh) -> None:
     """A bad version must get little and soon nothing."""
-    build(mesh, count=4, rate=80)
-    new_nodes(mesh, 4, "herdview", "v2", error_fraction=0.5)
+    build_mesh(mesh, count=4, rate=80)
+    add_nodes(mesh, 4, "herdview", "v2", error_fraction=0.5)
     mesh.wait(5)
     since_ms = mesh.clock.now_ms()
     mesh.set_profile({"herdview": "v2"}, 90_000)
     mesh.wait(60)
     share = mesh.runs.count(since_ms, version="v2") / mesh.runs.count(since_ms)
     late = mesh.runs.count(mesh.clock.now_ms() - 20_000, version="v2")
-    finish(mesh)
+    stop_and_check(mesh)
     assert share <= 0.06 and late == 0, f"{share:.3f} of the calls, {late} late"
 
 
 def store_down_past_deadline(mesh: Mesh) -> None:
     """A version not proved by its deadline must get nothing, store or no store."""
-    build(mesh, count=4, rate=80)
-    new_nodes(mesh, 4, "herdview", "v2")
+    build_mesh(mesh, count=4, rate=80)
+    add_nodes(mesh, 4, "herdview", "v2")
     mesh.wait(5)
     mesh.set_profile({"herdview": "v2"}, 30_000)
     mesh.wait(8)
@@ -126,59 +126,59 @@
     mesh.wait(40)
     late = mesh.runs.count(mesh.clock.now_ms() - 10_000, version="v2")
     mesh.store.faults.down = False
-    finish(mesh)
+    stop_and_check(mesh)
     assert late == 0
 
 
 def planned_stop(mesh: Mesh) -> None:
     """A node stops while calls are in flight."""
-    for node in range(3):
+    for index in range(3):
         behaviour = UpstreamBehaviour(latency_ms=400.0, slots=20)
-        mesh.add(f"herdview-{node}", CENTRES[node], "herdview", "v1", behaviour)
+        mesh.add(f"herdview-{index}", DATA_CENTRES[index], "herdview", "v1", behaviour)
     mesh.wait(6)
     mesh.configure_services(["herdview"])
     mesh.wait(6)
     mesh.start_traffic(20, "herdview")
     mesh.wait(20)
     since_ms = mesh.clock.now_ms() - 1000
-    victim = mesh.nodes_by_name["herdview-1"]
+    stopping_node = mesh.nodes_by_name["herdview-1"]
 
     def stop() -> None:
-        victim.node.drain()
-        victim.kill()
+        stopping_node.node.drain()
+        stopping_node.kill()
 
     eventlet.spawn(stop)
     mesh.wait(10)
-    finish(mesh)
+    stop_and_check(mesh)
     outcomes = mesh.oracle.outcomes(since_ms)
     assert set(outcomes) == {"answered"}, outcomes
 
 
-def snapshot_of_the_past(mesh: Mesh) -> None:
+def outdated_snapshot(mesh: Mesh) -> None:
     """A peer offers a configuration that a node has already left behind."""
-    build(mesh)
+    build_mesh(mesh)
     replica = mesh.nodes_by_name["herdview-0"].node.parts.replica
     old = replica.snapshot()
     mesh.set_data_centre_out("harvey", False)
     mesh.wait(3)
     replica.apply_snapshot(old)
-    finish(mesh)
+    stop_and_check(mesh)
 
 
 def upstream_leaves(mesh: Mesh) -> None:
     """An upstream leaves, and must then begin no work."""
-    build(mesh)
+    build_mesh(mesh)
     mesh.nodes_by_name["herdview-2"].leaving = True
     mesh.wait(4)
     since_ms = mesh.clock.now_ms()
     mesh.wait(8)
-    finish(mesh)
+    stop_and_check(mesh)
     assert mesh.runs.count(since_ms, node="herdview-2") == 0
 
 
 def lossy_changes(mesh: Mesh) -> None:
     """Changes must be in force everywhere although messages are lost."""
-    build(mesh, count=18, rate=10)
+    build_mesh(mesh, count=18, rate=10)
     mesh.network.loss_rate = 0.4
     for _ in range(5):
         mesh.set_data_centre_out("harvey", False)
@@ -186,7 +186,7 @@
     mesh.wait(6)
     versions = {n.node.parts.replica.version for n in mesh.live_nodes()}
     mesh.network.loss_rate = 0.0
-    finish(mesh)
+    stop_and_check(mesh)
     assert len(versions) == 1, versions
 
 
@@ -200,7 +200,7 @@
     patch.setattr(RequestAttempts, "idempotent", property(lambda self: True))
 
 
-def call_late_calls_not_run(patch: pytest.MonkeyPatch) -> None:
+def report_cancelled_calls_as_not_run(patch: pytest.MonkeyPatch) -> None:
     """The router says "not run" of whatever it cancelled."""
     original = RequestAttempts.record_failure
 
@@ -222,17 +222,17 @@
     patch.setattr(UpstreamDirectory, "usable", usable)
 
 
-def no_ramp(patch: pytest.MonkeyPatch) -> None:
+def no_warm_up_limit(patch: pytest.MonkeyPatch) -> None:
     """The gate admits as many calls as the upstream has slots."""
     patch.setattr(ConcurrencyLimiter, "limit", property(lambda self: self._slots))
 
 
-def no_judge(patch: pytest.MonkeyPatch) -> None:
+def no_bad_version_detection(patch: pytest.MonkeyPatch) -> None:
     """Nobody judges versions."""
     patch.setattr(MoveWatcher, "_mark_bad", lambda self, move, fault: None)
 
 
-def ignore_marks(patch: pytest.MonkeyPatch) -> None:
+def ignore_bad_version_marks(patch: pytest.MonkeyPatch) -> None:
     """Routers wait for the log instead of heeding marks; the store is slow."""
     patch.setattr(MoveWatcher, "is_marked_bad", lambda self, move_id: False)
     patch.setattr(MoveWatcher, "mark", lambda self, move_id: None)
@@ -252,7 +252,7 @@
     patch.setattr(Node, "drain", lambda self: True)
 
 
-def take_any_snapshot(patch: pytest.MonkeyPatch) -> None:
+def accept_any_snapshot(patch: pytest.MonkeyPatch) -> None:
     """A replica installs whatever snapshot it is given."""
     from jayswitch.config.codec import decode_state
 
@@ -263,7 +263,7 @@
     patch.setattr(ConfigReplica, "apply_snapshot", offer)
 
 
-def crossed_answers(patch: pytest.MonkeyPatch) -> None:
+def ignore_reply_ids(patch: pytest.MonkeyPatch) -> None:
     """The router hands a reply to whichever task waits, not by its id."""
 
     def receive(self: Router, message: object) -> None:
@@ -283,28 +283,28 @@
     patch.setattr(Node, "announce", announce)
 
 
-def never_send_again(patch: pytest.MonkeyPatch) -> None:
+def no_retransmission(patch: pytest.MonkeyPatch) -> None:
     """Links take whatever they have sent for received."""
     patch.setattr(Link, "rewind", lambda self: None)
 
 
 CONTROLS: list[tuple[Patch, Scenario]] = [
-    (forget_requests, repeated_messages),
+    (forget_requests, duplicated_messages),
     (retry_everything, lost_answers),
-    (call_late_calls_not_run, lost_answers),
-    (crossed_answers, many_at_once),
+    (report_cancelled_calls_as_not_run, lost_answers),
+    (ignore_reply_ids, concurrent_calls),
     (ignore_data_centres, data_centre_out),
-    (no_ramp, cold_upstream),
-    (no_judge, bad_version),
-    (ignore_marks, bad_version),
+    (no_warm_up_limit, cold_upstream),
+    (no_bad_version_detection, bad_version),
+    (ignore_bad_version_marks, bad_version),
     (ignore_deadlines, store_down_past_deadline),
     (no_drain, planned_stop),
-    (take_any_snapshot, snapshot_of_the_past),
+    (accept_any_snapshot, outdated_snapshot),
     (ignore_leaving, upstream_leaves),
-    (never_send_again, lossy_changes),
+    (no_retransmission, lossy_changes),
 ]
 SCENARIOS = sorted(
-    {s for _, s in CONTROLS} | {crossed_cancellations}, key=lambda s: s.__name__
+    {s for _, s in CONTROLS} | {reordered_cancellations}, key=lambda s: s.__name__
 )
 
 
@@ -312,13 +312,15 @@
     """Each scenario passes as it is, and fails without the mechanism."""
 
     @pytest.mark.parametrize("scenario", SCENARIOS, ids=lambda s: s.__name__)
-    def test_holds_with_the_mechanism(self, mesh: Mesh, scenario: Scenario) -> None:
+    def test_invariant_holds_with_the_mechanism(
+        self, mesh: Mesh, scenario: Scenario
+    ) -> None:
         scenario(mesh)
 
     @pytest.mark.parametrize(
         ("patch", "scenario"), CONTROLS, ids=lambda item: item.__name__
     )
-    def test_breaks_without_it(
+    def test_invariant_breaks_without_the_mechanism(
         self,
         mesh: Mesh,
         monkeypatch: pytest.MonkeyPatch,
