--- a/tests/deployment/test_processes.py
+++ b/tests/deployment/test_processes.py
@@ -17,7 +17,7 @@
 from bench.rig import ADMIN_TOKEN, PROFILE, Rig, Vm
 from jayswitch.embedded.deployments import Deployment, ServiceShape
 
-SMALL = Deployment(
+SMALL_DEPLOYMENT = Deployment(
     name="small",
     region="swwa",
     data_centres=("bunbury", "busselton", "harvey"),
@@ -29,7 +29,7 @@
 @pytest.fixture(scope="module")
 def rig(virtual_time: None) -> Iterator[Rig]:
     """Returns a running deployment; every daemon must stop cleanly."""
-    started = Rig(SMALL)
+    started = Rig(SMALL_DEPLOYMENT)
     try:
         started.start()
         yield started
@@ -38,13 +38,13 @@
     assert unclean == 0
 
 
-def ctl(rig: Rig, *words: str) -> subprocess.CompletedProcess:
+def run_jayswitchctl(rig: Rig, *arguments: str) -> subprocess.CompletedProcess:
     """Runs jayswitchctl against the first node."""
     command = [sys.executable, "-m", "jayswitch.console.application"]
     flags = [f"--node={rig.vms[0].admin}"]
     environment = {**os.environ, "JAYSWITCH_TOKEN": ADMIN_TOKEN}
     return subprocess.run(
-        [*command, *flags, *words],
+        [*command, *flags, *arguments],
         capture_output=True,
         text=True,
         env=environment,
@@ -52,7 +52,7 @@
     )
 
 
-def behave(rig: Rig, **behaviour: object) -> None:
+def set_upstream_behaviour(rig: Rig, **behaviour: object) -> None:
     """Changes how every upstream behaves."""
     for vm in rig.vms:
         if vm.upstream is not None and vm.upstream.poll() is None:
@@ -78,28 +78,26 @@
         rig.api("POST", "data-centres/bunbury/in")
         rig.wait_for(lambda: rig.is_settled(), "the change")
 
-    def test_large_answer_is_whole(self, rig: Rig) -> None:
-        behave(rig, body_bytes=LARGE_BYTES)
+    def test_large_answer_is_complete(self, rig: Rig) -> None:
+        set_upstream_behaviour(rig, body_bytes=LARGE_BYTES)
         pool = urllib3.PoolManager(retries=False, timeout=20)
         for vm in rig.vms[:3]:
             response = pool.request("GET", f"{vm.callers}/herd/season")
             assert len(response.data) == LARGE_BYTES
-        behave(rig)
+        set_upstream_behaviour(rig)
 
     @pytest.mark.parametrize("size", [1000, LARGE_BYTES])
-    def test_cut_answer_is_a_failure(self, rig: Rig, size: int) -> None:
-        behave(rig, body_bytes=size, cut_fraction=1.0)
+    def test_truncated_answer_is_a_failure(self, rig: Rig, size: int) -> None:
+        set_upstream_behaviour(rig, body_bytes=size, cut_fraction=1.0)
         connection = http.client.HTTPConnection(rig.vms[0].ip, 7100, timeout=20)
         connection.request("POST", "/treatments/1")
         with pytest.raises((http.client.IncompleteRead, AssertionError)):
             response = connection.getresponse()
             body = response.read()
             assert response.status == 200 and len(body) == size
-        behave(rig)
+        set_upstream_behaviour(rig)
 
-    def test_unknown_path_and_bad_headers_are_refused_truthfully(
-        self, rig: Rig
-    ) -> None:
+    def test_unknown_path_and_bad_headers_are_refused(self, rig: Rig) -> None:
         pool = urllib3.PoolManager(retries=False, timeout=20)
         address = rig.vms[0].callers
         response = pool.request("GET", f"{address}/nothing")
@@ -114,39 +112,50 @@
         assert json.loads(response.data)["remedy"]
 
 
-class TestOperators:
+class TestCommandLine:
     """The command-line tool against real nodes."""
 
     def test_apply_and_history(self, rig: Rig, tmp_path: Path) -> None:
-        text = ctl(rig, "profiles", "get", PROFILE).stdout
+        text = run_jayswitchctl(rig, "profiles", "get", PROFILE).stdout
         path = tmp_path / "everyday.yaml"
         path.write_text(text.replace("timeout_ms: 2000", "timeout_ms: 2500"))
-        assert ctl(rig, "profiles", "diff", str(path)).returncode == 1
-        applied = ctl(rig, "profiles", "apply", str(path))
+        assert run_jayswitchctl(rig, "profiles", "diff", str(path)).returncode == 1
+        applied = run_jayswitchctl(rig, "profiles", "apply", str(path))
         assert applied.returncode == 0, applied.stderr
         assert "accepted as version" in applied.stdout
-        assert "herdview=v1" in ctl(rig, "profiles", "history", PROFILE).stdout
+        assert (
+            "herdview=v1"
+            in run_jayswitchctl(rig, "profiles", "history", PROFILE).stdout
+        )
         rig.wait_for(rig.is_settled, "the change")
 
-    def test_second_of_two_operators_loses(self, rig: Rig, tmp_path: Path) -> None:
+    def test_second_apply_with_the_same_expected_version_is_rejected(
+        self, rig: Rig, tmp_path: Path
+    ) -> None:
         path = tmp_path / "everyday.yaml"
-        path.write_text(ctl(rig, "profiles", "get", PROFILE).stdout)
-        seen = json.loads(ctl(rig, "profiles", "list", "--json").stdout)[0]["version"]
+        path.write_text(run_jayswitchctl(rig, "profiles", "get", PROFILE).stdout)
+        seen = json.loads(run_jayswitchctl(rig, "profiles", "list", "--json").stdout)[
+            0
+        ]["version"]
         flag = f"--expected_version={seen}"
-        assert ctl(rig, "profiles", "apply", str(path), flag).returncode == 0
-        second = ctl(rig, "profiles", "apply", str(path), flag)
+        assert (
+            run_jayswitchctl(rig, "profiles", "apply", str(path), flag).returncode == 0
+        )
+        second = run_jayswitchctl(rig, "profiles", "apply", str(path), flag)
         assert second.returncode == 1
         assert "another operator changed it first" in second.stderr
         assert "apply it once more" in second.stderr
 
-    def test_wrong_token_and_no_node(self, rig: Rig) -> None:
-        refused = ctl(rig, "services", "list", "--token=wrong")
+    def test_wrong_token_and_unreachable_node(self, rig: Rig) -> None:
+        refused = run_jayswitchctl(rig, "services", "list", "--token=wrong")
         assert refused.returncode == 1 and "admin_token" in refused.stderr
-        lost = ctl(rig, "services", "list", "--node=http://127.30.254.254:1")
-        assert lost.returncode == 4
+        unreachable = run_jayswitchctl(
+            rig, "services", "list", "--node=http://127.30.254.254:1"
+        )
+        assert unreachable.returncode == 4
 
-    def test_plain_lists(self, rig: Rig) -> None:
-        for words in (
+    def test_list_commands(self, rig: Rig) -> None:
+        for arguments in (
             ["services", "list"],
             ["data-centres", "list"],
             ["moves", "list"],
@@ -154,7 +163,7 @@
             ["upstreams", "list"],
             ["node", "dump"],
         ):
-            listed = ctl(rig, *words)
+            listed = run_jayswitchctl(rig, *arguments)
             assert listed.returncode == 0, listed.stderr
             assert listed.stdout.strip()
 
@@ -163,40 +172,45 @@
     """SIGTERM cuts no request."""
 
     def test_calls_go_on_while_a_daemon_stops(self, rig: Rig) -> None:
-        behave(rig, latency_ms=50.0)
-        victim = rig.add_upstream(SMALL.services[0], "v1", latency_ms=50.0)
+        set_upstream_behaviour(rig, latency_ms=50.0)
+        stopping_vm = rig.add_upstream(
+            SMALL_DEPLOYMENT.services[0], "v1", latency_ms=50.0
+        )
         rig.wait_for(rig.is_settled, "the new node")
         failures: list[str] = []
-        stopping = threading.Event()
+        stop_calls = threading.Event()
         callers = [
-            threading.Thread(target=self.call, args=(vm, victim, stopping, failures))
-            for vm in [*rig.vms[:3], victim]
+            threading.Thread(
+                target=self.call_until_stopped,
+                args=(vm, stopping_vm, stop_calls, failures),
+            )
+            for vm in [*rig.vms[:3], stopping_vm]
             for _ in range(3)
         ]
         for caller in callers:
             caller.start()
-        stopping.wait(1.0)
-        victim.daemon.terminate()
-        code = victim.daemon.wait(60)
-        stopping.set()
+        stop_calls.wait(1.0)
+        stopping_vm.daemon.terminate()
+        code = stopping_vm.daemon.wait(60)
+        stop_calls.set()
         for caller in callers:
             caller.join()
-        rig.vms.remove(victim)
-        victim.upstream.terminate()
-        victim.upstream.wait(10)
+        rig.vms.remove(stopping_vm)
+        stopping_vm.upstream.terminate()
+        stopping_vm.upstream.wait(10)
         assert code == 0
         assert not failures
 
-    def call(
-        self, vm: Vm, victim: Vm, stopping: threading.Event, failures: list[str]
+    def call_until_stopped(
+        self, vm: Vm, stopping_vm: Vm, stop_calls: threading.Event, failures: list[str]
     ) -> None:
         """Calls a node until told to stop, or until it no longer listens."""
-        while not stopping.is_set():
+        while not stop_calls.is_set():
             connection = http.client.HTTPConnection(vm.ip, 7100, timeout=30)
             try:
                 connection.connect()
             except ConnectionRefusedError:
-                if vm is not victim:
+                if vm is not stopping_vm:
                     failures.append(f"{vm.name} refused a connection")
                 return
             try:
