Reword the texts of the test harness

Docstrings told the harness as a story: a node that can be cut off alone, answers that take their time, a call handed over once. They now say what each part does. The oracle's messages say executed instead of run, and the node store's error says that the node cannot reach the store.

The checks are the same: a comparison of the syntax trees shows that, apart from docstrings, only the messages named above changed.

--- a/tests/harness/limited_links.py
+++ b/tests/harness/limited_links.py
@@ -1,4 +1,4 @@
-"""Links of bounded bandwidth in virtual time, and a store at the end of one."""
+"""Bandwidth-limited links in virtual time, and a store and feeds behind them."""
 
 from __future__ import annotations
 
@@ -19,22 +19,22 @@
 from jayswitch.store.follower import TEXT_BYTES_PER_BYTE
 
 ANSWER_OVERHEAD_BYTES = 200
-# What a call waits for a store that does not answer.
+# Time after which a call to an unavailable store fails.
 NO_ANSWER_DELAY_S = 1.2
 
 
 class LimitedLink:
-    """Carries bytes in the order in which they were handed over."""
+    """Transmits data in first-in, first-out order."""
 
     def __init__(self, clock: Clock, mbit_per_s: float) -> None:
-        """Takes the bandwidth in millions of bits a second."""
+        """Takes the bandwidth in Mbit/s."""
         self.bytes_sent = 0
         self._clock = clock
         self._bytes_per_ms = mbit_per_s * 1e6 / 8 / MS_PER_S
         self._busy_until_ms = 0.0
 
     def transmit(self, size: int) -> None:
-        """Waits until the bytes have arrived."""
+        """Waits until the given number of bytes has been transmitted."""
         now_ms = self._clock.now_ms()
         self.bytes_sent += size
         self._busy_until_ms = (
@@ -44,7 +44,7 @@
 
 
 class RemoteStore:
-    """A store whose answers pass the store's link and a VM's link."""
+    """A store whose answers are delayed by the store's link and a VM's link."""
 
     def __init__(
         self,
@@ -53,13 +53,13 @@
         vm_link: LimitedLink,
         is_unavailable: Callable[[], bool] = lambda: False,
     ) -> None:
-        """Takes the store, both links and whether the store does not answer."""
+        """Takes the store, both links and a check for the store being unavailable."""
         self._store = store
         self._is_unavailable = is_unavailable
         self._links = (store_link, vm_link)
 
     def __getattr__(self, name: str) -> Any:
-        """Returns a call of the store whose answer takes its time."""
+        """Returns a method of the store whose answer is delayed by both links."""
         call = getattr(self._store, name)
 
         def answer(*arguments: Any) -> Result[Any, Any]:
@@ -77,7 +77,7 @@
 
 
 class RemoteFeeds:
-    """The feeds of proxies; an answer passes the links of both."""
+    """Feeds of proxies; an answer is delayed by the links of sender and receiver."""
 
     def __init__(self) -> None:
         """Starts without proxies."""
@@ -86,7 +86,7 @@
         self.unresponsive: set[str] = set()
 
     def over_link(self, link: LimitedLink) -> FeedSource:
-        """Returns the feeds as they come to a VM behind a link."""
+        """Returns the feeds as seen by a VM behind a link."""
         return _FeedsOverLink(self, link)
 
 
--- a/tests/harness/loopback.py
+++ b/tests/harness/loopback.py
@@ -1,4 +1,4 @@
-"""Proxies over real loopback sockets, with stand-ins for the platform and upstreams."""
+"""Runs proxies over loopback sockets, with stand-ins for the store and upstreams."""
 
 from __future__ import annotations
 
@@ -66,22 +66,22 @@
     """A request as it arrived at an upstream."""
 
     def __init__(self, head: str, body: bytes) -> None:
-        """Takes the head's lines and the body."""
+        """Splits the head into the request line and headers."""
         self.request_line, *lines = head.split("\r\n")
         self.headers = [tuple(line.split(": ", 1)) for line in lines if line]
         self.body = body
 
     def header(self, name: str) -> str:
-        """Returns a header's value; empty where there is none."""
+        """Returns the value of a header, or an empty string if it is missing."""
         found = [value for key, value in self.headers if key.lower() == name.lower()]
         return found[0] if found else ""
 
 
 class RawUpstream:
-    """An upstream that reads requests from its sockets and answers as told."""
+    """An upstream that reads raw requests and answers through a replaceable handler."""
 
     def __init__(self, upstream_id: str) -> None:
-        """Listens on a free port; answers 200 until told otherwise."""
+        """Listens on a free port and answers 200 by default."""
         self.id = upstream_id
         self.received_requests: list[ReceivedRequest] = []
         self.closed_early = 0
@@ -121,7 +121,7 @@
 def send_answer(
     connection: GreenSocket, headers: str = "", body: bytes = b"ok"
 ) -> None:
-    """Sends a framed answer."""
+    """Sends a 200 answer with a Content-Length."""
     head = f"HTTP/1.1 200 OK\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
     connection.sendall(head.encode() + body)
 
@@ -129,17 +129,17 @@
 def answer_ok(
     upstream: RawUpstream, connection: GreenSocket, received: ReceivedRequest
 ) -> None:
-    """Answers as a sound upstream does."""
+    """Sends a complete answer with the headers that identify its request."""
     send_answer(connection, signature_headers(received), b"whole body")
 
 
 def signature_headers(received: ReceivedRequest) -> str:
-    """Returns the headers by which an answer is known as a request's own."""
+    """Returns the headers that identify an answer as the answer to a request."""
     return f"Request-Id: {received.header('Request-Id')}\r\nServer-Signature: s\r\n"
 
 
 def free_port() -> int:
-    """Returns a port that nobody listens on."""
+    """Returns an unused port."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
@@ -149,7 +149,7 @@
     """A store, proxies and upstreams in one process, over real sockets."""
 
     def __init__(self) -> None:
-        """Starts the store with a configuration in it."""
+        """Starts the store and writes the configuration to it."""
         self.store = PlatformStoreApplication(Clock())
         server = HttpServer("127.0.0.1", 0, self.store)
         server.start()
@@ -164,7 +164,7 @@
         version: str = "v1",
         send_first_heartbeat: bool = True,
     ) -> ProxyProcess:
-        """Starts a proxy beside an upstream, which announces itself."""
+        """Starts a proxy for an upstream and sends the upstream's first heartbeat."""
         proxy = self.start_proxy(vm, upstream)
         if send_first_heartbeat:
             assert self.send_heartbeat(proxy, upstream, version=version) == 200
@@ -203,7 +203,7 @@
     def send_heartbeat(
         self, proxy: ProxyProcess, upstream: RawUpstream, seq: int = 1, **changes: Any
     ) -> int:
-        """Sends a heartbeat; returns the status of its answer."""
+        """Sends a heartbeat and returns the status of the answer."""
         heartbeat = {
             "service": SERVICE,
             "address": upstream.address,
@@ -223,10 +223,10 @@
 
 
 class RawAnswer:
-    """An answer as it came over the socket."""
+    """An answer as received from the socket."""
 
     def __init__(self, data: bytes, ended: bool) -> None:
-        """Takes every byte and whether the connection has ended."""
+        """Takes the received bytes and whether the connection ended or timed out."""
         self.data = data
         self.ended = ended
         head, _, self.body = data.partition(b"\r\n\r\n")
@@ -244,7 +244,7 @@
 
 
 def connect(address: str) -> GreenSocket:
-    """Returns a connection."""
+    """Opens a connection to an address."""
     host, _, port = address.rpartition(":")
     return eventlet.connect((host, int(port)))
 
@@ -259,7 +259,7 @@
 
 
 def receive(connection: GreenSocket) -> RawAnswer:
-    """Reads until an answer is whole or the connection ends."""
+    """Reads until an answer is complete, or the connection ends or times out."""
     connection.settimeout(RECEIVE_TIMEOUT_S)
     data = b""
     while not _is_complete(data):
@@ -274,7 +274,7 @@
 
 
 def wait_until(condition: Callable[[], bool]) -> None:
-    """Waits until a condition holds."""
+    """Waits until a condition holds; raises eventlet.Timeout after WAIT_TIMEOUT_S."""
     with eventlet.Timeout(WAIT_TIMEOUT_S):
         while not condition():
             eventlet.sleep(0.005)
--- a/tests/harness/mesh.py
+++ b/tests/harness/mesh.py
@@ -1,4 +1,4 @@
-"""A whole mesh in virtual time, with the code that the daemon runs."""
+"""Simulates a mesh in virtual time, running the same code as the daemon."""
 
 from __future__ import annotations
 
@@ -28,10 +28,10 @@
 
 
 class ScenarioNode:
-    """A node, its upstream and the faults that can be set on them."""
+    """A node and its upstream, with faults that tests can inject."""
 
     def __init__(self, mesh: Mesh, settings: NodeSettings, standin: StandInUpstream):
-        """Makes the node; start() starts it."""
+        """Creates the node without starting it."""
         self.settings = settings
         self.standin = standin
         self.service = ""
@@ -56,14 +56,14 @@
         self._clock = mesh.clock
 
     def start(self, service: str, version: str) -> None:
-        """Starts the node and has the upstream announce itself."""
+        """Starts the node and the periodic announcements of its upstream."""
         self.service = service
         self.version = version
         self.node.start()
         eventlet.spawn(self._announce)
 
     def kill(self) -> None:
-        """Ends the VM at once; nothing leaves it any more."""
+        """Simulates a crash of the VM: the node can no longer send or receive."""
         self.alive = False
         self.store.reachable = False
         self.client.reachable = False
@@ -71,13 +71,13 @@
         self.control.close()
 
     def pause(self) -> None:
-        """Stops the process without closing its connections."""
+        """Suspends the process; its connections stay open."""
         self.store.paused = True
         self.data.paused = True
         self.control.paused = True
 
     def resume(self) -> None:
-        """Lets a paused process go on."""
+        """Resumes a paused process."""
         self.store.paused = False
         self.data.resume()
         self.control.resume()
@@ -99,10 +99,10 @@
 
 
 class Mesh:
-    """Nodes of several data centres, one store, and the calls made on them."""
+    """Nodes in several data centres, their store and the calls made through them."""
 
     def __init__(self, seed: int = 1) -> None:
-        """Takes the seed of every random choice."""
+        """Takes the seed of all random generators."""
         self.seed = seed
         self.starts = 0
         self.clock = VirtualClock()
@@ -153,13 +153,13 @@
         return [node for node in self.nodes_by_name.values() if node.alive]
 
     def wait(self, seconds: float) -> None:
-        """Lets virtual time pass."""
+        """Waits in virtual time."""
         self.clock.sleep_ms(seconds * 1000)
 
     # Operators
 
     def append_change(self, change: object, via: ScenarioNode | None = None) -> object:
-        """Appends a change through a node; returns the entry or raises."""
+        """Appends a change to the log through a node; returns the entry or raises."""
         node = via or self.live_nodes()[0]
         result = node.node.parts.log.append(change, "operator")
         if isinstance(result, Success):
@@ -208,7 +208,7 @@
     def call(
         self, node: ScenarioNode, path: str, method: str = "GET", timeout_ms: int = 0
     ) -> CallRecord:
-        """Makes one call at a node and records what the caller learns."""
+        """Makes one call through a node and records its outcome."""
         self._call_number += 1
         path = f"{path}/{self._call_number}"
         record = CallRecord(path, method, self.clock.now_ms())
@@ -228,14 +228,14 @@
     def start_traffic(
         self, calls_per_s: float, service: str, write_share: float = 0.3
     ) -> None:
-        """Starts calls at random live nodes."""
+        """Starts calls at a fixed rate through randomly chosen live nodes."""
         self._traffic_on = True
         eventlet.spawn(
             self._generate_traffic, 1000.0 / calls_per_s, service, write_share
         )
 
     def stop_traffic(self) -> None:
-        """Stops calling and lets the calls in flight end."""
+        """Stops new calls and waits for those in flight to end."""
         self._traffic_on = False
         self.wait(15)
 
@@ -250,7 +250,7 @@
             self.clock.sleep_ms(interval_ms)
 
     def _nodes_with_profile(self) -> list[ScenarioNode]:
-        """Returns the nodes that callers use: those that have a profile."""
+        """Returns the live nodes that have a profile and so can route calls."""
         return [
             node
             for node in self.live_nodes()
--- a/tests/harness/network.py
+++ b/tests/harness/network.py
@@ -1,4 +1,4 @@
-"""Fake network between nodes: delays, losses, repetitions, cuts and pauses."""
+"""Simulated network with delay, loss, duplication, partitions and paused nodes."""
 
 from __future__ import annotations
 
@@ -13,10 +13,10 @@
 
 
 class FakeNetwork:
-    """Delivers messages between transports, with the faults set on it."""
+    """Delivers messages between transports and injects faults."""
 
     def __init__(self, clock: Clock, seed: int) -> None:
-        """Takes the seed of delays and losses."""
+        """Takes the seed of delays, losses and duplicates."""
         self.loss_rate = 0.0
         self.duplication_rate = 0.0
         self.delay_ms = (0.3, 1.5)
@@ -27,36 +27,36 @@
         self._partitions: set[frozenset[str]] = set()
 
     def transport(self, address: str, node: str, data_centre: str) -> FakeTransport:
-        """Returns the transport of a node that starts or starts again."""
+        """Creates the transport of a starting node; a restart replaces the old one."""
         transport = FakeTransport(self, address, node, data_centre)
         self._transport_by_address[address] = transport
         return transport
 
     def partition(self, one: str, other: str) -> None:
-        """Cuts two data centres off from each other."""
+        """Drops all messages between two data centres."""
         self._partitions.add(frozenset((one, other)))
 
     def heal(self) -> None:
-        """Ends every cut."""
+        """Ends every partition."""
         self._partitions.clear()
 
     def is_partitioned(self, one: str, other: str) -> bool:
-        """Tells whether two data centres are cut off from each other."""
+        """Returns whether messages between two data centres are dropped."""
         return frozenset((one, other)) in self._partitions
 
     def find(self, address: str) -> FakeTransport | None:
-        """Returns the live transport under an address."""
+        """Returns the live transport at an address, or None."""
         found = self._transport_by_address.get(address)
         return found if found is not None and found.alive else None
 
 
 class FakeTransport:
-    """One inbox and the sending side towards all others."""
+    """The transport of one node: sends messages and delivers received ones."""
 
     def __init__(
         self, network: FakeNetwork, address: str, node: str, data_centre: str
     ) -> None:
-        """Is alive and reachable from the start."""
+        """Starts alive and reachable."""
         self.address = address
         self.node = node
         self.data_centre = data_centre
@@ -68,11 +68,11 @@
         self._queued: list[bytes] = []
 
     def listen(self, handler: MessageHandler) -> None:
-        """Calls the handler for each message that arrives."""
+        """Sets the handler that is called for each received message."""
         self._handler = handler
 
     def send(self, address: str, message: AnyMessage, timeout_ms: float) -> bool:
-        """Sends a message; False only where no connection can be made."""
+        """Sends a message; returns False only if no connection can be made."""
         while self.paused:
             self._network.clock.sleep_ms(50)
         if not self.alive:
@@ -96,7 +96,7 @@
         return True
 
     def deliver(self, data: bytes) -> None:
-        """Hands a message to the node, or keeps it while the node is paused."""
+        """Passes a message to the handler, or queues it while the node is paused."""
         if not self.alive or self._handler is None:
             return
         if self.paused:
@@ -105,15 +105,15 @@
         self._handler(decode(data).unwrap())
 
     def resume(self) -> None:
-        """Ends a pause; what arrived meanwhile is delivered."""
+        """Ends a pause and delivers the queued messages."""
         self.paused = False
         queued, self._queued = self._queued, []
         for data in queued:
             self.deliver(data)
 
     def forget(self, address: str) -> None:
-        """Has no connections to close."""
+        """Does nothing: there are no connections to close."""
 
     def close(self) -> None:
-        """Is no longer reachable."""
+        """Makes the transport unreachable."""
         self.alive = False
--- a/tests/harness/node_store.py
+++ b/tests/harness/node_store.py
@@ -1,4 +1,4 @@
-"""A node's own view of the shared store: it can be cut off or paused alone."""
+"""A node's access to the shared store, which can be paused or made unreachable."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class NodeStore:
-    """Passes calls on to the shared store unless the node is dead or cut off."""
+    """Forwards calls to the shared store; they wait if paused, fail if unreachable."""
 
     def __init__(self, shared: MemoryStore, clock: Clock) -> None:
         """Takes the store that all nodes share."""
@@ -33,7 +33,7 @@
         self._clock = clock
 
     def __getattr__(self, name: str) -> Any:
-        """Returns a guarded call of the shared store."""
+        """Returns a method of the shared store with the faults applied to it."""
         if name not in STORE_METHODS:
             raise AttributeError(name)
 
@@ -42,7 +42,7 @@
                 self._clock.sleep_ms(50)
             if not self.reachable:
                 self._clock.sleep_ms(50)
-                return Failure(StoreUnavailable("cut off"))
+                return Failure(StoreUnavailable("the node cannot reach the store"))
             self._clock.sleep_ms(1.0)
             return getattr(self._shared, name)(*arguments)
 
--- a/tests/harness/oracle.py
+++ b/tests/harness/oracle.py
@@ -1,4 +1,4 @@
-"""Checks invariants on what callers were told and what upstreams counted."""
+"""Checks invariants by comparing calls' outcomes with upstreams' executions."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 class CallRecord:
-    """What one caller asked and learned."""
+    """A call and its outcome as the caller saw it."""
 
     __slots__ = (
         "body",
@@ -37,10 +37,10 @@
 
 
 class Oracle:
-    """Holds the records of a scenario and raises where an invariant is broken."""
+    """Collects the records of a scenario and asserts the invariants on them."""
 
     def __init__(self, runs: RunLog) -> None:
-        """Takes the upstreams' own counts."""
+        """Takes the log of executions at the upstreams."""
         self.calls: list[CallRecord] = []
         self.version_regressions: list[str] = []
         self.applied_ms_by_version: dict[int, dict[str, float]] = {}
@@ -48,7 +48,7 @@
         self._runs = runs
 
     def observe(self, node: Node) -> None:
-        """Notes each version that a node takes, and each step backwards."""
+        """Records each configuration version that a node applies, and regressions."""
         seen = {"version": 0}
 
         def record_version(state: object) -> None:
@@ -64,11 +64,11 @@
         node.parts.replica.on_change(record_version)
 
     def record_accepted(self, version: int, now_ms: float) -> None:
-        """Notes when an operator was told that a change is accepted."""
+        """Records when the acceptance of a change was reported to the operator."""
         self.accepted_ms_by_version[version] = now_ms
 
     def outcomes(self, since_ms: float = 0.0) -> Counter[str]:
-        """Returns the callers' outcomes by kind."""
+        """Counts the calls that started at or after a time, by outcome."""
         return Counter(
             call.outcome for call in self.calls if call.started_ms >= since_ms
         )
@@ -79,16 +79,20 @@
         assert not self.version_regressions, self.version_regressions
 
     def check_calls(self) -> None:
-        """Checks truth, wholeness and at-most-once on every call."""
+        """Checks the outcome of every call against the executions at upstreams.
+
+        A write runs at most once, a call reported as not run never runs, and an
+        answered call has run and has its own answer in full.
+        """
         for call in self.calls:
             runs = self._runs.runs_by_path[call.path]
             description = f"{call.method} {call.path}: {call.outcome} ({call.reason})"
             if call.method == "POST":
-                assert runs <= 1, f"{description}, run {runs} times"
+                assert runs <= 1, f"{description}, executed {runs} times"
             if call.outcome == "not-run":
-                assert runs == 0, f"{description}, run {runs} times"
+                assert runs == 0, f"{description}, executed {runs} times"
             if call.outcome == "answered":
-                assert runs >= 1, f"{description}, never run"
+                assert runs >= 1, f"{description}, never executed"
                 assert (
                     call.path.encode() in call.body
                 ), f"{description}: {call.body[:80]!r}"
--- a/tests/harness/platform_store.py
+++ b/tests/harness/platform_store.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's store: its published wire over the memory store."""
+"""Stand-in for the platform's store: its HTTP API on top of the memory store."""
 
 from __future__ import annotations
 
@@ -20,30 +20,30 @@
 
 
 class PlatformStoreApplication:
-    """Answers the store's calls as the platform's page describes them."""
+    """Serves the HTTP API of the store as the platform documents it."""
 
     def __init__(self, clock: Clock) -> None:
-        """Starts empty."""
+        """Creates an empty store."""
         self.store = MemoryStore(clock)
         self.forced_status = 0
         self.calls = 0
 
     def put(self, key: str, document: Any) -> None:
-        """Writes a key as an operator would."""
+        """Writes a key as an operator does; bytes are stored without encoding."""
         data = (
             document if isinstance(document, bytes) else msgspec.json.encode(document)
         )
         assert isinstance(self.store.commit([Write(key, data)]), Success)
 
     def read(self, key: str) -> Any:
-        """Returns a key's decoded value; None where there is none."""
+        """Returns the decoded value of a key, or None if there is no such key."""
         stored = self.store.get(key).unwrap()
         return None if stored is None else msgspec.json.decode(stored.value)
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        """Serves one call."""
+        """Serves one request."""
         self.calls += 1
         parsed = parse_qs(environ.get("QUERY_STRING", ""))
         query = {name: values[0] for name, values in parsed.items()}
--- a/tests/harness/upstreams.py
+++ b/tests/harness/upstreams.py
@@ -1,4 +1,4 @@
-"""Upstreams inside a scenario: the stand-in behind the gate's interface."""
+"""Upstreams of a scenario: a client that calls the stand-in in the same process."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class RunLog:
-    """What upstreams ran, as they counted it themselves: the oracle's source."""
+    """Requests that upstreams executed, recorded at the upstreams for the oracle."""
 
     def __init__(self, clock: Clock) -> None:
         """Starts empty."""
@@ -32,7 +32,7 @@
         self._clock = clock
 
     def record(self, path: str, node: str, data_centre: str, version: str) -> None:
-        """Counts one run."""
+        """Records one execution."""
         self.runs_by_path[path] += 1
         self.started.append((self._clock.now_ms(), node, data_centre, version))
 
@@ -43,7 +43,7 @@
         version: str = "",
         node: str = "",
     ) -> int:
-        """Returns the runs that began after a time, of those that match."""
+        """Counts the matching executions that began at or after a time."""
         return sum(
             1
             for at_ms, run_node, run_data_centre, run_version in self.started
@@ -55,12 +55,12 @@
 
 
 class FakeUpstreamClient:
-    """Runs calls on a stand-in in the same process."""
+    """Executes calls on a stand-in in the same process."""
 
     def __init__(
         self, standin: StandInUpstream, log: RunLog, node: str, data_centre: str
     ) -> None:
-        """Takes the stand-in and where it stands."""
+        """Takes the stand-in, the log of executions and the stand-in's location."""
         self.reachable = True
         self.lose_answers = 0.0
         self.standin = standin
@@ -71,7 +71,7 @@
     def run(
         self, address: str, call: Call, remaining_ms: float
     ) -> Result[UpstreamAnswer, UpstreamFailure]:
-        """Hands the call over once."""
+        """Executes the call once, within the remaining time."""
         if not self.reachable:
             return Failure(UpstreamUnreachable(address, "refused"))
         deadline = eventlet.Timeout(max(0.001, remaining_ms) / MS_PER_S)
@@ -85,7 +85,7 @@
             deadline.cancel()
 
     def cancel(self, address: str, call: Call) -> None:
-        """Needs no telling."""
+        """Does nothing: the stand-in needs no notification of a cancelled call."""
 
     def _run(
         self, call: Call, remaining_ms: float
