Reword the texts of the loopback tests

Docstrings such as entries of other writers harm nothing did not say which behaviour is checked. They now do; the reasons at two waits are kept. The error of the disabled store in the feed tests says that the test disabled it.

The checks are the same: a comparison of the syntax trees shows that, apart from docstrings, only the messages named above changed.

--- a/tests/loopback/test_feeds.py
+++ b/tests/loopback/test_feeds.py
@@ -21,7 +21,7 @@
     """Three proxies, of which the last one follows the others."""
 
     def __init__(self) -> None:
-        """Waits until both feeds of the last proxy are open."""
+        """Starts the proxies and waits until both feeds of the last one are open."""
         self.loopback = LoopbackDeployment()
         self.upstreams = [RawUpstream(f"i-{number}") for number in range(3)]
         for number, upstream in enumerate(self.upstreams):
@@ -30,14 +30,14 @@
         wait_until(lambda: len(self.proxy.orders_feed.relay_by_feed) == 2)
 
     def make_store_unavailable(self) -> None:
-        """Lets the store answer no call of the last proxy."""
-        failure = Failure(StoreUnavailable("turned away"))
+        """Makes the store reads and watches of the last proxy fail."""
+        failure = Failure(StoreUnavailable("disabled by the test"))
         store = self.proxy.orders_follower._store
         for name in ("read", "watch"):
             setattr(store, name, lambda *arguments: failure)
 
     def publish_config(self, version: int) -> None:
-        """Writes a configuration with one route more."""
+        """Writes a configuration with one added route."""
         added = {**CONFIG["routes"][0], "name": "new", "prefix": "/new/"}
         routes = [*CONFIG["routes"], added]
         self.loopback.store.put(
@@ -46,7 +46,7 @@
 
 
 class TestFeeds:
-    """A proxy that the store turns away gets what the others get."""
+    """A proxy that cannot use the store gets updates from other proxies."""
 
     def test_added_route_is_served_by_a_proxy_without_store_access(self) -> None:
         deployment = FeedDeployment()
--- a/tests/loopback/test_forwarding.py
+++ b/tests/loopback/test_forwarding.py
@@ -1,4 +1,4 @@
-"""Tests of forwarding over real sockets: framing, fidelity, cuts and cancellation."""
+"""Tests of forwarding over sockets: content, framing, truncation, cancellation."""
 
 from __future__ import annotations
 
@@ -27,10 +27,10 @@
 
 
 class ProxyPair:
-    """Two proxies; callers use the first, the only upstream is at the second."""
+    """Two proxies: callers use `near`, the only announced upstream is at `far`."""
 
     def __init__(self) -> None:
-        """Starts both."""
+        """Starts both and waits until `near` knows the upstream."""
         self.loopback = LoopbackDeployment()
         self.upstream = RawUpstream("i-1")
         self.far = self.loopback.add_vm("vm-far", self.upstream)
@@ -44,19 +44,19 @@
 
 @pytest.fixture
 def pair() -> ProxyPair:
-    """Returns two proxies that serve."""
+    """Returns two running proxies."""
     return ProxyPair()
 
 
 def reset_connection(connection: GreenSocket) -> None:
-    """Ends a connection with a reset."""
+    """Closes a connection with a TCP reset."""
     linger = struct.pack("ii", 1, 0)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     connection.close()
 
 
 class TestPassThrough:
-    """What a caller sent is what the upstream gets, and the other way round."""
+    """Requests and answers are forwarded unchanged."""
 
     @pytest.mark.parametrize(
         "path", ["/read/a%2fb?q=[1]", "/read/%zz", "/read//x?", "/read/a;b=c?x=%5B"]
@@ -124,7 +124,7 @@
 
 
 class TestConnections:
-    """Connections to proxies and upstreams are kept."""
+    """Connections to proxies and upstreams are reused."""
 
     def test_requests_one_after_another_share_a_connection(
         self, pair: ProxyPair
@@ -136,7 +136,7 @@
 
 
 class TestFraming:
-    """A request that two parsers could read differently is never passed on."""
+    """A request that two parsers could interpret differently is not forwarded."""
 
     @pytest.mark.parametrize(
         "headers",
@@ -184,7 +184,7 @@
 
 
 class TestInvalidAnswers:
-    """A caller never takes for whole or for its own what is not."""
+    """A caller never gets a truncated or foreign answer as its own complete one."""
 
     def test_unframed_answer_that_is_reset_is_not_complete(
         self, pair: ProxyPair
@@ -265,14 +265,14 @@
 
 
 class TestEndlessInput:
-    """Upstreams and callers that never stop sending are cut off early."""
+    """Upstreams and callers that send without end are disconnected early."""
 
     MAX_SENT_BYTES = 32 * 1024 * 1024
 
     def _send_until_closed(
         self, connection: GreenSocket, start: bytes, part: bytes
     ) -> int:
-        """Returns how many bytes were sent until the other side closed."""
+        """Sends MAX_SENT_BYTES or until the peer closes; returns the bytes sent."""
         sent = 0
         try:
             connection.sendall(start)
@@ -338,7 +338,7 @@
 
 
 class TestRefusals:
-    """503 means that the request has not run and will not."""
+    """Status 503 means that the request has not been executed and will not be."""
 
     def test_rejected_unsafe_request_is_refused_with_retry_after(
         self, pair: ProxyPair
@@ -399,7 +399,7 @@
 
 
 class TestCancellation:
-    """A caller that leaves frees the upstream."""
+    """The upstream is freed when the caller disconnects."""
 
     def test_closed_connection_reaches_the_upstream(self, pair: ProxyPair) -> None:
         ended: list[bool] = []
--- a/tests/loopback/test_stop.py
+++ b/tests/loopback/test_stop.py
@@ -19,10 +19,10 @@
 
 
 class StoppingProxy:
-    """One proxy that is being stopped while callers keep coming."""
+    """A proxy to be stopped while callers keep sending requests."""
 
     def __init__(self) -> None:
-        """Starts the proxy."""
+        """Starts the proxy and waits until it serves requests."""
         self.loopback, self.upstream = LoopbackDeployment(), RawUpstream("i-1")
         self.proxy = self.loopback.add_vm("vm-1", self.upstream)
         self.address = self.proxy.settings.callers_address
@@ -35,7 +35,7 @@
 
 
 class TestPlannedStop:
-    """No request that was taken is cut, however long callers keep coming."""
+    """A stop cuts no accepted request, however long callers keep sending."""
 
     def test_requests_during_a_stop_are_never_cut(self) -> None:
         stopping = StoppingProxy()
@@ -65,7 +65,7 @@
         assert set(statuses) <= {200, 503}
 
     def test_request_that_may_outlast_the_process_is_refused(self) -> None:
-        # Guards against requests that are taken late and cut by the process's end.
+        # Guards against requests accepted so late that the process's exit cuts them.
         stopping = StoppingProxy()
         wait_until(lambda: "vm-1" in stopping.proxy.directory.record_by_vm)
 
@@ -101,7 +101,7 @@
         stopping = StoppingProxy()
         wait_until(lambda: "vm-1" in stopping.proxy.directory.record_by_vm)
         stop = eventlet.spawn(stopping.proxy.stop)
-        # Longer than a stop takes that leaves its callers to others.
+        # Longer than the stop of a proxy that leaves its callers to other proxies.
         eventlet.sleep(3.5)
         assert exchange(stopping.address, request()).status == 200
         assert stop.wait() is True
--- a/tests/loopback/test_upstreams.py
+++ b/tests/loopback/test_upstreams.py
@@ -19,7 +19,7 @@
 
 
 class TestLeaving:
-    """An acknowledged leaving binds every proxy, also after a restart."""
+    """No proxy uses an upstream whose leaving was acknowledged, even once restarted."""
 
     def test_leaving_upstream_gets_no_new_requests(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
@@ -53,7 +53,7 @@
 
 
 class TestRestart:
-    """A proxy that comes back serves its living upstream without delay."""
+    """A restarted proxy uses its live upstream before the next heartbeat."""
 
     def test_live_upstream_is_served_before_its_next_heartbeat(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
@@ -75,7 +75,7 @@
 
 
 class TestHeartbeats:
-    """Entries of other writers harm nothing."""
+    """Malformed heartbeats are rejected, and a cold upstream gets few requests."""
 
     def test_malformed_heartbeats_are_dropped(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
@@ -103,7 +103,7 @@
 
 
 class TestConfigAndEvacuation:
-    """Configurations and evacuations are followed."""
+    """Changes of the configuration and evacuations take effect."""
 
     def test_new_configuration_takes_effect(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
