Reword the texts of the deployment tests

Four docstrings and those of the fixture now say what is done instead of who tells whom. No message changed.

--- a/tests/deployment/conftest.py
+++ b/tests/deployment/conftest.py
@@ -1,4 +1,4 @@
-"""Real processes need real time."""
+"""Runs the tests of this folder in real time, which real processes need."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @pytest.fixture(autouse=True, scope="module")
 def virtual_time() -> Iterator[None]:
-    """Replaces the virtual hub by the usual one."""
+    """Uses eventlet's default hub instead of the virtual one."""
     hubs.use_hub()
     yield
     use_virtual_time()
--- a/tests/deployment/test_processes.py
+++ b/tests/deployment/test_processes.py
@@ -53,7 +53,7 @@
 
 
 def set_upstream_behaviour(rig: Rig, **behaviour: object) -> None:
-    """Changes how every upstream behaves."""
+    """Sets the behaviour of every running upstream."""
     for vm in rig.vms:
         if vm.upstream is not None and vm.upstream.poll() is None:
             rig.control_upstream(vm, "behaviour", json.dumps(behaviour).encode())
@@ -169,7 +169,7 @@
 
 
 class TestPlannedStop:
-    """SIGTERM cuts no request."""
+    """SIGTERM interrupts no request."""
 
     def test_calls_go_on_while_a_daemon_stops(self, rig: Rig) -> None:
         set_upstream_behaviour(rig, latency_ms=50.0)
@@ -204,7 +204,7 @@
     def call_until_stopped(
         self, vm: Vm, stopping_vm: Vm, stop_calls: threading.Event, failures: list[str]
     ) -> None:
-        """Calls a node until told to stop, or until it no longer listens."""
+        """Calls a node until stop_calls is set or the node no longer listens."""
         while not stop_calls.is_set():
             connection = http.client.HTTPConnection(vm.ip, 7100, timeout=30)
             try:
@@ -226,7 +226,7 @@
 
 
 class TestStartUp:
-    """A daemon that cannot start says why."""
+    """A daemon that cannot start reports the reason."""
 
     def run(self, path: Path) -> subprocess.CompletedProcess:
         """Runs jayswitchd with a settings file."""
