--- a/tests/harness/loopback.py
+++ b/tests/harness/loopback.py
@@ -1,4 +1,4 @@
-"""Proxies over real loopback sockets, with stand-ins for the platform and upstreams."""
+"""Runs proxies over loopback sockets, with stand-ins for the store and upstreams."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 HOST = "herd.example"
 SERVICE = "herdview"
 RECEIVE_TIMEOUT_S = 10.0
-WAIT_S = 10.0
+WAIT_TIMEOUT_S = 10.0
 
 CONFIG = {
     "version": "r1",
@@ -59,33 +59,33 @@
     },
 }
 
-Answer = Callable[["RawUpstream", GreenSocket, "Seen"], None]
+AnswerHandler = Callable[["RawUpstream", GreenSocket, "ReceivedRequest"], None]
 
 
-class Seen:
+class ReceivedRequest:
     """A request as it arrived at an upstream."""
 
     def __init__(self, head: str, body: bytes) -> None:
-        """Takes the head's lines and the body."""
+        """Splits the head into the request line and headers."""
         self.request_line, *lines = head.split("\r\n")
         self.headers = [tuple(line.split(": ", 1)) for line in lines if line]
         self.body = body
 
     def header(self, name: str) -> str:
-        """Returns a header's value; empty where there is none."""
+        """Returns the value of a header, or an empty string if it is missing."""
         found = [value for key, value in self.headers if key.lower() == name.lower()]
         return found[0] if found else ""
 
 
 class RawUpstream:
-    """An upstream that reads requests from its sockets and answers as told."""
+    """An upstream that reads raw requests and answers through a replaceable handler."""
 
     def __init__(self, upstream_id: str) -> None:
-        """Listens on a free port; answers 200 until told otherwise."""
+        """Listens on a free port and answers 200 by default."""
         self.id = upstream_id
-        self.seen: list[Seen] = []
+        self.received_requests: list[ReceivedRequest] = []
         self.closed_early = 0
-        self.answer: Answer = answer_ok
+        self.answer: AnswerHandler = answer_ok
         self._listener = eventlet.listen(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         eventlet.spawn(self._accept)
@@ -104,48 +104,52 @@
                     return
                 buffer += data
             head, _, buffer = buffer.partition(b"\r\n\r\n")
-            seen = Seen(head.decode("latin-1"), b"")
-            length = int(seen.header("Content-Length") or 0)
+            received = ReceivedRequest(head.decode("latin-1"), b"")
+            length = int(received.header("Content-Length") or 0)
             while len(buffer) < length:
                 buffer += connection.recv(65536)
-            seen.body, buffer = buffer[:length], buffer[length:]
-            if seen.request_line.startswith("GET /health "):
-                send(connection, f"Instance-Id: {self.id}\r\n")
+            received.body, buffer = buffer[:length], buffer[length:]
+            if received.request_line.startswith("GET /health "):
+                send_answer(connection, f"Instance-Id: {self.id}\r\n")
                 continue
-            self.seen.append(seen)
-            self.answer(self, connection, seen)
+            self.received_requests.append(received)
+            self.answer(self, connection, received)
             if connection.fileno() < 0:
                 return
 
 
-def send(connection: GreenSocket, headers: str = "", body: bytes = b"ok") -> None:
-    """Sends a framed answer."""
+def send_answer(
+    connection: GreenSocket, headers: str = "", body: bytes = b"ok"
+) -> None:
+    """Sends a 200 answer with a Content-Length."""
     head = f"HTTP/1.1 200 OK\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
     connection.sendall(head.encode() + body)
 
 
-def answer_ok(upstream: RawUpstream, connection: GreenSocket, seen: Seen) -> None:
-    """Answers as a sound upstream does."""
-    send(connection, signed(seen), b"whole body")
+def answer_ok(
+    upstream: RawUpstream, connection: GreenSocket, received: ReceivedRequest
+) -> None:
+    """Sends a complete answer with the headers that identify its request."""
+    send_answer(connection, signature_headers(received), b"whole body")
 
 
-def signed(seen: Seen) -> str:
-    """Returns the headers by which an answer is known as a request's own."""
-    return f"Request-Id: {seen.header('Request-Id')}\r\nServer-Signature: s\r\n"
+def signature_headers(received: ReceivedRequest) -> str:
+    """Returns the headers that identify an answer as the answer to a request."""
+    return f"Request-Id: {received.header('Request-Id')}\r\nServer-Signature: s\r\n"
 
 
 def free_port() -> int:
-    """Returns a port that nobody listens on."""
+    """Returns an unused port."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
 
 
-class Loopback:
+class LoopbackDeployment:
     """A store, proxies and upstreams in one process, over real sockets."""
 
     def __init__(self) -> None:
-        """Starts the store with a configuration in it."""
+        """Starts the store and writes the configuration to it."""
         self.store = PlatformStoreApplication(Clock())
         server = HttpServer("127.0.0.1", 0, self.store)
         server.start()
@@ -153,13 +157,17 @@
         self.store.put("op/config", CONFIG)
         self.proxies: list[ProxyProcess] = []
 
-    def add(
-        self, vm: str, upstream: RawUpstream, version: str = "v1", beat: bool = True
+    def add_vm(
+        self,
+        vm: str,
+        upstream: RawUpstream,
+        version: str = "v1",
+        send_first_heartbeat: bool = True,
     ) -> ProxyProcess:
-        """Starts a proxy beside an upstream, which announces itself."""
+        """Starts a proxy for an upstream and sends the upstream's first heartbeat."""
         proxy = self.start_proxy(vm, upstream)
-        if beat:
-            assert self.beat(proxy, upstream, version=version) == 200
+        if send_first_heartbeat:
+            assert self.send_heartbeat(proxy, upstream, version=version) == 200
         return proxy
 
     def start_proxy(self, vm: str, upstream: RawUpstream) -> ProxyProcess:
@@ -192,11 +200,11 @@
         self.proxies.append(proxy)
         return proxy
 
-    def beat(
+    def send_heartbeat(
         self, proxy: ProxyProcess, upstream: RawUpstream, seq: int = 1, **changes: Any
     ) -> int:
-        """Sends a heartbeat; returns the status of its answer."""
-        told = {
+        """Sends a heartbeat and returns the status of the answer."""
+        heartbeat = {
             "service": SERVICE,
             "address": upstream.address,
             "zone": "bunbury",
@@ -207,7 +215,7 @@
             "warmup_left_ms": 0,
             "born": 1000,
         } | changes
-        body = msgspec.json.encode(told)
+        body = msgspec.json.encode(heartbeat)
         path = f"/rpc?call=instances.heartbeat&of={upstream.id}"
         head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
         address = proxy.settings.heartbeats_address
@@ -215,10 +223,10 @@
 
 
 class RawAnswer:
-    """An answer as it came over the socket."""
+    """An answer as received from the socket."""
 
     def __init__(self, data: bytes, ended: bool) -> None:
-        """Takes every byte and whether the connection has ended."""
+        """Takes the received bytes and whether the connection ended or timed out."""
         self.data = data
         self.ended = ended
         head, _, self.body = data.partition(b"\r\n\r\n")
@@ -236,7 +244,7 @@
 
 
 def connect(address: str) -> GreenSocket:
-    """Returns a connection."""
+    """Opens a connection to an address."""
     host, _, port = address.rpartition(":")
     return eventlet.connect((host, int(port)))
 
@@ -251,10 +259,10 @@
 
 
 def receive(connection: GreenSocket) -> RawAnswer:
-    """Reads until an answer is whole or the connection ends."""
+    """Reads until an answer is complete, or the connection ends or times out."""
     connection.settimeout(RECEIVE_TIMEOUT_S)
     data = b""
-    while not _is_whole(data):
+    while not _is_complete(data):
         try:
             part = connection.recv(65536)
         except OSError:
@@ -266,13 +274,13 @@
 
 
 def wait_until(condition: Callable[[], bool]) -> None:
-    """Waits until a condition holds."""
-    with eventlet.Timeout(WAIT_S):
+    """Waits until a condition holds; raises eventlet.Timeout after WAIT_TIMEOUT_S."""
+    with eventlet.Timeout(WAIT_TIMEOUT_S):
         while not condition():
             eventlet.sleep(0.005)
 
 
-def _is_whole(data: bytes) -> bool:
+def _is_complete(data: bytes) -> bool:
     head, separator, body = data.partition(b"\r\n\r\n")
     if not separator:
         return False
