Name the model's classes and functions as a simulation

Names such as ModelHops, play, there, told and terms did not say that the classes simulate the real ones, or what a value is.

Only names change.

--- a/src/jayswitch/model/experiment.py
+++ b/src/jayswitch/model/experiment.py
@@ -8,12 +8,12 @@
 import eventlet
 
 from jayswitch.clock import MS_PER_S, VirtualClock
-from jayswitch.model.fleet import ModelFleet
+from jayswitch.model.fleet import SimulatedFleet
 from jayswitch.model.upstream import STATUS_SERVER_ERROR
 from jayswitch.proxy.outcome import Answered, NotRun
 
 if TYPE_CHECKING:
-    from jayswitch.model.fleet import ModelVm
+    from jayswitch.model.fleet import SimulatedVm
     from jayswitch.model.generated import RequestKind, Scenario
     from jayswitch.proxy.headers import HeaderNames
 
@@ -43,39 +43,39 @@
     """One scenario with one seed; the event loop must run in virtual time."""
 
     def __init__(self, scenario: Scenario, names: HeaderNames, seed: int) -> None:
-        """Builds the fleet; play() lets requests arrive."""
+        """Builds the fleet; simulate() lets requests arrive."""
         self.scenario = scenario
         self.samples: list[Sample] = []
         self._clock = VirtualClock()
         self._random = random.Random(seed)
-        self.fleet = ModelFleet(scenario, names, self._clock, self._random)
-        self._begun_ms = self._clock.now_ms()
+        self.fleet = SimulatedFleet(scenario, names, self._clock, self._random)
+        self._start_ms = self._clock.now_ms()
 
-    def play(self) -> None:
+    def simulate(self) -> None:
         """Lets requests arrive and waits until the last of them has ended."""
         arriving = [kind for kind in self.scenario.kinds if kind.per_s > 0]
-        tasks = [eventlet.spawn(self._arrive, kind) for kind in arriving]
+        tasks = [eventlet.spawn(self._generate_arrivals, kind) for kind in arriving]
         for task in tasks:
             task.wait()
         longest_ms = max((kind.deadline_ms for kind in arriving), default=0.0)
         self._clock.sleep_ms(longest_ms + MS_PER_S)
 
-    def share(self, kind: str, outcome: str) -> float:
+    def outcome_share(self, kind: str, outcome: str) -> float:
         """Returns the part of a kind's requests that ended so; 0 without requests."""
         of_kind = [sample for sample in self.samples if sample.kind == kind]
         found = sum(sample.outcome == outcome for sample in of_kind)
         return found / len(of_kind) if of_kind else 0.0
 
-    def _arrive(self, kind: RequestKind) -> None:
+    def _generate_arrivals(self, kind: RequestKind) -> None:
         vms = list(self.fleet.vm_by_name.values())
-        until_ms = self._begun_ms + self.scenario.duration_s * MS_PER_S
+        until_ms = self._start_ms + self.scenario.duration_s * MS_PER_S
         while True:
             self._clock.sleep_ms(self._random.expovariate(kind.per_s) * MS_PER_S)
             if self._clock.now_ms() >= until_ms:
                 return
             eventlet.spawn_n(self._request, self._random.choice(vms), kind)
 
-    def _request(self, vm: ModelVm, kind: RequestKind) -> None:
+    def _request(self, vm: SimulatedVm, kind: RequestKind) -> None:
         arrived_ms = self._clock.now_ms()
         outcome = self.fleet.request(vm, kind, kind.deadline_ms)
         elapsed_ms = self._clock.now_ms() - arrived_ms
@@ -87,5 +87,5 @@
             name = FAILED
         else:
             name = IN_TIME if elapsed_ms <= kind.objective_ms else LATE
-        since_ms = arrived_ms - self._begun_ms
+        since_ms = arrived_ms - self._start_ms
         self.samples.append(Sample(kind.name, since_ms, elapsed_ms, name))
--- a/src/jayswitch/model/fleet.py
+++ b/src/jayswitch/model/fleet.py
@@ -20,7 +20,7 @@
 from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 from jayswitch.gate.local_upstream import Heartbeat, LocalUpstream
 from jayswitch.gate.upstream_gate import UpstreamGate
-from jayswitch.model.upstream import STATUS_SERVER_ERROR, Caller, ModelUpstream
+from jayswitch.model.upstream import STATUS_SERVER_ERROR, NestedCall, SimulatedUpstream
 from jayswitch.proxy.attempts import AttemptRunner, RetryBudgetSettings
 from jayswitch.proxy.outcome import Answered, ForwardedRequest, OutcomeUnknown
 from jayswitch.routing.balancer import Balancer
@@ -39,13 +39,17 @@
 HEARTBEAT_MS = 1e9
 
 
-class ModelVm:
+class SimulatedVm:
     """One upstream, its gate and the attempts of the callers on its VM."""
 
     __slots__ = ("data_centre", "gate", "name", "runner", "upstream")
 
     def __init__(
-        self, name: str, data_centre: str, gate: UpstreamGate, upstream: ModelUpstream
+        self,
+        name: str,
+        data_centre: str,
+        gate: UpstreamGate,
+        upstream: SimulatedUpstream,
     ) -> None:
         """Takes the gate in front of the upstream; attempts come later."""
         self.name = name
@@ -55,10 +59,10 @@
         self.runner: AttemptRunner
 
 
-class ModelHops:
+class SimulatedHopClient:
     """Hands requests to the gates of other VMs after the time of their travel."""
 
-    def __init__(self, fleet: ModelFleet, origin: ModelVm) -> None:
+    def __init__(self, fleet: SimulatedFleet, origin: SimulatedVm) -> None:
         """Takes the VM that sends."""
         self._fleet = fleet
         self._origin = origin
@@ -67,13 +71,13 @@
         self, address: str, request: ForwardedRequest, wait_ms: float
     ) -> AttemptOutcome:
         """Runs a request at the VM of the given name."""
-        there = self._fleet.vm_by_name[address]
-        travel_ms = self._fleet.travel_ms(self._origin, there)
+        destination = self._fleet.vm_by_name[address]
+        one_way_latency_ms = self._fleet.one_way_latency_ms(self._origin, destination)
         timeout = eventlet.Timeout(max(1.0, wait_ms) / MS_PER_S)
         try:
-            self._fleet.clock.sleep_ms(travel_ms)
-            outcome = there.gate.run(request)
-            self._fleet.clock.sleep_ms(travel_ms)
+            self._fleet.clock.sleep_ms(one_way_latency_ms)
+            outcome = destination.gate.run(request)
+            self._fleet.clock.sleep_ms(one_way_latency_ms)
             return outcome
         except eventlet.Timeout as expired:
             if expired is not timeout:
@@ -83,7 +87,7 @@
             timeout.cancel()
 
 
-class ModelFleet:
+class SimulatedFleet:
     """Every VM of a scenario."""
 
     def __init__(
@@ -95,37 +99,41 @@
     ) -> None:
         """Builds the VMs; every one of them knows all the others."""
         self.clock = clock
-        self.vm_by_name: dict[str, ModelVm] = {}
+        self.vm_by_name: dict[str, SimulatedVm] = {}
         self._scenario = scenario
         self._names = names
         self._random = rng
         self._kind_by_name = {kind.name: kind for kind in scenario.kinds}
-        self._route_by_kind = {kind.name: _route(kind) for kind in scenario.kinds}
-        self._requests = 0
+        self._route_by_kind = {kind.name: _make_route(kind) for kind in scenario.kinds}
+        self._request_count = 0
         self._directory = Directory()
         for group in scenario.groups:
             for _ in range(group.count):
-                self._add(group)
+                self._add_vm(group)
         for vm in self.vm_by_name.values():
-            vm.runner = self._runner(vm)
-            vm.upstream.call = self._caller(vm)
+            vm.runner = self._make_attempt_runner(vm)
+            vm.upstream.call = self._nested_call_from(vm)
 
-    def travel_ms(self, origin: ModelVm, there: ModelVm) -> float:
+    def one_way_latency_ms(
+        self, origin: SimulatedVm, destination: SimulatedVm
+    ) -> float:
         """Returns the time that a request takes one way."""
-        if origin.data_centre == there.data_centre:
+        if origin.data_centre == destination.data_centre:
             return 0.0
         return self._scenario.between_data_centres_ms
 
-    def request(self, vm: ModelVm, kind: RequestKind, left_ms: float) -> AttemptOutcome:
+    def request(
+        self, vm: SimulatedVm, kind: RequestKind, remaining_ms: float
+    ) -> AttemptOutcome:
         """Runs a request of a caller on a VM and returns what became of it."""
-        self._requests += 1
+        self._request_count += 1
         now_ms = self.clock.now_ms()
-        request_id = str(self._requests)
+        request_id = str(self._request_count)
         headers = [(self._names.request_id, request_id)]
         request = ForwardedRequest(
             request_id, "GET", f"/{kind.name}", headers, b"", None
         )
-        request.deadline_ms = now_ms + left_ms
+        request.deadline_ms = now_ms + remaining_ms
         request.objective_ms = now_ms + kind.objective_ms
         request.repeatable = kind.repeatable
         request.rank = kind.rank
@@ -137,19 +145,19 @@
             outcome.close()
         return outcome
 
-    def _add(self, group: UpstreamGroup) -> None:
+    def _add_vm(self, group: UpstreamGroup) -> None:
         name = f"{group.service}-{len(self.vm_by_name) + 1}"
         clock = self.clock
         rate = ColdRateLimiter(clock)
         local = LocalUpstream(group.service, HEARTBEAT_MS, clock, rate.set_cold)
-        stand_in = ModelUpstream(
+        simulated_upstream = SimulatedUpstream(
             group, self._kind_by_name, self._names, clock, self._random
         )
         gate = UpstreamGate(
             name,
             local,
             rate,
-            stand_in,  # type: ignore[arg-type]
+            simulated_upstream,  # type: ignore[arg-type]
             self._names,
             clock,
         )
@@ -162,30 +170,32 @@
             Service(group.service, "/health", 0, cold_ms, group.cold_calls_per_s)
         )
         gate.resize()
-        self.vm_by_name[name] = ModelVm(name, group.data_centre, gate, stand_in)
+        self.vm_by_name[name] = SimulatedVm(
+            name, group.data_centre, gate, simulated_upstream
+        )
         record = NodeRecord(name, group.data_centre, REGION, name, 0, upstream)
         value = msgspec.json.encode(record)
         self._directory.apply(WatchEvent(NODE_PREFIX + name, value, 1))
 
-    def _runner(self, vm: ModelVm) -> AttemptRunner:
+    def _make_attempt_runner(self, vm: SimulatedVm) -> AttemptRunner:
         scenario, clock = self._scenario, self.clock
-        terms = RetryBudgetSettings(
+        budget_settings = RetryBudgetSettings(
             scenario.retry_ratio, scenario.retry_slack, BUDGET_WINDOW_S
         )
         return AttemptRunner(
             vm.name,
             vm.gate,
-            ModelHops(self, vm),  # type: ignore[arg-type]
+            SimulatedHopClient(self, vm),  # type: ignore[arg-type]
             self._directory,
             Balancer(vm.data_centre, REGION, clock, self._random, vm.name),
-            terms,
+            budget_settings,
             clock,
             self._random,
         )
 
-    def _caller(self, vm: ModelVm) -> Caller:
-        def call(kind: RequestKind, left_ms: float) -> bool:
-            outcome = self.request(vm, kind, left_ms)
+    def _nested_call_from(self, vm: SimulatedVm) -> NestedCall:
+        def call(kind: RequestKind, remaining_ms: float) -> bool:
+            outcome = self.request(vm, kind, remaining_ms)
             if not isinstance(outcome, Answered):
                 return False
             return outcome.status < STATUS_SERVER_ERROR
@@ -193,7 +203,7 @@
         return call
 
 
-def _route(kind: RequestKind) -> Route:
+def _make_route(kind: RequestKind) -> Route:
     return Route(
         name=kind.name,
         host="model",
--- a/src/jayswitch/model/loader.py
+++ b/src/jayswitch/model/loader.py
@@ -11,10 +11,12 @@
 
 def load_scenario(path: str) -> Result[Scenario, InvalidSettings]:
     """Returns the scenario in a file, or the first fault in it."""
-    return read_settings(path, Scenario).bind(lambda found: _check_names(path, found))
+    return read_settings(path, Scenario).bind(
+        lambda scenario: _check_kinds(path, scenario)
+    )
 
 
-def _check_names(path: str, scenario: Scenario) -> Result[Scenario, InvalidSettings]:
+def _check_kinds(path: str, scenario: Scenario) -> Result[Scenario, InvalidSettings]:
     services = {group.service for group in scenario.groups}
     kinds = {kind.name for kind in scenario.kinds}
     if len(kinds) < len(scenario.kinds):
--- a/src/jayswitch/model/main.py
+++ b/src/jayswitch/model/main.py
@@ -44,7 +44,7 @@
     logging.getLogger("jayswitch").setLevel(logging.ERROR)
     use_virtual_time()
     experiment = Experiment(scenario, platform_headers(), FLAGS.seed)
-    experiment.play()
+    experiment.simulate()
     print(kinds_table(experiment), upstreams_table(experiment), sep="\n\n")
     if FLAGS.plot:
         plot_outcomes(experiment, FLAGS.plot)
--- a/src/jayswitch/model/report.py
+++ b/src/jayswitch/model/report.py
@@ -21,11 +21,11 @@
         times = sorted(s.elapsed_ms for s in experiment.samples if s.kind == kind.name)
         if not times:
             continue
-        shares = [experiment.share(kind.name, outcome) for outcome in OUTCOMES]
-        half, most = times[len(times) // 2], times[int(len(times) * 0.99)]
-        rows.append([kind.name, len(times), *shares, half, most])
-    heads = ["kind", "requests", *OUTCOMES, "p50 ms", "p99 ms"]
-    return tabulate(rows, heads, floatfmt=("", "", *[".3f"] * 4, ".0f", ".0f"))
+        shares = [experiment.outcome_share(kind.name, outcome) for outcome in OUTCOMES]
+        median_ms, p99_ms = times[len(times) // 2], times[int(len(times) * 0.99)]
+        rows.append([kind.name, len(times), *shares, median_ms, p99_ms])
+    table_headers = ["kind", "requests", *OUTCOMES, "p50 ms", "p99 ms"]
+    return tabulate(rows, table_headers, floatfmt=("", "", *[".3f"] * 4, ".0f", ".0f"))
 
 
 def upstreams_table(experiment: Experiment) -> str:
@@ -45,8 +45,15 @@
         ]
         for vm in experiment.fleet.vm_by_name.values()
     ]
-    heads = ["upstream", "data centre", "runs", "answered", "timed out", "refused"]
-    return tabulate(rows, heads)
+    table_headers = [
+        "upstream",
+        "data centre",
+        "runs",
+        "answered",
+        "timed out",
+        "refused",
+    ]
+    return tabulate(rows, table_headers)
 
 
 def plot_outcomes(experiment: Experiment, path: str) -> None:
--- a/src/jayswitch/model/upstream.py
+++ b/src/jayswitch/model/upstream.py
@@ -20,10 +20,10 @@
 COLD_SLOWNESS = 2.0
 
 # Makes a call of a kind within a time in ms; tells whether it was answered.
-Caller = Callable[["RequestKind", float], bool]
+NestedCall = Callable[["RequestKind", float], bool]
 
 
-class ModelExchange:
+class SimulatedExchange:
     """An answer without a body."""
 
     __slots__ = ("headers", "status")
@@ -41,7 +41,7 @@
         """Holds nothing."""
 
 
-class ModelUpstream:
+class SimulatedUpstream:
     """Takes the time that a request's kind says; requests name it in their target."""
 
     def __init__(
@@ -54,7 +54,7 @@
     ) -> None:
         """Takes what the upstreams of its group have in common."""
         self.runs = 0
-        self.call: Caller = lambda kind, left_ms: True
+        self.call: NestedCall = lambda kind, remaining_ms: True
         self._group = group
         self._kind_by_name = kind_by_name
         self._names = names
@@ -69,28 +69,31 @@
         target: str,
         headers: Headers,
         body: bytes | Iterator[bytes] | None,
-    ) -> ModelExchange:
+    ) -> SimulatedExchange:
         """Runs a request."""
         self.runs += 1
         kind = self._kind_by_name[target.removeprefix("/")]
-        left_ms = float(find_header(headers, self._names.time_left_ms) or 0)
-        until_ms = self._clock.now_ms() + left_ms
+        remaining_ms = float(find_header(headers, self._names.time_left_ms) or 0)
+        until_ms = self._clock.now_ms() + remaining_ms
         status = STATUS_OK
         if self._random.random() < kind.calls_share:
-            status = self._make_calls(kind, until_ms)
+            status = self._make_nested_calls(kind, until_ms)
         self._clock.sleep_ms(self._work_ms(kind))
         request_id = find_header(headers, self._names.request_id) or ""
-        told = [(self._names.request_id, request_id), (self._names.signature, "model")]
-        return ModelExchange(status, told)
+        response_headers = [
+            (self._names.request_id, request_id),
+            (self._names.signature, "model"),
+        ]
+        return SimulatedExchange(status, response_headers)
 
     def forget(self, address: str) -> None:
         """Keeps no connections."""
 
-    def _make_calls(self, kind: RequestKind, until_ms: float) -> int:
+    def _make_nested_calls(self, kind: RequestKind, until_ms: float) -> int:
         called = self._kind_by_name[kind.calls]
         for _ in range(kind.calls_count):
-            left_ms = min(called.deadline_ms, until_ms - self._clock.now_ms())
-            if left_ms <= 0 or not self.call(called, left_ms):
+            remaining_ms = min(called.deadline_ms, until_ms - self._clock.now_ms())
+            if remaining_ms <= 0 or not self.call(called, remaining_ms):
                 return STATUS_SERVER_ERROR
         return STATUS_OK
 
--- a/tests/load/test_one_upstream_left.py
+++ b/tests/load/test_one_upstream_left.py
@@ -19,33 +19,35 @@
 
 
 @pytest.fixture(scope="module")
-def played() -> Experiment:
-    """Returns the scenario, played once, on an event loop whose time is zero."""
+def simulated() -> Experiment:
+    """Returns the scenario, simulated once, on an event loop whose time is zero."""
     use_virtual_time()
     scenario = load_scenario(str(PATH)).unwrap()
     experiment = Experiment(scenario, platform_headers(), seed=1)
-    experiment.play()
+    experiment.simulate()
     return experiment
 
 
 def _served(experiment: Experiment, kind: str) -> float:
-    return experiment.share(kind, IN_TIME) + experiment.share(kind, LATE)
+    return experiment.outcome_share(kind, IN_TIME) + experiment.outcome_share(
+        kind, LATE
+    )
 
 
 class TestOneUpstreamLeft:
     """Who waits and who is refused while a shared service is short."""
 
-    def test_no_kind_starves(self, played: Experiment) -> None:
-        overall = sum(s.outcome in (IN_TIME, LATE) for s in played.samples)
-        least = overall / len(played.samples) / 4
-        assert all(_served(played, kind) >= least for kind in KINDS)
+    def test_no_kind_starves(self, simulated: Experiment) -> None:
+        overall = sum(s.outcome in (IN_TIME, LATE) for s in simulated.samples)
+        least = overall / len(simulated.samples) / 4
+        assert all(_served(simulated, kind) >= least for kind in KINDS)
 
     def test_requests_that_need_nothing_of_it_are_served(
-        self, played: Experiment
+        self, simulated: Experiment
     ) -> None:
-        assert _served(played, "custody-book") >= 0.95
+        assert _served(simulated, "custody-book") >= 0.95
 
     def test_what_cannot_be_served_is_refused_rather_than_failed(
-        self, played: Experiment
+        self, simulated: Experiment
     ) -> None:
-        assert all(played.share(kind, FAILED) <= 0.05 for kind in KINDS)
+        assert all(simulated.outcome_share(kind, FAILED) <= 0.05 for kind in KINDS)
--- a/tests/model/test_experiment.py
+++ b/tests/model/test_experiment.py
@@ -32,44 +32,44 @@
     return Scenario(duration_s=5, groups=[group], kinds=[kind])
 
 
-def _play(scenario: Scenario, seed: int = 1) -> Experiment:
+def _simulate(scenario: Scenario, seed: int = 1) -> Experiment:
     experiment = Experiment(scenario, platform_headers(), seed)
-    experiment.play()
+    experiment.simulate()
     return experiment
 
 
 class TestExperiment:
-    """What a played scenario says."""
+    """What a simulated scenario says."""
 
     def test_same_seed_gives_the_same_samples(self) -> None:
-        one, two = _play(_scenario(60), 7), _play(_scenario(60), 7)
+        one, two = _simulate(_scenario(60), 7), _simulate(_scenario(60), 7)
         assert kinds_table(one) == kinds_table(two)
         assert upstreams_table(one) == upstreams_table(two)
-        assert kinds_table(one) != kinds_table(_play(_scenario(60), 8))
+        assert kinds_table(one) != kinds_table(_simulate(_scenario(60), 8))
 
     def test_every_request_has_one_outcome(self) -> None:
-        experiment = _play(_scenario(400))
-        shares = [experiment.share("read", outcome) for outcome in OUTCOMES]
+        experiment = _simulate(_scenario(400))
+        shares = [experiment.outcome_share("read", outcome) for outcome in OUTCOMES]
         assert abs(sum(shares) - 1) < 1e-9
         runs = sum(vm.upstream.runs for vm in experiment.fleet.vm_by_name.values())
         served = len(experiment.samples) * (1 - shares[OUTCOMES.index(REFUSED)])
         assert runs >= round(served)
 
     def test_light_load_is_served_in_time(self) -> None:
-        assert _play(_scenario(20)).share("read", IN_TIME) == 1.0
+        assert _simulate(_scenario(20)).outcome_share("read", IN_TIME) == 1.0
 
     def test_overload_is_refused_not_failed(self) -> None:
-        experiment = _play(_scenario(400))
-        assert experiment.share("read", REFUSED) > 0.3
-        assert experiment.share("read", FAILED) < 0.02
+        experiment = _simulate(_scenario(400))
+        assert experiment.outcome_share("read", REFUSED) > 0.3
+        assert experiment.outcome_share("read", FAILED) < 0.02
 
     def test_cold_upstreams_get_no_more_than_they_bear(self) -> None:
         scenario = _scenario(200, cold_s=60.0)
-        experiment = _play(scenario)
+        experiment = _simulate(scenario)
         for vm in experiment.fleet.vm_by_name.values():
             assert vm.upstream.runs <= COLD_CALLS_PER_S * (scenario.duration_s + 2)
 
     def test_plot_is_written(self, tmp_path: Path) -> None:
         path = tmp_path / "outcomes.png"
-        plot_outcomes(_play(_scenario(20)), str(path))
+        plot_outcomes(_simulate(_scenario(20)), str(path))
         assert path.read_bytes().startswith(b"\x89PNG")
