--- a/tests/load/test_large_config_storm.py
+++ b/tests/load/test_config_update_burst.py
@@ -25,10 +25,10 @@
 ROUTES = 2200
 VMS = 65
 DATA_CENTRES = ("bunbury", "busselton", "harvey")
-THIN_MBIT_PER_S = 6.0
+NARROW_MBIT_PER_S = 6.0
 WIDE_MBIT_PER_S = 100.0
 STORE_MBIT_PER_S = 1000.0
-IN_FORCE_MS = 2500.0
+PROPAGATION_LIMIT_MS = 2500.0
 CONFIG_KEY = "op/config"
 # Far fewer than the deployments have.
 REQUEST_INTERVAL_MS = 500.0
@@ -46,40 +46,42 @@
     return msgspec.json.encode({"version": f"r{version}", "routes": routes})
 
 
-class Fleet:
+class ProxyFleet:
     """Proxies that follow the operator's keys, each over a link of its own."""
 
-    def __init__(self, wide_vms: int = 2 * len(DATA_CENTRES)) -> None:
+    def __init__(self, vms_with_wide_links: int = 2 * len(DATA_CENTRES)) -> None:
         """Starts every follower; some VMs have wide links."""
         self.clock = VirtualClock()
         self.store = MemoryStore(self.clock)
         self.in_force_ms: dict[tuple[str, int], float] = {}
-        self.acknowledged_ms: dict[int, float] = {}
+        self.committed_ms: dict[int, float] = {}
         self._store_link = Link(self.clock, STORE_MBIT_PER_S)
         self._rng = random.Random(14)
         self._version = 0
         self.directory = Directory()
         self.feeds = DistantFeeds()
-        self.turned_away: set[str] = set()
-        self.knowledge_by_vm: dict[str, RevisionExchange] = {}
+        self.unanswered_by_store: set[str] = set()
+        self.revision_exchange_by_vm: dict[str, RevisionExchange] = {}
         self.vms = [f"vm-{number:02}" for number in range(VMS)]
-        self.change()
+        self.commit_change()
         for number, vm in enumerate(self.vms):
-            wide = number < wide_vms
-            mbit_per_s = WIDE_MBIT_PER_S if wide else THIN_MBIT_PER_S
-            self._start(vm, Link(self.clock, mbit_per_s), mbit_per_s)
+            wide = number < vms_with_wide_links
+            mbit_per_s = WIDE_MBIT_PER_S if wide else NARROW_MBIT_PER_S
+            self._start_proxy(vm, Link(self.clock, mbit_per_s), mbit_per_s)
         self.clock.sleep_ms(5000)
 
-    def _start(self, vm: str, link: Link, mbit_per_s: float) -> None:
-        def note(event: WatchEvent) -> None:
+    def _start_proxy(self, vm: str, link: Link, mbit_per_s: float) -> None:
+        def record_in_force(event: WatchEvent) -> None:
             assert event.value is not None
             version = int(msgspec.json.decode(event.value)["version"][1:])
             self.in_force_ms.setdefault((vm, version), self.clock.now_ms())
 
         store = DistantStore(
-            self.store, self._store_link, link, lambda: vm in self.turned_away
+            self.store, self._store_link, link, lambda: vm in self.unanswered_by_store
+        )
+        follower = PrefixFollower(
+            store, "op/", record_in_force, self.clock, ORDERS_PAUSE
         )
-        follower = PrefixFollower(store, "op/", note, self.clock, ORDERS_PAUSE)
         follower.slow_bytes = carried_bytes(mbit_per_s, ORDERS_PAUSE.shortest_ms)
         server = FeedServer()
         server.serve("op/", follower.state)
@@ -95,7 +97,7 @@
         self.directory.apply(WatchEvent(key, msgspec.json.encode(record), 1))
         follower.start()
         feed.start()
-        self.knowledge_by_vm[vm] = RevisionExchange([follower])
+        self.revision_exchange_by_vm[vm] = RevisionExchange([follower])
 
     def _data_centre(self, vm: str) -> str:
         return DATA_CENTRES[self.vms.index(vm) % len(DATA_CENTRES)]
@@ -110,74 +112,78 @@
             self.clock.sleep_ms(self._rng.uniform(0, 2 * REQUEST_INTERVAL_MS))
             other = self._rng.choice(self.vms)
             if other not in self.feeds.silent and vm not in self.feeds.silent:
-                known = self.knowledge_by_vm[other].header_value()
-                self.knowledge_by_vm[vm].compare(known, other)
+                known = self.revision_exchange_by_vm[other].header_value()
+                self.revision_exchange_by_vm[vm].compare(known, other)
 
-    def change(self) -> None:
+    def commit_change(self) -> None:
         """Writes the next configuration; the store's link delays the answer."""
         self._version += 1
         document = _document(self._version, self._rng)
         assert self.store.commit([Write(CONFIG_KEY, document)]).unwrap()
         self._store_link.carry(200)
-        self.acknowledged_ms[self._version] = self.clock.now_ms()
+        self.committed_ms[self._version] = self.clock.now_ms()
 
-    def delays_ms(self) -> dict[tuple[str, int], float]:
+    def propagation_delays_ms(self) -> dict[tuple[str, int], float]:
         """Returns by VM and version how long it or a later one took to be in force."""
-        delays = {}
-        for version, acknowledged_ms in self.acknowledged_ms.items():
+        delay_ms_by_key = {}
+        for version, committed_ms in self.committed_ms.items():
             for vm in self.vms:
                 known = [
                     at_ms
                     for (name, known_version), at_ms in self.in_force_ms.items()
                     if name == vm and known_version >= version
                 ]
-                delays[vm, version] = min(known, default=1e9) - acknowledged_ms
-        return delays
+                delay_ms_by_key[vm, version] = min(known, default=1e9) - committed_ms
+        return delay_ms_by_key
 
 
-class TestLargeConfigStorm:
+class TestConfigUpdateBurst:
     """Guards against configurations that come faster than links carry them."""
 
-    def test_each_proxy_is_up_to_date_in_time_during_a_storm(self) -> None:
-        fleet = Fleet()
+    def test_each_proxy_is_up_to_date_in_time_during_a_burst(self) -> None:
+        fleet = ProxyFleet()
         for _ in range(60):
-            fleet.change()
+            fleet.commit_change()
             fleet.clock.sleep_ms(100)
         fleet.clock.sleep_ms(30_000)
-        late = {key: ms for key, ms in fleet.delays_ms().items() if ms > IN_FORCE_MS}
+        late = {
+            key: ms
+            for key, ms in fleet.propagation_delays_ms().items()
+            if ms > PROPAGATION_LIMIT_MS
+        }
         assert not late, f"{len(late)} late, worst {max(late.values()):.0f} ms"
 
     def test_each_proxy_is_up_to_date_in_time_without_wide_links(self) -> None:
-        fleet = Fleet(wide_vms=0)
+        fleet = ProxyFleet(vms_with_wide_links=0)
         for _ in range(30):
-            fleet.change()
+            fleet.commit_change()
             fleet.clock.sleep_ms(200)
         fleet.clock.sleep_ms(30_000)
-        assert max(fleet.delays_ms().values()) <= IN_FORCE_MS
+        assert max(fleet.propagation_delays_ms().values()) <= PROPAGATION_LIMIT_MS
 
-    def test_relays_that_the_store_turns_away_are_passed_round(self) -> None:
-        fleet = Fleet()
+    def test_relays_without_a_store_connection_are_bypassed(self) -> None:
+        fleet = ProxyFleet()
         # Both relays of one data centre and one of another.
         for vm in ("vm-00", "vm-03", "vm-01"):
-            fleet.turned_away.add(vm)
+            fleet.unanswered_by_store.add(vm)
         for _ in range(10):
-            fleet.change()
+            fleet.commit_change()
             fleet.clock.sleep_ms(500)
         fleet.clock.sleep_ms(30_000)
-        assert max(fleet.delays_ms().values()) <= IN_FORCE_MS
+        assert max(fleet.propagation_delays_ms().values()) <= PROPAGATION_LIMIT_MS
 
-    def test_relays_that_stand_still_are_passed_round(self) -> None:
-        fleet = Fleet()
+    def test_unresponsive_relays_are_bypassed(self) -> None:
+        fleet = ProxyFleet()
         fleet.feeds.silent |= {"vm-00", "vm-03", "vm-01"}
         fleet.start_requests()
         for _ in range(10):
-            fleet.change()
+            fleet.commit_change()
             fleet.clock.sleep_ms(500)
         fleet.clock.sleep_ms(30_000)
-        assert max(fleet.delays_ms().values()) <= IN_FORCE_MS
+        assert max(fleet.propagation_delays_ms().values()) <= PROPAGATION_LIMIT_MS
 
-    def test_each_proxy_is_up_to_date_in_time_after_one_change(self) -> None:
-        fleet = Fleet()
-        fleet.change()
+    def test_each_proxy_is_up_to_date_in_time_after_one_update(self) -> None:
+        fleet = ProxyFleet()
+        fleet.commit_change()
         fleet.clock.sleep_ms(10_000)
-        assert max(fleet.delays_ms().values()) <= IN_FORCE_MS
+        assert max(fleet.propagation_delays_ms().values()) <= PROPAGATION_LIMIT_MS
--- a/tests/load/test_one_upstream_left.py
+++ b/tests/load/test_one_upstream_left.py
@@ -19,7 +19,7 @@
 
 
 @pytest.fixture(scope="module")
-def simulated() -> Experiment:
+def finished_experiment() -> Experiment:
     """Returns the scenario, simulated once, on an event loop whose time is zero."""
     use_virtual_time()
     scenario = load_scenario(str(PATH)).unwrap()
@@ -28,7 +28,7 @@
     return experiment
 
 
-def _served(experiment: Experiment, kind: str) -> float:
+def _served_share(experiment: Experiment, kind: str) -> float:
     return experiment.outcome_share(kind, IN_TIME) + experiment.outcome_share(
         kind, LATE
     )
@@ -37,17 +37,23 @@
 class TestOneUpstreamLeft:
     """Who waits and who is refused while a shared service is short."""
 
-    def test_no_kind_starves(self, simulated: Experiment) -> None:
-        overall = sum(s.outcome in (IN_TIME, LATE) for s in simulated.samples)
-        least = overall / len(simulated.samples) / 4
-        assert all(_served(simulated, kind) >= least for kind in KINDS)
-
-    def test_requests_that_need_nothing_of_it_are_served(
-        self, simulated: Experiment
+    def test_no_kind_starves(self, finished_experiment: Experiment) -> None:
+        served_count = sum(
+            s.outcome in (IN_TIME, LATE) for s in finished_experiment.samples
+        )
+        min_share = served_count / len(finished_experiment.samples) / 4
+        assert all(
+            _served_share(finished_experiment, kind) >= min_share for kind in KINDS
+        )
+
+    def test_requests_independent_of_the_short_service_are_served(
+        self, finished_experiment: Experiment
     ) -> None:
-        assert _served(simulated, "custody-book") >= 0.95
+        assert _served_share(finished_experiment, "custody-book") >= 0.95
 
-    def test_what_cannot_be_served_is_refused_rather_than_failed(
-        self, simulated: Experiment
+    def test_excess_requests_are_refused_rather_than_failed(
+        self, finished_experiment: Experiment
     ) -> None:
-        assert all(simulated.outcome_share(kind, FAILED) <= 0.05 for kind in KINDS)
+        assert all(
+            finished_experiment.outcome_share(kind, FAILED) <= 0.05 for kind in KINDS
+        )
--- a/tests/model/test_experiment.py
+++ b/tests/model/test_experiment.py
@@ -63,7 +63,7 @@
         assert experiment.outcome_share("read", REFUSED) > 0.3
         assert experiment.outcome_share("read", FAILED) < 0.02
 
-    def test_cold_upstreams_get_no_more_than_they_bear(self) -> None:
+    def test_cold_upstreams_get_at_most_their_cold_rate(self) -> None:
         scenario = _scenario(200, cold_s=60.0)
         experiment = _simulate(scenario)
         for vm in experiment.fleet.vm_by_name.values():
--- a/tests/model/test_loader.py
+++ b/tests/model/test_loader.py
@@ -16,7 +16,7 @@
 class TestLoadScenario:
     """Faults are named before anything is played."""
 
-    def test_fixture_is_read_with_its_defaults(self) -> None:
+    def test_omitted_fields_get_their_defaults(self) -> None:
         path = Path(__file__).parent.parent / "fixtures" / "one_upstream_left.yaml"
         match load_scenario(str(path)):
             case Success(scenario):
