Name the bench's processes a local cluster and its load a background load

Rig and Traffic were vague, and the properties callers, admin and direct of Vm did not say that they are URLs. bench/rig.py is bench/local_cluster.py with LocalCluster, bench/traffic.py is bench/background_load.py with BackgroundLoad. Also caller_url, admin_url, upstream_url, call_admin_api and is_converged; tests/deployment/test_processes.py follows.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,8 +16,8 @@
 from absl import app, flags  # noqa: E402
 
 from bench import measures  # noqa: E402
+from bench.local_cluster import LocalCluster  # noqa: E402
 from bench.report import plot, print_comparison, print_report  # noqa: E402
-from bench.rig import Rig  # noqa: E402
 from jayswitch.embedded.deployments import DEPLOYMENTS, Deployment  # noqa: E402
 
 FLAGS = flags.FLAGS
@@ -27,7 +27,7 @@
 flags.DEFINE_string("output", "build/bench/latest.json", "File for the figures.")
 flags.DEFINE_string("compare", "", "Earlier file of figures to compare with.")
 
-MEASURES: dict[str, Callable[[Rig], dict]] = {
+MEASURES: dict[str, Callable[[LocalCluster], dict]] = {
     "convergence": measures.measure_convergence,
     "control": measures.measure_control,
     "sequential": measures.measure_sequential,
@@ -39,15 +39,15 @@
 
 def measure(deployment: Deployment) -> dict:
     """Returns the figures of one deployment."""
-    rig = Rig(deployment)
+    cluster = LocalCluster(deployment)
     figures: dict = {}
     try:
-        rig.start()
+        cluster.start()
         for name, take in MEASURES.items():
             if not FLAGS.only or name in FLAGS.only:
-                figures[name] = take(rig)
+                figures[name] = take(cluster)
     finally:
-        figures["unclean_exits"] = rig.stop()
+        figures["unclean_exits"] = cluster.stop()
     return figures
 
 
--- a/bench/traffic.py
+++ b/bench/background_load.py
@@ -11,7 +11,7 @@
 from hdrh.histogram import HdrHistogram
 
 from bench.load import DIGITS, HIGHEST_US, LOWEST_US
-from bench.rig import Rig
+from bench.local_cluster import LocalCluster
 
 LOAD_PROCESSES = 2
 US_PER_MS = 1000.0
@@ -55,25 +55,25 @@
         return max((after - before for before, after in pairs), default=0.0)
 
 
-class Traffic:
+class BackgroundLoad:
     """Load processes that run beside a measurement."""
 
     def __init__(
         self,
-        rig: Rig,
+        cluster: LocalCluster,
         rate: float,
         seconds: float,
         direct: bool = False,
         write_share: float = 0.2,
     ) -> None:
         """Starts the processes; direct traffic goes to the upstreams themselves."""
-        services = rig.deployment.services
+        services = cluster.deployment.services
         chosen = services[:1] if direct else services
         paths = [(service.read_prefix, service.write_prefix) for service in chosen]
-        vms = [vm for vm in rig.vms if vm.service and vm.version == "v1"]
+        vms = [vm for vm in cluster.vms if vm.service and vm.version == "v1"]
         if direct:
             vms = [vm for vm in vms if vm.service == chosen[0].name]
-        addresses = [vm.direct if direct else vm.callers for vm in vms]
+        addresses = [vm.upstream_url if direct else vm.caller_url for vm in vms]
         self._processes = [
             self._spawn(
                 {
--- a/bench/rig.py
+++ b/bench/local_cluster.py
@@ -43,22 +43,22 @@
         self.upstream: subprocess.Popen | None = None
 
     @property
-    def callers(self) -> str:
+    def caller_url(self) -> str:
         """Returns the address that callers use."""
         return f"http://{self.ip}:{CALLER_PORT}"
 
     @property
-    def admin(self) -> str:
+    def admin_url(self) -> str:
         """Returns the administration address."""
         return f"http://{self.ip}:{ADMIN_PORT}"
 
     @property
-    def direct(self) -> str:
+    def upstream_url(self) -> str:
         """Returns the upstream's own address."""
         return f"http://{self.ip}:{UPSTREAM_PORT}"
 
 
-class Rig:
+class LocalCluster:
     """All processes of one deployment; stop() ends every one of them."""
 
     def __init__(self, deployment: Deployment) -> None:
@@ -80,7 +80,7 @@
             self.add_node()
         self.wait_for(lambda: self._is_up(self.vms[0]), "the first node")
         self.configure()
-        self.wait_for(self.is_settled, "every node")
+        self.wait_for(self.is_converged, "every node")
 
     def start_store(self) -> None:
         """Starts the stand-in of the platform's key-value service."""
@@ -136,7 +136,7 @@
                 f"--name={vm.name}",
                 f"--service={service.name}",
                 f"--version={version}",
-                f"--admin_address={vm.admin}",
+                f"--admin_address={vm.admin_url}",
                 f"--upstream_token={UPSTREAM_TOKEN}",
                 f"--behaviour={json.dumps(values)}",
             ],
@@ -145,29 +145,29 @@
 
     def start_plain_proxy(self, vm: Vm) -> str:
         """Starts the plain proxy to a VM's upstream; returns its address."""
-        arguments = [vm.ip, str(PLAIN_PROXY_PORT), vm.direct]
+        arguments = [vm.ip, str(PLAIN_PROXY_PORT), vm.upstream_url]
         self._plain_proxy = self._spawn("proxy", "bench.plain_proxy", arguments)
         return f"http://{vm.ip}:{PLAIN_PROXY_PORT}"
 
     def configure(self) -> None:
         """Declares the services and applies the deployment's profile."""
         for service in self.deployment.services:
-            self.api("PUT", f"services/{service.name}")
+            self.call_admin_api("PUT", f"services/{service.name}")
         self.apply_profile("v1", 60_000)
         for service in self.deployment.services:
-            self.api("PUT", f"services/{service.name}", PROFILE.encode())
+            self.call_admin_api("PUT", f"services/{service.name}", PROFILE.encode())
 
     def apply_profile(self, version: str, move_within_ms: int) -> int:
         """Applies the profile with a version of the first service."""
         document = self.deployment.profile(PROFILE, version, move_within_ms)
         body = json.dumps(document).encode()
-        return self.api("PUT", f"profiles/{PROFILE}", body)["version"]
+        return self.call_admin_api("PUT", f"profiles/{PROFILE}", body)["version"]
 
-    def api(
+    def call_admin_api(
         self, method: str, path: str, body: bytes = b"", vm: Vm | None = None
     ) -> object:
         """Calls the administration API of a node; raises on a refusal."""
-        address = (vm or self.vms[0]).admin
+        address = (vm or self.vms[0]).admin_url
         response = self._http.request(
             method,
             f"{address}/v1/{path}",
@@ -183,12 +183,15 @@
 
     def dump(self, vm: Vm) -> dict:
         """Returns a node's dump."""
-        return self.api("GET", "dump", vm=vm)  # type: ignore[return-value]
+        return self.call_admin_api("GET", "dump", vm=vm)  # type: ignore[return-value]
 
     def control_upstream(self, vm: Vm, action: str, body: bytes = b"") -> dict:
         """Calls a control of a stand-in upstream."""
         response = self._http.request(
-            "POST", f"{vm.direct}/standin/{action}", body=body or None, timeout=5.0
+            "POST",
+            f"{vm.upstream_url}/standin/{action}",
+            body=body or None,
+            timeout=5.0,
         )
         return json.loads(response.data)
 
@@ -197,7 +200,7 @@
         url = f"http://{STORE_IP}:{STORE_PORT}/calls"
         return json.loads(self._http.request("GET", url, timeout=5.0).data)
 
-    def is_settled(self) -> bool:
+    def is_converged(self) -> bool:
         """Tells whether every node routes by the newest version to every upstream."""
         newest = self.dump(self.vms[0])["config_version"]
         up = {vm.name for vm in self.vms if vm.upstream is not None}
@@ -229,7 +232,7 @@
         return [psutil.Process(vm.daemon.pid) for vm in chosen if vm.daemon]
 
     def stop(self) -> int:
-        """Stops every process that this rig started; returns unclean exits."""
+        """Stops every process that this cluster started; returns unclean exits."""
         started = [vm.daemon for vm in self.vms if vm.daemon]
         for process in started:
             process.terminate()
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -9,8 +9,8 @@
 import psutil
 import urllib3
 
-from bench.rig import Rig, Vm
-from bench.traffic import Traffic
+from bench.background_load import BackgroundLoad
+from bench.local_cluster import LocalCluster, Vm
 
 POLL_S = 0.02
 CHANGES = 10
@@ -37,49 +37,53 @@
     return sum(t.user + t.system for t in times)
 
 
-def measure_convergence(rig: Rig) -> dict:
+def measure_convergence(cluster: LocalCluster) -> dict:
     """Applies changes and times until each node routes by them."""
     times_s: list[float] = []
     for number in range(CHANGES):
         started = time.monotonic()
-        version = rig.apply_profile("v1", 60_000 + number)
+        version = cluster.apply_profile("v1", 60_000 + number)
         pool = eventlet.GreenPool()
-        waits = pool.imap(lambda vm: _wait_for_version(rig, vm, version), rig.vms)
+        waits = pool.imap(
+            lambda vm: _wait_for_version(cluster, vm, version), cluster.vms
+        )
         times_s += [reached - started for reached in waits]
     return {
         "changes": CHANGES,
-        "nodes": len(rig.vms),
+        "nodes": len(cluster.vms),
         "p50_ms": percentile(times_s, 0.5) * 1000,
         "p99_ms": percentile(times_s, 0.99) * 1000,
         "max_ms": max(times_s) * 1000,
     }
 
 
-def _wait_for_version(rig: Rig, vm: Vm, version: int) -> float:
+def _wait_for_version(cluster: LocalCluster, vm: Vm, version: int) -> float:
     until = time.monotonic() + CHANGE_TIMEOUT_S
     while time.monotonic() < until:
-        if rig.dump(vm)["routing_version"] >= version:
+        if cluster.dump(vm)["routing_version"] >= version:
             return time.monotonic()
         eventlet.sleep(POLL_S)
     raise RuntimeError(f"{vm.name} did not reach version {version}")
 
 
-def measure_control(rig: Rig, changes_per_s: float = 0.25) -> dict:
+def measure_control(cluster: LocalCluster, changes_per_s: float = 0.25) -> dict:
     """Measures control's cost at the target's rate of changes, without calls."""
-    processes = rig.processes()
-    bytes_before = _control_bytes(rig)
-    calls_before = rig.store_calls()
+    processes = cluster.processes()
+    bytes_before = _control_bytes(cluster)
+    calls_before = cluster.store_calls()
     cpu_before = cpu_seconds(processes)
     started = time.monotonic()
     number = 0
     while time.monotonic() - started < IDLE_SECONDS:
-        rig.apply_profile("v1", 70_000 + number)
+        cluster.apply_profile("v1", 70_000 + number)
         number += 1
         time.sleep(1 / changes_per_s)
     seconds = time.monotonic() - started
     cpu_after = cpu_seconds(processes)
-    sent = [after - before for before, after in zip(bytes_before, _control_bytes(rig))]
-    calls = rig.store_calls()
+    sent = [
+        after - before for before, after in zip(bytes_before, _control_bytes(cluster))
+    ]
+    calls = cluster.store_calls()
     memory = [process.memory_info().rss / 1e6 for process in processes]
     return {
         "changes_per_s": number / seconds,
@@ -95,18 +99,20 @@
     }
 
 
-def _control_bytes(rig: Rig) -> list[int]:
-    return [rig.dump(vm)["control_bytes_sent"] for vm in rig.vms]
+def _control_bytes(cluster: LocalCluster) -> list[int]:
+    return [cluster.dump(vm)["control_bytes_sent"] for vm in cluster.vms]
 
 
-def measure_latency(rig: Rig, rate_per_node: float = CALLS_PER_S_PER_NODE) -> dict:
+def measure_latency(
+    cluster: LocalCluster, rate_per_node: float = CALLS_PER_S_PER_NODE
+) -> dict:
     """Compares calls through two nodes with direct ones at the same time."""
-    nodes = [vm for vm in rig.vms if vm.service]
+    nodes = [vm for vm in cluster.vms if vm.service]
     rate = rate_per_node * len(nodes)
-    processes = rig.processes(nodes)
+    processes = cluster.processes(nodes)
     cpu_before = cpu_seconds(processes)
-    through = Traffic(rig, rate, LATENCY_SECONDS)
-    direct = Traffic(rig, rate / 10, LATENCY_SECONDS, direct=True)
+    through = BackgroundLoad(cluster, rate, LATENCY_SECONDS)
+    direct = BackgroundLoad(cluster, rate / 10, LATENCY_SECONDS, direct=True)
     result = through.result()
     cpu = cpu_seconds(processes) - cpu_before
     baseline = direct.result()
@@ -125,19 +131,19 @@
     }
 
 
-def measure_sequential(rig: Rig) -> dict:
+def measure_sequential(cluster: LocalCluster) -> dict:
     """Times calls one after the other: through nodes, plain proxy, and direct.
 
     The plain proxy is eventlet's WSGI server and urllib3 with nothing between
     them: what the users' libraries cost for a single hop.
     """
-    vm = rig.vms[0]
-    path = f"{rig.deployment.services[0].read_prefix}/1"
-    proxy = rig.start_plain_proxy(vm)
-    rig.wait_for(lambda: time_calls(proxy, path, 1), "the plain proxy")
-    direct = time_calls(vm.direct, path, SEQUENTIAL_CALLS)
+    vm = cluster.vms[0]
+    path = f"{cluster.deployment.services[0].read_prefix}/1"
+    proxy = cluster.start_plain_proxy(vm)
+    cluster.wait_for(lambda: time_calls(proxy, path, 1), "the plain proxy")
+    direct = time_calls(vm.upstream_url, path, SEQUENTIAL_CALLS)
     plain = time_calls(proxy, path, SEQUENTIAL_CALLS)
-    through = time_calls(vm.callers, path, SEQUENTIAL_CALLS)
+    through = time_calls(vm.caller_url, path, SEQUENTIAL_CALLS)
     figures: dict = {}
     for name, times in (("plain_proxy", plain), ("through", through)):
         for share in (0.5, 0.99):
@@ -160,20 +166,20 @@
     return times_ms
 
 
-def measure_data_centre(rig: Rig) -> dict:
+def measure_data_centre(cluster: LocalCluster) -> dict:
     """Takes a data centre out and in while calls go on."""
-    data_centre = rig.deployment.data_centres[0]
-    inside = [vm for vm in rig.vms if vm.data_centre == data_centre and vm.service]
-    traffic = Traffic(rig, DATA_CENTRE_RATE, 16.0)
+    data_centre = cluster.deployment.data_centres[0]
+    inside = [vm for vm in cluster.vms if vm.data_centre == data_centre and vm.service]
+    background_load = BackgroundLoad(cluster, DATA_CENTRE_RATE, 16.0)
     time.sleep(4)
-    rig.api("POST", f"data-centres/{data_centre}/out")
+    cluster.call_admin_api("POST", f"data-centres/{data_centre}/out")
     took_out = time.monotonic()
     time.sleep(2)
-    runs_before = _runs(rig, inside)
+    runs_before = _runs(cluster, inside)
     time.sleep(3)
-    late_runs = _runs(rig, inside) - runs_before
-    rig.api("POST", f"data-centres/{data_centre}/in")
-    result = traffic.result()
+    late_runs = _runs(cluster, inside) - runs_before
+    cluster.call_admin_api("POST", f"data-centres/{data_centre}/in")
+    result = background_load.result()
     return {
         "calls": result.calls,
         "outcomes": dict(result.outcomes),
@@ -186,32 +192,36 @@
     }
 
 
-def _runs(rig: Rig, vms: list[Vm]) -> int:
-    reports = [rig.control_upstream(vm, "report") for vm in vms]
+def _runs(cluster: LocalCluster, vms: list[Vm]) -> int:
+    reports = [cluster.control_upstream(vm, "report") for vm in vms]
     return sum(report["counts"].get("runs", 0) for report in reports)
 
 
-def measure_moves(rig: Rig) -> dict:
+def measure_moves(cluster: LocalCluster) -> dict:
     """Moves the first service to a bad version and then to a good one."""
-    service = rig.deployment.services[0]
-    bad = [rig.add_upstream(service, "v2", error_fraction=0.5) for _ in range(2)]
-    good = [rig.add_upstream(service, "v3") for _ in range(4)]
-    rig.wait_for(lambda: _know(rig, bad + good), "the new versions")
-    return {"bad": _measure_bad(rig), "good": _measure_good(rig)}
+    service = cluster.deployment.services[0]
+    bad = [cluster.add_upstream(service, "v2", error_fraction=0.5) for _ in range(2)]
+    good = [cluster.add_upstream(service, "v3") for _ in range(4)]
+    cluster.wait_for(lambda: _know(cluster, bad + good), "the new versions")
+    return {"bad": _measure_bad(cluster), "good": _measure_good(cluster)}
 
 
-def _know(rig: Rig, vms: list[Vm]) -> bool:
+def _know(cluster: LocalCluster, vms: list[Vm]) -> bool:
     names = {vm.name for vm in vms}
-    known = {m["node"] for m in rig.dump(rig.vms[0])["upstreams"] if m["state"] == "up"}
+    known = {
+        m["node"]
+        for m in cluster.dump(cluster.vms[0])["upstreams"]
+        if m["state"] == "up"
+    }
     return names <= known
 
 
-def _measure_bad(rig: Rig) -> dict:
-    traffic = Traffic(rig, MOVE_RATE, 14.0, write_share=0.5)
+def _measure_bad(cluster: LocalCluster) -> dict:
+    background_load = BackgroundLoad(cluster, MOVE_RATE, 14.0, write_share=0.5)
     time.sleep(2)
-    rig.apply_profile("v2", MOVE_WITHIN_MS)
-    result = traffic.result()
-    move = _wait_for_end(rig)
+    cluster.apply_profile("v2", MOVE_WITHIN_MS)
+    result = background_load.result()
+    move = _wait_for_end(cluster)
     failed = [at for at in result.failed_s]
     first = min(failed, default=0.0)
     last = max(failed, default=0.0)
@@ -225,12 +235,14 @@
     }
 
 
-def _measure_good(rig: Rig) -> dict:
-    traffic = Traffic(rig, MOVE_RATE, MOVE_WITHIN_MS / 1000 + 4, write_share=0.5)
+def _measure_good(cluster: LocalCluster) -> dict:
+    background_load = BackgroundLoad(
+        cluster, MOVE_RATE, MOVE_WITHIN_MS / 1000 + 4, write_share=0.5
+    )
     time.sleep(2)
-    rig.apply_profile("v3", MOVE_WITHIN_MS)
-    result = traffic.result()
-    move = _wait_for_end(rig)
+    cluster.apply_profile("v3", MOVE_WITHIN_MS)
+    result = background_load.result()
+    move = _wait_for_end(cluster)
     last = [version for _, version in result.version_s[-50:]]
     return {
         "done": move["done"],
@@ -242,10 +254,10 @@
     }
 
 
-def _wait_for_end(rig: Rig) -> dict:
+def _wait_for_end(cluster: LocalCluster) -> dict:
     until = time.monotonic() + MOVE_WITHIN_MS / 1000 + 10
     while time.monotonic() < until:
-        moves = rig.api("GET", "moves")
+        moves = cluster.call_admin_api("GET", "moves")
         newest = max(moves, key=lambda move: move["started_ms"])  # type: ignore
         if newest["ended_ms"]:
             return newest
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -20,7 +20,7 @@
 from absl import app, flags  # noqa: E402
 
 from bench import measures  # noqa: E402
-from bench.rig import Rig  # noqa: E402
+from bench.local_cluster import LocalCluster  # noqa: E402
 from jayswitch.clock import Clock  # noqa: E402
 from jayswitch.config.changes import apply_entry  # noqa: E402
 from jayswitch.config.codec import encode_entry, encode_state  # noqa: E402
@@ -160,30 +160,30 @@
 
 def measure_fleet(nodes: int) -> dict:
     """Measures a fleet of daemons, most of them without an upstream."""
-    rig = Rig(PADDOCKLINE)
+    cluster = LocalCluster(PADDOCKLINE)
     try:
-        rig.start(extra_nodes=nodes - 11)
+        cluster.start(extra_nodes=nodes - 11)
         return {
             "nodes": nodes,
-            "hops_max": max(rig.dump(vm)["hops"] for vm in rig.vms),
-            "convergence": measures.measure_convergence(rig),
-            "control": measures.measure_control(rig),
-            "roles": measure_roles(rig),
+            "hops_max": max(cluster.dump(vm)["hops"] for vm in cluster.vms),
+            "convergence": measures.measure_convergence(cluster),
+            "control": measures.measure_control(cluster),
+            "roles": measure_roles(cluster),
         }
     finally:
-        rig.stop()
+        cluster.stop()
 
 
-def measure_roles(rig: Rig) -> dict:
+def measure_roles(cluster: LocalCluster) -> dict:
     """Measures control bytes and processor time of relays and plain nodes."""
-    dumps = [rig.dump(vm) for vm in rig.vms]
-    processes = rig.processes()
+    dumps = [cluster.dump(vm) for vm in cluster.vms]
+    processes = cluster.processes()
     cpu = [sum(process.cpu_times()[:2]) for process in processes]
     started = time.monotonic()
     time.sleep(10)
     seconds = time.monotonic() - started
     spent = [sum(p.cpu_times()[:2]) - c for p, c in zip(processes, cpu)]
-    after = [rig.dump(vm)["control_bytes_sent"] for vm in rig.vms]
+    after = [cluster.dump(vm)["control_bytes_sent"] for vm in cluster.vms]
     figures: dict = {}
     for role, is_relay in (("relay", True), ("plain", False)):
         rows = [n for n, dump in enumerate(dumps) if dump["is_relay"] is is_relay]
--- a/tests/deployment/test_processes.py
+++ b/tests/deployment/test_processes.py
@@ -14,7 +14,7 @@
 import pytest
 import urllib3
 
-from bench.rig import ADMIN_TOKEN, PROFILE, Rig, Vm
+from bench.local_cluster import ADMIN_TOKEN, PROFILE, LocalCluster, Vm
 from jayswitch.embedded.deployments import Deployment, ServiceShape
 
 SMALL = Deployment(
@@ -27,9 +27,9 @@
 
 
 @pytest.fixture(scope="module")
-def rig(virtual_time: None) -> Iterator[Rig]:
+def rig(virtual_time: None) -> Iterator[LocalCluster]:
     """Returns a running deployment; every daemon must stop cleanly."""
-    started = Rig(SMALL)
+    started = LocalCluster(SMALL)
     try:
         started.start()
         yield started
@@ -38,10 +38,10 @@
     assert unclean == 0
 
 
-def ctl(rig: Rig, *words: str) -> subprocess.CompletedProcess:
+def ctl(rig: LocalCluster, *words: str) -> subprocess.CompletedProcess:
     """Runs jayswitchctl against the first node."""
     command = [sys.executable, "-m", "jayswitch.console.application"]
-    flags = [f"--node={rig.vms[0].admin}"]
+    flags = [f"--node={rig.vms[0].admin_url}"]
     environment = {**os.environ, "JAYSWITCH_TOKEN": ADMIN_TOKEN}
     return subprocess.run(
         [*command, *flags, *words],
@@ -52,7 +52,7 @@
     )
 
 
-def behave(rig: Rig, **behaviour: object) -> None:
+def behave(rig: LocalCluster, **behaviour: object) -> None:
     """Changes how every upstream behaves."""
     for vm in rig.vms:
         if vm.upstream is not None and vm.upstream.poll() is None:
@@ -62,32 +62,34 @@
 class TestCalls:
     """Calls through two nodes over real sockets."""
 
-    def test_call_reaches_an_upstream_behind_another_node(self, rig: Rig) -> None:
+    def test_call_reaches_an_upstream_behind_another_node(
+        self, rig: LocalCluster
+    ) -> None:
         pool = urllib3.PoolManager(retries=False, timeout=20)
         seen = set()
         for number in range(20):
-            response = pool.request("GET", f"{rig.vms[0].callers}/herd/{number}")
+            response = pool.request("GET", f"{rig.vms[0].caller_url}/herd/{number}")
             assert response.status == 200
             request_id = response.headers["X-Request-Id"]
             assert request_id.encode() in response.data
             seen.add(response.headers["X-Jayswitch-Upstream"])
-        rig.api("POST", "data-centres/bunbury/out")
-        rig.wait_for(lambda: rig.is_settled(), "the change")
-        response = pool.request("GET", f"{rig.vms[0].callers}/herd/1")
+        rig.call_admin_api("POST", "data-centres/bunbury/out")
+        rig.wait_for(lambda: rig.is_converged(), "the change")
+        response = pool.request("GET", f"{rig.vms[0].caller_url}/herd/1")
         assert response.headers["X-Jayswitch-Upstream"] in ("vm-1", "vm-2")
-        rig.api("POST", "data-centres/bunbury/in")
-        rig.wait_for(lambda: rig.is_settled(), "the change")
+        rig.call_admin_api("POST", "data-centres/bunbury/in")
+        rig.wait_for(lambda: rig.is_converged(), "the change")
 
-    def test_large_answer_is_whole(self, rig: Rig) -> None:
+    def test_large_answer_is_whole(self, rig: LocalCluster) -> None:
         behave(rig, body_bytes=LARGE_BYTES)
         pool = urllib3.PoolManager(retries=False, timeout=20)
         for vm in rig.vms[:3]:
-            response = pool.request("GET", f"{vm.callers}/herd/season")
+            response = pool.request("GET", f"{vm.caller_url}/herd/season")
             assert len(response.data) == LARGE_BYTES
         behave(rig)
 
     @pytest.mark.parametrize("size", [1000, LARGE_BYTES])
-    def test_cut_answer_is_a_failure(self, rig: Rig, size: int) -> None:
+    def test_cut_answer_is_a_failure(self, rig: LocalCluster, size: int) -> None:
         behave(rig, body_bytes=size, cut_fraction=1.0)
         connection = http.client.HTTPConnection(rig.vms[0].ip, 7100, timeout=20)
         connection.request("POST", "/treatments/1")
@@ -98,10 +100,10 @@
         behave(rig)
 
     def test_unknown_path_and_bad_headers_are_refused_truthfully(
-        self, rig: Rig
+        self, rig: LocalCluster
     ) -> None:
         pool = urllib3.PoolManager(retries=False, timeout=20)
-        address = rig.vms[0].callers
+        address = rig.vms[0].caller_url
         response = pool.request("GET", f"{address}/nothing")
         assert response.status == 404
         assert response.headers["X-Jayswitch-Outcome"] == "not-run"
@@ -117,7 +119,7 @@
 class TestOperators:
     """The command-line tool against real nodes."""
 
-    def test_apply_and_history(self, rig: Rig, tmp_path: Path) -> None:
+    def test_apply_and_history(self, rig: LocalCluster, tmp_path: Path) -> None:
         text = ctl(rig, "profiles", "get", PROFILE).stdout
         path = tmp_path / "everyday.yaml"
         path.write_text(text.replace("timeout_ms: 2000", "timeout_ms: 2500"))
@@ -126,9 +128,11 @@
         assert applied.returncode == 0, applied.stderr
         assert "accepted as version" in applied.stdout
         assert "herdview=v1" in ctl(rig, "profiles", "history", PROFILE).stdout
-        rig.wait_for(rig.is_settled, "the change")
+        rig.wait_for(rig.is_converged, "the change")
 
-    def test_second_of_two_operators_loses(self, rig: Rig, tmp_path: Path) -> None:
+    def test_second_of_two_operators_loses(
+        self, rig: LocalCluster, tmp_path: Path
+    ) -> None:
         path = tmp_path / "everyday.yaml"
         path.write_text(ctl(rig, "profiles", "get", PROFILE).stdout)
         seen = json.loads(ctl(rig, "profiles", "list", "--json").stdout)[0]["version"]
@@ -139,13 +143,13 @@
         assert "another operator changed it first" in second.stderr
         assert "apply it once more" in second.stderr
 
-    def test_wrong_token_and_no_node(self, rig: Rig) -> None:
+    def test_wrong_token_and_no_node(self, rig: LocalCluster) -> None:
         refused = ctl(rig, "services", "list", "--token=wrong")
         assert refused.returncode == 1 and "admin_token" in refused.stderr
         lost = ctl(rig, "services", "list", "--node=http://127.30.254.254:1")
         assert lost.returncode == 4
 
-    def test_plain_lists(self, rig: Rig) -> None:
+    def test_plain_lists(self, rig: LocalCluster) -> None:
         for words in (
             ["services", "list"],
             ["data-centres", "list"],
@@ -162,10 +166,10 @@
 class TestPlannedStop:
     """SIGTERM cuts no request."""
 
-    def test_calls_go_on_while_a_daemon_stops(self, rig: Rig) -> None:
+    def test_calls_go_on_while_a_daemon_stops(self, rig: LocalCluster) -> None:
         behave(rig, latency_ms=50.0)
         victim = rig.add_upstream(SMALL.services[0], "v1", latency_ms=50.0)
-        rig.wait_for(rig.is_settled, "the new node")
+        rig.wait_for(rig.is_converged, "the new node")
         failures: list[str] = []
         stopping = threading.Event()
         callers = [
@@ -230,7 +234,7 @@
         assert finished.returncode == 2
         assert "node.yaml" in finished.stderr
 
-    def test_port_in_use(self, rig: Rig) -> None:
+    def test_port_in_use(self, rig: LocalCluster) -> None:
         finished = self.run(rig._folder / "vm-0.yaml")
         assert finished.returncode == 3
         assert "cannot listen on 127.30.0.1" in finished.stderr
