--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -37,15 +37,15 @@
 }
 
 
-def measure(deployment: Deployment) -> dict:
+def measure_deployment(deployment: Deployment) -> dict:
     """Returns the figures of one deployment."""
     cluster = LocalCluster(deployment)
     figures: dict = {}
     try:
         cluster.start()
-        for name, take in MEASURES.items():
+        for name, measure_figures in MEASURES.items():
             if not FLAGS.only or name in FLAGS.only:
-                figures[name] = take(cluster)
+                figures[name] = measure_figures(cluster)
     finally:
         figures["unclean_exits"] = cluster.stop()
     return figures
@@ -66,7 +66,7 @@
         "deployments": {},
     }
     for name in FLAGS.deployments:
-        report["deployments"][name] = measure(DEPLOYMENTS[name])
+        report["deployments"][name] = measure_deployment(DEPLOYMENTS[name])
     report["seconds"] = time.monotonic() - started
     path = Path(FLAGS.output)
     path.parent.mkdir(parents=True, exist_ok=True)
--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -22,7 +22,7 @@
 Figures = dict[str, int | str]
 
 
-def figures(mesh: Mesh) -> Figures:
+def collect_figures(mesh: Mesh) -> Figures:
     """Returns what callers and upstreams counted."""
     runs = mesh.runs.runs_by_path
     calls = mesh.oracle.calls
@@ -46,7 +46,7 @@
     }
 
 
-def run(scenario: Callable[[Mesh], None], patch: Callable | None) -> Figures:
+def run_scenario(scenario: Callable[[Mesh], None], patch: Callable | None) -> Figures:
     """Runs a scenario, with a mechanism taken away where a patch is given."""
     use_virtual_time()
     mesh = Mesh()
@@ -58,7 +58,7 @@
         except AssertionError:
             # The check failed, as it should without the mechanism.
             mesh.stop_traffic()
-    return figures(mesh)
+    return collect_figures(mesh)
 
 
 def main() -> None:
@@ -66,10 +66,13 @@
     logging.disable(logging.CRITICAL)
     rows = []
     for patch, scenario in controls.CONTROLS:
-        for name, taken in (("with", None), (f"without: {patch.__name__}", patch)):
-            taken_figures = run(scenario, taken)
-            rows.append([scenario.__name__, name, *taken_figures.values()])
-    headers = ["scenario", "mechanism", *taken_figures]
+        for name, applied_patch in (
+            ("with", None),
+            (f"without: {patch.__name__}", patch),
+        ):
+            scenario_figures = run_scenario(scenario, applied_patch)
+            rows.append([scenario.__name__, name, *scenario_figures.values()])
+    headers = ["scenario", "mechanism", *scenario_figures]
     print(tabulate(rows, headers=headers, tablefmt="github", disable_numparse=True))
 
 
--- a/bench/background_load.py
+++ b/bench/background_load.py
@@ -10,7 +10,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from bench.load import DIGITS, HIGHEST_US, LOWEST_US
+from bench.load import HIGHEST_US, LOWEST_US, SIGNIFICANT_DIGITS
 from bench.local_cluster import LocalCluster
 
 LOAD_PROCESSES = 2
@@ -24,7 +24,7 @@
         """Takes the reports that the processes printed."""
         self.calls = sum(report["calls"] for report in reports)
         self.outcomes: Counter[str] = Counter()
-        self.histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
         self.wrong: list[str] = []
         self.wrong_count = 0
         self.answered_s: list[float] = []
--- a/bench/load.py
+++ b/bench/load.py
@@ -22,17 +22,17 @@
 
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
-DIGITS = 3
+SIGNIFICANT_DIGITS = 3
 TIMEOUT_S = 10.0
 US_PER_S = 1e6
 
 
-class Load:
+class LoadGenerator:
     """Calls at a fixed rate with random gaps, spread over addresses and paths."""
 
     def __init__(self, plan: dict) -> None:
         """Takes the plan: addresses, paths, rate, seconds, write_share, seed."""
-        self.histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
         self.outcomes: Counter[str] = Counter()
         self.wrong: list[str] = []
         self.not_run_ids: list[str] = []
@@ -89,9 +89,9 @@
             self.wrong.append(f"{method} {address}: {error}")
             return
         self.histogram.record_value(int((time.monotonic() - due) * US_PER_S))
-        self._note(response, prefix)
+        self._record_response(response, prefix)
 
-    def _note(self, response: urllib3.BaseHTTPResponse, prefix: str) -> None:
+    def _record_response(self, response: urllib3.BaseHTTPResponse, prefix: str) -> None:
         outcome = response.headers.get("X-Jayswitch-Outcome", "direct")
         self.outcomes[f"{outcome}-{response.status}"] += 1
         now = time.time()
@@ -110,7 +110,7 @@
 def main() -> None:
     """Reads the plan from the first argument."""
     runtime.settle_memory()
-    print(json.dumps(Load(json.loads(sys.argv[1])).run()))
+    print(json.dumps(LoadGenerator(json.loads(sys.argv[1])).run()))
 
 
 if __name__ == "__main__":
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -169,15 +169,17 @@
 def measure_data_centre(cluster: LocalCluster) -> dict:
     """Takes a data centre out and in while calls go on."""
     data_centre = cluster.deployment.data_centres[0]
-    inside = [vm for vm in cluster.vms if vm.data_centre == data_centre and vm.service]
+    vms_inside = [
+        vm for vm in cluster.vms if vm.data_centre == data_centre and vm.service
+    ]
     background_load = BackgroundLoad(cluster, DATA_CENTRE_RATE, 16.0)
     time.sleep(4)
     cluster.call_admin_api("POST", f"data-centres/{data_centre}/out")
-    took_out = time.monotonic()
+    removed_at = time.monotonic()
     time.sleep(2)
-    runs_before = _runs(cluster, inside)
+    runs_before = _count_runs(cluster, vms_inside)
     time.sleep(3)
-    late_runs = _runs(cluster, inside) - runs_before
+    runs_after_removal = _count_runs(cluster, vms_inside) - runs_before
     cluster.call_admin_api("POST", f"data-centres/{data_centre}/in")
     result = background_load.result()
     return {
@@ -186,13 +188,13 @@
         "success_share": result.success_share(),
         "p99_ms": result.percentile_ms(99),
         "longest_gap_ms": result.longest_gap_s() * 1000,
-        "runs_inside_2_to_5_s_after": late_runs,
-        "seconds_out": time.monotonic() - took_out,
+        "runs_inside_2_to_5_s_after": runs_after_removal,
+        "seconds_out": time.monotonic() - removed_at,
         "wrong": result.wrong_count,
     }
 
 
-def _runs(cluster: LocalCluster, vms: list[Vm]) -> int:
+def _count_runs(cluster: LocalCluster, vms: list[Vm]) -> int:
     reports = [cluster.control_upstream(vm, "report") for vm in vms]
     return sum(report["counts"].get("runs", 0) for report in reports)
 
@@ -202,11 +204,14 @@
     service = cluster.deployment.services[0]
     bad = [cluster.add_upstream(service, "v2", error_fraction=0.5) for _ in range(2)]
     good = [cluster.add_upstream(service, "v3") for _ in range(4)]
-    cluster.wait_for(lambda: _know(cluster, bad + good), "the new versions")
-    return {"bad": _measure_bad(cluster), "good": _measure_good(cluster)}
+    cluster.wait_for(lambda: _are_known(cluster, bad + good), "the new versions")
+    return {
+        "bad": _measure_faulty_version(cluster),
+        "good": _measure_working_version(cluster),
+    }
 
 
-def _know(cluster: LocalCluster, vms: list[Vm]) -> bool:
+def _are_known(cluster: LocalCluster, vms: list[Vm]) -> bool:
     names = {vm.name for vm in vms}
     known = {
         m["node"]
@@ -216,12 +221,12 @@
     return names <= known
 
 
-def _measure_bad(cluster: LocalCluster) -> dict:
+def _measure_faulty_version(cluster: LocalCluster) -> dict:
     background_load = BackgroundLoad(cluster, MOVE_RATE, 14.0, write_share=0.5)
     time.sleep(2)
     cluster.apply_profile("v2", MOVE_WITHIN_MS)
     result = background_load.result()
-    move = _wait_for_end(cluster)
+    move = _wait_for_move_end(cluster)
     failed = [at for at in result.failed_s]
     first = min(failed, default=0.0)
     last = max(failed, default=0.0)
@@ -235,14 +240,14 @@
     }
 
 
-def _measure_good(cluster: LocalCluster) -> dict:
+def _measure_working_version(cluster: LocalCluster) -> dict:
     background_load = BackgroundLoad(
         cluster, MOVE_RATE, MOVE_WITHIN_MS / 1000 + 4, write_share=0.5
     )
     time.sleep(2)
     cluster.apply_profile("v3", MOVE_WITHIN_MS)
     result = background_load.result()
-    move = _wait_for_end(cluster)
+    move = _wait_for_move_end(cluster)
     last = [version for _, version in result.version_s[-50:]]
     return {
         "done": move["done"],
@@ -254,7 +259,7 @@
     }
 
 
-def _wait_for_end(cluster: LocalCluster) -> dict:
+def _wait_for_move_end(cluster: LocalCluster) -> dict:
     until = time.monotonic() + MOVE_WITHIN_MS / 1000 + 10
     while time.monotonic() < until:
         moves = cluster.call_admin_api("GET", "moves")
--- a/bench/report.py
+++ b/bench/report.py
@@ -23,7 +23,7 @@
             yield f"{prefix}{name}", value
 
 
-def show(value: Any) -> str:
+def format_figure(value: Any) -> str:
     """Returns a figure with a sensible number of digits."""
     return f"{value:.3f}" if isinstance(value, float) else str(value)
 
@@ -32,7 +32,7 @@
     """Prints a table for each deployment."""
     for name, figures in report["deployments"].items():
         print(f"\n{name} ({report['revision']})")
-        rows = [[key, show(value)] for key, value in flatten(figures)]
+        rows = [[key, format_figure(value)] for key, value in flatten(figures)]
         print(tabulate(rows, headers=["figure", "value"], disable_numparse=True))
 
 
@@ -41,7 +41,7 @@
     before = dict(flatten(earlier["deployments"]))
     after = dict(flatten(report["deployments"]))
     rows = [
-        [key, show(before[key]), show(after[key])]
+        [key, format_figure(before[key]), format_figure(after[key])]
         for key in after
         if key in before and isinstance(after[key], int | float)
     ]
@@ -65,8 +65,8 @@
     for axis, (title, (measure, keys, bound)) in zip(axes, panels.items()):
         for offset, (name, figures) in enumerate(report["deployments"].items()):
             values = [figures.get(measure, {}).get(key, 0) for key in keys]
-            places = [index + 0.35 * offset for index in range(len(keys))]
-            axis.bar(places, values, width=0.35, label=name)
+            positions = [index + 0.35 * offset for index in range(len(keys))]
+            axis.bar(positions, values, width=0.35, label=name)
         axis.axhline(bound, color="black", linestyle="--", linewidth=1)
         axis.set_xticks(range(len(keys)), [key.replace("_ms", "") for key in keys])
         axis.tick_params(axis="x", labelrotation=20, labelsize=7)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -125,14 +125,14 @@
     before = resident_bytes()
     for data in entries:
         replica.apply_if_next(data)
-    grown = resident_bytes() - before
+    growth_bytes = resident_bytes() - before
     changes = [add(ProfileSet(profile=profile_for(0, "v1"))) for _ in range(CHANGES)]
     started = time.process_time()
     for data in changes:
         replica.apply_if_next(data)
     seconds = time.process_time() - started
     return {
-        "bytes_per_service": grown / SERVICES,
+        "bytes_per_service": growth_bytes / SERVICES,
         "snapshot_bytes": len(encode_state(state)),
         "entry_bytes": sum(map(len, changes)) / CHANGES,
         "cpu_ms_per_change": 1000 * seconds / CHANGES,
@@ -182,7 +182,7 @@
     started = time.monotonic()
     time.sleep(10)
     seconds = time.monotonic() - started
-    spent = [sum(p.cpu_times()[:2]) - c for p, c in zip(processes, cpu)]
+    cpu_seconds_used = [sum(p.cpu_times()[:2]) - c for p, c in zip(processes, cpu)]
     after = [cluster.dump(vm)["control_bytes_sent"] for vm in cluster.vms]
     figures: dict = {}
     for role, is_relay in (("relay", True), ("plain", False)):
@@ -196,7 +196,10 @@
             "nodes": len(rows),
             "links": links,
             "idle_bytes_per_s": sum(sent) / len(rows) / seconds,
-            "idle_cpu_percent": 100 * sum(spent[n] for n in rows) / len(rows) / seconds,
+            "idle_cpu_percent": 100
+            * sum(cpu_seconds_used[n] for n in rows)
+            / len(rows)
+            / seconds,
             "memory_mb": sum(memory) / len(memory),
         }
     return figures
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -38,8 +38,8 @@
 FAN_OUT = 8
 TARGETS_PER_PROFILE = 5
 MOVES_SHARE = 0.1
-MOVE_SECONDS = 600
-OUTCOMES_SECONDS = 2.0
+MOVE_DURATION_S = 600
+OUTCOME_REPORT_INTERVAL_S = 2.0
 STORE_READS_PER_S = 2000
 STORE_WRITES_PER_S = 500
 COALESCE_MS = 15.0
@@ -47,7 +47,7 @@
 MB = 1e6
 
 
-def outcomes_bytes() -> int:
+def outcome_report_bytes() -> int:
     """Returns the size of a gate's report on two routes with eight buckets each."""
     buckets = {number: 1000 for number in range(8)}
     rows = [
@@ -82,13 +82,13 @@
         roles = self.largest["roles"]
         self.plain = roles["plain"]
         self.relay = roles["relay"]
-        self.base_bytes, self.link_bytes = self.line("idle_bytes_per_s")
-        self.base_cpu, self.link_cpu = self.line("idle_cpu_percent")
+        self.base_bytes, self.link_bytes = self.linear_fit("idle_bytes_per_s")
+        self.base_cpu, self.link_cpu = self.linear_fit("idle_cpu_percent")
         self.changes_per_s = CHANGES_PER_DAY / SECONDS_PER_DAY
-        self.per_centre = NODES / DATA_CENTRES
+        self.nodes_per_centre = NODES / DATA_CENTRES
         self.upstreams_per_service = NODES / SERVICES
 
-    def line(self, figure: str) -> tuple[float, float]:
+    def linear_fit(self, figure: str) -> tuple[float, float]:
         """Returns base and slope against links, from the two roles measured."""
         links = self.relay["links"] - self.plain["links"]
         slope = (self.relay[figure] - self.plain[figure]) / links
@@ -97,7 +97,7 @@
     def depth(self) -> int:
         """Returns the levels below the relays of one data centre."""
         level, reached, width = 0, 0, RELAY_SLOTS
-        while reached < self.per_centre - RELAY_SLOTS:
+        while reached < self.nodes_per_centre - RELAY_SLOTS:
             level += 1
             width *= FAN_OUT
             reached += width
@@ -127,13 +127,13 @@
         changes = self.changes_per_s * self.configuration["cpu_ms_per_change"] / 10
         return self.base_cpu + links * self.link_cpu + changes
 
-    def outcomes_rate(self) -> float:
+    def outcome_reports_per_s(self) -> float:
         """Returns the gates' reports a second in the whole fleet."""
-        moves = CHANGES_PER_DAY * MOVES_SHARE * MOVE_SECONDS / SECONDS_PER_DAY
-        return moves * self.upstreams_per_service / OUTCOMES_SECONDS
+        moves = CHANGES_PER_DAY * MOVES_SHARE * MOVE_DURATION_S / SECONDS_PER_DAY
+        return moves * self.upstreams_per_service / OUTCOME_REPORT_INTERVAL_S
 
 
-def verdict(value: float, bound: float) -> str:
+def margin(value: float, bound: float) -> str:
     """Returns the margin or the shortfall in words."""
     if value <= bound:
         return f"holds, {100 * (1 - value / bound):.0f}% left"
@@ -142,7 +142,7 @@
 
 def role_rows(c: Capacity) -> list[str]:
     """Returns the table of roles."""
-    below_first = c.per_centre / (RELAY_SLOTS * FAN_OUT)
+    below_first = c.nodes_per_centre / (RELAY_SLOTS * FAN_OUT)
     relay_links = FAN_OUT + DATA_CENTRES - 1 + RELAY_SLOTS - 1
     roles = [
         ("plain, leaf", c.members_known(0), 1, 0),
@@ -154,7 +154,7 @@
         " | MB | of 64 MB |",
         "|---|---|---|---|---|---|---|---|---|",
     ]
-    report_bytes = c.outcomes_rate() / DATA_CENTRES * outcomes_bytes()
+    report_bytes = c.outcome_reports_per_s() / DATA_CENTRES * outcome_report_bytes()
     for name, members, links, children in roles:
         sent = c.control_bytes(links, children)
         if name == "relay":
@@ -163,13 +163,13 @@
         memory = c.memory_mb(members)
         rows.append(
             f"| {name} | {members:.0f} | {links} | {sent:.0f} |"
-            f" {verdict(sent, BYTES_PER_S)} | {cpu:.2f} | {verdict(cpu, CPU_PERCENT)}"
-            f" | {memory:.1f} | {verdict(memory, MEMORY_MB)} |"
+            f" {margin(sent, BYTES_PER_S)} | {cpu:.2f} | {margin(cpu, CPU_PERCENT)}"
+            f" | {memory:.1f} | {margin(memory, MEMORY_MB)} |"
         )
-    received = c.outcomes_rate() * outcomes_bytes()
+    received = c.outcome_reports_per_s() * outcome_report_bytes()
     rows.append(
         f"| driver, in addition, received | | | {received:.0f} |"
-        f" {verdict(received, BYTES_PER_S)} | | | | |"
+        f" {margin(received, BYTES_PER_S)} | | | | |"
     )
     return rows
 
@@ -194,12 +194,12 @@
     rows = [
         "| target | worked out | verdict | mechanism, and where it breaks first |",
         "|---|---|---|---|",
-        f"| {NODES:,} targets, each with its node | {c.per_centre:.0f} nodes a data"
-        f" centre in {c.depth()} levels below {RELAY_SLOTS} relays | measured to"
+        f"| {NODES:,} targets, each with its node | {c.nodes_per_centre:.0f} nodes a"
+        f" data centre in {c.depth()} levels below {RELAY_SLOTS} relays | measured to"
         f" {c.largest['nodes']} nodes | tree with bounded fan-out; an inner node holds"
         " the members of all services wanted below it |",
         f"| {SERVICES} services | snapshot of {snapshot / 1000:.0f} KB compressed |"
-        f" {verdict(snapshot, 1e6)} of a value | one snapshot value; must be split"
+        f" {margin(snapshot, 1e6)} of a value | one snapshot value; must be split"
         " beyond 1 MB |",
         f"| {CALLS_PER_S:,} calls/s | {per_node:.0f} a node, {call_cpu:.2f} ms of"
         f" processor each, both nodes: {per_node * call_cpu / 10:.0f}% of a core |"
@@ -209,17 +209,17 @@
         ' "unknown" below the first level | not measured at depth | budget of 10%'
         " once, not 10% to the 16th |",
         f"| {ADDED_P99_MS} ms added at p99 | {latency:.2f} ms, one call at a time |"
-        f" {verdict(latency, ADDED_P99_MS)} | one plain WSGI and urllib3 hop adds"
+        f" {margin(latency, ADDED_P99_MS)} | one plain WSGI and urllib3 hop adds"
         f" {plain:.2f} ms here: the libraries alone exceed the target |",
         f"| {CHANGES_PER_DAY:,} changes a day, in force within {CONVERGENCE_S:.0f} s |"
         f" {per_hop_ms:.0f} ms a level at p99, {hops + 1} levels: {expected_s:.2f} s |"
-        f" {verdict(expected_s, CONVERGENCE_S)} | entries pushed at once on every"
+        f" {margin(expected_s, CONVERGENCE_S)} | entries pushed at once on every"
         " link; a snapshot to a node that lags by over 512 entries |",
         f"| store writes | {renewals:.1f} renewals and {c.changes_per_s:.2f} changes a"
-        f" second | {verdict(renewals + c.changes_per_s, STORE_WRITES_PER_S)} |"
+        f" second | {margin(renewals + c.changes_per_s, STORE_WRITES_PER_S)} |"
         f" {relays} leases in all, not {NODES:,} |",
         f"| store reads and watches | {reads:.1f} a second |"
-        f" {verdict(reads, STORE_READS_PER_S)} | relays alone read and watch |",
+        f" {margin(reads, STORE_READS_PER_S)} | relays alone read and watch |",
         f"| all {NODES:,} start at once | 2 reads each: {boot_s:.0f} s at"
         f" {STORE_READS_PER_S} reads/s | bounded, not within {CONVERGENCE_S:.0f} s |"
         " jitter, doubling delays; each parent then sends"
@@ -230,10 +230,10 @@
         " at the first failed send |",
         "| a rack a week | its subtrees join again through the relays | scenario: every"
         " relay dies | jitter; a relay redirects to its smaller subtrees |",
-        f"| a data centre every other month | {c.per_centre:.0f} members gone,"
-        f" {c.per_centre * c.members['wire_bytes_per_member'] / 1000:.0f} KB a link,"
-        " once | burst above 9 KB/s for seconds | the other relays drop the links and"
-        " their records |",
+        f"| a data centre every other month | {c.nodes_per_centre:.0f} members gone,"
+        f" {c.nodes_per_centre * c.members['wire_bytes_per_member'] / 1000:.0f} KB"
+        " a link, once | burst above 9 KB/s for seconds | the other relays drop the"
+        " links and their records |",
         "| regions part for an hour | nothing is sent; afterwards what changed |"
         " scenario: cut off, then merged | peers' links stay, records of the other side"
         " stay and callers avoid them |",
@@ -268,7 +268,7 @@
     return rows
 
 
-def page(c: Capacity) -> str:
+def render_page(c: Capacity) -> str:
     """Returns the whole page."""
     members, configuration = c.members, c.configuration
     lines = [
@@ -290,7 +290,7 @@
         f" memory ({SERVICES} services, five targets and ten routes each)",
         f"- one change: {configuration['entry_bytes']:.0f} B,"
         f" {configuration['cpu_ms_per_change']:.2f} ms to apply",
-        f"- one gate's report on a move: {outcomes_bytes()} B",
+        f"- one gate's report on a move: {outcome_report_bytes()} B",
         f"- one idle link: {c.link_bytes:.0f} B/s and {c.link_cpu:.3f}% of a core, on"
         f" top of {c.base_bytes:.0f} B/s and {c.base_cpu:.2f}% (the line through the"
         " two roles)",
@@ -300,7 +300,7 @@
         "Base and links x bytes of an idle link, plus changes x entry x children, plus",
         "churn x member x links; moves are taken as"
         f" {MOVES_SHARE:.0%} of the changes, each of"
-        f" {MOVE_SECONDS} s.",
+        f" {MOVE_DURATION_S} s.",
         "A relay also sends its data centre's reports on moves, once, towards the"
         " driver.",
         "",
@@ -335,7 +335,7 @@
     slopes = json.loads((MEASURED / "slopes.json").read_text())
     bench = json.loads((MEASURED / "bench.json").read_text())
     target = ROOT / "docs" / "CAPACITY.md"
-    target.write_text(page(Capacity(slopes, bench)))
+    target.write_text(render_page(Capacity(slopes, bench)))
 
 
 if __name__ == "__main__":
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -38,11 +38,11 @@
 
 def mark_defaults_required(schema: dict) -> dict:
     """Lists defaulted properties as required, so that no field can be unset."""
-    for part in [schema, *schema.get("definitions", {}).values()]:
-        properties = part.get("properties", {})
+    for definition in [schema, *schema.get("definitions", {}).values()]:
+        properties = definition.get("properties", {})
         defaulted = [name for name, spec in properties.items() if "default" in spec]
         if defaulted:
-            part["required"] = [*part.get("required", []), *defaulted]
+            definition["required"] = [*definition.get("required", []), *defaulted]
     return schema
 
 
@@ -65,20 +65,20 @@
 def main() -> int:
     """Returns 1 when --check finds committed code that differs from its schema."""
     check = "--check" in sys.argv[1:]
-    stale = []
+    outdated = []
     for package in BASE_CLASS_BY_PACKAGE:
         target = ROOT / "src" / "jayswitch" / package / "generated.py"
         if not check:
             generate(package, target)
             continue
         with tempfile.TemporaryDirectory() as folder:
-            fresh = Path(folder) / "generated.py"
-            generate(package, fresh)
-            if fresh.read_text() != target.read_text():
-                stale.append(target.relative_to(ROOT))
-    for path in stale:
+            regenerated = Path(folder) / "generated.py"
+            generate(package, regenerated)
+            if regenerated.read_text() != target.read_text():
+                outdated.append(target.relative_to(ROOT))
+    for path in outdated:
         print(f"{path} differs from its schema; run python tools/generate.py")
-    return 1 if stale else 0
+    return 1 if outdated else 0
 
 
 if __name__ == "__main__":
