Describe the model's tests in plain terms

The docstrings said that the model repeats and loses nothing; they now name determinism, the limits of the gates and the validation of scenarios. The message of one pytest.fail follows.

--- a/tests/model/test_experiment.py
+++ b/tests/model/test_experiment.py
@@ -1,4 +1,4 @@
-"""Tests of the model: it repeats, loses nothing and keeps the product's bounds."""
+"""Tests that the simulation is deterministic and respects the limits of the gates."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
 
 
 class TestExperiment:
-    """What a simulated scenario says."""
+    """Outcomes and tables of simulated scenarios."""
 
     def test_same_seed_gives_the_same_samples(self) -> None:
         one, two = _simulate(_scenario(60), 7), _simulate(_scenario(60), 7)
--- a/tests/model/test_loader.py
+++ b/tests/model/test_loader.py
@@ -1,4 +1,4 @@
-"""Tests of reading scenarios."""
+"""Tests for loading scenarios."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class TestLoadScenario:
-    """Faults are named before anything is played."""
+    """Invalid scenarios are rejected with the reason before a simulation starts."""
 
     def test_omitted_fields_get_their_defaults(self) -> None:
         path = Path(__file__).parent.parent / "fixtures" / "one_upstream_left.yaml"
@@ -45,4 +45,4 @@
             case Failure(error):
                 assert fault in str(error)
             case Success(_):
-                pytest.fail("the fault was not seen")
+                pytest.fail("the invalid scenario was accepted")
