Describe the load tests by the failure they guard against

The heads of the files told patterns in figures of speech. They now name the load and the failure; each number and the origin of the scenario stay.

--- a/tests/load/test_config_update_burst.py
+++ b/tests/load/test_config_update_burst.py
@@ -1,4 +1,4 @@
-"""Pattern: large configurations in quick succession over thin links."""
+"""Load pattern: large configurations in quick succession over narrow links."""
 
 from __future__ import annotations
 
@@ -20,8 +20,9 @@
 from jayswitch.store.interface import WatchEvent, Write
 from tests.harness.thin_links import DistantFeeds, DistantStore, Link
 
-# The grown deployments of the users: 65 VMs and more, links of 5.5 to 100 Mbit/s,
-# a configuration of 800 routes that grows by 1,400; it is in force within 2.5 s.
+# The users' deployments after their growth: at least 65 VMs, links of 5.5 to
+# 100 Mbit/s and a configuration of 800 routes plus 1,400 new ones, which must be in
+# force within 2.5 s.
 ROUTES = 2200
 VMS = 65
 DATA_CENTRES = ("bunbury", "busselton", "harvey")
@@ -30,12 +31,12 @@
 STORE_MBIT_PER_S = 1000.0
 PROPAGATION_LIMIT_MS = 2500.0
 CONFIG_KEY = "op/config"
-# Far fewer than the deployments have.
+# Mean interval per proxy; the deployments have far more requests than that.
 REQUEST_INTERVAL_MS = 500.0
 
 
 def _document(version: int, rng: random.Random) -> bytes:
-    """Returns a configuration in which each version changes one route."""
+    """Returns a configuration that differs in one route from the default routes."""
     routes = [
         {"name": f"r-{number:07x}", "prefix": f"/{number * 7919:08x}/", "host": "a.b"}
         | {"timeout_ms": 3000, "slo_ms": 893, "priority": 2, "service": "herdview"}
@@ -47,10 +48,10 @@
 
 
 class ProxyFleet:
-    """Proxies that follow the operator's keys, each over a link of its own."""
+    """Proxies that watch the operator's keys, each over its own link."""
 
     def __init__(self, vms_with_wide_links: int = 2 * len(DATA_CENTRES)) -> None:
-        """Starts every follower; some VMs have wide links."""
+        """Starts all proxies; the first of them get wide links."""
         self.clock = VirtualClock()
         self.store = MemoryStore(self.clock)
         self.in_force_ms: dict[tuple[str, int], float] = {}
@@ -103,7 +104,7 @@
         return DATA_CENTRES[self.vms.index(vm) % len(DATA_CENTRES)]
 
     def start_requests(self) -> None:
-        """Lets each proxy send a request to another one now and then."""
+        """Makes each proxy send requests to others at random intervals."""
         for vm in self.vms:
             eventlet.spawn_n(self._send_requests, vm)
 
@@ -116,7 +117,7 @@
                 self.revision_exchange_by_vm[vm].compare(known, other)
 
     def commit_change(self) -> None:
-        """Writes the next configuration; the store's link delays the answer."""
+        """Commits the next configuration and records when the store confirmed it."""
         self._version += 1
         document = _document(self._version, self._rng)
         assert self.store.commit([Write(CONFIG_KEY, document)]).unwrap()
@@ -124,7 +125,7 @@
         self.committed_ms[self._version] = self.clock.now_ms()
 
     def propagation_delays_ms(self) -> dict[tuple[str, int], float]:
-        """Returns by VM and version how long it or a later one took to be in force."""
+        """Returns by VM and version the time until it or a later one was in force."""
         delay_ms_by_key = {}
         for version, committed_ms in self.committed_ms.items():
             for vm in self.vms:
@@ -138,7 +139,7 @@
 
 
 class TestConfigUpdateBurst:
-    """Guards against configurations that come faster than links carry them."""
+    """Guards against proxies that fall behind when updates outpace their links."""
 
     def test_each_proxy_is_up_to_date_in_time_during_a_burst(self) -> None:
         fleet = ProxyFleet()
@@ -163,7 +164,7 @@
 
     def test_relays_without_a_store_connection_are_bypassed(self) -> None:
         fleet = ProxyFleet()
-        # Both relays of one data centre and one of another.
+        # Both relays of one data centre, and one relay of another.
         for vm in ("vm-00", "vm-03", "vm-01"):
             fleet.unanswered_by_store.add(vm)
         for _ in range(10):
--- a/tests/load/test_one_upstream_left.py
+++ b/tests/load/test_one_upstream_left.py
@@ -1,6 +1,7 @@
-"""Pattern: one upstream is left of a service that another service calls.
+"""Load pattern: a service that another service calls has one upstream left.
 
-Callers of both services share it; gctia's trouble-1 with seed 282134571721.
+Callers of both services compete for it, so that some kinds of request may starve or
+fail. Reproduces scenario trouble-1 of gctia with seed 282134571721.
 """
 
 from __future__ import annotations
@@ -20,7 +21,7 @@
 
 @pytest.fixture(scope="module")
 def finished_experiment() -> Experiment:
-    """Returns the scenario, simulated once, on an event loop whose time is zero."""
+    """Returns the experiment after one simulation in virtual time from zero."""
     use_virtual_time()
     scenario = load_scenario(str(PATH)).unwrap()
     experiment = Experiment(scenario, platform_headers(), seed=1)
@@ -35,7 +36,7 @@
 
 
 class TestOneUpstreamLeft:
-    """Who waits and who is refused while a shared service is short."""
+    """Capacity is shared fairly while a service lacks upstreams."""
 
     def test_no_kind_starves(self, finished_experiment: Experiment) -> None:
         served_count = sum(
--- a/tests/load/test_priority_starvation.py
+++ b/tests/load/test_priority_starvation.py
@@ -1,6 +1,7 @@
-"""Pattern: urgent calls alone fill the last upstream of a service.
+"""Load pattern: urgent calls alone saturate the last upstream of a service.
 
-Other services call the one that is short; its own callers must not starve.
+The urgent calls come from other services. Strict priority would starve the service's
+own callers, whose calls are less urgent.
 """
 
 from __future__ import annotations
@@ -17,17 +18,17 @@
 
 
 class TwoRankLoad:
-    """Calls of two ranks at one upstream."""
+    """Calls of two ranks that compete for the slots of one upstream."""
 
     def __init__(self) -> None:
-        """Starts without calls."""
+        """Creates the queue; generate_calls() adds the load."""
         self.clock = VirtualClock()
         self.queue = SlotQueue(SLOTS, ColdRateLimiter(self.clock), self.clock)
         self.attempted = {URGENT_RANK: 0, NORMAL_RANK: 0}
         self.served = {URGENT_RANK: 0, NORMAL_RANK: 0}
 
     def call(self, rank: int, work_ms: float, max_wait_ms: float) -> None:
-        """Runs one call, if it gets a slot in time."""
+        """Runs one call if it gets a slot within its maximum wait."""
         self.attempted[rank] += 1
         if self.queue.acquire(rank, max_wait_ms):
             self.clock.sleep_ms(work_ms)
@@ -37,18 +38,18 @@
     def generate_calls(
         self, rank: int, per_s: float, work_ms: float, wait_ms: float
     ) -> None:
-        """Lets calls arrive at a rate."""
+        """Generates calls at a constant rate until the end of the test."""
         while self.clock.now_ms() < DURATION_MS:
             eventlet.spawn(self.call, rank, work_ms, wait_ms)
             self.clock.sleep_ms(1000.0 / per_s)
 
     def served_share(self, rank: int) -> float:
-        """Returns the served part of a rank's calls."""
+        """Returns the share of a rank's calls that were served."""
         return self.served[rank] / self.attempted[rank]
 
 
 class TestPriorityStarvation:
-    """Rank decides who goes first, not who is served at all."""
+    """Less urgent calls are delayed by urgent ones but do not starve."""
 
     def test_less_urgent_calls_get_a_quarter_of_the_overall_served_share(self) -> None:
         load = TwoRankLoad()
