Describe the bench in the terms of load testing

Docstrings told what a process saw, what pays and what was taken. They now speak of load generators, benchmarks, targets and what is returned.

Only comments and docstrings change; flags, printed texts and file formats stay.

--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measures a mesh of real processes on loopback addresses."""
+"""Benchmarks a mesh of real processes on loopback addresses."""
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the bench and writes build/bench/latest.json and a plot beside it."""
+"""Runs the benchmarks and writes build/bench/latest.json with a plot."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 def measure_deployment(deployment: Deployment) -> dict:
-    """Returns the figures of one deployment."""
+    """Starts a deployment and returns its figures."""
     cluster = LocalCluster(deployment)
     figures: dict = {}
     try:
@@ -52,13 +52,13 @@
 
 
 def revision() -> str:
-    """Returns the revision that is measured."""
+    """Returns the Git revision of the working tree."""
     command = ["git", "describe", "--always", "--dirty"]
     return subprocess.run(command, capture_output=True, text=True).stdout.strip()
 
 
 def main(argv: list[str]) -> int:
-    """Returns 0 if every figure could be taken."""
+    """Measures the chosen deployments, then writes and prints the report."""
     started = time.monotonic()
     report: dict = {
         "revision": revision(),
--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -1,6 +1,6 @@
-"""Shows that each mechanism pays: the same scenario with it and without it.
+"""Ablation study: runs each scenario with and without the mechanism it tests.
 
-Runs in virtual time, so that the figures are the same each time.
+Runs in virtual time, so that the figures are reproducible.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 
 def collect_figures(mesh: Mesh) -> Figures:
-    """Returns what callers and upstreams counted."""
+    """Returns the counts of callers and upstreams."""
     runs = mesh.runs.runs_by_path
     calls = mesh.oracle.calls
     outcomes = mesh.oracle.outcomes()
@@ -47,7 +47,7 @@
 
 
 def run_scenario(scenario: Callable[[Mesh], None], patch: Callable | None) -> Figures:
-    """Runs a scenario, with a mechanism taken away where a patch is given."""
+    """Runs a scenario, with a mechanism disabled if a patch is given."""
     use_virtual_time()
     mesh = Mesh()
     with pytest.MonkeyPatch.context() as monkeypatch:
@@ -56,13 +56,13 @@
         try:
             scenario(mesh)
         except AssertionError:
-            # The check failed, as it should without the mechanism.
+            # Expected without the mechanism: the scenario's check fails.
             mesh.stop_traffic()
     return collect_figures(mesh)
 
 
 def main() -> None:
-    """Prints a row for each scenario with and without its mechanism."""
+    """Prints two rows per scenario: with its mechanism and without."""
     logging.disable(logging.CRITICAL)
     rows = []
     for patch, scenario in controls.CONTROLS:
--- a/bench/background_load.py
+++ b/bench/background_load.py
@@ -1,4 +1,4 @@
-"""Starts load processes and merges what they saw."""
+"""Runs load generators in separate processes and merges their results."""
 
 from __future__ import annotations
 
@@ -18,10 +18,10 @@
 
 
 class LoadResult:
-    """Merged counts and latencies of several load processes."""
+    """Merged counts and latencies of several load generators."""
 
     def __init__(self, reports: list[dict]) -> None:
-        """Takes the reports that the processes printed."""
+        """Expects the reports that the processes printed."""
         self.calls = sum(report["calls"] for report in reports)
         self.outcomes: Counter[str] = Counter()
         self.histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
@@ -50,13 +50,13 @@
         return len(self.answered_s) / max(1, self.calls)
 
     def longest_gap_s(self) -> float:
-        """Returns the longest time without any answer."""
+        """Returns the longest interval between successful answers."""
         pairs = zip(self.answered_s, self.answered_s[1:])
         return max((after - before for before, after in pairs), default=0.0)
 
 
 class BackgroundLoad:
-    """Load processes that run beside a measurement."""
+    """Load generators that run in the background of a measurement."""
 
     def __init__(
         self,
@@ -66,7 +66,7 @@
         direct: bool = False,
         write_share: float = 0.2,
     ) -> None:
-        """Starts the processes; direct traffic goes to the upstreams themselves."""
+        """Starts the processes; direct load bypasses the nodes."""
         services = cluster.deployment.services
         chosen = services[:1] if direct else services
         paths = [(service.read_prefix, service.write_prefix) for service in chosen]
@@ -89,7 +89,7 @@
         ]
 
     def result(self) -> LoadResult:
-        """Waits for the processes and merges their reports."""
+        """Waits for the processes to finish and merges their reports."""
         outputs = [process.communicate()[0] for process in self._processes]
         return LoadResult([json.loads(output) for output in outputs])
 
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,6 +1,6 @@
-"""Open-loop load: calls start on schedule, however long earlier ones take.
+"""Open-loop load generator: calls start on schedule, however long earlier ones take.
 
-Runs as a process of its own and prints one JSON line with what it saw.
+Runs as a separate process and prints its results as one line of JSON.
 """
 
 from __future__ import annotations
@@ -28,10 +28,10 @@
 
 
 class LoadGenerator:
-    """Calls at a fixed rate with random gaps, spread over addresses and paths."""
+    """Poisson arrivals of calls at a mean rate, spread over addresses and paths."""
 
     def __init__(self, plan: dict) -> None:
-        """Takes the plan: addresses, paths, rate, seconds, write_share, seed."""
+        """Expects a plan with addresses, paths, rate, seconds, write_share and seed."""
         self.histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
         self.outcomes: Counter[str] = Counter()
         self.wrong: list[str] = []
@@ -46,7 +46,7 @@
         self._pool = eventlet.GreenPool(5000)
 
     def run(self) -> dict:
-        """Makes every call and returns the counts and the encoded histogram."""
+        """Makes all calls and returns their counts and the encoded histogram."""
         rate = self._plan["rate"]
         start = time.monotonic()
         end = start + self._plan["seconds"]
@@ -108,7 +108,7 @@
 
 
 def main() -> None:
-    """Reads the plan from the first argument."""
+    """Runs the plan given as JSON in the first argument and prints the results."""
     runtime.settle_memory()
     print(json.dumps(LoadGenerator(json.loads(sys.argv[1])).run()))
 
--- a/bench/local_cluster.py
+++ b/bench/local_cluster.py
@@ -1,4 +1,4 @@
-"""Starts and stops the processes of a deployment, each VM on its own address."""
+"""Runs a deployment as local processes, each VM on its own loopback address."""
 
 from __future__ import annotations
 
@@ -30,10 +30,10 @@
 
 
 class Vm:
-    """One VM: a daemon and, unless it is a plain node, its upstream."""
+    """A VM with a daemon and, unless it is a plain node, an upstream."""
 
     def __init__(self, name: str, ip: str, data_centre: str) -> None:
-        """Takes the VM's name and address; processes are added when started."""
+        """Creates a VM without processes; LocalCluster starts and assigns them."""
         self.name = name
         self.ip = ip
         self.data_centre = data_centre
@@ -44,25 +44,25 @@
 
     @property
     def caller_url(self) -> str:
-        """Returns the address that callers use."""
+        """Returns the URL at which callers send requests."""
         return f"http://{self.ip}:{CALLER_PORT}"
 
     @property
     def admin_url(self) -> str:
-        """Returns the administration address."""
+        """Returns the URL of the administration API."""
         return f"http://{self.ip}:{ADMIN_PORT}"
 
     @property
     def upstream_url(self) -> str:
-        """Returns the upstream's own address."""
+        """Returns the URL of the upstream, which bypasses the daemon."""
         return f"http://{self.ip}:{UPSTREAM_PORT}"
 
 
 class LocalCluster:
-    """All processes of one deployment; stop() ends every one of them."""
+    """The processes of one deployment; stop() ends all of them."""
 
     def __init__(self, deployment: Deployment) -> None:
-        """Takes the deployment; start() starts it."""
+        """Expects the deployment; start() starts its processes."""
         self.deployment = deployment
         self.vms: list[Vm] = []
         self._folder = Path(tempfile.mkdtemp(prefix="jayswitch-bench-"))
@@ -71,7 +71,7 @@
         self._http = urllib3.PoolManager(maxsize=4, retries=False)
 
     def start(self, extra_nodes: int = 0) -> None:
-        """Starts the store, the nodes and upstreams, and configures them."""
+        """Starts and configures all processes and waits for convergence."""
         self.start_store()
         for service in self.deployment.services:
             for _ in range(service.upstreams):
@@ -83,7 +83,7 @@
         self.wait_for(self.is_converged, "every node")
 
     def start_store(self) -> None:
-        """Starts the stand-in of the platform's key-value service."""
+        """Starts the stand-in for the platform's key-value store."""
         self._store = self._spawn(
             "store",
             "jayswitch.standins.main",
@@ -117,7 +117,7 @@
     def add_upstream(
         self, service: ServiceShape, version: str, **behaviour: object
     ) -> Vm:
-        """Starts a daemon and an upstream beside it."""
+        """Starts a daemon and an upstream on the same VM."""
         vm = self.add_node()
         vm.service, vm.version = service.name, version
         values = {
@@ -144,13 +144,13 @@
         return vm
 
     def start_plain_proxy(self, vm: Vm) -> str:
-        """Starts the plain proxy to a VM's upstream; returns its address."""
+        """Starts the plain proxy for a VM's upstream and returns its URL."""
         arguments = [vm.ip, str(PLAIN_PROXY_PORT), vm.upstream_url]
         self._plain_proxy = self._spawn("proxy", "bench.plain_proxy", arguments)
         return f"http://{vm.ip}:{PLAIN_PROXY_PORT}"
 
     def configure(self) -> None:
-        """Declares the services and applies the deployment's profile."""
+        """Declares the services, applies the profile and assigns it to them."""
         for service in self.deployment.services:
             self.call_admin_api("PUT", f"services/{service.name}")
         self.apply_profile("v1", 60_000)
@@ -158,7 +158,10 @@
             self.call_admin_api("PUT", f"services/{service.name}", PROFILE.encode())
 
     def apply_profile(self, version: str, move_within_ms: int) -> int:
-        """Applies the profile with a version of the first service."""
+        """Applies the profile for a version of the first service.
+
+        Returns the resulting configuration version.
+        """
         document = self.deployment.profile(PROFILE, version, move_within_ms)
         body = json.dumps(document).encode()
         return self.call_admin_api("PUT", f"profiles/{PROFILE}", body)["version"]
@@ -166,7 +169,7 @@
     def call_admin_api(
         self, method: str, path: str, body: bytes = b"", vm: Vm | None = None
     ) -> object:
-        """Calls the administration API of a node; raises on a refusal."""
+        """Calls a node's administration API; raises if the status is not 200."""
         address = (vm or self.vms[0]).admin_url
         response = self._http.request(
             method,
@@ -182,11 +185,11 @@
         return answer
 
     def dump(self, vm: Vm) -> dict:
-        """Returns a node's dump."""
+        """Returns the state that a node dumps."""
         return self.call_admin_api("GET", "dump", vm=vm)  # type: ignore[return-value]
 
     def control_upstream(self, vm: Vm, action: str, body: bytes = b"") -> dict:
-        """Calls a control of a stand-in upstream."""
+        """Calls an action of the control API of a stand-in upstream."""
         response = self._http.request(
             "POST",
             f"{vm.upstream_url}/standin/{action}",
@@ -196,12 +199,12 @@
         return json.loads(response.data)
 
     def store_calls(self) -> dict[str, int]:
-        """Returns the calls that the store has counted, by kind."""
+        """Returns the store's call counts by kind."""
         url = f"http://{STORE_IP}:{STORE_PORT}/calls"
         return json.loads(self._http.request("GET", url, timeout=5.0).data)
 
     def is_converged(self) -> bool:
-        """Tells whether every node routes by the newest version to every upstream."""
+        """Whether all nodes route by the newest version and know the upstreams."""
         newest = self.dump(self.vms[0])["config_version"]
         up = {vm.name for vm in self.vms if vm.upstream is not None}
         for vm in self.vms:
@@ -214,7 +217,7 @@
         return True
 
     def wait_for(self, condition: object, what: str) -> None:
-        """Waits until a condition holds; raises after a minute."""
+        """Waits until a condition holds; raises after READY_TIMEOUT_S."""
         until = time.monotonic() + READY_TIMEOUT_S
         last = "no error"
         while time.monotonic() < until:
@@ -227,12 +230,12 @@
         raise RuntimeError(f"{what} was not ready in {READY_TIMEOUT_S:.0f} s: {last}")
 
     def processes(self, vms: list[Vm] | None = None) -> list[psutil.Process]:
-        """Returns the daemons' processes."""
+        """Returns the daemon processes of the given VMs, or of all."""
         chosen = self.vms if vms is None else vms
         return [psutil.Process(vm.daemon.pid) for vm in chosen if vm.daemon]
 
     def stop(self) -> int:
-        """Stops every process that this cluster started; returns unclean exits."""
+        """Stops all processes; returns how many daemons exited with an error."""
         started = [vm.daemon for vm in self.vms if vm.daemon]
         for process in started:
             process.terminate()
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -1,4 +1,4 @@
-"""The brief's measures, and the cost of a call and of control."""
+"""Benchmarks of the required figures and of the cost of calls and control traffic."""
 
 from __future__ import annotations
 
@@ -25,20 +25,20 @@
 
 
 def percentile(values: list[float], share: float) -> float:
-    """Returns the value below which the given share lies."""
+    """Returns the value below which the given share of the values lies."""
     ordered = sorted(values)
     index = min(len(ordered) - 1, int(len(ordered) * share))
     return ordered[index]
 
 
 def cpu_seconds(processes: list[psutil.Process]) -> float:
-    """Returns the processor time that the processes have used."""
+    """Returns the total CPU time of the processes."""
     times = [process.cpu_times() for process in processes]
     return sum(t.user + t.system for t in times)
 
 
 def measure_convergence(cluster: LocalCluster) -> dict:
-    """Applies changes and times until each node routes by them."""
+    """Measures the time until each node routes by a change."""
     times_s: list[float] = []
     for number in range(CHANGES):
         started = time.monotonic()
@@ -67,7 +67,7 @@
 
 
 def measure_control(cluster: LocalCluster, changes_per_s: float = 0.25) -> dict:
-    """Measures control's cost at the target's rate of changes, without calls."""
+    """Measures the cost of control at the target rate of changes, without calls."""
     processes = cluster.processes()
     bytes_before = _control_bytes(cluster)
     calls_before = cluster.store_calls()
@@ -106,7 +106,7 @@
 def measure_latency(
     cluster: LocalCluster, rate_per_node: float = CALLS_PER_S_PER_NODE
 ) -> dict:
-    """Compares calls through two nodes with direct ones at the same time."""
+    """Compares calls through two nodes with concurrent direct calls."""
     nodes = [vm for vm in cluster.vms if vm.service]
     rate = rate_per_node * len(nodes)
     processes = cluster.processes(nodes)
@@ -132,10 +132,10 @@
 
 
 def measure_sequential(cluster: LocalCluster) -> dict:
-    """Times calls one after the other: through nodes, plain proxy, and direct.
+    """Measures sequential calls through nodes, through the plain proxy and direct.
 
-    The plain proxy is eventlet's WSGI server and urllib3 with nothing between
-    them: what the users' libraries cost for a single hop.
+    The plain proxy consists of eventlet's WSGI server and urllib3 only, so that it
+    shows the cost of the users' libraries for a single hop.
     """
     vm = cluster.vms[0]
     path = f"{cluster.deployment.services[0].read_prefix}/1"
@@ -154,7 +154,7 @@
 
 
 def time_calls(address: str, path: str, count: int) -> list[float]:
-    """Returns the latencies of calls over one connection, in milliseconds."""
+    """Returns the latencies in ms of sequential calls over one connection."""
     pool = urllib3.connectionpool.connection_from_url(address, retries=False)
     times_ms = []
     for _ in range(count):
@@ -167,7 +167,7 @@
 
 
 def measure_data_centre(cluster: LocalCluster) -> dict:
-    """Takes a data centre out and in while calls go on."""
+    """Takes a data centre out of service and back under load."""
     data_centre = cluster.deployment.data_centres[0]
     vms_inside = [
         vm for vm in cluster.vms if vm.data_centre == data_centre and vm.service
@@ -200,7 +200,7 @@
 
 
 def measure_moves(cluster: LocalCluster) -> dict:
-    """Moves the first service to a bad version and then to a good one."""
+    """Moves the first service to a faulty version, then to a working one."""
     service = cluster.deployment.services[0]
     bad = [cluster.add_upstream(service, "v2", error_fraction=0.5) for _ in range(2)]
     good = [cluster.add_upstream(service, "v3") for _ in range(4)]
--- a/bench/plain_proxy.py
+++ b/bench/plain_proxy.py
@@ -1,4 +1,4 @@
-"""Baseline: eventlet's WSGI server and urllib3 with nothing between them."""
+"""Baseline proxy: forwards requests with eventlet's WSGI server and urllib3 only."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 def main() -> None:
-    """Takes the address and port to listen on and the upstream's base URL."""
+    """Expects the IP address and port to listen on and the upstream's base URL."""
     ip, port, upstream = sys.argv[1:4]
     pool = urllib3.connectionpool.connection_from_url(upstream, maxsize=64)
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -1,4 +1,4 @@
-"""Prints figures, compares them with earlier ones and plots them."""
+"""Prints and plots figures and compares them with those of an earlier run."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def flatten(figures: dict, prefix: str = "") -> Iterator[tuple[str, Any]]:
-    """Yields every figure under its dotted name."""
+    """Yields each figure with its dotted name."""
     for name, value in figures.items():
         if isinstance(value, dict):
             yield from flatten(value, f"{prefix}{name}.")
@@ -24,12 +24,12 @@
 
 
 def format_figure(value: Any) -> str:
-    """Returns a figure with a sensible number of digits."""
+    """Returns a figure as text; floats get three decimals."""
     return f"{value:.3f}" if isinstance(value, float) else str(value)
 
 
 def print_report(report: dict) -> None:
-    """Prints a table for each deployment."""
+    """Prints a table of figures for each deployment."""
     for name, figures in report["deployments"].items():
         print(f"\n{name} ({report['revision']})")
         rows = [[key, format_figure(value)] for key, value in flatten(figures)]
@@ -37,7 +37,7 @@
 
 
 def print_comparison(earlier: dict, report: dict) -> None:
-    """Prints the figures of two runs side by side."""
+    """Prints the numeric figures of two runs side by side."""
     before = dict(flatten(earlier["deployments"]))
     after = dict(flatten(report["deployments"]))
     rows = [
@@ -50,7 +50,7 @@
 
 
 def plot(report: dict, path: Path) -> None:
-    """Draws the figures that the brief asks for, a panel for each."""
+    """Plots the required figures against their targets, one panel per measure."""
     panels = {
         "convergence (ms)": ("convergence", ["p50_ms", "p99_ms", "max_ms"], 8000),
         "control (bytes/s per node)": (
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -1,7 +1,7 @@
-"""Measures how cost grows with size; writes build/bench/slopes.json.
+"""Measures how cost scales with size and writes build/bench/slopes.json.
 
-Figures that grow with the fleet are taken from daemons on this machine; those that
-grow with what a node knows are taken from the node's own tables in this process.
+Figures that scale with the size of the fleet are measured on daemons on this machine;
+those that scale with the state of one node are measured on its tables in this process.
 """
 
 from __future__ import annotations
@@ -50,13 +50,13 @@
 
 
 def resident_bytes() -> int:
-    """Returns this process's resident memory after a collection."""
+    """Returns the resident memory of this process after a garbage collection."""
     gc.collect()
     return psutil.Process().memory_info().rss
 
 
 def member_record(number: int) -> Record:
-    """Returns a member record as a node publishes it."""
+    """Returns a member record in the form that nodes publish."""
     member = Member(
         node=f"vm-{number}",
         data_centre=f"data-centre-{number % 12}",
@@ -81,7 +81,7 @@
 
 
 def measure_members() -> dict:
-    """Measures what a member costs a node that knows it."""
+    """Measures the memory, CPU time and wire bytes per known member."""
     data = [msgspec.msgpack.encode(member_record(n)) for n in range(MEMBERS)]
     table, directory = RecordTable("me", Clock()), UpstreamDirectory()
     before = resident_bytes()
@@ -103,7 +103,7 @@
 
 
 def measure_configuration() -> dict:
-    """Measures what the whole configuration and one change cost a node."""
+    """Measures the cost of the whole configuration and of one change to a node."""
     state = ConfigState()
     replica = ConfigReplica()
 
@@ -140,7 +140,7 @@
 
 
 def profile_for(number: int, version: str) -> Profile:
-    """Returns a profile with five targets and two routes to each."""
+    """Returns a profile with five target services and two routes to each."""
     targets = [f"service-{(number + step) % SERVICES}" for step in range(5)]
     document = {
         "name": f"profile-{number}",
@@ -159,7 +159,7 @@
 
 
 def measure_fleet(nodes: int) -> dict:
-    """Measures a fleet of daemons, most of them without an upstream."""
+    """Measures a fleet of daemons, those beyond the deployment without upstreams."""
     cluster = LocalCluster(PADDOCKLINE)
     try:
         cluster.start(extra_nodes=nodes - 11)
@@ -175,7 +175,7 @@
 
 
 def measure_roles(cluster: LocalCluster) -> dict:
-    """Measures control bytes and processor time of relays and plain nodes."""
+    """Measures the idle control traffic, CPU and memory of relays and plain nodes."""
     dumps = [cluster.dump(vm) for vm in cluster.vms]
     processes = cluster.processes()
     cpu = [sum(process.cpu_times()[:2]) for process in processes]
@@ -206,7 +206,7 @@
 
 
 def main(argv: list[str]) -> int:
-    """Takes every slope."""
+    """Measures all slopes and writes them after each fleet size."""
     slopes: dict = {
         "members": measure_members(),
         "configuration": measure_configuration(),
