--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -1,7 +1,7 @@
-"""Writes docs/CAPACITY.md from measured slopes.
+"""Generates docs/CAPACITY.md, which extrapolates measured slopes to the target size.
 
 Reads docs/measured/slopes.json (python -m bench.slopes) and docs/measured/bench.json
-(make bench); every extrapolation is written out in the page.
+(make bench). The page shows how each figure is extrapolated.
 """
 
 from __future__ import annotations
@@ -48,7 +48,7 @@
 
 
 def outcome_report_bytes() -> int:
-    """Returns the size of a gate's report on two routes with eight buckets each."""
+    """Returns the size of a gate's report for two routes with eight buckets each."""
     buckets = {number: 1000 for number in range(8)}
     rows = [
         KeyedOutcomes(
@@ -70,10 +70,10 @@
 
 
 class Capacity:
-    """The page's figures."""
+    """Figures of the page, extrapolated from the measurements."""
 
     def __init__(self, slopes: dict, bench: dict) -> None:
-        """Takes the measured files."""
+        """Expects the contents of slopes.json and bench.json."""
         self.members = slopes["members"]
         self.configuration = slopes["configuration"]
         self.fleets = slopes["fleets"]
@@ -89,13 +89,13 @@
         self.upstreams_per_service = NODES / SERVICES
 
     def linear_fit(self, figure: str) -> tuple[float, float]:
-        """Returns base and slope against links, from the two roles measured."""
+        """Returns intercept and slope per link of the line through the two roles."""
         links = self.relay["links"] - self.plain["links"]
         slope = (self.relay[figure] - self.plain[figure]) / links
         return max(0.0, self.plain[figure] - slope * self.plain["links"]), slope
 
     def depth(self) -> int:
-        """Returns the levels below the relays of one data centre."""
+        """Returns the number of tree levels below the relays of one data centre."""
         level, reached, width = 0, 0, RELAY_SLOTS
         while reached < self.nodes_per_centre - RELAY_SLOTS:
             level += 1
@@ -104,44 +104,44 @@
         return level
 
     def members_known(self, nodes_below: float) -> float:
-        """Returns how many members a node holds for itself and those below it."""
+        """Returns how many members a node stores for itself and the nodes below it."""
         wanted = (TARGETS_PER_PROFILE + 1) * (nodes_below + 1)
         share_missed = (1 - 1 / SERVICES) ** wanted
         return NODES * (1 - share_missed)
 
     def memory_mb(self, members: float) -> float:
-        """Returns resident memory with so many members and the whole configuration."""
+        """Returns the resident memory for these members and all configuration."""
         state = members * self.members["bytes_per_member"]
         state += SERVICES * self.configuration["bytes_per_service"]
         return self.plain["memory_mb"] + state / MB
 
     def control_bytes(self, links: int, children: int) -> float:
-        """Returns control bytes sent a second by a node with so many links."""
+        """Returns the control bytes per second that a node sends."""
         entries = self.changes_per_s * self.configuration["entry_bytes"] * children
         churn = (2 * REPLACED_PER_DAY + FAILED_PER_DAY) / SECONDS_PER_DAY
         records = churn * 3 * self.members["wire_bytes_per_member"] * links
         return self.base_bytes + links * self.link_bytes + entries + records
 
     def control_cpu(self, links: int) -> float:
-        """Returns processor time for control in percent of a core."""
+        """Returns the CPU usage of control traffic in percent of a core."""
         changes = self.changes_per_s * self.configuration["cpu_ms_per_change"] / 10
         return self.base_cpu + links * self.link_cpu + changes
 
     def outcome_reports_per_s(self) -> float:
-        """Returns the gates' reports a second in the whole fleet."""
+        """Returns how many reports per second the gates of the whole fleet send."""
         moves = CHANGES_PER_DAY * MOVES_SHARE * MOVE_DURATION_S / SECONDS_PER_DAY
         return moves * self.upstreams_per_service / OUTCOME_REPORT_INTERVAL_S
 
 
 def margin(value: float, bound: float) -> str:
-    """Returns the margin or the shortfall in words."""
+    """Returns the margin below the bound, or the shortfall, as text."""
     if value <= bound:
         return f"holds, {100 * (1 - value / bound):.0f}% left"
     return f"**shortfall, {value / bound:.1f} times**"
 
 
 def role_rows(c: Capacity) -> list[str]:
-    """Returns the table of roles."""
+    """Returns the table of extrapolated costs by role."""
     below_first = c.nodes_per_centre / (RELAY_SLOTS * FAN_OUT)
     relay_links = FAN_OUT + DATA_CENTRES - 1 + RELAY_SLOTS - 1
     roles = [
@@ -175,7 +175,7 @@
 
 
 def target_rows(c: Capacity) -> list[str]:
-    """Returns a row for each number of the target."""
+    """Returns the table that compares each target with its extrapolation."""
     convergence = c.largest["convergence"]
     hops = c.depth() + 1
     measured_hops = max(1, c.largest["hops_max"])
@@ -242,7 +242,7 @@
 
 
 def slope_rows(c: Capacity) -> list[str]:
-    """Returns the measured slopes."""
+    """Returns the tables of measured slopes."""
     rows = [
         "| nodes | deepest | p50 ms | p99 ms | max ms | bytes/s mean | bytes/s max"
         " | core % | MB mean |",
@@ -269,7 +269,7 @@
 
 
 def render_page(c: Capacity) -> str:
-    """Returns the whole page."""
+    """Returns the page as Markdown."""
     members, configuration = c.members, c.configuration
     lines = [
         "# Capacity at the target",
@@ -331,7 +331,7 @@
 
 
 def main() -> None:
-    """Writes the page."""
+    """Reads the measurements and writes the page."""
     slopes = json.loads((MEASURED / "slopes.json").read_text())
     bench = json.loads((MEASURED / "bench.json").read_text())
     target = ROOT / "docs" / "CAPACITY.md"
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,4 +1,4 @@
-"""Regenerates the slotted classes from the JSON schemas; --check only compares."""
+"""Generates msgspec classes from the JSON schemas; --check only compares them."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 
 def mark_defaults_required(schema: dict) -> dict:
-    """Lists defaulted properties as required, so that no field can be unset."""
+    """Lists properties with defaults as required, so that no field can be unset."""
     for definition in [schema, *schema.get("definitions", {}).values()]:
         properties = definition.get("properties", {})
         defaulted = [name for name, spec in properties.items() if "default" in spec]
@@ -47,7 +47,7 @@
 
 
 def generate(package: str, output: Path) -> None:
-    """Writes the classes of one package's schema to the output file."""
+    """Writes the classes of a package's schema to the output file."""
     schema_path = ROOT / "src" / "jayswitch" / package / "schema.json"
     schema = mark_defaults_required(json.loads(schema_path.read_text()))
     with tempfile.NamedTemporaryFile("w", suffix=".json") as prepared:
@@ -63,7 +63,7 @@
 
 
 def main() -> int:
-    """Returns 1 when --check finds committed code that differs from its schema."""
+    """Returns 1 if --check finds generated code that differs from its schema."""
     check = "--check" in sys.argv[1:]
     outdated = []
     for package in BASE_CLASS_BY_PACKAGE:
