Call the follower's synchronization is_synced, as its state does

PrefixFollower.synced returned PrefixState.is_synced: one fact under two names. The lambda parameters in HttpStore.put and grant_lease shared the name of the HTTP response; they are now named after what the store did (written, granted).

Only names change; behaviour is the same.

--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -244,7 +244,7 @@
         return (
             not self.draining
             and self.orders.catalog is not None
-            and self.fleet_follower.synced
+            and self.fleet_follower.is_synced
             and self.publisher.restored
         )
 
--- a/src/jayswitch/store/http.py
+++ b/src/jayswitch/store/http.py
@@ -74,7 +74,7 @@
         """Writes if the key has the expected revision (0: if it does not exist)."""
         body = PutBody(value, expected_revision, lease)
         return self._call("PUT", f"/kv/{quote(key)}", RevisionBody, body).map(
-            lambda response: response.revision
+            lambda written: written.revision
         )
 
     def commit(self, writes: list[Write]) -> Result[int, StoreError]:
@@ -94,7 +94,7 @@
         """Returns the id of a new lease."""
         body = LeaseBody(ttl_ms=ttl_ms)
         return self._call("POST", "/leases", LeaseBody, body).map(
-            lambda response: response.lease
+            lambda granted: granted.lease
         )
 
     def keep_alive(self, lease: str) -> Result[None, StoreError]:
--- a/tests/loopback/test_upstreams.py
+++ b/tests/loopback/test_upstreams.py
@@ -143,7 +143,7 @@
         follower = proxy.orders_follower
         silent = lambda wait_ms: eventlet.sleep(60) or False  # noqa: E731
         follower._watch_once = silent  # type: ignore[method-assign]
-        wait_until(lambda: follower.synced)
+        wait_until(lambda: follower.is_synced)
         loopback.store.put("op/evacuate/elsewhere", {})
         eventlet.sleep(0)
         proxy.knowledge.compare("999,0", "")
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -111,7 +111,7 @@
     def test_prefix_is_read_with_one_copy_of_each_value(self) -> None:
         setup = FollowerSetup()
         assert setup.store.calls_by_kind["scan"] == 1
-        assert setup.follower.synced
+        assert setup.follower.is_synced
 
 
 class TestBatchDelay:
