Name the relay selector apart from the relays that it selects

FeedFollower._relays held the RelaySelector, whose own _relays() returned the relays of each data centre. is_usable() told whether an address is a relay's, while a usable feed and a usable connection are other things. The fleet of the selector's tests had relays() for the selector and width for the bandwidth.

Only names change; behaviour and what the tests check are the same.

--- a/src/jayswitch/feed/follower.py
+++ b/src/jayswitch/feed/follower.py
@@ -41,7 +41,7 @@
         self,
         prefix: str,
         follower: PrefixFollower,
-        relays: RelaySelector,
+        relay_selector: RelaySelector,
         source: FeedSource,
         clock: Clock,
     ) -> None:
@@ -50,7 +50,7 @@
         self._chosen_by_feed: dict[int, str] = {}
         self._prefix = prefix
         self._follower = follower
-        self._relays = relays
+        self._relay_selector = relay_selector
         self._source = source
         self._clock = clock
         follower.store_watch_timeout_ms = self.store_watch_timeout_ms
@@ -63,7 +63,7 @@
 
     def store_watch_timeout_ms(self) -> int:
         """Returns the timeout of a store watch; 0 if no watch is needed."""
-        if self._relays.is_relay():
+        if self._relay_selector.is_relay():
             return RELAY_WATCH_MS
         return 0 if self.relay_by_feed else FALLBACK_WATCH_MS
 
@@ -80,7 +80,7 @@
             self._chosen_by_feed.pop(feed, None)
             excluded = set(self._chosen_by_feed.values())
             # The first feed prefers this data centre, the second one another.
-            address = self._relays.choose(feed > 0, excluded)
+            address = self._relay_selector.choose(feed > 0, excluded)
             if address is None:
                 self._clock.sleep_ms(NO_RELAY_RETRY_MS)
                 continue
@@ -95,7 +95,7 @@
                 logger.info("feed opened", extra={"relay": address, "feed": feed})
             self.relay_by_feed[feed] = address
             wait_ms = FEED_WAIT_MS
-            if not self._relays.is_usable(address):
+            if not self._relay_selector.is_relay_address(address):
                 break
         if self.relay_by_feed.pop(feed, None) is not None:
             logger.info("feed closed", extra={"relay": address, "feed": feed})
@@ -122,9 +122,9 @@
                 continue
             if not response.is_current:
                 logger.info("relay has lost the store", extra={"relay": address})
-                self._relays.avoid(address)
+                self._relay_selector.avoid(address)
             return response.is_current
-        self._relays.avoid(address)
+        self._relay_selector.avoid(address)
         return False
 
     def _request(self, address: str, request: FeedRequest) -> FeedResponse | None:
@@ -132,7 +132,7 @@
         match result:
             case Failure(error):
                 logger.info("feed failed", extra={"reason": error.cause})
-                self._relays.avoid(address)
+                self._relay_selector.avoid(address)
                 return None
         return result.unwrap()
 
--- a/src/jayswitch/feed/relay_selector.py
+++ b/src/jayswitch/feed/relay_selector.py
@@ -41,13 +41,15 @@
 
     def is_relay(self) -> bool:
         """Returns whether this proxy follows the store on behalf of others."""
-        return any(r.vm == self._vm for r in self._relays()[self._data_centre])
+        return any(
+            r.vm == self._vm for r in self._relays_by_data_centre()[self._data_centre]
+        )
 
-    def is_usable(self, address: str) -> bool:
+    def is_relay_address(self, address: str) -> bool:
         """Returns whether the address still belongs to a relay."""
         return any(
             record.address == address
-            for records in self._relays().values()
+            for records in self._relays_by_data_centre().values()
             for record in records
         )
 
@@ -56,7 +58,7 @@
 
         Returns None if there is no relay other than this proxy and those excluded.
         """
-        by_data_centre = self._relays()
+        by_data_centre = self._relays_by_data_centre()
         local = by_data_centre.pop(self._data_centre)
         remote = [record for records in by_data_centre.values() for record in records]
         for group in [remote, local] if prefer_remote else [local, remote]:
@@ -77,7 +79,7 @@
         until_ms = self._avoided_until_ms.get(record.address, float("-inf"))
         return until_ms <= self._clock.now_ms()
 
-    def _relays(self) -> dict[str, list[NodeRecord]]:
+    def _relays_by_data_centre(self) -> dict[str, list[NodeRecord]]:
         records_by_data_centre: dict[str, list[NodeRecord]] = {self._data_centre: []}
         for record in self._directory.record_by_vm.values():
             if record.draining or record.vm in self._directory.unlisted:
--- a/tests/feed/test_follower.py
+++ b/tests/feed/test_follower.py
@@ -52,8 +52,10 @@
         self.follower.apply_changes([WatchEvent("op/a", b"1" * 5000, 5)], 5)
         self.follower.state.advance(5, removals_known_after=5)
         self.source = FakeSource(respond)
-        relays = RelaySelector("vm-1", "a", Directory(), self.clock)
-        self.feed = FeedFollower("op/", self.follower, relays, self.source, self.clock)
+        selector = RelaySelector("vm-1", "a", Directory(), self.clock)
+        self.feed = FeedFollower(
+            "op/", self.follower, selector, self.source, self.clock
+        )
 
     def _record(self, event: WatchEvent) -> None:
         self.values[event.key] = event.value
--- a/tests/feed/test_relay_selector.py
+++ b/tests/feed/test_relay_selector.py
@@ -29,15 +29,15 @@
                 )
 
     def put(
-        self, vm: str, data_centre: str, width: float, draining: bool = False
+        self, vm: str, data_centre: str, link_mbit_per_s: float, draining: bool = False
     ) -> None:
         """Publishes a record; the address of a proxy is its VM name."""
         record = NodeRecord(vm, data_centre, "r", vm, draining=draining)
-        record.link_mbit_per_s = width
+        record.link_mbit_per_s = link_mbit_per_s
         value = msgspec.json.encode(record)
         self.directory.apply(WatchEvent(NODE_PREFIX + vm, value, 1))
 
-    def relays(self, vm: str) -> RelaySelector:
+    def selector(self, vm: str) -> RelaySelector:
         """Returns the relay selector of a proxy."""
         return RelaySelector(vm, vm[0], self.directory, self.clock)
 
@@ -48,40 +48,40 @@
     def test_fastest_links_of_each_data_centre_are_relays(self) -> None:
         fleet = Fleet()
         names = list(fleet.directory.record_by_vm)
-        relays = {vm for vm in names if fleet.relays(vm).is_relay()}
+        relays = {vm for vm in names if fleet.selector(vm).is_relay()}
         assert relays == {"a-0", "a-1", "b-0", "b-1", "c-0", "c-1"}
 
     def test_first_feed_is_local_and_the_second_remote(self) -> None:
-        relays = Fleet().relays("a-3")
-        near = relays.choose(False, set())
-        assert near in ("a-0", "a-1")
-        assert relays.choose(True, {near}) in ("b-0", "b-1", "c-0", "c-1")
+        selector = Fleet().selector("a-3")
+        local = selector.choose(False, set())
+        assert local in ("a-0", "a-1")
+        assert selector.choose(True, {local}) in ("b-0", "b-1", "c-0", "c-1")
 
     def test_relay_never_follows_itself(self) -> None:
-        relays = Fleet().relays("a-0")
-        assert relays.choose(False, set()) == "a-1"
-        relays.avoid("a-1")
-        assert relays.choose(False, set()) in ("b-0", "b-1", "c-0", "c-1")
+        selector = Fleet().selector("a-0")
+        assert selector.choose(False, set()) == "a-1"
+        selector.avoid("a-1")
+        assert selector.choose(False, set()) in ("b-0", "b-1", "c-0", "c-1")
 
     def test_failed_relay_is_avoided_for_a_while(self) -> None:
         fleet = Fleet()
-        relays = fleet.relays("a-3")
-        first = relays.choose(False, set())
+        selector = fleet.selector("a-3")
+        first = selector.choose(False, set())
         assert first is not None
-        relays.avoid(first)
-        assert relays.choose(False, set()) not in (None, first)
+        selector.avoid(first)
+        assert selector.choose(False, set()) not in (None, first)
         fleet.clock.sleep_ms(AVOID_RELAY_MS)
-        assert relays.choose(False, set()) == first
+        assert selector.choose(False, set()) == first
 
     def test_draining_and_suspected_proxies_are_replaced(self) -> None:
         fleet = Fleet()
         fleet.put("a-1", "a", 100.0, draining=True)
-        relays = fleet.relays("a-3")
-        relays.is_suspected = lambda vm: vm == "a-0"
-        assert relays.is_relay()
-        assert relays.choose(False, set()) == "a-2"
-        assert not relays.is_usable("a-1")
+        selector = fleet.selector("a-3")
+        selector.is_suspected = lambda vm: vm == "a-0"
+        assert selector.is_relay()
+        assert selector.choose(False, set()) == "a-2"
+        assert not selector.is_relay_address("a-1")
 
     def test_single_proxy_has_no_relay_to_follow(self) -> None:
-        relays = RelaySelector("a-0", "a", Directory(), VirtualClock())
-        assert relays.choose(False, set()) is None and not relays.is_relay()
+        selector = RelaySelector("a-0", "a", Directory(), VirtualClock())
+        assert selector.choose(False, set()) is None and not selector.is_relay()
