Name the membership's predicates, counts and relay status by their contents

remove_orphans(wanted) removed what was 'wanted'; its parameter and that of discard_foreign now say what they decide. DataCentreStatus held the status of one relay's subtree, and a data centre has several relays. RelayRole._slots was a number next to slots_by_key. _leads_to_evaluator is also true if no evaluator is reachable; it decides whether outcomes are sent.

RelayStatus is encoded without its type name, so stored records are the same. Only names change; behaviour is the same.

--- a/src/jayswitch/membership/member.py
+++ b/src/jayswitch/membership/member.py
@@ -36,7 +36,7 @@
     since_ms: int = 0
 
 
-class DataCentreStatus(Model):
+class RelayStatus(Model):
     """Configuration versions applied in the subtree of one relay."""
 
     node: str
@@ -47,7 +47,7 @@
 
 
 _member_decoder = msgspec.msgpack.Decoder(Member)
-_status_decoder = msgspec.msgpack.Decoder(DataCentreStatus)
+_status_decoder = msgspec.msgpack.Decoder(RelayStatus)
 
 
 def member_key(node: str) -> str:
@@ -63,7 +63,7 @@
         return None
 
 
-def decode_status(record: Record) -> DataCentreStatus | None:
+def decode_status(record: Record) -> RelayStatus | None:
     """Decodes a status record; returns None if this release cannot decode it."""
     try:
         return _status_decoder.decode(record.payload)
--- a/src/jayswitch/membership/records.py
+++ b/src/jayswitch/membership/records.py
@@ -120,12 +120,12 @@
         """Marks the records that a lost link delivered as orphaned."""
         now_ms = self._clock.now_ms()
         for stored in self._stored_by_key.values():
-            known = stored.is_orphaned or stored.record.kind == KIND_MARK
-            if stored.source == source and not known:
+            is_exempt = stored.is_orphaned or stored.record.kind == KIND_MARK
+            if stored.source == source and not is_exempt:
                 stored.orphaned_ms = now_ms
 
     def remove_orphans(
-        self, wanted: Callable[[StoredRecord], bool], source: str = LOCAL_SOURCE
+        self, should_remove: Callable[[StoredRecord], bool], source: str = LOCAL_SOURCE
     ) -> int:
         """Removes the selected orphans, which no other link has delivered since.
 
@@ -134,16 +134,16 @@
         keys = [
             key
             for key, stored in self._stored_by_key.items()
-            if stored.is_orphaned and not stored.record.gone and wanted(stored)
+            if stored.is_orphaned and not stored.record.gone and should_remove(stored)
         ]
         for key in keys:
             self.remove(key, source)
         return len(keys)
 
-    def discard_foreign(self, unwanted: Callable[[StoredRecord], bool]) -> None:
+    def discard_foreign(self, should_discard: Callable[[StoredRecord], bool]) -> None:
         """Discards records of other nodes that this subtree no longer needs."""
         for key, stored in list(self._stored_by_key.items()):
-            if stored.source != LOCAL_SOURCE and unwanted(stored):
+            if stored.source != LOCAL_SOURCE and should_discard(stored):
                 del self._stored_by_key[key]
 
     def purge_tombstones(self) -> None:
--- a/src/jayswitch/membership/relay.py
+++ b/src/jayswitch/membership/relay.py
@@ -79,7 +79,7 @@
     def __init__(
         self,
         slot: RelaySlot,
-        slots: int,
+        slot_count: int,
         store: Store,
         log: ConfigLog,
         tree: Tree,
@@ -91,7 +91,7 @@
         self.slots_by_key: dict[str, RelaySlot] = {}
         self.lease = ""
         self._own_slot = slot
-        self._slots = slots
+        self._slot_count = slot_count
         self._store = store
         self._log = log
         self._tree = tree
@@ -150,7 +150,7 @@
         return f"{self._own_prefix()}{number}"
 
     def _vacant_slots(self) -> list[int]:
-        numbers = range(self._slots)
+        numbers = range(self._slot_count)
         return [n for n in numbers if self._key(n) not in self.slots_by_key]
 
     def _own_relay_addresses(self) -> list[str]:
--- a/src/jayswitch/membership/sync_builder.py
+++ b/src/jayswitch/membership/sync_builder.py
@@ -66,7 +66,7 @@
         if stored.source == link.peer:
             return False
         if record.kind == KIND_OUTCOMES and link.role is LinkRole.PEER:
-            return self._leads_to_evaluator(link)
+            return self._should_send_outcomes(link)
         if record.kind == KIND_MARK or link.role is LinkRole.PEER:
             return True
         if link.role is LinkRole.CHILD:
@@ -76,7 +76,7 @@
         below = source_link is not None and source_link.role is LinkRole.CHILD
         return not stored.source or below
 
-    def _leads_to_evaluator(self, link: Link) -> bool:
+    def _should_send_outcomes(self, link: Link) -> bool:
         """Returns whether call outcomes are sent on a link between relays.
 
         They are sent to the evaluator node, or to the relays of the same data centre,
--- a/src/jayswitch/node/factory.py
+++ b/src/jayswitch/node/factory.py
@@ -107,7 +107,7 @@
         )
         parts.relay = RelayRole(
             slot=slot,
-            slots=settings.relay_slots,
+            slot_count=settings.relay_slots,
             store=self._store,
             log=parts.log,
             tree=parts.tree,
--- a/src/jayswitch/node/node.py
+++ b/src/jayswitch/node/node.py
@@ -14,8 +14,8 @@
     KIND_MEMBER,
     KIND_OUTCOMES,
     KIND_STATUS,
-    DataCentreStatus,
     Member,
+    RelayStatus,
     decode_member,
     member_key,
 )
@@ -325,7 +325,7 @@
         if not self.parts.tree.is_relay:
             return
         subtree = self.parts.tree.subtree()
-        status = DataCentreStatus(
+        status = RelayStatus(
             node=self.name,
             data_centre=self.parts.settings.data_centre,
             nodes=subtree.nodes,
