--- a/src/jayswitch/config/log.py
+++ b/src/jayswitch/config/log.py
@@ -30,7 +30,7 @@
 LOG_PREFIX = "log/"
 SNAPSHOT_KEY = "snapshot"
 SNAPSHOT_EVERY_ENTRIES = 200
-ENTRIES_BEHIND_SNAPSHOT = 400
+RETAINED_ENTRIES = 400
 READ_PAGE = 256
 APPEND_ATTEMPTS = 40
 APPEND_RETRY_MS = 50
@@ -174,16 +174,18 @@
         match self._store.get(SNAPSHOT_KEY):
             case Success(stored):
                 revision = stored.revision if stored is not None else 0
-                if stored is not None and self._is_newer(stored.value, state.version):
+                if stored is not None and self._covers_version(
+                    stored.value, state.version
+                ):
                     return Success(0)
             case Failure(error):
                 return Failure(error)
         match self._store.put(SNAPSHOT_KEY, data, revision):
             case Failure(error):
                 return Failure(error)
-        return self._delete_entries(state.version - ENTRIES_BEHIND_SNAPSHOT)
+        return self._delete_entries(state.version - RETAINED_ENTRIES)
 
-    def _is_newer(self, data: bytes, version: int) -> bool:
+    def _covers_version(self, data: bytes, version: int) -> bool:
         stored = decode_state(data).map(lambda state: state.version >= version)
         return stored.value_or(True)
 
--- a/src/jayswitch/config/state.py
+++ b/src/jayswitch/config/state.py
@@ -141,10 +141,10 @@
 
     def profile_of(self, service: str) -> Profile | None:
         """Returns the profile that a service uses, if any."""
-        picked = self.services_by_name.get(service)
-        if picked is None:
+        service_state = self.services_by_name.get(service)
+        if service_state is None:
             return None
-        state = self.profiles_by_name.get(picked.profile)
+        state = self.profiles_by_name.get(service_state.profile)
         return state.profile if state is not None else None
 
     def active_move(self, profile: str, service: str) -> Move | None:
