Call HTTP responses responses in the HTTP applications

caller_app sent responses with _answer* and admin_app with _reply. Only private names change; behaviour is the same.

--- a/src/jayswitch/http/admin_app.py
+++ b/src/jayswitch/http/admin_app.py
@@ -89,14 +89,14 @@
             return [b"ok\n"]
         match self._authorize(environ).bind(self._handle):
             case Success(value):
-                return _reply(200, value, start_response)
+                return _respond(200, value, start_response)
             case Failure(error):
                 body = {
                     "error": error.code,
                     "cause": error.cause,
                     "remedy": error.remedy,
                 }
-                return _reply(error.status, body, start_response)
+                return _respond(error.status, body, start_response)
         raise AssertionError("a result is a success or a failure")
 
     def _authorize(
@@ -106,8 +106,8 @@
         from_upstream = environ["PATH_INFO"] == "/v1/announce"
         token = settings.upstream_token if from_upstream else settings.admin_token
         given = environ.get("HTTP_AUTHORIZATION", "")
-        wanted = f"Bearer {token}"
-        if not hmac.compare_digest(given.encode(), wanted.encode()):
+        expected = f"Bearer {token}"
+        if not hmac.compare_digest(given.encode(), expected.encode()):
             key = "upstream_token" if from_upstream else "admin_token"
             return Failure(NotAuthorized(key))
         return Success(AdminRequest(environ))
@@ -264,7 +264,7 @@
     return [objects_by_name[name] for name in sorted(objects_by_name)]
 
 
-def _reply(status: int, value: Any, start_response: StartResponse) -> list[bytes]:
+def _respond(status: int, value: Any, start_response: StartResponse) -> list[bytes]:
     body = msgspec.json.encode(value)
     start_response(status_line(status), [("Content-Type", "application/json")])
     return [body]
--- a/src/jayswitch/http/caller_app.py
+++ b/src/jayswitch/http/caller_app.py
@@ -60,12 +60,12 @@
         try:
             request = self._read_request(environ)
         except JayswitchError as error:
-            return self._answer_error(error, OUTCOME_NOT_RUN, [], start_response)
+            return self._respond_with_error(error, OUTCOME_NOT_RUN, [], start_response)
         match self._router.call(request):
             case Success(answer):
-                return self._answer(request.method, answer, start_response)
+                return self._respond(request.method, answer, start_response)
             case Failure(error):
-                return self._answer_failure(error, start_response)
+                return self._respond_with_failure(error, start_response)
         raise AssertionError("a result is a success or a failure")
 
     def _read_request(self, environ: dict[str, Any]) -> CallerRequest:
@@ -110,7 +110,7 @@
             )
         return body
 
-    def _answer(
+    def _respond(
         self, method: str, answer: CallerAnswer, start_response: StartResponse
     ) -> Iterator[bytes]:
         headers = [(header.name, header.value) for header in answer.headers]
@@ -123,7 +123,7 @@
             return answer.body
         return stream_checked_body(answer)
 
-    def _answer_failure(
+    def _respond_with_failure(
         self, error: CallFailure, start_response: StartResponse
     ) -> Iterable[bytes]:
         outcome = OUTCOME_NOT_RUN if error.not_run else OUTCOME_UNKNOWN
@@ -131,9 +131,9 @@
         if error.retry_after_ms:
             seconds = max(1, round(error.retry_after_ms / MS_PER_S))
             headers.append(("Retry-After", str(seconds)))
-        return self._answer_error(error, outcome, headers, start_response)
+        return self._respond_with_error(error, outcome, headers, start_response)
 
-    def _answer_error(
+    def _respond_with_error(
         self,
         error: JayswitchError,
         outcome: str,
