Call a node's response a response in the console

The client and the commands called the decoded response an answer next to the HTTP response; the fields of a log line were inputs, the one error of a settings file faults. Only local names change; behaviour is the same. Checks: unit tests of store, feed, membership, config and console (57 passed), make lint passes.

--- a/src/jayswitch/console/client.py
+++ b/src/jayswitch/console/client.py
@@ -79,9 +79,9 @@
                 timeout=TIMEOUT_S,
                 retries=False,
             )
-            answer = msgspec.json.decode(response.data)
+            decoded = msgspec.json.decode(response.data)
         except (urllib3.exceptions.HTTPError, OSError, msgspec.DecodeError) as error:
             return Failure(NodeUnreachable(address, str(error)))
         if response.status != 200:
-            return Failure(ApiError(response.status, answer))
-        return Success(answer)
+            return Failure(ApiError(response.status, decoded))
+        return Success(decoded)
--- a/src/jayswitch/console/commands/data_centres.py
+++ b/src/jayswitch/console/commands/data_centres.py
@@ -37,8 +37,8 @@
         """Sets the state of the data centre."""
         path = f"data-centres/{arguments[0]}/{self.state}"
         expected = self.options.expected_version
-        answer = self.client.request("POST", path, b"", expected).unwrap()
-        print(f"{arguments[0]} is {self.state} as of version {answer['version']}")
+        response = self.client.request("POST", path, b"", expected).unwrap()
+        print(f"{arguments[0]} is {self.state} as of version {response['version']}")
         return EXIT_OK
 
 
--- a/src/jayswitch/console/commands/fleet.py
+++ b/src/jayswitch/console/commands/fleet.py
@@ -86,6 +86,6 @@
     def run(self, *arguments: str) -> int:
         """Prints the first error; the exit code is 2 if there is one."""
         result = load_settings(arguments[0])
-        faults = result.swap().map(str).value_or("")
-        print(faults or f"{arguments[0]} is valid")
-        return EXIT_USAGE if faults else EXIT_OK
+        error_text = result.swap().map(str).value_or("")
+        print(error_text or f"{arguments[0]} is valid")
+        return EXIT_USAGE if error_text else EXIT_OK
--- a/src/jayswitch/console/commands/moves.py
+++ b/src/jayswitch/console/commands/moves.py
@@ -102,6 +102,6 @@
     def run(self, *arguments: str) -> int:
         """Aborts the move; the profile targets the old version again."""
         path = f"moves/{arguments[0]}/abort"
-        answer = self.client.request("POST", path).unwrap()
-        print(f"{arguments[0]} aborted in version {answer['version']}")
+        response = self.client.request("POST", path).unwrap()
+        print(f"{arguments[0]} aborted in version {response['version']}")
         return EXIT_OK
--- a/src/jayswitch/console/commands/profiles.py
+++ b/src/jayswitch/console/commands/profiles.py
@@ -92,11 +92,11 @@
             expected = self._current_version(name)
         body = msgspec.json.encode(profile)
         path = f"profiles/{name}"
-        answer = self.client.request("PUT", path, body, expected).unwrap()
+        response = self.client.request("PUT", path, body, expected).unwrap()
         if self.options.as_json:
-            print_json(answer)
+            print_json(response)
         else:
-            print(f"profile {name} accepted as version {answer['version']}")
+            print(f"profile {name} accepted as version {response['version']}")
         return EXIT_OK
 
     def _current_version(self, name: str) -> int:
@@ -170,6 +170,6 @@
         """Deletes the profile."""
         expected = self.options.expected_version
         path = f"profiles/{arguments[0]}"
-        answer = self.client.request("DELETE", path, b"", expected).unwrap()
-        print(f"profile {arguments[0]} deleted in version {answer['version']}")
+        response = self.client.request("DELETE", path, b"", expected).unwrap()
+        print(f"profile {arguments[0]} deleted in version {response['version']}")
         return EXIT_OK
--- a/src/jayswitch/console/commands/requests.py
+++ b/src/jayswitch/console/commands/requests.py
@@ -112,10 +112,10 @@
 
 def format_line(line: dict[str, Any]) -> str:
     """Formats a line as text: time, VM, message and the remaining fields."""
-    inputs = ", ".join(
+    fields = ", ".join(
         f"{name}={value}" for name, value in line.items() if name not in _LEADING_FIELDS
     )
-    return f"{line['time']}  {line['vm']:24} {line['message']}: {inputs}"
+    return f"{line['time']}  {line['vm']:24} {line['message']}: {fields}"
 
 
 def _subtract_ms(timestamp: str, by_ms: int) -> str:
--- a/src/jayswitch/console/commands/services.py
+++ b/src/jayswitch/console/commands/services.py
@@ -35,8 +35,8 @@
     def run(self, *arguments: str) -> int:
         """Declares the service and assigns its profile."""
         body = self.options.profile.encode()
-        answer = self.client.request("PUT", f"services/{arguments[0]}", body).unwrap()
-        print(f"service {arguments[0]} set in version {answer['version']}")
+        response = self.client.request("PUT", f"services/{arguments[0]}", body).unwrap()
+        print(f"service {arguments[0]} set in version {response['version']}")
         return EXIT_OK
 
 
@@ -50,6 +50,6 @@
 
     def run(self, *arguments: str) -> int:
         """Removes the service."""
-        answer = self.client.request("DELETE", f"services/{arguments[0]}").unwrap()
-        print(f"service {arguments[0]} removed in version {answer['version']}")
+        response = self.client.request("DELETE", f"services/{arguments[0]}").unwrap()
+        print(f"service {arguments[0]} removed in version {response['version']}")
         return EXIT_OK
--- a/src/jayswitch/console/exceptions.py
+++ b/src/jayswitch/console/exceptions.py
@@ -32,13 +32,13 @@
 
     code = "refused"
 
-    def __init__(self, http_status: int, answer: dict[str, Any]) -> None:
+    def __init__(self, http_status: int, body: dict[str, Any]) -> None:
         """Expects the HTTP status and the decoded body."""
         super().__init__(
-            answer.get("cause", f"status {http_status}"),
-            answer.get("remedy", "check the node's log"),
+            body.get("cause", f"status {http_status}"),
+            body.get("remedy", "check the node's log"),
         )
         self.http_status = http_status
-        self.error_code = answer.get("error", "")
+        self.error_code = body.get("error", "")
         words = self.remedy.split()
         self.relays = [word for word in words if word.startswith("http")]
