Say what the store interface and its HTTP client guarantee

The interface said that each method is one call, which read() is not in the HTTP client nor for a prefix of several pages. The error for a transaction said that there are none, although one key with an expected revision is accepted. Two test texts named the effect only indirectly.

Behaviour is the same.

--- a/src/jayswitch/store/exceptions.py
+++ b/src/jayswitch/store/exceptions.py
@@ -56,7 +56,7 @@
     status = 410
 
     def __init__(self, lease: str) -> None:
-        """Initializes the error with the lease ID."""
+        """Initializes the error with the lease's id."""
         super().__init__(
             f"lease {lease} has expired",
             "stop acting as the lease holder and request a new lease",
--- a/src/jayswitch/store/follower.py
+++ b/src/jayswitch/store/follower.py
@@ -1,4 +1,4 @@
-"""Follows the keys under a prefix with one linearizable read, then watches."""
+"""Follows the keys under a prefix with a linearizable read, then watches."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 
 
 def max_value_bytes(link_mbit_per_s: float, duration_ms: float) -> float:
-    """Returns the largest value that the store can send over a link in a given time."""
+    """Returns the size of the largest value that a link transfers in a given time."""
     return link_mbit_per_s * 1e6 / 8 * duration_ms / MS_PER_S / BASE64_BYTES_PER_BYTE
 
 
--- a/src/jayswitch/store/http.py
+++ b/src/jayswitch/store/http.py
@@ -78,9 +78,16 @@
         )
 
     def commit(self, writes: list[Write]) -> Result[int, StoreError]:
-        """Writes atomically; this service supports only one key per transaction."""
+        """Writes one key; this service has no transactions over several keys.
+
+        The key must have an expected revision.
+        """
         if len(writes) != 1 or writes[0].expected_revision is None:
-            return Failure(StoreUnavailable("transactions are not supported"))
+            return Failure(
+                StoreUnavailable(
+                    "a transaction must have one key with an expected revision"
+                )
+            )
         write = writes[0]
         assert write.expected_revision is not None
         return self.put(write.key, write.value, write.expected_revision, write.lease)
--- a/src/jayswitch/store/interface.py
+++ b/src/jayswitch/store/interface.py
@@ -30,7 +30,7 @@
 
 
 class WatchBatch(msgspec.Struct, frozen=True):
-    """Changes after a revision; if compacted, the watcher must read again."""
+    """Changes up to a revision; if compacted, the prefix must be read again."""
 
     revision: int
     events: list[WatchEvent]
@@ -45,7 +45,7 @@
 
 
 class Write(msgspec.Struct, frozen=True):
-    """One key of a transaction; if a lease is set, its end deletes the key.
+    """One key of a transaction; if it has a lease, the key is deleted with the lease.
 
     An expected revision of 0 requires that the key does not exist; None accepts any
     revision.
@@ -58,7 +58,7 @@
 
 
 class Store(Protocol):
-    """Compare-and-swap, leases and watches; each method is one call.
+    """A key-value store with compare-and-swap, leases and watches.
 
     After a StoreUnavailable failure, a write may or may not have been applied.
     """
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -108,14 +108,14 @@
         setup.follower.apply_changes([WatchEvent("op/a", b"new", 7)], 7)
         assert setup.values == {}
 
-    def test_prefix_is_read_with_one_copy_of_each_value(self) -> None:
+    def test_first_read_transfers_each_value_once(self) -> None:
         setup = FollowerSetup()
         assert setup.store.calls_by_kind["scan"] == 1
         assert setup.follower.is_synced
 
 
 class TestBatchDelay:
-    """Bursts of changes cost few calls; single changes arrive promptly."""
+    """Changes in a burst are batched into few calls; a single one arrives promptly."""
 
     def test_delay_grows_in_a_burst_and_is_reset_afterwards(self) -> None:
         delays = [BATCH_DELAY.shortest_ms]
