Correct what the feeds say about currency and time-outs

A response is current by its sender's last store call alone; the text named relays as well. A relay notices a silent store after the watch and the client's margin, not within the watch. The server also responds when the wait has elapsed.

Behaviour is the same.

--- a/src/jayswitch/feed/client.py
+++ b/src/jayswitch/feed/client.py
@@ -22,7 +22,7 @@
     from jayswitch.proxy.http_client import HttpClient
 
 STATUS_OK = 200
-# A compressed configuration of the maximum size transfers in less on a slow link.
+# Even on a slow link, a compressed configuration of the maximum size takes less time.
 RESPONSE_MARGIN_MS = 1000.0
 # The store limits the size of a value, and a prefix holds few values of that size.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
@@ -49,7 +49,7 @@
     def fetch(
         self, address: str, request: FeedRequest
     ) -> Result[FeedResponse, FeedError]:
-        """Returns the changes; waits for the time that the request allows."""
+        """Returns the changes; waits for the request's wait time plus a margin."""
         wait_ms = request.wait_ms + RESPONSE_MARGIN_MS
         timeout = eventlet.Timeout(wait_ms / MS_PER_S)
         try:
--- a/src/jayswitch/feed/follower.py
+++ b/src/jayswitch/feed/follower.py
@@ -27,8 +27,8 @@
 NO_RELAY_RETRY_MS = 500.0
 # Timeout of store watches by a proxy that is not a relay and has no feed.
 FALLBACK_WATCH_MS = 2000
-# Timeout of store watches by a relay, which detects and reports within this time
-# that the store does not respond.
+# Timeout of store watches by a relay. After this time plus the margin of the store
+# client, the relay detects that the store does not respond, and reports it.
 RELAY_WATCH_MS = 4000
 
 logger = logging.getLogger(__name__)
@@ -45,7 +45,7 @@
         source: FeedSource,
         clock: Clock,
     ) -> None:
-        """Initializes the feeds with the prefix follower that applies changes."""
+        """Initializes the feeds; they control the follower's store watches."""
         self.relay_by_feed: dict[int, str] = {}
         self._chosen_by_feed: dict[int, str] = {}
         self._prefix = prefix
--- a/src/jayswitch/feed/messages.py
+++ b/src/jayswitch/feed/messages.py
@@ -49,7 +49,7 @@
     """The latest change of each key; a whole response lists every existing key.
 
     Every change up to the revision is in the response or known to the requester. A
-    response is current while its sender is connected to the store or to a relay.
+    response is current if the last call of its sender to the store succeeded.
     """
 
     revision: int
--- a/src/jayswitch/feed/relay_selector.py
+++ b/src/jayswitch/feed/relay_selector.py
@@ -1,4 +1,4 @@
-"""Selects the proxies that follow the store and those that each proxy follows."""
+"""Selects the relays, which follow the store, and those that each proxy follows."""
 
 from __future__ import annotations
 
@@ -46,7 +46,7 @@
         )
 
     def is_relay_address(self, address: str) -> bool:
-        """Returns whether the address still belongs to a relay."""
+        """Returns whether the address belongs to a current relay."""
         return any(
             record.address == address
             for records in self._relays_by_data_centre().values()
--- a/src/jayswitch/feed/server.py
+++ b/src/jayswitch/feed/server.py
@@ -14,7 +14,7 @@
 
 
 class FeedServer:
-    """Responds to a request once there is a change that the requester lacks."""
+    """Responds once the requester lacks a change or its wait time has elapsed."""
 
     def __init__(self) -> None:
         """Initializes the server without prefixes."""
--- a/tests/feed/test_relay_selector.py
+++ b/tests/feed/test_relay_selector.py
@@ -14,7 +14,7 @@
 
 
 class Fleet:
-    """Proxies in three data centres; the second of each has the fastest link."""
+    """Proxies in three data centres; the second proxy of each has the fastest link."""
 
     def __init__(self) -> None:
         """Publishes the record of every proxy."""
