Explain marks and reserved interests of the membership

Nothing said how marks differ from other records, or what the two reserved interests mean. Constructors are described in the same words as elsewhere.

Behaviour is the same.

--- a/src/jayswitch/membership/link.py
+++ b/src/jayswitch/membership/link.py
@@ -14,6 +14,9 @@
     from jayswitch.clock import Clock
     from jayswitch.messages.generated import Sync
 
+# Reserved values in the interest of a Sync, which are not service names. NO_INTEREST
+# is sent for an empty interest, as an empty list means no change. ALL_SERVICES is
+# ignored when received and never sent.
 ALL_SERVICES = "*"
 NO_INTEREST = "-"
 MISSED_HEARTBEATS = 3.5
@@ -63,7 +66,7 @@
     def __init__(
         self, peer: str, address: str, role: LinkRole, data_centre: str, clock: Clock
     ) -> None:
-        """Creates a link with a new session id and no messages exchanged."""
+        """Initializes a link with a new session id and no messages exchanged."""
         self.peer = peer
         self.address = address
         self.role = role
--- a/src/jayswitch/membership/member.py
+++ b/src/jayswitch/membership/member.py
@@ -1,4 +1,4 @@
-"""Payloads of the records that a node publishes about itself and its upstream."""
+"""Kinds of records, and the payloads of member and status records."""
 
 from __future__ import annotations
 
@@ -10,6 +10,8 @@
 from jayswitch.models import Model
 
 KIND_MEMBER = "member"
+# A mark is sent to every node, kept when its link is lost, and not replaced by another
+# node's.
 KIND_MARK = "mark"
 KIND_OUTCOMES = "outcomes"
 KIND_STATUS = "status"
@@ -37,7 +39,7 @@
 
 
 class RelayStatus(Model):
-    """Configuration versions applied in the subtree of one relay."""
+    """A relay and the configuration versions applied in its subtree."""
 
     node: str
     data_centre: str
--- a/src/jayswitch/membership/records.py
+++ b/src/jayswitch/membership/records.py
@@ -28,7 +28,7 @@
     def __init__(
         self, record: Record, source: str, seq: int, changed_ms: float
     ) -> None:
-        """Stores a record from the sending node, or from LOCAL_SOURCE if it is own."""
+        """Initializes the entry; the source is the sending node or LOCAL_SOURCE."""
         self.record = record
         self.source = source
         self.seq = seq
@@ -50,7 +50,7 @@
     """Stores the newest version of each record, ordered by local change."""
 
     def __init__(self, node: str, clock: Clock) -> None:
-        """Creates an empty table; the start time is the incarnation of own records."""
+        """Initializes an empty table; own records get the start time as incarnation."""
         self.node = node
         self.seq = 0
         self.incarnation = clock.wall_ms()
@@ -147,7 +147,10 @@
                 del self._stored_by_key[key]
 
     def purge_tombstones(self) -> None:
-        """Deletes tombstones that every reachable node has received by now."""
+        """Deletes tombstones older than the retention time.
+
+        Every reachable node has received them by then.
+        """
         before_ms = self._clock.now_ms() - TOMBSTONE_RETENTION_MS
         for key, stored in list(self._stored_by_key.items()):
             if stored.record.gone and stored.changed_ms < before_ms:
--- a/src/jayswitch/membership/relay.py
+++ b/src/jayswitch/membership/relay.py
@@ -53,7 +53,7 @@
     __slots__ = ("_bound_ms", "_random")
 
     def __init__(self, rng: random.Random) -> None:
-        """Creates a backoff that starts at the shortest delay."""
+        """Initializes a backoff that starts at the shortest delay."""
         self._bound_ms = RETRY_MIN_MS
         self._random = rng
 
@@ -87,7 +87,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Takes this node's slot record; claiming a slot sets its number."""
+        """Initializes the role with this node's slot; claiming one sets its number."""
         self.slots_by_key: dict[str, RelaySlot] = {}
         self.lease = ""
         self._own_slot = slot
--- a/src/jayswitch/membership/sync_builder.py
+++ b/src/jayswitch/membership/sync_builder.py
@@ -21,7 +21,7 @@
     """Selects the records, log entries and interests that a peer still needs."""
 
     def __init__(self, tree: Tree) -> None:
-        """Creates a builder for the links of a tree."""
+        """Initializes a builder for the links of a tree."""
         self._tree = tree
 
     def build(self, link: Link) -> Sync:
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -59,7 +59,7 @@
         fan_out: int,
         rng: random.Random,
     ) -> None:
-        """Creates the tree without links; call start() to receive messages."""
+        """Initializes the tree without links; call start() to receive messages."""
         self.is_relay = False
         self.evaluator_node = ""
         self.links_by_peer: dict[str, Link] = {}
@@ -186,7 +186,7 @@
     # Joining
 
     def join(self, address: str) -> bool:
-        """Joins a node as its child, following redirects; returns the success."""
+        """Joins a node as its child, following redirects; returns whether accepted."""
         for _ in range(MAX_JOIN_REDIRECTS):
             reply = self._ask_to_join(address)
             if reply is None:
