--- a/src/jayswitch/config/exceptions.py
+++ b/src/jayswitch/config/exceptions.py
@@ -19,7 +19,7 @@
     status = 404
 
     def __init__(self, kind: str, name: str) -> None:
-        """Takes the kind of object, as named on the command line, and its name."""
+        """Initializes the error with the kind, as on the command line, and the name."""
         super().__init__(
             f"there is no {kind} {name!r}",
             f"list what exists with 'jayswitchctl {kind}s list'",
@@ -33,7 +33,7 @@
     status = 409
 
     def __init__(self, kind: str, name: str, expected: int, found: int) -> None:
-        """Takes the object and the expected and the actual version."""
+        """Initializes the error with the object and both versions."""
         super().__init__(
             f"{kind} {name!r} is at version {found}, not {expected}:"
             " another operator changed it first",
@@ -48,7 +48,7 @@
     status = 409
 
     def __init__(self, epoch: int, current: int) -> None:
-        """Takes the epoch of the change and the current epoch."""
+        """Initializes the error with the epoch of the change and the current epoch."""
         super().__init__(
             f"driver epoch {epoch} has been replaced by {current}",
             "stop driving moves until the driver lease is held again",
@@ -62,7 +62,7 @@
     status = 409
 
     def __init__(self, move: str) -> None:
-        """Takes the move's id."""
+        """Initializes the error with the move's id."""
         super().__init__(
             f"move {move!r} is not active",
             "list the active moves with 'jayswitchctl moves list'",
@@ -75,7 +75,7 @@
     code = "unknown-change"
 
     def __init__(self, index: int, reason: str) -> None:
-        """Takes the entry's index and the codec's reason."""
+        """Initializes the error with the index, -1 if unknown, and the reason."""
         super().__init__(
             f"configuration entry {index} cannot be applied: {reason}",
             "upgrade this node; it keeps the configuration before that entry",
@@ -89,7 +89,7 @@
     status = 503
 
     def __init__(self, change_id: str, reason: str) -> None:
-        """Takes the change's id and the store's last error."""
+        """Initializes the error with the change's id and the last error."""
         super().__init__(
             f"change {change_id} was not confirmed: {reason}",
             "check the object's history for this id before applying the change again",
--- a/src/jayswitch/config/log.py
+++ b/src/jayswitch/config/log.py
@@ -52,7 +52,7 @@
     """
 
     def __init__(self, store: Store, replica: ConfigReplica, clock: Clock) -> None:
-        """Takes the store and the replica to which entries are applied."""
+        """Initializes the log with the replica to which entries are applied."""
         self._store = store
         self._replica = replica
         self._clock = clock
@@ -160,9 +160,9 @@
         return Failure(LogUnavailable(entry.change_id, str(error)))
 
     def save_snapshot(self) -> Result[int, StoreError]:
-        """Stores the replica's state and deletes entries well before its version.
+        """Stores the replica's state and deletes entries that it replaces.
 
-        Returns the number of deleted entries.
+        The last RETAINED_ENTRIES are kept. Returns the number of deleted entries.
         """
         state = self._replica.state
         data = encode_state(state)
@@ -186,6 +186,10 @@
         return self._delete_entries(state.version - RETAINED_ENTRIES)
 
     def _covers_version(self, data: bytes, version: int) -> bool:
+        """Returns whether a snapshot has a version or a later one.
+
+        True if this release cannot decode the snapshot, which must not be replaced.
+        """
         stored = decode_state(data).map(lambda state: state.version >= version)
         return stored.value_or(True)
 
--- a/src/jayswitch/config/replica.py
+++ b/src/jayswitch/config/replica.py
@@ -30,7 +30,7 @@
     """Applies entries in order and caches recent ones for other nodes."""
 
     def __init__(self) -> None:
-        """Creates a replica with the empty configuration, version 0."""
+        """Initializes a replica with the empty configuration, version 0."""
         self.state = ConfigState()
         self.rejection: JayswitchError | None = None
         self._recent: deque[bytes] = deque(maxlen=MAX_RECENT_ENTRIES)
--- a/tests/config/test_log.py
+++ b/tests/config/test_log.py
@@ -38,7 +38,7 @@
         self.logs = [ConfigLog(self.store, r, self.clock) for r in self.replicas]
         self.versions = [0] * WRITERS
         self.accepted: list[str] = []
-        self.refused_names: list[str] = []
+        self.rejected_names: list[str] = []
         self.number = 0
 
     @rule(writer=st.integers(0, WRITERS - 1), out=st.booleans())
@@ -98,11 +98,11 @@
                 self.accepted.append(entry.change_id)
             case Failure(error):
                 if not isinstance(error, LogUnavailable):
-                    self.refused_names.append(getattr(change, "service", ""))
+                    self.rejected_names.append(getattr(change, "service", ""))
 
     @invariant()
     def accepted_once(self) -> None:
-        """Each accepted change is in the log exactly once, and no refused one is."""
+        """Each accepted change is in the log exactly once, and no rejected one is."""
         if not hasattr(self, "store"):
             return
         stored = [
@@ -115,7 +115,7 @@
         assert set(self.accepted) <= set(ids)
         assert [entry.index for entry in stored] == list(range(1, len(stored) + 1))
         names = {getattr(entry.change, "service", None) for entry in stored}
-        assert not names & set(filter(None, self.refused_names))
+        assert not names & set(filter(None, self.rejected_names))
 
     @invariant()
     def never_backwards(self) -> None:
@@ -215,7 +215,7 @@
         assert replica.rejection.code == "unknown-change"
         assert "upgrade this node" in str(replica.rejection)
 
-    def test_older_snapshot_is_rejected(self) -> None:
+    def test_older_snapshot_is_ignored(self) -> None:
         clock = VirtualClock()
         store = MemoryStore(clock)
         replica = ConfigReplica()
