--- a/src/jayswitch/catalog/model.py
+++ b/src/jayswitch/catalog/model.py
@@ -113,7 +113,8 @@
     ) -> None:
         """Initializes the catalog; later versions have higher numbers.
 
-        Raises CatalogInvalid if a route is incomplete, a duplicate or without service.
+        Raises CatalogInvalid if a route is invalid or a duplicate, or names an
+        undeclared service.
         """
         _check_routes(routes, {service.name for service in services})
         self.version = version
