Describe the message codec's error as other errors are

Constructors were described by 'takes', 'expects' and 'initializes' in turn.

Behaviour is the same.

--- a/src/jayswitch/messages/exceptions.py
+++ b/src/jayswitch/messages/exceptions.py
@@ -11,7 +11,7 @@
     code = "undecodable-message"
 
     def __init__(self, reason: str) -> None:
-        """Takes the reason given by the decoder."""
+        """Initializes the error with the reason given by the decoder."""
         super().__init__(
             f"a message could not be decoded: {reason}",
             "check that both nodes run compatible releases",
