--- a/src/jayswitch/transport/nng.py
+++ b/src/jayswitch/transport/nng.py
@@ -85,7 +85,7 @@
     """One-way messages over nng sockets, driven by the eventlet hub."""
 
     def __init__(self, ip: str, port: int) -> None:
-        """Binds the inbox immediately, so that a port in use fails at start-up."""
+        """Binds the inbox immediately, so that start-up fails if the port is in use."""
         self.address = f"tcp://{ip}:{port}"
         self.bytes_sent = 0
         self.bytes_received = 0
