--- a/src/jayswitch/http/admin_app.py
+++ b/src/jayswitch/http/admin_app.py
@@ -57,7 +57,7 @@
     __slots__ = ("author", "body", "expected_version", "method", "path")
 
     def __init__(self, environ: dict[str, Any]) -> None:
-        """Parses the WSGI environment of the request."""
+        """Initializes the request from its WSGI environment."""
         self.method: str = environ["REQUEST_METHOD"]
         self.path: list[str] = environ["PATH_INFO"].strip("/").split("/")
         self.body: bytes = environ["wsgi.input"].read(MAX_BODY_BYTES)
@@ -71,7 +71,7 @@
     """Serves the administration API of one node."""
 
     def __init__(self, node: Node) -> None:
-        """Expects the node, whose settings hold the tokens."""
+        """Initializes the application with the node, whose settings hold the tokens."""
         self._node = node
         self._registry = CollectorRegistry()
         self._registry.register(NodeCollector(node))
--- a/src/jayswitch/http/caller_app.py
+++ b/src/jayswitch/http/caller_app.py
@@ -48,7 +48,7 @@
     """Passes HTTP requests to the router and its results to callers."""
 
     def __init__(self, router: Router, max_body_bytes: int) -> None:
-        """Expects the node's router and the limit on request bodies."""
+        """Initializes the application with the limit on request bodies."""
         self.draining = False
         self._router = router
         self._max_body_bytes = max_body_bytes
--- a/src/jayswitch/http/exceptions.py
+++ b/src/jayswitch/http/exceptions.py
@@ -12,7 +12,7 @@
     status = 401
 
     def __init__(self, key: str) -> None:
-        """Expects the settings key that holds the token."""
+        """Initializes the error with the settings key that holds the token."""
         super().__init__(
             "the request does not carry the required bearer token",
             f"send 'Authorization: Bearer TOKEN' with the node's {key}",
@@ -26,7 +26,7 @@
     status = 404
 
     def __init__(self, method: str, path: str) -> None:
-        """Expects the method and path of the request."""
+        """Initializes the error with the method and path of the request."""
         super().__init__(
             f"the API does not support {method} /{path}",
             "docs/OPERATIONS.md lists every path",
@@ -40,7 +40,7 @@
     status = 421
 
     def __init__(self, relays: list[str]) -> None:
-        """Expects the administration addresses of the known relays."""
+        """Initializes the error with the admin addresses of the known relays."""
         super().__init__(
             "this node is not a relay and does not hold the whole membership",
             "ask a relay: " + (" ".join(relays) or "none is known yet"),
@@ -54,7 +54,7 @@
     status = 422
 
     def __init__(self, reason: str) -> None:
-        """Expects the error reported by the decoder."""
+        """Initializes the error with the reason given by the decoder."""
         super().__init__(
             f"the announcement is invalid: {reason}",
             "send service, version, address, slots and connections",
@@ -75,7 +75,7 @@
     status = 413
 
     def __init__(self, limit: int) -> None:
-        """Expects the limit in bytes."""
+        """Initializes the error with the limit in bytes."""
         super().__init__(
             f"the request body is larger than {limit} bytes",
             "send smaller requests, or raise max_body_bytes in the node's settings",
--- a/src/jayswitch/http/server.py
+++ b/src/jayswitch/http/server.py
@@ -36,7 +36,7 @@
         listener: socket.socket,
         on_accept: Callable[[socket.socket], None] | None = None,
     ) -> None:
-        """Expects a listening socket and a hook that runs on accepted connections."""
+        """Initializes the listener with a hook that runs on accepted connections."""
         self._listener = listener
         self._on_accept = on_accept
         self._stopped = False
@@ -89,7 +89,10 @@
         protocol: type[wsgi.HttpProtocol] = wsgi.HttpProtocol,
         on_accept: Callable[[socket.socket], None] | None = None,
     ) -> None:
-        """Binds now, so that a port in use fails at start-up; 0 picks a free port."""
+        """Binds immediately, so that start-up fails if the port is in use.
+
+        Port 0 selects a free port.
+        """
         listener = eventlet.listen((ip, port), backlog=BACKLOG)
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.address = f"http://{ip}:{listener.getsockname()[1]}"
--- a/src/jayswitch/http/upstream_client.py
+++ b/src/jayswitch/http/upstream_client.py
@@ -46,7 +46,7 @@
     """Client with a pool of persistent connections; never retries a request."""
 
     def __init__(self) -> None:
-        """Opens no connection until the first call."""
+        """Initializes the client; connects on the first call."""
         self._pool_by_address: dict[str, urllib3.HTTPConnectionPool] = {}
 
     def run(
