Say what the console's client and the SIGHUP handler do

The client was said to use the first node that responds, but a change goes to one node only. The log line on SIGHUP said that settings may have changed, although they are read only at start-up; it now says so.

Behaviour is the same.

--- a/src/jayswitch/console/client.py
+++ b/src/jayswitch/console/client.py
@@ -15,10 +15,10 @@
 
 
 class AdminClient:
-    """Sends requests to the first node that responds, or to the relays it names."""
+    """Sends requests to the given nodes in order and to relays that a node names."""
 
     def __init__(self, addresses: list[str], token: str, author: str) -> None:
-        """Expects the administration addresses, the operator's token and name."""
+        """Initializes the client with node addresses, the operator's token and name."""
         self._addresses = [address.rstrip("/") for address in addresses]
         self._headers = {
             "Authorization": f"Bearer {token}",
--- a/src/jayswitch/console/commands/command.py
+++ b/src/jayswitch/console/commands/command.py
@@ -29,7 +29,7 @@
         profile: str = "",
         timeout_s: float = 0.0,
     ) -> None:
-        """Expects the parsed flags; a version of -1 means that none was given."""
+        """Initializes the options; expected version -1 means that none was given."""
         self.as_json = as_json
         self.expected_version = expected_version
         self.profile = profile
@@ -45,7 +45,7 @@
     example: ClassVar[str]
 
     def __init__(self, client: AdminClient, options: Options) -> None:
-        """Expects the API client and the flags."""
+        """Initializes the command with the API client and the flags."""
         self.client = client
         self.options = options
 
--- a/src/jayswitch/console/exceptions.py
+++ b/src/jayswitch/console/exceptions.py
@@ -14,12 +14,12 @@
 
 
 class NodeUnreachable(JayswitchError):
-    """No node responded."""
+    """A node did not respond, or no node was given."""
 
     code = "node-unreachable"
 
     def __init__(self, address: str, reason: str) -> None:
-        """Expects the node's address and the error of the connection."""
+        """Initializes the error with the node's address and the reason."""
         super().__init__(
             f"node {address} did not respond: {reason}",
             "select another node with --node; check whether a change was applied before"
@@ -33,7 +33,7 @@
     code = "refused"
 
     def __init__(self, http_status: int, body: dict[str, Any]) -> None:
-        """Expects the HTTP status and the decoded body."""
+        """Initializes the error with the HTTP status and the decoded body."""
         super().__init__(
             body.get("cause", f"status {http_status}"),
             body.get("remedy", "check the node's log"),
--- a/src/jayswitch/console/proxy_daemon.py
+++ b/src/jayswitch/console/proxy_daemon.py
@@ -48,7 +48,7 @@
     signal.signal(signal.SIGINT, request_stop)
     signal.signal(
         signal.SIGHUP,
-        lambda *_: logger.info("received SIGHUP; settings may have changed"),
+        lambda *_: logger.info("received SIGHUP; settings are read only at start-up"),
     )
     process = start_proxy(settings, clock, logs)
     runtime.tune_garbage_collection()
