Call the limits on callers CallerLimits

A client of the proxy is a caller everywhere else; a client is code that sends requests. Only the name and its text change; behaviour is the same.

--- a/src/jayswitch/catalog/__init__.py
+++ b/src/jayswitch/catalog/__init__.py
@@ -1,1 +1,1 @@
-"""Routes, services and client limits from the operators' configuration."""
+"""Routes, services and caller limits from the operators' configuration."""
--- a/src/jayswitch/catalog/model.py
+++ b/src/jayswitch/catalog/model.py
@@ -68,8 +68,8 @@
     cold_calls_per_s: float
 
 
-class ClientLimits(msgspec.Struct, frozen=True):
-    """Limits on the size of client requests, and client time-outs."""
+class CallerLimits(msgspec.Struct, frozen=True):
+    """Limits on the size of callers' requests, and time-outs of their connections."""
 
     header_bytes: int = 16 * 1024
     body_bytes: int = 64 * 1024 * 1024
@@ -109,7 +109,7 @@
         version: int,
         routes: list[Route],
         services: list[Service],
-        limits: ClientLimits,
+        limits: CallerLimits,
     ) -> None:
         """Initializes the catalog; later versions have higher numbers.
 
--- a/src/jayswitch/platform/operator.py
+++ b/src/jayswitch/platform/operator.py
@@ -9,8 +9,8 @@
 
 from jayswitch.catalog.exceptions import CatalogInvalid
 from jayswitch.catalog.model import (
+    CallerLimits,
     Catalog,
-    ClientLimits,
     Route,
     RouteKind,
     Service,
@@ -179,7 +179,7 @@
         )
         for service in body.services
     ]
-    limits = ClientLimits(
+    limits = CallerLimits(
         body.limits.max_header_bytes,
         body.limits.max_body_bytes,
         body.limits.header_timeout_ms,
