Name the acknowledgement timer of a link

record_sent and record_received read like records, which a link also transfers; 'unconfirmed' was a second word for unacknowledged. Only names and one text change; behaviour is the same.

--- a/src/jayswitch/membership/link.py
+++ b/src/jayswitch/membership/link.py
@@ -55,7 +55,7 @@
         "peer_version",
         "received_seq",
         "role",
-        "unconfirmed_since_ms",
+        "unacked_since_ms",
         "sent_seq",
         "sent_version",
         "session",
@@ -77,7 +77,7 @@
         self.received_seq = 0
         self.acked_seq = 0
         self.sent_seq = 0
-        self.unconfirmed_since_ms: float | None = None
+        self.unacked_since_ms: float | None = None
         self.sent_version = 0
         self.behind_since_ms: float | None = None
         self.peer_version = 0
@@ -108,35 +108,35 @@
         """Returns whether nothing has been received for MISSED_HEARTBEATS intervals."""
         return now_ms - self.heard_ms > MISSED_HEARTBEATS * interval_ms
 
-    def record_sent(self, now_ms: float) -> None:
-        """Starts the acknowledgement timer unless it is already running.
+    def update_ack_timer(self, now_ms: float) -> None:
+        """Starts the acknowledgement timer, or stops it if nothing is unacknowledged.
 
         The timer runs from the oldest unacknowledged message, so that newer messages
         cannot delay its retransmission.
         """
-        if not self._is_unconfirmed():
-            self.unconfirmed_since_ms = None
-        elif self.unconfirmed_since_ms is None:
-            self.unconfirmed_since_ms = now_ms
+        if not self._has_unacked():
+            self.unacked_since_ms = None
+        elif self.unacked_since_ms is None:
+            self.unacked_since_ms = now_ms
 
-    def is_overdue(self, now_ms: float, after_ms: float) -> bool:
+    def is_ack_overdue(self, now_ms: float, after_ms: float) -> bool:
         """Returns whether a message has been unacknowledged for over after_ms."""
-        if not self._is_unconfirmed() or self.unconfirmed_since_ms is None:
-            self.unconfirmed_since_ms = None
+        if not self._has_unacked() or self.unacked_since_ms is None:
+            self.unacked_since_ms = None
             return False
-        return now_ms - self.unconfirmed_since_ms > after_ms
+        return now_ms - self.unacked_since_ms > after_ms
 
-    def _is_unconfirmed(self) -> bool:
+    def _has_unacked(self) -> bool:
         unacked = self.acked_seq < self.sent_seq
         return unacked or self.peer_version < self.sent_version
 
     def rewind(self) -> None:
         """Resets the sent position to the last acknowledgement, for retransmission."""
-        self.unconfirmed_since_ms = None
+        self.unacked_since_ms = None
         self.sent_seq = self.acked_seq
         self.sent_version = self.peer_version
 
-    def record_received(self, sync: Sync, now_ms: float) -> bool:
+    def update_from_sync(self, sync: Sync, now_ms: float) -> bool:
         """Updates the link from a Sync; returns whether the peer's session is new."""
         self.heard_ms = now_ms
         is_new = sync.session != self.peer_session
--- a/src/jayswitch/membership/sync_builder.py
+++ b/src/jayswitch/membership/sync_builder.py
@@ -73,8 +73,8 @@
             wanted = record.service in link.interest
             return record.kind == KIND_MEMBER and wanted
         source_link = self._tree.links_by_peer.get(stored.source)
-        below = source_link is not None and source_link.role is LinkRole.CHILD
-        return not stored.source or below
+        is_from_child = source_link is not None and source_link.role is LinkRole.CHILD
+        return not stored.source or is_from_child
 
     def _should_send_outcomes(self, link: Link) -> bool:
         """Returns whether call outcomes are sent on a link between relays.
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -330,7 +330,7 @@
 
     def _send_sync(self, link: Link) -> None:
         now_ms = self.clock.now_ms()
-        if link.is_overdue(now_ms, RESEND_HEARTBEATS * self.interval_ms):
+        if link.is_ack_overdue(now_ms, RESEND_HEARTBEATS * self.interval_ms):
             link.rewind()
             self.counts["resends"] += 1
         sync = self._sync_builder.build(link)
@@ -342,7 +342,7 @@
         if sync.snapshot:
             link.sent_version = self.replica.version
         link.sent_version += len(sync.entries)
-        link.record_sent(now_ms)
+        link.update_ack_timer(now_ms)
         link.claim_slot = -1
         link.resend_requested = False
         self.counts["syncs_sent"] += 1
@@ -408,7 +408,7 @@
 
     def _receive_sync(self, link: Link, sync: Sync) -> None:
         known_session = link.peer_session
-        if link.record_received(sync, self.clock.now_ms()):
+        if link.update_from_sync(sync, self.clock.now_ms()):
             link.trigger_sync()
             if known_session:
                 self.table.mark_orphaned(link.peer)
