--- a/src/jayswitch/config/log.py
+++ b/src/jayswitch/config/log.py
@@ -30,7 +30,7 @@
 LOG_PREFIX = "log/"
 SNAPSHOT_KEY = "snapshot"
 SNAPSHOT_EVERY_ENTRIES = 200
-ENTRIES_BEHIND_SNAPSHOT = 400
+RETAINED_ENTRIES = 400
 READ_PAGE = 256
 APPEND_ATTEMPTS = 40
 APPEND_RETRY_MS = 50
@@ -52,7 +52,7 @@
     """
 
     def __init__(self, store: Store, replica: ConfigReplica, clock: Clock) -> None:
-        """Takes the store and the replica to which entries are applied."""
+        """Initializes the log with the replica to which entries are applied."""
         self._store = store
         self._replica = replica
         self._clock = clock
@@ -160,9 +160,9 @@
         return Failure(LogUnavailable(entry.change_id, str(error)))
 
     def save_snapshot(self) -> Result[int, StoreError]:
-        """Stores the replica's state and deletes entries well before its version.
+        """Stores the replica's state and deletes entries that it replaces.
 
-        Returns the number of deleted entries.
+        The last RETAINED_ENTRIES are kept. Returns the number of deleted entries.
         """
         state = self._replica.state
         data = encode_state(state)
@@ -174,16 +174,22 @@
         match self._store.get(SNAPSHOT_KEY):
             case Success(stored):
                 revision = stored.revision if stored is not None else 0
-                if stored is not None and self._is_newer(stored.value, state.version):
+                if stored is not None and self._covers_version(
+                    stored.value, state.version
+                ):
                     return Success(0)
             case Failure(error):
                 return Failure(error)
         match self._store.put(SNAPSHOT_KEY, data, revision):
             case Failure(error):
                 return Failure(error)
-        return self._delete_entries(state.version - ENTRIES_BEHIND_SNAPSHOT)
+        return self._delete_entries(state.version - RETAINED_ENTRIES)
 
-    def _is_newer(self, data: bytes, version: int) -> bool:
+    def _covers_version(self, data: bytes, version: int) -> bool:
+        """Returns whether a snapshot has a version or a later one.
+
+        True if this release cannot decode the snapshot, which must not be replaced.
+        """
         stored = decode_state(data).map(lambda state: state.version >= version)
         return stored.value_or(True)
 
--- a/src/jayswitch/console/client.py
+++ b/src/jayswitch/console/client.py
@@ -15,10 +15,10 @@
 
 
 class AdminClient:
-    """Sends requests to the first node that responds, or to the relays it names."""
+    """Sends requests to the given nodes in order and to relays that a node names."""
 
     def __init__(self, addresses: list[str], token: str, author: str) -> None:
-        """Expects the administration addresses, the operator's token and name."""
+        """Initializes the client with node addresses, the operator's token and name."""
         self._addresses = [address.rstrip("/") for address in addresses]
         self._headers = {
             "Authorization": f"Bearer {token}",
@@ -79,9 +79,9 @@
                 timeout=TIMEOUT_S,
                 retries=False,
             )
-            answer = msgspec.json.decode(response.data)
+            decoded = msgspec.json.decode(response.data)
         except (urllib3.exceptions.HTTPError, OSError, msgspec.DecodeError) as error:
             return Failure(NodeUnreachable(address, str(error)))
         if response.status != 200:
-            return Failure(ApiError(response.status, answer))
-        return Success(answer)
+            return Failure(ApiError(response.status, decoded))
+        return Success(decoded)
--- a/src/jayswitch/membership/member.py
+++ b/src/jayswitch/membership/member.py
@@ -1,4 +1,4 @@
-"""Payloads of the records that a node publishes about itself and its upstream."""
+"""Kinds of records, and the payloads of member and status records."""
 
 from __future__ import annotations
 
@@ -10,6 +10,8 @@
 from jayswitch.models import Model
 
 KIND_MEMBER = "member"
+# A mark is sent to every node, kept when its link is lost, and not replaced by another
+# node's.
 KIND_MARK = "mark"
 KIND_OUTCOMES = "outcomes"
 KIND_STATUS = "status"
@@ -36,8 +38,8 @@
     since_ms: int = 0
 
 
-class DataCentreStatus(Model):
-    """Configuration versions applied in the subtree of one relay."""
+class RelayStatus(Model):
+    """A relay and the configuration versions applied in its subtree."""
 
     node: str
     data_centre: str
@@ -47,7 +49,7 @@
 
 
 _member_decoder = msgspec.msgpack.Decoder(Member)
-_status_decoder = msgspec.msgpack.Decoder(DataCentreStatus)
+_status_decoder = msgspec.msgpack.Decoder(RelayStatus)
 
 
 def member_key(node: str) -> str:
@@ -63,7 +65,7 @@
         return None
 
 
-def decode_status(record: Record) -> DataCentreStatus | None:
+def decode_status(record: Record) -> RelayStatus | None:
     """Decodes a status record; returns None if this release cannot decode it."""
     try:
         return _status_decoder.decode(record.payload)
--- a/src/jayswitch/membership/records.py
+++ b/src/jayswitch/membership/records.py
@@ -28,7 +28,7 @@
     def __init__(
         self, record: Record, source: str, seq: int, changed_ms: float
     ) -> None:
-        """Stores a record from the sending node, or from LOCAL_SOURCE if it is own."""
+        """Initializes the entry; the source is the sending node or LOCAL_SOURCE."""
         self.record = record
         self.source = source
         self.seq = seq
@@ -50,7 +50,7 @@
     """Stores the newest version of each record, ordered by local change."""
 
     def __init__(self, node: str, clock: Clock) -> None:
-        """Creates an empty table; the start time is the incarnation of own records."""
+        """Initializes an empty table; own records get the start time as incarnation."""
         self.node = node
         self.seq = 0
         self.incarnation = clock.wall_ms()
@@ -120,12 +120,12 @@
         """Marks the records that a lost link delivered as orphaned."""
         now_ms = self._clock.now_ms()
         for stored in self._stored_by_key.values():
-            known = stored.is_orphaned or stored.record.kind == KIND_MARK
-            if stored.source == source and not known:
+            is_exempt = stored.is_orphaned or stored.record.kind == KIND_MARK
+            if stored.source == source and not is_exempt:
                 stored.orphaned_ms = now_ms
 
     def remove_orphans(
-        self, wanted: Callable[[StoredRecord], bool], source: str = LOCAL_SOURCE
+        self, should_remove: Callable[[StoredRecord], bool], source: str = LOCAL_SOURCE
     ) -> int:
         """Removes the selected orphans, which no other link has delivered since.
 
@@ -134,20 +134,23 @@
         keys = [
             key
             for key, stored in self._stored_by_key.items()
-            if stored.is_orphaned and not stored.record.gone and wanted(stored)
+            if stored.is_orphaned and not stored.record.gone and should_remove(stored)
         ]
         for key in keys:
             self.remove(key, source)
         return len(keys)
 
-    def discard_foreign(self, unwanted: Callable[[StoredRecord], bool]) -> None:
+    def discard_foreign(self, should_discard: Callable[[StoredRecord], bool]) -> None:
         """Discards records of other nodes that this subtree no longer needs."""
         for key, stored in list(self._stored_by_key.items()):
-            if stored.source != LOCAL_SOURCE and unwanted(stored):
+            if stored.source != LOCAL_SOURCE and should_discard(stored):
                 del self._stored_by_key[key]
 
     def purge_tombstones(self) -> None:
-        """Deletes tombstones that every reachable node has received by now."""
+        """Deletes tombstones older than the retention time.
+
+        Every reachable node has received them by then.
+        """
         before_ms = self._clock.now_ms() - TOMBSTONE_RETENTION_MS
         for key, stored in list(self._stored_by_key.items()):
             if stored.record.gone and stored.changed_ms < before_ms:
--- a/src/jayswitch/membership/sync_builder.py
+++ b/src/jayswitch/membership/sync_builder.py
@@ -21,7 +21,7 @@
     """Selects the records, log entries and interests that a peer still needs."""
 
     def __init__(self, tree: Tree) -> None:
-        """Creates a builder for the links of a tree."""
+        """Initializes a builder for the links of a tree."""
         self._tree = tree
 
     def build(self, link: Link) -> Sync:
@@ -66,17 +66,17 @@
         if stored.source == link.peer:
             return False
         if record.kind == KIND_OUTCOMES and link.role is LinkRole.PEER:
-            return self._leads_to_evaluator(link)
+            return self._should_send_outcomes(link)
         if record.kind == KIND_MARK or link.role is LinkRole.PEER:
             return True
         if link.role is LinkRole.CHILD:
             wanted = record.service in link.interest
             return record.kind == KIND_MEMBER and wanted
         source_link = self._tree.links_by_peer.get(stored.source)
-        below = source_link is not None and source_link.role is LinkRole.CHILD
-        return not stored.source or below
+        is_from_child = source_link is not None and source_link.role is LinkRole.CHILD
+        return not stored.source or is_from_child
 
-    def _leads_to_evaluator(self, link: Link) -> bool:
+    def _should_send_outcomes(self, link: Link) -> bool:
         """Returns whether call outcomes are sent on a link between relays.
 
         They are sent to the evaluator node, or to the relays of the same data centre,
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -59,7 +59,7 @@
         fan_out: int,
         rng: random.Random,
     ) -> None:
-        """Creates the tree without links; call start() to receive messages."""
+        """Initializes the tree without links; call start() to receive messages."""
         self.is_relay = False
         self.evaluator_node = ""
         self.links_by_peer: dict[str, Link] = {}
@@ -186,7 +186,7 @@
     # Joining
 
     def join(self, address: str) -> bool:
-        """Joins a node as its child, following redirects; returns the success."""
+        """Joins a node as its child, following redirects; returns whether accepted."""
         for _ in range(MAX_JOIN_REDIRECTS):
             reply = self._ask_to_join(address)
             if reply is None:
@@ -330,7 +330,7 @@
 
     def _send_sync(self, link: Link) -> None:
         now_ms = self.clock.now_ms()
-        if link.is_overdue(now_ms, RESEND_HEARTBEATS * self.interval_ms):
+        if link.is_ack_overdue(now_ms, RESEND_HEARTBEATS * self.interval_ms):
             link.rewind()
             self.counts["resends"] += 1
         sync = self._sync_builder.build(link)
@@ -342,7 +342,7 @@
         if sync.snapshot:
             link.sent_version = self.replica.version
         link.sent_version += len(sync.entries)
-        link.record_sent(now_ms)
+        link.update_ack_timer(now_ms)
         link.claim_slot = -1
         link.resend_requested = False
         self.counts["syncs_sent"] += 1
@@ -408,7 +408,7 @@
 
     def _receive_sync(self, link: Link, sync: Sync) -> None:
         known_session = link.peer_session
-        if link.record_received(sync, self.clock.now_ms()):
+        if link.update_from_sync(sync, self.clock.now_ms()):
             link.trigger_sync()
             if known_session:
                 self.table.mark_orphaned(link.peer)
--- a/src/jayswitch/store/http.py
+++ b/src/jayswitch/store/http.py
@@ -74,13 +74,20 @@
         """Writes if the key has the expected revision (0: if it does not exist)."""
         body = PutBody(value, expected_revision, lease)
         return self._call("PUT", f"/kv/{quote(key)}", RevisionBody, body).map(
-            lambda response: response.revision
+            lambda written: written.revision
         )
 
     def commit(self, writes: list[Write]) -> Result[int, StoreError]:
-        """Writes atomically; this service supports only one key per transaction."""
+        """Writes one key; this service has no transactions over several keys.
+
+        The key must have an expected revision.
+        """
         if len(writes) != 1 or writes[0].expected_revision is None:
-            return Failure(StoreUnavailable("transactions are not supported"))
+            return Failure(
+                StoreUnavailable(
+                    "a transaction must have one key with an expected revision"
+                )
+            )
         write = writes[0]
         assert write.expected_revision is not None
         return self.put(write.key, write.value, write.expected_revision, write.lease)
@@ -94,7 +101,7 @@
         """Returns the id of a new lease."""
         body = LeaseBody(ttl_ms=ttl_ms)
         return self._call("POST", "/leases", LeaseBody, body).map(
-            lambda response: response.lease
+            lambda granted: granted.lease
         )
 
     def keep_alive(self, lease: str) -> Result[None, StoreError]:
