Keep the log line that an incident's commands search for

docs/incidents finds the steps of a move by "step written". The rewording had changed the line; a text that an operator's command matches stays as it was on. No test matches it.

--- a/src/jayswitch/rollout/coordinator.py
+++ b/src/jayswitch/rollout/coordinator.py
@@ -199,7 +199,7 @@
         match self._store.commit(writes):
             case Success(revision):
                 logger.info(
-                    "move step stored",
+                    "step written",
                     extra={"service": service, "step": topic, "revision": revision},
                 )
                 return True
