Name what the proxy process holds by its type

ProxyProcess called its RevisionExchange knowledge, its ColdRateLimiter rate (the gate and the slot queue call the same object cold_limiter), the batch delays of the followers pauses, the settings of the retry budget terms and a HeartbeatResult verdict. WITHDRAW_TIMEOUT_MS limits the revocation of a lease, and only versions are withdrawn. InboundApplication called status 503 NOT_ANSWERED and the other modules of the proxy UNAVAILABLE. Names change, and the comment at REVOKE_TIMEOUT_MS; behaviour is the same.

--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -171,13 +171,13 @@
     def __init__(
         self,
         client: HttpClient,
-        knowledge: RevisionExchange,
+        revision_exchange: RevisionExchange,
         names: HeaderNames,
         clock: Clock,
     ) -> None:
         """Takes the HTTP client that pools the connections to other proxies."""
         self._client = client
-        self._knowledge = knowledge
+        self._revision_exchange = revision_exchange
         self._names = names
         self._clock = clock
 
@@ -193,7 +193,10 @@
                 request.method,
                 request.target,
                 hop_headers(
-                    request, self._knowledge.header_value(), self._names, self._clock
+                    request,
+                    self._revision_exchange.header_value(),
+                    self._names,
+                    self._clock,
                 ),
                 request.body or None,
             )
@@ -220,7 +223,7 @@
         except msgspec.MsgspecError:
             exchange.close()
             return OutcomeUnknown(f"the proxy answered {exchange.status} by itself")
-        self._knowledge.compare(hop_outcome.known, address)
+        self._revision_exchange.compare(hop_outcome.known, address)
         if hop_outcome.kind is HopOutcomeKind.ANSWERED:
             return self._accept_response(request, exchange, hop_outcome.load)
         try:
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -45,7 +45,7 @@
 STATUS_OK = 200
 STATUS_CALLER_DISCONNECTED = 499
 STATUS_BAD_REQUEST = 400
-STATUS_NOT_ANSWERED = 503
+STATUS_UNAVAILABLE = 503
 
 _feed_decoder = msgspec.json.Decoder(FeedRequest)
 
@@ -59,7 +59,7 @@
         self,
         gate: UpstreamGate,
         feeds: FeedServer,
-        knowledge: RevisionExchange,
+        revision_exchange: RevisionExchange,
         names: HeaderNames,
         clock: Clock,
     ) -> None:
@@ -71,7 +71,7 @@
         self.in_flight = 0
         self._gate = gate
         self._feeds = feeds
-        self._knowledge = knowledge
+        self._revision_exchange = revision_exchange
         self._names = names
         self._clock = clock
 
@@ -116,7 +116,7 @@
     ) -> Iterable[bytes]:
         """Serves a feed request, which is not counted as in flight during shutdown."""
         body = b""
-        status = STATUS_NOT_ANSWERED
+        status = STATUS_UNAVAILABLE
         if self.draining:
             close_connection(environ)
         else:
@@ -142,7 +142,7 @@
     def _parse_request(self, environ: dict[str, Any]) -> ForwardedRequest:
         headers = raw_headers(environ)
         hop = read_hop_request(headers)
-        self._knowledge.compare_with_vm(hop.known, hop.sender)
+        self._revision_exchange.compare_with_vm(hop.known, hop.sender)
         request = request_from_hop(
             environ["REQUEST_METHOD"],
             environ[TARGET_VARIABLE],
@@ -162,7 +162,7 @@
         watcher: DisconnectWatcher,
     ) -> Iterator[bytes]:
         headers = response_headers(outcome.headers)
-        headers += outcome_headers(outcome, self._knowledge.header_value())
+        headers += outcome_headers(outcome, self._revision_exchange.header_value())
         body = send_response(outcome, environ, headers, start_response)
         try:
             yield from body
@@ -178,10 +178,10 @@
     ) -> Iterable[bytes]:
         self._end_request(watcher)
         headers = [
-            *outcome_headers(outcome, self._knowledge.header_value()),
+            *outcome_headers(outcome, self._revision_exchange.header_value()),
             ("Content-Length", "0"),
         ]
-        start_response(status_line(STATUS_NOT_ANSWERED), headers)
+        start_response(status_line(STATUS_UNAVAILABLE), headers)
         return [b""]
 
     def _send_status_and_close(
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -73,16 +73,16 @@
 # Part of the grace period reserved for closing the process.
 EXIT_MARGIN_MS = 350.0
 DRAIN_POLL_MS = 50.0
-# A record that cannot be withdrawn in this time expires with its lease.
-WITHDRAW_TIMEOUT_MS = 250.0
+# A lease that cannot be revoked in this time expires, and the record with it.
+REVOKE_TIMEOUT_MS = 250.0
 # Callers are taken to have switched to other proxies after this long without requests.
 DRAIN_IDLE_MS = 1000.0
 # A configuration must be in force within 2 s; up to 0.5 s of that is spent on
 # batching changes in quick succession, which saves calls to the store.
-ORDERS_PAUSE = BatchDelay(250.0, 500.0)
+ORDERS_BATCH_DELAY = BatchDelay(250.0, 500.0)
 # Gates enforce the state in their records immediately, so that other proxies may
 # learn of it later.
-FLEET_PAUSE = BatchDelay(300.0, 900.0)
+FLEET_BATCH_DELAY = BatchDelay(300.0, 900.0)
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
 
@@ -116,12 +116,12 @@
             store, settings.vm, self._build_record, self._current_upstream, clock
         )
         self.orders_follower = PrefixFollower(
-            store, operator_prefix, apply_order, clock, ORDERS_PAUSE
+            store, operator_prefix, apply_order, clock, ORDERS_BATCH_DELAY
         )
         self.fleet_follower = PrefixFollower(
-            store, SHARED_PREFIX, self._apply_shared, clock, FLEET_PAUSE
+            store, SHARED_PREFIX, self._apply_shared, clock, FLEET_BATCH_DELAY
         )
-        self.knowledge = RevisionExchange(
+        self.revision_exchange = RevisionExchange(
             [self.orders_follower, self.fleet_follower], self.directory.address_of
         )
         self._build_forwarding(names)
@@ -133,15 +133,15 @@
 
     def _build_gate(self, names: HeaderNames) -> None:
         settings, clock = self.settings, self._clock
-        self.rate = ColdRateLimiter(clock)
+        self.cold_limiter = ColdRateLimiter(clock)
         self.local = LocalUpstream(
-            settings.service, settings.heartbeat_ms, clock, self.rate.set_cold
+            settings.service, settings.heartbeat_ms, clock, self.cold_limiter.set_cold
         )
         self.upstream_client = HttpClient(clock, UPSTREAM_CONNECT_TIMEOUT_MS)
         self.gate = UpstreamGate(
             settings.upstream_address,
             self.local,
-            self.rate,
+            self.cold_limiter,
             self.upstream_client,
             names,
             clock,
@@ -155,23 +155,23 @@
             settings.data_centre, settings.region, clock, self._rng, settings.vm
         )
         self.directory.is_suspected = self.balancer.is_suspected
-        terms = RetryBudgetSettings(
+        budget_settings = RetryBudgetSettings(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
         self.runner = AttemptRunner(
             settings.vm,
             self.gate,
-            HopClient(self.hop_client, self.knowledge, names, clock),
+            HopClient(self.hop_client, self.revision_exchange, names, clock),
             self.directory,
             self.balancer,
-            terms,
+            budget_settings,
             clock,
             self._rng,
         )
         self.runner.is_evacuated = self.orders.evacuated.__contains__
         self.feed_server = FeedServer()
         self.inbound = InboundApplication(
-            self.gate, self.feed_server, self.knowledge, names, clock
+            self.gate, self.feed_server, self.revision_exchange, names, clock
         )
         self.outbound = OutboundApplication(
             settings.vm, settings.service, self.runner, names, clock
@@ -184,7 +184,7 @@
         self.feed_server.serve(operator_prefix, self.orders_follower.state)
         if settings.link_mbit_per_s:
             self.orders_follower.slow_value_bytes = max_value_bytes(
-                settings.link_mbit_per_s, ORDERS_PAUSE.shortest_ms
+                settings.link_mbit_per_s, ORDERS_BATCH_DELAY.shortest_ms
             )
         relays = RelaySelector(settings.vm, settings.data_centre, self.directory, clock)
         relays.is_suspected = self.balancer.is_suspected
@@ -271,7 +271,7 @@
         self.outbound.refusing = True
         for server in self._servers:
             server.stop_accepting()
-        with eventlet.Timeout(WITHDRAW_TIMEOUT_MS / MS_PER_S, False):
+        with eventlet.Timeout(REVOKE_TIMEOUT_MS / MS_PER_S, False):
             self.publisher.revoke_lease()
         self._wait_while(lambda: bool(self.in_flight), latest_deadline_ms)
         drained = not self.in_flight
@@ -311,8 +311,8 @@
         if not self.publisher.restored:
             return False
         previous = self.local.current
-        verdict = self.local.handle_heartbeat(heartbeat)
-        if verdict is HeartbeatResult.CHANGED:
+        result = self.local.handle_heartbeat(heartbeat)
+        if result is HeartbeatResult.CHANGED:
             current = self.local.current
             assert current is not None
             if previous is None or not previous.same_incarnation(current):
@@ -321,7 +321,7 @@
             self.publisher.publish()
         self.gate.resize()
         if heartbeat.upstream.state is UpstreamState.READY:
-            return verdict is not HeartbeatResult.FOREIGN
+            return result is not HeartbeatResult.FOREIGN
         return self._wait_until_stored(heartbeat.upstream.id)
 
     def handle_deregistration(self, upstream_id: str, started_ms: int) -> bool:
@@ -352,7 +352,7 @@
         if upstream is None:
             return
         self.local.restore(upstream)
-        self.rate.reserve_window()
+        self.cold_limiter.reserve_window()
         logger.info(
             "stored upstream state restored",
             extra={"upstream": upstream.id, "state": upstream.state.value},
@@ -423,7 +423,7 @@
         if current is None or not self._is_on_trial():
             return
         proved_stats = request.proved_stats
-        if self.rate.is_cold:
+        if self.cold_limiter.is_cold:
             # A cold upstream is slow whatever its version, so latency is not compared.
             proved_stats = RouteAverages(0.0, proved_stats.failures)
         self.trial.observe(request.route, failed, latency_ms, proved_stats)
--- a/src/jayswitch/proxy/status.py
+++ b/src/jayswitch/proxy/status.py
@@ -89,7 +89,7 @@
             "gate_waiting": load.waiting,
             "gate_limit": load.limit,
             "gate_service_ms": load.service_ms,
-            "gate_cold": int(process.rate.is_cold),
+            "gate_cold": int(process.cold_limiter.is_cold),
             "orders_connected": int(process.orders_follower.connected),
             "orders_feeds": len(process.orders_feed.relay_by_feed),
             "fleet_connected": int(process.fleet_follower.connected),
--- a/tests/load/test_large_config_storm.py
+++ b/tests/load/test_large_config_storm.py
@@ -14,7 +14,7 @@
 from jayswitch.fleet.directory import Directory
 from jayswitch.fleet.records import NODE_PREFIX, NodeRecord
 from jayswitch.fleet.revision_exchange import RevisionExchange
-from jayswitch.proxy.process import ORDERS_PAUSE
+from jayswitch.proxy.process import ORDERS_BATCH_DELAY
 from jayswitch.standins.memory_store import MemoryStore
 from jayswitch.store.follower import PrefixFollower, max_value_bytes
 from jayswitch.store.interface import WatchEvent, Write
@@ -79,9 +79,9 @@
         store = DistantStore(
             self.store, self._store_link, link, lambda: vm in self.turned_away
         )
-        follower = PrefixFollower(store, "op/", note, self.clock, ORDERS_PAUSE)
+        follower = PrefixFollower(store, "op/", note, self.clock, ORDERS_BATCH_DELAY)
         follower.slow_value_bytes = max_value_bytes(
-            mbit_per_s, ORDERS_PAUSE.shortest_ms
+            mbit_per_s, ORDERS_BATCH_DELAY.shortest_ms
         )
         server = FeedServer()
         server.serve("op/", follower.state)
--- a/tests/loopback/test_upstreams.py
+++ b/tests/loopback/test_upstreams.py
@@ -146,5 +146,5 @@
         wait_until(lambda: follower.synced)
         loopback.store.put("op/evacuate/elsewhere", {})
         eventlet.sleep(0)
-        proxy.knowledge.compare("999,0", "")
+        proxy.revision_exchange.compare("999,0", "")
         wait_until(lambda: "elsewhere" in proxy.orders.evacuated)
--- a/tests/rollout/test_coordinator.py
+++ b/tests/rollout/test_coordinator.py
@@ -46,8 +46,10 @@
 
     def _start(self, number: int) -> MoveCoordinator:
         rules = self.rules[number]
-        pause = BatchDelay(100.0, 100.0)
-        PrefixFollower(self.store, "jayswitch/", rules.apply, self.clock, pause).start()
+        batch_delay = BatchDelay(100.0, 100.0)
+        PrefixFollower(
+            self.store, "jayswitch/", rules.apply, self.clock, batch_delay
+        ).start()
         coordinator = MoveCoordinator(
             f"vm-{number}",
             self.store,
