Name the callbacks of the attempt runner after the functions they hold

AttemptRunner.choose_versions and only_proved held VersionRules.choose_members and members_of_proved_version and return members, not versions. UpstreamGate's is_version_allowed was set to ProxyProcess._may_run. Each callback and the function that it holds now have one name. Names only; behaviour is the same.

--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -41,7 +41,7 @@
 
 logger = logging.getLogger(__name__)
 
-VersionChooser = Callable[[str, "list[Member]"], "list[Member]"]
+MemberSelector = Callable[[str, "list[Member]"], "list[Member]"]
 
 
 class RetryBudgetSettings:
@@ -93,8 +93,10 @@
     ) -> None:
         """Takes the local gate, which serves attempts on this VM without a hop."""
         self.counts: Counter[str] = Counter()
-        self.choose_versions: VersionChooser = lambda service, members: members
-        self.only_proved: VersionChooser = lambda service, members: members
+        self.choose_members: MemberSelector = lambda service, members: members
+        self.members_of_proved_version: MemberSelector = (
+            lambda service, members: members
+        )
         self.on_withdrawn: Callable[[str, str], object] = lambda service, version: None
         self.is_on_trial: Callable[[str, str], bool] = lambda service, version: False
         self.is_evacuated: Callable[[str], bool] = lambda data_centre: False
@@ -119,7 +121,7 @@
         budget = self._retry_budget(request.service)
         budget.record_request()
         history = _AttemptHistory()
-        members = self._members(request.service, self.choose_versions)
+        members = self._members(request.service, self.choose_members)
         while len(history.tried_nodes) < MAX_NODES_TRIED:
             if request.time_to_deadline_ms(self._clock) <= RESPONSE_RESERVE_MS:
                 history.timed_out = True
@@ -133,7 +135,7 @@
             outcome = self._run_attempt(request, member, history)
             if self.is_on_trial(request.service, member.version):
                 # Retries after a trial attempt go to the proved version only.
-                members = self._members(request.service, self.only_proved)
+                members = self._members(request.service, self.members_of_proved_version)
             if isinstance(outcome, Answered):
                 if not self._should_retry_failed_response(
                     request, route, history, outcome
@@ -146,13 +148,13 @@
                 break
         return self._final_outcome(history)
 
-    def _members(self, service: str, choose: VersionChooser) -> list[Member]:
+    def _members(self, service: str, select: MemberSelector) -> list[Member]:
         members = [
             member
             for member in self._directory.members(service)
             if not self.is_evacuated(member.data_centre)
         ]
-        return choose(service, members)
+        return select(service, members)
 
     def _retry_budget(self, service: str) -> SlidingWindowRetryBudget:
         budget = self._retry_budget_by_service.get(service)
@@ -300,7 +302,7 @@
         failed = response.status >= STATUS_SERVER_ERROR
         if not failed or not self._is_retry_allowed(request, route, history):
             return False
-        members = self._members(request.service, self.only_proved)
+        members = self._members(request.service, self.members_of_proved_version)
         others = [
             member for member in members if member.node not in history.tried_nodes
         ]
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -209,11 +209,11 @@
             status,
             self._clock,
         )
-        self.runner.choose_versions = self.rules.choose_members
-        self.runner.only_proved = self.rules.members_of_proved_version
+        self.runner.choose_members = self.rules.choose_members
+        self.runner.members_of_proved_version = self.rules.members_of_proved_version
         self.runner.on_withdrawn = self.rules.withdraw
         self.runner.is_on_trial = self.rules.is_on_trial
-        self.gate.is_version_allowed = self._may_run
+        self.gate.is_version_allowed = self._is_version_allowed
         self.gate.on_answer = self._record_trial_response
 
     def start(
@@ -408,7 +408,7 @@
         service = self.settings.service
         return current is not None and self.rules.is_on_trial(service, current.version)
 
-    def _may_run(self, version: str) -> bool:
+    def _is_version_allowed(self, version: str) -> bool:
         service = self.settings.service
         return self.rules.may_receive_requests(
             service, version, self.directory.members(service)
