Call HTTP responses responses in gate, routing, rollout and proxy

Answer is a message between nodes. HTTP responses were called answers too: UpstreamAnswer, CallerAnswer, IncompleteUpstreamAnswer, AnswerCut, the listener and methods of UpstreamGate, and the constants and locals of the trial evaluator, whose "answers" are weights. AnswerCut becomes BodyTruncated, as ResponseTruncated is an exception of the proxy. In UpstreamGate, LEAVING_RETRY_MS is the delay of all refusals that state none, not only of leaving upstreams, and becomes DEFAULT_RETRY_MS. The reason of a bad trial keeps its text. Names only, with the docstring of CallerResponse, which had become too long; behaviour is the same.

--- a/src/jayswitch/gate/exceptions.py
+++ b/src/jayswitch/gate/exceptions.py
@@ -39,7 +39,7 @@
         )
 
 
-class IncompleteUpstreamAnswer(UpstreamFailure):
+class IncompleteUpstreamResponse(UpstreamFailure):
     """The request was sent, but no complete answer was received."""
 
     code = "upstream-broke"
--- a/src/jayswitch/gate/gate.py
+++ b/src/jayswitch/gate/gate.py
@@ -16,7 +16,7 @@
 from jayswitch.gate.admission import AdmissionQueue
 from jayswitch.gate.concurrency_limiter import ConcurrencyLimiter
 from jayswitch.gate.exceptions import (
-    IncompleteUpstreamAnswer,
+    IncompleteUpstreamResponse,
     UpstreamFailure,
     UpstreamShed,
     UpstreamUnreachable,
@@ -43,8 +43,8 @@
     from jayswitch.clock import Clock
     from jayswitch.gate.upstream import (
         Announcement,
-        UpstreamAnswer,
         UpstreamClient,
+        UpstreamResponse,
     )
 
 MAX_WAIT_MS = 150.0
@@ -269,23 +269,27 @@
             result = self._client.run(announced.address, call, remaining_ms)
         except GreenletExit:
             self._client.cancel(announced.address, call)
-            self._record_failure(call, IncompleteUpstreamAnswer("cancelled"))
+            self._record_failure(call, IncompleteUpstreamResponse("cancelled"))
             raise
         latency_ms = self._clock.now_ms() - started_ms
         match result:
-            case Success(answer):
-                self._record_answer(call, answer, latency_ms, warming_up)
-                self._send_answer(call, answer, send, keyed)
+            case Success(response):
+                self._record_response(call, response, latency_ms, warming_up)
+                self._send_answer(call, response, send, keyed)
             case Failure(error):
                 self._record_failure(call, error)
                 self._send_failure(call, error, send, keyed)
 
     # Outcomes
 
-    def _record_answer(
-        self, call: Call, answer: UpstreamAnswer, latency_ms: float, warming_up: bool
+    def _record_response(
+        self,
+        call: Call,
+        response: UpstreamResponse,
+        latency_ms: float,
+        warming_up: bool,
     ) -> None:
-        failed = answer.status >= STATUS_SERVER_ERROR
+        failed = response.status >= STATUS_SERVER_ERROR
         self.on_outcome(call, failed, None if warming_up else latency_ms)
         self.limiter.on_status(failed)
         if failed:
@@ -297,7 +301,7 @@
     def _record_failure(self, call: Call, error: UpstreamFailure) -> None:
         self.counts[error.code] += 1
         self.limiter.on_overload()
-        if isinstance(error, IncompleteUpstreamAnswer):
+        if isinstance(error, IncompleteUpstreamResponse):
             self.on_outcome(call, True, None)
 
     def _send_failure(
@@ -317,45 +321,49 @@
     def _send_answer(
         self,
         call: Call,
-        answer: UpstreamAnswer,
+        response: UpstreamResponse,
         send: SendReply,
         keyed: KeyedAnswer | None,
     ) -> None:
         message = Answer(
             id=call.id,
-            status=answer.status,
-            headers=answer.headers,
-            body=answer.body,
-            more=answer.rest is not None,
+            status=response.status,
+            headers=response.headers,
+            body=response.body,
+            more=response.rest is not None,
             in_flight=self.admission.in_flight - 1,
             limit=self.limiter.limit,
         )
         self.counts["answered"] += 1
         if keyed is not None:
-            whole = message if answer.rest is None else None
+            whole = message if response.rest is None else None
             self._answers.finish(keyed, whole)
-        if answer.rest is None:
+        if response.rest is None:
             send(message)
             return
         stream = self._stream_by_id[call.id] = ChunkStream()
         send(message)
         try:
-            self._send_chunks(call, answer, stream, send)
+            self._send_chunks(call, response, stream, send)
         finally:
             del self._stream_by_id[call.id]
 
     def _send_chunks(
-        self, call: Call, answer: UpstreamAnswer, stream: ChunkStream, send: SendReply
+        self,
+        call: Call,
+        response: UpstreamResponse,
+        stream: ChunkStream,
+        send: SendReply,
     ) -> None:
-        assert answer.rest is not None
+        assert response.rest is not None
         seq = 0
         try:
-            for data in answer.rest:
+            for data in response.rest:
                 if not self._wait_for_credit(stream, seq):
-                    raise IncompleteUpstreamAnswer("the entry node stopped reading")
+                    raise IncompleteUpstreamResponse("the entry node stopped reading")
                 send(Chunk(id=call.id, seq=seq, data=data))
                 seq += 1
-        except IncompleteUpstreamAnswer as error:
+        except IncompleteUpstreamResponse as error:
             self.counts["answers_cut"] += 1
             send(Chunk(id=call.id, seq=seq, data=b"", failed=error.cause))
             return
--- a/src/jayswitch/gate/upstream.py
+++ b/src/jayswitch/gate/upstream.py
@@ -29,10 +29,10 @@
     leaving: bool = False
 
 
-class UpstreamAnswer:
+class UpstreamResponse:
     """Head and first part of an answer, and an iterator over a longer body.
 
-    Reading rest raises IncompleteUpstreamAnswer if the body is truncated.
+    Reading rest raises IncompleteUpstreamResponse if the body is truncated.
     """
 
     __slots__ = ("body", "headers", "rest", "status")
@@ -56,7 +56,7 @@
 
     def run(
         self, address: str, call: Call, remaining_ms: float
-    ) -> Result[UpstreamAnswer, UpstreamFailure]:
+    ) -> Result[UpstreamResponse, UpstreamFailure]:
         """Sends the call once and waits for the head of the answer."""
 
     def cancel(self, address: str, call: Call) -> None:
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -29,7 +29,7 @@
     from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
 
 # Delay before a retry, about the time in which one running call ends.
-LEAVING_RETRY_MS = 200.0
+DEFAULT_RETRY_MS = 200.0
 HEALTH_TIMEOUT_MS = 300.0
 # Bodies of rejections and health checks have a few bytes; longer ones are truncated.
 MAX_DISCARD_BYTES = 64 * 1024
@@ -44,7 +44,7 @@
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 
-AnswerListener = Callable[["ForwardedRequest", bool, float], None]
+UpstreamResponseListener = Callable[["ForwardedRequest", bool, float], None]
 
 logger = logging.getLogger(__name__)
 
@@ -87,7 +87,9 @@
         self.health_path = "/health"
         self.out_of_service = False
         self.is_version_allowed: Callable[[str], bool] = lambda version: True
-        self.on_answer: AnswerListener = lambda request, failed, latency_ms: None
+        self.on_upstream_response: UpstreamResponseListener = (
+            lambda request, failed, latency_ms: None
+        )
         self.cold_limiter = cold_limiter
         self._address = address
         self._local = local
@@ -212,10 +214,10 @@
                 self._headers(request, current, left_ms),
                 request.body or None,
             )
-            return self._process_answer(request, exchange, started_ms)
+            return self._process_response(request, exchange, started_ms)
         except RequestNotSent as error:
             self._suspect_upstream(error.cause)
-            return self._refuse(request, reasons.CONNECTION_REFUSED, LEAVING_RETRY_MS)
+            return self._refuse(request, reasons.CONNECTION_REFUSED, DEFAULT_RETRY_MS)
         except ExchangeFailed as error:
             self._suspect_upstream(error.cause)
             return self._outcome_unknown(request, error.cause, started_ms)
@@ -242,7 +244,7 @@
             headers.append(("Content-Length", str(request.body_length)))
         return headers
 
-    def _process_answer(
+    def _process_response(
         self, request: ForwardedRequest, exchange: Exchange, started_ms: float
     ) -> AttemptOutcome:
         names = self._names
@@ -268,7 +270,7 @@
             exchange.close()
             reason = "the answer has no signature or no id"
             return self._outcome_unknown(request, reason, started_ms)
-        self._record_answer(request, exchange.status, started_ms)
+        self._record_response(request, exchange.status, started_ms)
         body = self._read(request, exchange)
         return Answered(
             exchange.status,
@@ -306,7 +308,7 @@
         finally:
             exchange.close()
 
-    def _record_answer(
+    def _record_response(
         self, request: ForwardedRequest, status: int, started_ms: float
     ) -> None:
         latency_ms = self._clock.now_ms() - started_ms
@@ -314,7 +316,7 @@
         self.counts["upstream_errors" if failed else "answered"] += 1
         if not failed:
             self._times.record(request.route, latency_ms)
-        self.on_answer(request, failed, latency_ms)
+        self.on_upstream_response(request, failed, latency_ms)
 
     def _outcome_unknown(
         self,
@@ -327,7 +329,7 @@
         self.counts["timed_out" if timed_out else "broken"] += 1
         if timed_out:
             # A late answer counts against the version; a lost one does not.
-            self.on_answer(request, True, latency_ms)
+            self.on_upstream_response(request, True, latency_ms)
             self._times.record(request.route, latency_ms)
         logger.warning(
             "upstream gave no whole answer",
@@ -343,7 +345,7 @@
         self,
         request: ForwardedRequest,
         reason: str,
-        retry_after_ms: float = LEAVING_RETRY_MS,
+        retry_after_ms: float = DEFAULT_RETRY_MS,
         reached_upstream: bool = False,
     ) -> NotRun:
         self.counts[f"refused: {reason}"] += 1
@@ -404,7 +406,7 @@
         This avoids waiting for the next heartbeat. Only a successful answer with
         the expected upstream id confirms it.
         """
-        exchange = self._ask_health()
+        exchange = self._request_health()
         current = self._local.current
         if exchange is None or current is None or exchange.status != STATUS_OK:
             return False
@@ -412,7 +414,7 @@
 
     def _is_healthy(self) -> bool:
         """Checks whether the expected upstream answers; updates its cold time."""
-        exchange = self._ask_health()
+        exchange = self._request_health()
         if exchange is None:
             return False
         current = self._local.current
@@ -420,7 +422,7 @@
         # A rejection without an upstream id still shows that the upstream runs.
         return upstream_id is None or current is None or upstream_id == current.id
 
-    def _ask_health(self) -> Exchange | None:
+    def _request_health(self) -> Exchange | None:
         self.counts["health_checks"] += 1
         exchange = None
         headers = [("Host", self._address)]
--- a/src/jayswitch/http/caller_app.py
+++ b/src/jayswitch/http/caller_app.py
@@ -26,7 +26,7 @@
 from jayswitch.http.status_lines import status_line
 from jayswitch.messages.generated import Header
 from jayswitch.routing.exceptions import CallFailure
-from jayswitch.routing.request import AnswerCut, CallerAnswer, CallerRequest
+from jayswitch.routing.request import BodyTruncated, CallerRequest, CallerResponse
 
 if TYPE_CHECKING:
     from jayswitch.routing.router import Router
@@ -111,7 +111,7 @@
         return body
 
     def _answer(
-        self, method: str, answer: CallerAnswer, start_response: StartResponse
+        self, method: str, answer: CallerResponse, start_response: StartResponse
     ) -> Iterator[bytes]:
         headers = [(header.name, header.value) for header in answer.headers]
         headers.append((REQUEST_ID_HEADER, answer.request_id))
@@ -152,8 +152,8 @@
             headers.append(("Connection", "close"))
 
 
-def stream_checked_body(answer: CallerAnswer) -> Iterator[bytes]:
-    """Yields the body; raises AnswerCut if its length is not the Content-Length.
+def stream_checked_body(answer: CallerResponse) -> Iterator[bytes]:
+    """Yields the body; raises BodyTruncated if its length is not the Content-Length.
 
     The server then closes the connection, so that the caller detects the failure.
     """
@@ -163,7 +163,7 @@
         length += len(part)
         yield part
     if declared and int(declared[0]) != length:
-        raise AnswerCut(
+        raise BodyTruncated(
             f"response body has {length} bytes, Content-Length is {declared[0]}"
         )
 
--- a/src/jayswitch/http/upstream_client.py
+++ b/src/jayswitch/http/upstream_client.py
@@ -11,12 +11,12 @@
 
 from jayswitch.clock import MS_PER_S
 from jayswitch.gate.exceptions import (
-    IncompleteUpstreamAnswer,
+    IncompleteUpstreamResponse,
     UpstreamFailure,
     UpstreamShed,
     UpstreamUnreachable,
 )
-from jayswitch.gate.upstream import UpstreamAnswer
+from jayswitch.gate.upstream import UpstreamResponse
 from jayswitch.http.headers import (
     DEPTH_HEADER,
     REQUEST_ID_HEADER,
@@ -51,7 +51,7 @@
 
     def run(
         self, address: str, call: Call, remaining_ms: float
-    ) -> Result[UpstreamAnswer, UpstreamFailure]:
+    ) -> Result[UpstreamResponse, UpstreamFailure]:
         """Sends the call once and returns the head and first part of the response."""
         deadline = eventlet.Timeout(remaining_ms / MS_PER_S)
         try:
@@ -59,12 +59,12 @@
         except _CONNECT_ERRORS as error:
             return Failure(UpstreamUnreachable(address, str(error)))
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            return Failure(IncompleteUpstreamAnswer(str(error)))
+            return Failure(IncompleteUpstreamResponse(str(error)))
         except eventlet.Timeout as timeout:
             if timeout is not deadline:
                 raise
             self.cancel(address, call)
-            return Failure(IncompleteUpstreamAnswer("its time ran out"))
+            return Failure(IncompleteUpstreamResponse("its time ran out"))
         finally:
             deadline.cancel()
 
@@ -74,7 +74,7 @@
 
     def _exchange(
         self, address: str, call: Call, remaining_ms: float
-    ) -> Result[UpstreamAnswer, UpstreamFailure]:
+    ) -> Result[UpstreamResponse, UpstreamFailure]:
         headers = {header.name: header.value for header in call.headers}
         headers[REQUEST_ID_HEADER] = call.request_id
         headers[TIMEOUT_HEADER] = str(int(remaining_ms))
@@ -99,7 +99,7 @@
 
     def _read(
         self, response: urllib3.BaseHTTPResponse
-    ) -> Result[UpstreamAnswer, UpstreamFailure]:
+    ) -> Result[UpstreamResponse, UpstreamFailure]:
         length = response.headers.get("Content-Length")
         fits = length is not None and int(length) <= FIRST_READ_BYTES
         body = response.read(None if fits else FIRST_READ_BYTES)
@@ -118,7 +118,7 @@
             # A short read does not mark the end of the body; only the next read
             # distinguishes a complete body from a truncated one.
             rest = _read_rest(response)
-        return Success(UpstreamAnswer(response.status, headers, body, rest))
+        return Success(UpstreamResponse(response.status, headers, body, rest))
 
     def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
         pool = self._pool_by_address.get(address)
@@ -152,7 +152,7 @@
             yield data
         complete = True
     except (urllib3.exceptions.HTTPError, OSError) as error:
-        raise IncompleteUpstreamAnswer(str(error)) from error
+        raise IncompleteUpstreamResponse(str(error)) from error
     finally:
         if complete:
             response.release_conn()
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -128,9 +128,9 @@
                 )
                 status = STATUS_BAD_REQUEST
             else:
-                answer = self._feeds.respond(request)
-                if answer is not None:
-                    status, body = STATUS_OK, msgspec.msgpack.encode(answer)
+                response = self._feeds.respond(request)
+                if response is not None:
+                    status, body = STATUS_OK, msgspec.msgpack.encode(response)
         headers = [("Content-Length", str(len(body))), HOP_KEEP_ALIVE]
         start_response(status_line(status), headers)
         return [body]
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -214,7 +214,7 @@
         self.runner.on_withdrawn = self.rules.withdraw
         self.runner.is_on_trial = self.rules.is_on_trial
         self.gate.is_version_allowed = self._is_version_allowed
-        self.gate.on_answer = self._record_trial_response
+        self.gate.on_upstream_response = self._record_trial_response
 
     def start(
         self,
--- a/src/jayswitch/rollout/trial.py
+++ b/src/jayswitch/rollout/trial.py
@@ -15,7 +15,7 @@
 # the window. Both limits are raised by the failures of the proved version, for
 # example when calls that both versions make are refused. A sound upstream of either
 # deployment fails at most 4 in 1000 requests.
-MIN_BAD_ANSWERS = 3
+MIN_BAD_RESPONSES = 3
 MIN_BAD_SHARE = 0.2
 # An answer is slow above this multiple of the proved version's average latency, plus
 # the extra time. A cold upstream takes about twice the average.
@@ -23,7 +23,7 @@
 SLOW_EXTRA_MS = 60.0
 # About 1 in 100 answers of a sound upstream is slow and 1 in 1000 is twice as slow.
 # Four slow answers therefore weigh as much as three failures.
-SLOW_ANSWER_WEIGHT = 0.75
+SLOW_RESPONSE_WEIGHT = 0.75
 VERY_SLOW_FACTOR = 2.0
 # Upstreams of one service differ in speed, up to twice the average latency. The speed
 # of an upstream is estimated from a low quantile of its latencies: in most
@@ -31,7 +31,7 @@
 SPEED_QUANTILE = 0.3
 SPEED_QUANTILE_RATIO = 0.6
 MAX_SLOWDOWN = 2.0
-MIN_ANSWERS_FOR_SLOWDOWN = 8
+MIN_RESPONSES_FOR_SLOWDOWN = 8
 # Smoothing factors of the proved version's moving averages, which span about 20
 # answers for latency and 10 for failures.
 LATENCY_SMOOTHING = 0.05
@@ -81,7 +81,7 @@
     ) -> None:
         """Evaluates one answer against the proved version's averages on the route."""
         min_bad_share = MIN_BAD_SHARE + expected.failures
-        min_bad_answers = MIN_BAD_ANSWERS + int(expected.failures * OVERALL_WINDOW)
+        min_bad_responses = MIN_BAD_RESPONSES + int(expected.failures * OVERALL_WINDOW)
         weight = (
             1.0 if failed else self._slowness_weight(latency_ms, expected.latency_ms)
         )
@@ -90,16 +90,17 @@
         else:
             self.counts.good += 1
         window = self._by_route.setdefault(route, deque(maxlen=ROUTE_WINDOW))
-        for answers, name in ((window, route), (self._overall, "all routes")):
-            answers.append(weight)
-            total_weight = sum(answers)
-            if total_weight >= min_bad_answers and total_weight >= min_bad_share * len(
-                answers
+        for weights, name in ((window, route), (self._overall, "all routes")):
+            weights.append(weight)
+            total_weight = sum(weights)
+            if (
+                total_weight >= min_bad_responses
+                and total_weight >= min_bad_share * len(weights)
             ):
                 kind = "failed" if failed else "slow"
-                bad = sum(answer > 0 for answer in answers)
+                bad = sum(each > 0 for each in weights)
                 self.reason = (
-                    f"{bad} of {len(answers)} answers bad on {name}, last {kind}"
+                    f"{bad} of {len(weights)} answers bad on {name}, last {kind}"
                 )
                 return
 
@@ -111,11 +112,11 @@
         self._latency_ratios.append(latency_ms / expected_ms)
         if latency_ms <= limit_ms:
             return 0.0
-        return 1.0 if latency_ms > limit_ms * VERY_SLOW_FACTOR else SLOW_ANSWER_WEIGHT
+        return 1.0 if latency_ms > limit_ms * VERY_SLOW_FACTOR else SLOW_RESPONSE_WEIGHT
 
     def _slowdown(self) -> float:
         """Returns this upstream's own slowdown relative to the average latency."""
-        if len(self._latency_ratios) < MIN_ANSWERS_FOR_SLOWDOWN:
+        if len(self._latency_ratios) < MIN_RESPONSES_FOR_SLOWDOWN:
             return 1.0
         ratio = sorted(self._latency_ratios)[
             int(len(self._latency_ratios) * SPEED_QUANTILE)
--- a/src/jayswitch/routing/request.py
+++ b/src/jayswitch/routing/request.py
@@ -40,8 +40,8 @@
         self.key = key
 
 
-class CallerAnswer:
-    """Head of an answer and an iterator over its body, which may raise AnswerCut."""
+class CallerResponse:
+    """Head of a response and its body, whose iterator may raise BodyTruncated."""
 
     __slots__ = ("body", "headers", "request_id", "status", "upstream")
 
@@ -61,7 +61,7 @@
         self.body = body
 
 
-class AnswerCut(Exception):
+class BodyTruncated(Exception):
     """The body of an answer is truncated and must not be treated as complete."""
 
 
--- a/src/jayswitch/routing/router.py
+++ b/src/jayswitch/routing/router.py
@@ -31,9 +31,9 @@
     OutcomeUnknown,
 )
 from jayswitch.routing.request import (
-    AnswerCut,
-    CallerAnswer,
+    BodyTruncated,
     CallerRequest,
+    CallerResponse,
     RequestAttempts,
 )
 from jayswitch.routing.retry_budget import RetryBudget
@@ -97,7 +97,7 @@
         self._replies_by_id: dict[str, LightQueue] = {}
         self._budget_by_service: dict[str, RetryBudget] = {}
 
-    def call(self, request: CallerRequest) -> Result[CallerAnswer, CallFailure]:
+    def call(self, request: CallerRequest) -> Result[CallerResponse, CallFailure]:
         """Runs a request; a failure states whether it certainly did not run."""
         self.counts["calls"] += 1
         self.in_flight += 1
@@ -112,7 +112,7 @@
                 self.counts[error.code] += 1
         return result
 
-    def _call(self, request: CallerRequest) -> Result[CallerAnswer, CallFailure]:
+    def _call(self, request: CallerRequest) -> Result[CallerResponse, CallFailure]:
         table = self.table
         route = table.route_for(request.path)
         if route is None and not table.config.version:
@@ -153,7 +153,7 @@
 
     def _run_attempts(
         self, attempts: RequestAttempts
-    ) -> Result[CallerAnswer, CallFailure]:
+    ) -> Result[CallerResponse, CallFailure]:
         while True:
             member = self._choose_upstream(attempts)
             remaining_ms = attempts.deadline_ms - self._clock.now_ms()
@@ -161,7 +161,7 @@
                 break
             outcome = self._try_upstream(attempts, member, remaining_ms)
             if isinstance(outcome, Answer):
-                return Success(self._to_answer(attempts, member, outcome))
+                return Success(self._build_caller_response(attempts, member, outcome))
             attempts.record_failure(member.node, outcome)
             if not self._may_retry(attempts, outcome):
                 break
@@ -273,13 +273,13 @@
             return
         replies.put(message)
 
-    def _to_answer(
+    def _build_caller_response(
         self, attempts: RequestAttempts, member: Member, answer: Answer
-    ) -> CallerAnswer:
+    ) -> CallerResponse:
         body: Iterator[bytes] = iter([answer.body])
         if answer.more:
             body = self._read_chunks(answer, member, self._replies_by_id[answer.id])
-        return CallerAnswer(
+        return CallerResponse(
             attempts.request_id, member.node, answer.status, answer.headers, body
         )
 
@@ -302,13 +302,13 @@
             try:
                 chunk = replies.get(timeout=CHUNK_TIMEOUT_MS / MS_PER_S)
             except Empty:
-                raise AnswerCut("the next chunk did not arrive in time") from None
+                raise BodyTruncated("the next chunk did not arrive in time") from None
             if not isinstance(chunk, Chunk) or chunk.seq < expected_seq:
                 self.counts["unexpected_replies"] += 1
                 continue
             if chunk.failed or chunk.seq != expected_seq:
                 self.counts["answers_cut"] += 1
-                raise AnswerCut(chunk.failed or "a chunk of the answer was lost")
+                raise BodyTruncated(chunk.failed or "a chunk of the answer was lost")
             if chunk.last:
                 return
             yield chunk.data
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -11,12 +11,12 @@
 
 from jayswitch.clock import VirtualClock
 from jayswitch.gate.exceptions import (
-    IncompleteUpstreamAnswer,
+    IncompleteUpstreamResponse,
     UpstreamShed,
     UpstreamUnreachable,
 )
 from jayswitch.gate.gate import Gate
-from jayswitch.gate.upstream import Announcement, UpstreamAnswer
+from jayswitch.gate.upstream import Announcement, UpstreamResponse
 from jayswitch.messages.generated import Answer, Call, Cancel, Refusal, Unknown
 from jayswitch.virtual_hub import use_virtual_time
 
@@ -76,8 +76,8 @@
         self.runs_by_request[attempt.request_id] += 1
         self.clock.sleep_ms(20)
         if self.outcome == "break":
-            return Failure(IncompleteUpstreamAnswer("reset"))
-        return Success(UpstreamAnswer(200, [], attempt.id.encode()))
+            return Failure(IncompleteUpstreamResponse("reset"))
+        return Success(UpstreamResponse(200, [], attempt.id.encode()))
 
     def cancel(self, address: str, attempt: Call) -> None:
         """Ignores the cancellation."""
--- a/tests/harness/mesh.py
+++ b/tests/harness/mesh.py
@@ -14,7 +14,7 @@
 from jayswitch.node.factory import NodeFactory
 from jayswitch.node.node import Node
 from jayswitch.profiles.generated import Profile
-from jayswitch.routing.request import AnswerCut, CallerRequest
+from jayswitch.routing.request import BodyTruncated, CallerRequest
 from jayswitch.settings.generated import NodeSettings
 from jayswitch.standins.memory_store import MemoryStore
 from jayswitch.standins.upstream import StandInUpstream, UpstreamBehaviour
@@ -261,6 +261,6 @@
             record.outcome = "answered"
             record.status = answer.status
             record.upstream = answer.upstream
-        except AnswerCut as error:
+        except BodyTruncated as error:
             record.outcome = "cut"
             record.reason = str(error)
--- a/tests/harness/upstreams.py
+++ b/tests/harness/upstreams.py
@@ -11,12 +11,12 @@
 
 from jayswitch.clock import MS_PER_S, Clock
 from jayswitch.gate.exceptions import (
-    IncompleteUpstreamAnswer,
+    IncompleteUpstreamResponse,
     UpstreamFailure,
     UpstreamShed,
     UpstreamUnreachable,
 )
-from jayswitch.gate.upstream import UpstreamAnswer
+from jayswitch.gate.upstream import UpstreamResponse
 from jayswitch.http.headers import SHED_HEADER, SHED_NOT_RUN
 from jayswitch.messages.generated import Call, Header
 from jayswitch.standins.upstream import StandInUpstream
@@ -70,7 +70,7 @@
 
     def run(
         self, address: str, call: Call, remaining_ms: float
-    ) -> Result[UpstreamAnswer, UpstreamFailure]:
+    ) -> Result[UpstreamResponse, UpstreamFailure]:
         """Hands the call over once."""
         if not self.reachable:
             return Failure(UpstreamUnreachable(address, "refused"))
@@ -80,7 +80,7 @@
         except eventlet.Timeout as timeout:
             if timeout is not deadline:
                 raise
-            return Failure(IncompleteUpstreamAnswer("its time ran out"))
+            return Failure(IncompleteUpstreamResponse("its time ran out"))
         finally:
             deadline.cancel()
 
@@ -89,7 +89,7 @@
 
     def _run(
         self, call: Call, remaining_ms: float
-    ) -> Result[UpstreamAnswer, UpstreamFailure]:
+    ) -> Result[UpstreamResponse, UpstreamFailure]:
         status = {"line": "", "headers": []}
 
         def start_response(line: str, headers: list[tuple[str, str]]) -> None:
@@ -112,9 +112,9 @@
         try:
             body = b"".join(parts)
         except ConnectionAbortedError:
-            return Failure(IncompleteUpstreamAnswer("cut"))
+            return Failure(IncompleteUpstreamResponse("cut"))
         if self.standin._random.random() < self.lose_answers:
-            return Failure(IncompleteUpstreamAnswer("the answer was lost"))
+            return Failure(IncompleteUpstreamResponse("the answer was lost"))
         headers = [Header(name=name, value=value) for name, value in status["headers"]]
         number = int(status["line"].split()[0])
-        return Success(UpstreamAnswer(number, headers, body))
+        return Success(UpstreamResponse(number, headers, body))
