Give one name to the publisher's sources, retries and step descriptions

RecordPublisher took "describe" and "last_state", which ProxyProcess calls _build_record and _current_upstream, and kept the second as _last_upstream; its "last" fields did not say that they belong to the last-state key. The sliding-window budget counted retries as repeats, MoveCoordinator called the text of the log field "step" a topic (which elsewhere is the key of a pending action), and the rate limiter called its maximum "most". Names only; behaviour is the same.

--- a/src/jayswitch/fleet/publisher.py
+++ b/src/jayswitch/fleet/publisher.py
@@ -43,16 +43,16 @@
         self,
         store: Store,
         vm: str,
-        describe: Callable[[], NodeRecord],
-        last_state: Callable[[], Upstream | None],
+        build_record: Callable[[], NodeRecord],
+        current_upstream: Callable[[], Upstream | None],
         clock: Clock,
     ) -> None:
         """Takes functions that return the current record and upstream state."""
         self.restored = False
         self._store = store
         self._vm = vm
-        self._describe = describe
-        self._last_upstream = last_state
+        self._build_record = build_record
+        self._current_upstream = current_upstream
         self._clock = clock
         self._lease = ""
         self._requested_writes = 0
@@ -60,9 +60,9 @@
         self._changed = Event()
         self._waiters: list[Event] = []
         self._node_revision: int | None = None
-        self._last_revision: int | None = None
+        self._last_state_revision: int | None = None
         self._stopped = False
-        self._stored_last_data = b""
+        self._stored_last_state_data = b""
         self._stored_node_data = b""
 
     def start(self, on_restore: Callable[[Upstream | None], None]) -> None:
@@ -120,15 +120,15 @@
             case Success(stored):
                 pass
         upstream = None
-        self._last_revision = 0
+        self._last_state_revision = 0
         if stored is not None:
-            self._last_revision = stored.revision
-            upstream = self._decode_last(stored.value)
+            self._last_state_revision = stored.revision
+            upstream = self._decode_last_state(stored.value)
         on_restore(upstream)
         self.restored = True
         return True
 
-    def _decode_last(self, data: bytes) -> Upstream | None:
+    def _decode_last_state(self, data: bytes) -> Upstream | None:
         try:
             return msgspec.json.decode(data, type=Upstream)
         except msgspec.MsgspecError as error:
@@ -168,19 +168,19 @@
         if self._node_revision is None and not self._read_revisions():
             return False
         writes = []
-        node = msgspec.json.encode(self._describe())
+        node = msgspec.json.encode(self._build_record())
         if node != self._stored_node_data:
             key = node_key(self._vm)
             writes.append(Write(key, node, self._node_revision, self._lease))
-        upstream = self._last_upstream()
+        upstream = self._current_upstream()
         last = b"" if upstream is None else msgspec.json.encode(upstream)
-        if last and last != self._stored_last_data:
+        if last and last != self._stored_last_state_data:
             key = last_state_key(self._vm)
-            writes.append(Write(key, last, self._last_revision))
+            writes.append(Write(key, last, self._last_state_revision))
         if writes and not self._commit(writes):
             return False
         self._stored_node_data = node
-        self._stored_last_data = last
+        self._stored_last_state_data = last
         self._stored_writes = requested_writes
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
@@ -197,7 +197,7 @@
             if write.lease:
                 self._node_revision = revision
             else:
-                self._last_revision = revision
+                self._last_state_revision = revision
         return True
 
     def _handle_write_failure(self, error: StoreError) -> bool:
@@ -220,7 +220,7 @@
             if key == node_key(self._vm):
                 self._node_revision = revision
             else:
-                self._last_revision = revision
+                self._last_state_revision = revision
         return True
 
     def _log_failure(self, error: StoreError) -> None:
--- a/src/jayswitch/gate/cold_rate_limiter.py
+++ b/src/jayswitch/gate/cold_rate_limiter.py
@@ -57,9 +57,9 @@
         started = self._started_ms
         while started and started[0] <= now_ms - WINDOW_MS:
             started.popleft()
-        most = max(1, int(self.per_s))
-        if self.is_cold and len(started) >= most:
-            return max(1.0, started[-most] + WINDOW_MS - now_ms)
+        max_calls = max(1, int(self.per_s))
+        if self.is_cold and len(started) >= max_calls:
+            return max(1.0, started[-max_calls] + WINDOW_MS - now_ms)
         return 0.0
 
     def reserve_window(self) -> None:
--- a/src/jayswitch/rollout/coordinator.py
+++ b/src/jayswitch/rollout/coordinator.py
@@ -105,13 +105,13 @@
             self._due_ms_by_topic.pop(order.service, None)
             return
         else:
-            step = next_step(self._view_move(order, move))
+            step = next_step(self._build_view(order, move))
             if step == Step(move.state, move.share):
                 self._due_ms_by_topic.pop(order.service, None)
                 return
         self._run_when_due(order.service, self._write_step, order, step)
 
-    def _view_move(self, order: MoveOrder, move: Move) -> MoveView:
+    def _build_view(self, order: MoveOrder, move: Move) -> MoveView:
         now_ms = self._clock.now_ms()
         share, since_ms = self._stage_ms_by_service.get(order.service, (-1.0, now_ms))
         if share != move.share:
@@ -192,27 +192,35 @@
         if move.state == COMPLETED:
             baseline = BASELINE_PREFIX + move.service
             writes.append(Write(baseline, _encode(Baseline(move.to_version))))
-        topic = f"move {move.state} at {move.share}"
-        return self._commit(writes, topic, move.service)
+        description = f"move {move.state} at {move.share}"
+        return self._commit(writes, description, move.service)
 
-    def _commit(self, writes: list[Write], topic: str, service: str) -> bool:
+    def _commit(self, writes: list[Write], description: str, service: str) -> bool:
         match self._store.commit(writes):
             case Success(revision):
                 logger.info(
                     "move step stored",
-                    extra={"service": service, "step": topic, "revision": revision},
+                    extra={
+                        "service": service,
+                        "step": description,
+                        "revision": revision,
+                    },
                 )
                 return True
             case Failure(CasConflict()):
                 logger.info(
                     "move step already stored by another proxy",
-                    extra={"service": service, "step": topic},
+                    extra={"service": service, "step": description},
                 )
                 return True
             case Failure(error):
                 logger.warning(
                     "failed to store move step",
-                    extra={"service": service, "step": topic, "reason": error.cause},
+                    extra={
+                        "service": service,
+                        "step": description,
+                        "reason": error.cause,
+                    },
                 )
         return False
 
--- a/src/jayswitch/routing/sliding_window_budget.py
+++ b/src/jayswitch/routing/sliding_window_budget.py
@@ -45,9 +45,9 @@
         """Returns whether a retry would be allowed."""
         self._bucket()
         requests = sum(bucket[1] for bucket in self._buckets)
-        repeats = sum(bucket[2] for bucket in self._buckets)
+        retries = sum(bucket[2] for bucket in self._buckets)
         allowed = requests * self._ratio + self._slack / max(1, fleet_size)
-        return repeats + 1 <= allowed
+        return retries + 1 <= allowed
 
     def take(self, fleet_size: int) -> bool:
         """Counts a retry if the budget allows one."""
--- a/tests/fleet/test_publisher.py
+++ b/tests/fleet/test_publisher.py
@@ -22,12 +22,12 @@
         self.upstream = Upstream("i-1", 1, "herdview", "v1", 6, UpstreamState.READY)
         self.restored: list[Upstream | None] = []
         self.publisher = RecordPublisher(
-            self.store, "vm-1", self._describe, lambda: self.upstream, self.clock
+            self.store, "vm-1", self._build_record, lambda: self.upstream, self.clock
         )
         self.publisher.start(self.restored.append)
         self.clock.sleep_ms(10)
 
-    def _describe(self) -> NodeRecord:
+    def _build_record(self) -> NodeRecord:
         return NodeRecord("vm-1", "bunbury", "swwa", "a:1", 0, self.upstream)
 
     def leave(self) -> None:
--- a/tests/routing/test_sliding_window_budget.py
+++ b/tests/routing/test_sliding_window_budget.py
@@ -21,27 +21,27 @@
             for _ in range(FLEET)
         ]
         requests: list[float] = []
-        repeats: list[float] = []
+        retries: list[float] = []
         for number in range(4000):
             # Most requests arrive at three of the proxies, as in a burst.
             proxy = fleet[number % (3 if number % 4 else FLEET)]
             proxy.record_request()
             requests.append(clock.now_ms())
             while proxy.take(FLEET):
-                repeats.append(clock.now_ms())
+                retries.append(clock.now_ms())
             clock.sleep_ms(10)
         for begin in range(0, 40_000, 500):
             end = begin + WINDOW_S * 1000
-            within = sum(1 for at in repeats if begin <= at < end)
+            within = sum(1 for at in retries if begin <= at < end)
             asked = sum(1 for at in requests if begin <= at < end)
             assert within <= RATIO * asked + SLACK
 
-    def test_few_requests_still_have_some_repeats(self) -> None:
+    def test_few_requests_can_still_be_retried(self) -> None:
         budget = SlidingWindowRetryBudget(RATIO, SLACK, WINDOW_S, VirtualClock())
         budget.record_request()
         assert budget.take(FLEET)
 
-    def test_repeats_are_forgotten_after_the_window(self) -> None:
+    def test_retries_are_forgotten_after_the_window(self) -> None:
         clock = VirtualClock()
         budget = SlidingWindowRetryBudget(RATIO, SLACK, WINDOW_S, clock)
         while budget.take(FLEET):
