Name tests after the kind of request and the rule that they check

"Booking" stood for a request of a non-idempotent route; "bound" was an earlier name of ColdRateAllowance, whose test said "the stated limiter" where the rate is meant; tests of the trial evaluator called responses answers. Names and one docstring only; each test checks what it checked before.

--- a/tests/gate/test_cold_rate_limiter.py
+++ b/tests/gate/test_cold_rate_limiter.py
@@ -14,7 +14,7 @@
 class TestColdRateLimiter:
     """A cold upstream gets no more than its rate in any second."""
 
-    def test_warm_upstream_is_not_bounded(self) -> None:
+    def test_warm_upstream_is_not_limited(self) -> None:
         limiter = ColdRateLimiter(VirtualClock(), COLD_CALLS_PER_S)
         assert all(limiter.take() == 0 for _ in range(100))
 
@@ -62,10 +62,10 @@
 
 
 class TestColdRateAllowance:
-    """Calls that a cold upstream may get beyond the stated limiter."""
+    """Calls that a cold upstream may get beyond the stated rate."""
 
-    def test_bound_is_used_up_to_half_of_its_slack(self) -> None:
+    def test_half_of_the_slack_is_added(self) -> None:
         assert ColdRateAllowance(1.5, 5.0).calls_per_s(8.5) == 15.25
 
-    def test_without_a_bound_the_stated_rate_holds(self) -> None:
+    def test_default_allowance_adds_nothing(self) -> None:
         assert ColdRateAllowance().calls_per_s(8.5) == 8.5
--- a/tests/proxy/test_attempts.py
+++ b/tests/proxy/test_attempts.py
@@ -98,20 +98,20 @@
 
 
 READ = RouteKind.IDEMPOTENT
-BOOKING = RouteKind.NON_IDEMPOTENT
+WRITE = RouteKind.NON_IDEMPOTENT
 
 
 class TestNotRun:
     """NotRun is returned only if no upstream has run the request."""
 
-    def test_booking_is_not_retried_after_an_unknown_outcome(self) -> None:
-        fixture = RunnerFixture(OutcomeUnknown("reset", load=LOAD), kind=BOOKING)
+    def test_write_is_not_retried_after_an_unknown_outcome(self) -> None:
+        fixture = RunnerFixture(OutcomeUnknown("reset", load=LOAD), kind=WRITE)
         assert isinstance(fixture.run(), OutcomeUnknown)
         assert len(fixture.hops.addresses) == 1
 
-    def test_booking_is_sent_elsewhere_after_a_refusal(self) -> None:
+    def test_write_is_sent_elsewhere_after_a_refusal(self) -> None:
         fixture = RunnerFixture(
-            NotRun(reasons.LIMIT_REACHED, load=LOAD), ok(), kind=BOOKING
+            NotRun(reasons.LIMIT_REACHED, load=LOAD), ok(), kind=WRITE
         )
         assert isinstance(fixture.run(), Answered)
         assert len(set(fixture.hops.addresses)) == 2
@@ -129,7 +129,7 @@
 
     def test_refusal_by_all_upstreams_carries_retry_after(self) -> None:
         fixture = RunnerFixture(
-            NotRun(reasons.LIMIT_REACHED, 80.0, load=LOAD), kind=BOOKING
+            NotRun(reasons.LIMIT_REACHED, 80.0, load=LOAD), kind=WRITE
         )
         outcome = fixture.run()
         assert isinstance(outcome, NotRun) and outcome.retry_after_ms == 80.0
@@ -171,7 +171,7 @@
 
         headers = [("Content-Length", "2")]
         response = Answered(200, headers, stalled(), lambda: None, LOAD)
-        fixture = RunnerFixture(response, kind=BOOKING)
+        fixture = RunnerFixture(response, kind=WRITE)
         outcome = fixture.run()
         assert isinstance(outcome, OutcomeUnknown) and outcome.timed_out
         assert fixture.clock.now_ms() <= TIMEOUT_MS
@@ -185,8 +185,8 @@
         outcome = fixture.run()
         assert isinstance(outcome, Answered) and outcome.status == 200
 
-    def test_failed_booking_is_not_retried(self) -> None:
-        fixture = RunnerFixture(ok(500), ok(), kind=BOOKING)
+    def test_failed_write_is_not_retried(self) -> None:
+        fixture = RunnerFixture(ok(500), ok(), kind=WRITE)
         outcome = fixture.run()
         assert isinstance(outcome, Answered) and outcome.status == 500
 
--- a/tests/rollout/test_trial.py
+++ b/tests/rollout/test_trial.py
@@ -17,7 +17,7 @@
 class TestTrialEvaluator:
     """Bad versions are found within a few answers, without false positives."""
 
-    def test_failing_version_is_found_within_fifteen_bad_answers(self) -> None:
+    def test_failing_version_is_found_within_fifteen_bad_responses(self) -> None:
         for seed in range(50):
             rng = random.Random(seed)
             evaluator = TrialEvaluator()
@@ -77,7 +77,7 @@
             found += evaluator.is_bad
         assert found <= 2
 
-    def test_partly_slow_version_is_found_within_fifty_slow_answers(self) -> None:
+    def test_partly_slow_version_is_found_within_fifty_slow_responses(self) -> None:
         for speed in (0.7, 1.0, 2.0):
             for seed in range(50):
                 rng = random.Random(seed)
