Reword remaining comments of the proxy

"So that" stood where a consequence was meant, not a purpose; the docstring of _is_success spoke of log lines, which belongs to its use. Comments only; behaviour is the same.

--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -183,6 +183,7 @@
         self._update_routing(member, outcome)
         self._update_version_stats(request, member, outcome, started_ms)
         request.last_vm = member.node
+        # If the first attempt succeeds, the log line of the request covers it as well.
         if history.tried_nodes != {member.node} or not _is_success(outcome):
             self._log_attempt(request, member, outcome, started_ms)
         if not isinstance(outcome, NotRun) or outcome.reached_upstream:
@@ -361,7 +362,6 @@
 
 
 def _is_success(outcome: AttemptOutcome) -> bool:
-    """Returns whether the log line of the request covers the attempt as well."""
     return isinstance(outcome, Answered) and outcome.status < STATUS_SERVER_ERROR
 
 
--- a/src/jayswitch/proxy/disconnect.py
+++ b/src/jayswitch/proxy/disconnect.py
@@ -15,7 +15,7 @@
     """Raises CallerDisconnected in the serving green thread on end of stream.
 
     The WSGI server does not read from the connection while the application runs, so
-    that the descriptor has no other reader.
+    the descriptor has no other reader.
     """
 
     __slots__ = ("_listener", "_socket", "_task", "disconnected")
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -57,9 +57,9 @@
 
 UPSTREAM_CONNECT_TIMEOUT_MS = 300.0
 # The latency between data centres is 1.4 ms, and a lost SYN is retransmitted only
-# after 1 s, so that a longer timeout would not help.
+# after 1 s, so a longer timeout would not help.
 HOP_CONNECT_TIMEOUT_MS = 250.0
-# A heartbeat must be answered within 1 s.
+# The response to a heartbeat has to be sent within 1 s.
 ACKNOWLEDGE_TIMEOUT_MS = 800.0
 MAINTENANCE_INTERVAL_MS = 500.0
 # Minimum interval between publications of the trial counts.
@@ -80,8 +80,8 @@
 # A configuration must be in force within 2 s; up to 0.5 s of that is spent on
 # batching changes in quick succession, which saves calls to the store.
 ORDERS_BATCH_DELAY = BatchDelay(250.0, 500.0)
-# Gates enforce the state in their records immediately, so that other proxies may
-# learn of it later.
+# Gates enforce the state in their records immediately, so other proxies may learn
+# of it later.
 FLEET_BATCH_DELAY = BatchDelay(300.0, 900.0)
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
