Reword remaining texts of the gate

HTTP responses were called answers; the comment at DEFAULT_RETRY_MS did not say when the delay applies; "a lost answer" was a broken connection. Two test names said that an upstream takes nothing new. Comments, docstrings and test names only; the reasons of refusals and unknown outcomes keep their texts, and behaviour is the same.

--- a/src/jayswitch/gate/concurrency_limiter.py
+++ b/src/jayswitch/gate/concurrency_limiter.py
@@ -21,7 +21,7 @@
 
 
 class RouteLatency:
-    """Baseline latency of one route and the number of consecutive slow answers."""
+    """Baseline latency of one route and the number of consecutive slow responses."""
 
     __slots__ = ("baseline_ms", "samples", "slow_in_row")
 
@@ -32,7 +32,7 @@
         self.slow_in_row = 0
 
     def is_slow(self, latency_ms: float) -> bool:
-        """Adds a sample; returns whether enough consecutive answers were slow."""
+        """Adds a sample; returns whether enough consecutive responses were slow."""
         known = self.samples >= BASELINE_MIN_SAMPLES
         bound_ms = max(self.baseline_ms * SLOW_RATIO, SLOW_FLOOR_MS)
         if known and latency_ms > bound_ms:
@@ -49,8 +49,8 @@
     """Concurrency limit that ramps up a cold upstream and backs off on overload.
 
     The limit grows only on success and no faster than the warm-up time allows.
-    Shed requests and failures reduce it. Consecutive slow answers at full limit
-    indicate that the upstream has become cold again and restart the ramp.
+    Shed requests and failures reduce it. Consecutive slow responses at full
+    limit indicate that the upstream has become cold again and restart the ramp.
     """
 
     __slots__ = (
@@ -100,7 +100,7 @@
         self._ramp_started_ms = self._clock.now_ms()
 
     def on_success(self, route: str, latency_ms: float, in_flight: int) -> None:
-        """Updates the limit after a complete answer; in_flight includes the call."""
+        """Updates the limit after a complete response; in_flight includes the call."""
         latency = self._latency_by_route.setdefault(route, RouteLatency())
         if latency.is_slow(latency_ms):
             latency.slow_in_row = 0
--- a/src/jayswitch/gate/exceptions.py
+++ b/src/jayswitch/gate/exceptions.py
@@ -6,7 +6,7 @@
 
 
 class UpstreamFailure(JayswitchError):
-    """The upstream did not return a complete answer."""
+    """The upstream did not return a complete response."""
 
     code = "upstream-failure"
     status = 502
@@ -40,7 +40,7 @@
 
 
 class IncompleteUpstreamResponse(UpstreamFailure):
-    """The request was sent, but no complete answer was received."""
+    """The request was sent, but no complete response was received."""
 
     code = "upstream-broke"
 
--- a/src/jayswitch/gate/local_upstream.py
+++ b/src/jayswitch/gate/local_upstream.py
@@ -64,7 +64,7 @@
             self.current = upstream
 
     def confirm(self) -> None:
-        """Marks the restored upstream as confirmed by its own health answer."""
+        """Marks the restored upstream as confirmed by its health check."""
         if self._last_heartbeat_ms == float("-inf"):
             self._last_heartbeat_ms = self._clock.now_ms()
 
--- a/src/jayswitch/gate/service_times.py
+++ b/src/jayswitch/gate/service_times.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-# Assumed until the first answer: 100 ms, as in both deployments.
+# Assumed until the first response; the service time in both deployments is 100 ms.
 INITIAL_SERVICE_MS = 100.0
-# Weight of one answer in the moving averages, which span about ten answers.
+# Weight of one response in the moving averages, which span about ten responses.
 SMOOTHING_FACTOR = 0.1
 
 
@@ -19,7 +19,7 @@
         self._by_route: dict[str, float] = {}
 
     def for_route(self, route: str) -> float:
-        """Returns the average of a route, or the overall one if it has no answers."""
+        """Returns the average of a route, or the overall one if it has no samples."""
         return self._by_route.get(route, self.overall_ms)
 
     def record(self, route: str, latency_ms: float) -> None:
--- a/src/jayswitch/gate/slots.py
+++ b/src/jayswitch/gate/slots.py
@@ -14,7 +14,7 @@
     from jayswitch.clock import Clock
     from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
 
-# Calls that may wait per slot. Answers to any beyond that would be late.
+# Calls that may wait per slot; the responses to further ones would be late.
 MAX_WAITING_PER_SLOT = 4
 # Calls granted ahead of a waiting less urgent one before that one gets a turn. Each
 # kind of request must be served at least a quarter as often as all of them.
--- a/src/jayswitch/gate/upstream.py
+++ b/src/jayswitch/gate/upstream.py
@@ -30,7 +30,7 @@
 
 
 class UpstreamResponse:
-    """Head and first part of an answer, and an iterator over a longer body.
+    """Head and first part of a response, and an iterator over the rest of the body.
 
     Reading rest raises IncompleteUpstreamResponse if the body is truncated.
     """
@@ -57,7 +57,7 @@
     def run(
         self, address: str, call: Call, remaining_ms: float
     ) -> Result[UpstreamResponse, UpstreamFailure]:
-        """Sends the call once and waits for the head of the answer."""
+        """Sends the call once and waits for the head of the response."""
 
     def cancel(self, address: str, call: Call) -> None:
-        """Tells the upstream that the answer to the call is no longer needed."""
+        """Tells the upstream that the response to the call is no longer needed."""
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -28,7 +28,8 @@
     from jayswitch.proxy.http_client import Exchange, HttpClient
     from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
 
-# Delay before a retry, about the time in which one running call ends.
+# Delay before a retry where a refusal states none: about the time in which one of the
+# running calls ends.
 DEFAULT_RETRY_MS = 200.0
 HEALTH_TIMEOUT_MS = 300.0
 # Bodies of rejections and health checks have a few bytes; longer ones are truncated.
@@ -37,7 +38,7 @@
 # Share of the slack that is used. The rest covers varying network delay and requests
 # that are in flight when the upstream becomes cold, which count too.
 COLD_SLACK_SHARE = 0.5
-# With less time left the request would be cancelled before the upstream has answered.
+# With less time left the request would be cancelled before the upstream has responded.
 MIN_TIME_LEFT_MS = 10.0
 MOST_URGENT_RANK = 0
 STATUS_OK = 200
@@ -250,7 +251,7 @@
         names = self._names
         echoed = find_header(exchange.headers, names.request_id)
         if echoed not in (None, request.request_id):
-            # A late answer to an earlier request, whatever its outcome.
+            # A late response to an earlier request; it is rejected whatever its status.
             exchange.close()
             return self._outcome_unknown(
                 request, "the answer is another request's", started_ms
@@ -328,7 +329,7 @@
         latency_ms = self._clock.now_ms() - started_ms
         self.counts["timed_out" if timed_out else "broken"] += 1
         if timed_out:
-            # A late answer counts against the version; a lost one does not.
+            # A timeout counts against the version; a broken connection does not.
             self.on_upstream_response(request, True, latency_ms)
             self._times.record(request.route, latency_ms)
         logger.warning(
@@ -403,8 +404,8 @@
     def confirm_restored(self) -> bool:
         """Checks whether the upstream restored from the stored state still runs.
 
-        This avoids waiting for the next heartbeat. Only a successful answer with
-        the expected upstream id confirms it.
+        This avoids waiting for the next heartbeat. Only a successful response
+        with the expected upstream id confirms it.
         """
         exchange = self._request_health()
         current = self._local.current
@@ -413,7 +414,7 @@
         return find_header(exchange.headers, self._names.upstream_id) == current.id
 
     def _is_healthy(self) -> bool:
-        """Checks whether the expected upstream answers; updates its cold time."""
+        """Checks whether the expected upstream responds; updates its cold time."""
         exchange = self._request_health()
         if exchange is None:
             return False
--- a/tests/gate/test_admission.py
+++ b/tests/gate/test_admission.py
@@ -69,7 +69,7 @@
     def succeed(
         self, limiter: ConcurrencyLimiter, count: int, latency_ms: float = 5.0
     ) -> None:
-        """Reports successful answers at full utilisation of the limit."""
+        """Reports successful responses at full utilisation of the limit."""
         for _ in range(count):
             limiter.on_success("read", latency_ms, limiter.limit)
 
@@ -94,7 +94,7 @@
         limiter.on_overload()
         assert limiter.limit == 12
 
-    def test_consecutive_slow_answers_restart_the_ramp(self) -> None:
+    def test_consecutive_slow_responses_restart_the_ramp(self) -> None:
         clock = VirtualClock()
         limiter = ConcurrencyLimiter(20, 1000, clock)
         for _ in range(40):
--- a/tests/gate/test_local_upstream.py
+++ b/tests/gate/test_local_upstream.py
@@ -62,14 +62,14 @@
         assert result is HeartbeatResult.FOREIGN
         assert local.usable is None
 
-    def test_silent_upstream_takes_nothing_new(self) -> None:
+    def test_silent_upstream_gets_no_new_calls(self) -> None:
         clock = VirtualClock()
         local = _local(clock)
         local.handle_heartbeat(Heartbeat(_upstream(), 0))
         clock.sleep_ms(10 * HEARTBEAT_MS)
         assert local.usable is None
 
-    def test_deregistered_upstream_takes_nothing_new(self) -> None:
+    def test_deregistered_upstream_gets_no_new_calls(self) -> None:
         local = _local(VirtualClock())
         local.handle_heartbeat(Heartbeat(_upstream(), 0))
         assert local.deregister("i-1")
