Reword remaining texts of the routing

HTTP responses were called answers, and the router's docstring said that it reports an unknown outcome as unknown. Comments and docstrings only; behaviour is the same.

--- a/src/jayswitch/routing/balancer.py
+++ b/src/jayswitch/routing/balancer.py
@@ -127,7 +127,7 @@
     def report(
         self, node: str, in_flight: int, limit: int, service_ms: float = 0.0
     ) -> None:
-        """Records the load that a gate reports in its answer."""
+        """Records the load that a gate reports with an outcome."""
         load = self._load(node)
         load.service_ms = service_ms
         load.reported_in_flight = in_flight
@@ -140,14 +140,14 @@
         self._load(node).penalty_until_ms = self._clock.now_ms() + duration_ms
 
     def suspect(self, node: str) -> None:
-        """Avoids an upstream that did not answer, with exponential backoff."""
+        """Avoids an upstream that did not respond, with exponential backoff."""
         load = self._load(node)
         load.failures_in_row += 1
         doublings = min(load.failures_in_row, MAX_DOUBLINGS) - 1
         self.penalize(node, FAILURE_PENALTY_MS * 2**doublings)
 
     def is_suspected(self, node: str) -> bool:
-        """Returns whether the latest attempt at an upstream got no answer."""
+        """Returns whether the latest attempt at an upstream got no response."""
         return self._load(node).failures_in_row > 0
 
     def forget(self, node: str) -> None:
--- a/src/jayswitch/routing/exceptions.py
+++ b/src/jayswitch/routing/exceptions.py
@@ -6,7 +6,7 @@
 
 
 class CallFailure(JayswitchError):
-    """A call got no answer; not_run is set if it certainly did not run."""
+    """A call got no response; not_run is set if it is certain that it did not run."""
 
     code = "call-failure"
     not_run = False
--- a/src/jayswitch/routing/request.py
+++ b/src/jayswitch/routing/request.py
@@ -1,4 +1,4 @@
-"""A caller's request, the attempts made for it and its answer."""
+"""A caller's request, the attempts made for it and its response."""
 
 from __future__ import annotations
 
@@ -53,7 +53,7 @@
         headers: list[Header],
         body: Iterator[bytes],
     ) -> None:
-        """Expects the upstream's answer and the name of its node."""
+        """Expects the upstream's response and the name of its node."""
         self.request_id = request_id
         self.upstream = upstream
         self.status = status
@@ -62,7 +62,7 @@
 
 
 class BodyTruncated(Exception):
-    """The body of an answer is truncated and must not be treated as complete."""
+    """The body of a response is truncated and must not be treated as complete."""
 
 
 class RequestAttempts:
@@ -117,7 +117,7 @@
         return self.request.method in self.route.idempotent_methods
 
     def record_failure(self, node: str, outcome: Refusal | Unknown) -> None:
-        """Records an attempt that got no answer.
+        """Records an attempt that got no response.
 
         Later attempts use the proved version, whichever version was tried first.
         """
--- a/src/jayswitch/routing/router.py
+++ b/src/jayswitch/routing/router.py
@@ -68,7 +68,7 @@
 
 
 class Router:
-    """Routes callers' requests to gates; reports an unknown outcome as unknown."""
+    """Routes requests to gates; never reports an unknown outcome as not run."""
 
     def __init__(
         self,
@@ -98,7 +98,7 @@
         self._budget_by_service: dict[str, RetryBudget] = {}
 
     def call(self, request: CallerRequest) -> Result[CallerResponse, CallFailure]:
-        """Runs a request; a failure states whether it certainly did not run."""
+        """Runs a request; a failure states if it is certain that it did not run."""
         self.counts["calls"] += 1
         self.in_flight += 1
         try:
@@ -263,7 +263,7 @@
             return
         self.on_outcome(call, failed)
 
-    # Answers
+    # Replies
 
     def receive(self, message: Reply) -> None:
         """Passes a reply to the waiting task; counts replies that come too late."""
