Reword remaining texts of the rollout

Responses of an upstream on trial were called answers. The reason of a bad trial and the stored evidence keep their texts. Comments and docstrings only; behaviour is the same.

--- a/src/jayswitch/rollout/trial.py
+++ b/src/jayswitch/rollout/trial.py
@@ -1,4 +1,4 @@
-"""Evaluates a version on trial by the answers of one of its upstreams."""
+"""Evaluates a version on trial by the responses of one of its upstreams."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 from jayswitch.fleet.records import VersionCounts
 
-# Number of latest answers that are evaluated, per route and over all routes.
+# Number of latest responses that are evaluated, per route and over all routes.
 ROUTE_WINDOW = 12
 OVERALL_WINDOW = 24
 # A version is bad from this many failures, if they are also at least this share of
@@ -17,23 +17,23 @@
 # deployment fails at most 4 in 1000 requests.
 MIN_BAD_RESPONSES = 3
 MIN_BAD_SHARE = 0.2
-# An answer is slow above this multiple of the proved version's average latency, plus
+# A response is slow above this multiple of the proved version's average latency, plus
 # the extra time. A cold upstream takes about twice the average.
 SLOW_FACTOR = 3.5
 SLOW_EXTRA_MS = 60.0
-# About 1 in 100 answers of a sound upstream is slow and 1 in 1000 is twice as slow.
-# Four slow answers therefore weigh as much as three failures.
+# About 1 in 100 responses of a sound upstream is slow and 1 in 1000 is twice as slow.
+# Four slow responses therefore weigh as much as three failures.
 SLOW_RESPONSE_WEIGHT = 0.75
 VERY_SLOW_FACTOR = 2.0
 # Upstreams of one service differ in speed, up to twice the average latency. The speed
 # of an upstream is estimated from a low quantile of its latencies: in most
-# distributions 30 % of the answers take less than 0.6 of the average.
+# distributions 30 % of the responses take less than 0.6 of the average.
 SPEED_QUANTILE = 0.3
 SPEED_QUANTILE_RATIO = 0.6
 MAX_SLOWDOWN = 2.0
 MIN_RESPONSES_FOR_SLOWDOWN = 8
 # Smoothing factors of the proved version's moving averages, which span about 20
-# answers for latency and 10 for failures.
+# responses for latency and 10 for failures.
 LATENCY_SMOOTHING = 0.05
 FAILURES_SMOOTHING = 0.1
 
@@ -41,14 +41,14 @@
 class RouteAverages(msgspec.Struct, frozen=True):
     """Moving averages of the proved version on a route, as seen by one sender.
 
-    latency_ms is 0 if unknown; failures is the share of failed answers.
+    latency_ms is 0 if unknown; failures is the share of failed responses.
     """
 
     latency_ms: float = 0.0
     failures: float = 0.0
 
     def updated(self, failed: bool, latency_ms: float) -> RouteAverages:
-        """Returns the moving averages after one more answer."""
+        """Returns the moving averages after one more response."""
         failures = self.failures + (float(failed) - self.failures) * FAILURES_SMOOTHING
         if failed:
             return RouteAverages(self.latency_ms, failures)
@@ -59,12 +59,12 @@
 
 
 class TrialEvaluator:
-    """Counts good and bad answers of an upstream and decides if its version is bad."""
+    """Counts good and bad responses of an upstream; decides if its version is bad."""
 
     __slots__ = ("_by_route", "_overall", "_latency_ratios", "counts", "reason")
 
     def __init__(self) -> None:
-        """Starts without answers."""
+        """Starts without responses."""
         self.counts = VersionCounts()
         self.reason = ""
         self._overall: deque[float] = deque(maxlen=OVERALL_WINDOW)
@@ -79,7 +79,7 @@
     def observe(
         self, route: str, failed: bool, latency_ms: float, expected: RouteAverages
     ) -> None:
-        """Evaluates one answer against the proved version's averages on the route."""
+        """Evaluates one response against the proved version's averages on the route."""
         min_bad_share = MIN_BAD_SHARE + expected.failures
         min_bad_responses = MIN_BAD_RESPONSES + int(expected.failures * OVERALL_WINDOW)
         weight = (
@@ -105,7 +105,7 @@
                 return
 
     def _slowness_weight(self, latency_ms: float, expected_ms: float) -> float:
-        """Returns the weight of an answer's latency against the version, 0 to 1."""
+        """Returns the weight of a response's latency against the version, 0 to 1."""
         if expected_ms <= 0:
             return 0.0
         limit_ms = expected_ms * SLOW_FACTOR * self._slowdown() + SLOW_EXTRA_MS
--- a/src/jayswitch/rollout/versions.py
+++ b/src/jayswitch/rollout/versions.py
@@ -82,7 +82,7 @@
         return move is not None and move.to_version == version and move.share > 0
 
     def is_on_trial(self, service: str, version: str) -> bool:
-        """Returns whether a version's answers have to be evaluated."""
+        """Returns whether a version's responses have to be evaluated."""
         move = self._running_move(service)
         return move is not None and move.to_version == version
 
--- a/tests/rollout/test_trial.py
+++ b/tests/rollout/test_trial.py
@@ -1,4 +1,4 @@
-"""Tests of evaluating a version on trial by the answers of one upstream."""
+"""Tests of evaluating a version on trial by the responses of one upstream."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class TestTrialEvaluator:
-    """Bad versions are found within a few answers, without false positives."""
+    """Bad versions are found within a few responses, without false positives."""
 
     def test_failing_version_is_found_within_fifteen_bad_responses(self) -> None:
         for seed in range(50):
