--- a/src/jayswitch/fleet/records.py
+++ b/src/jayswitch/fleet/records.py
@@ -41,7 +41,7 @@
 
 
 class VersionCounts(msgspec.Struct):
-    """Numbers of good and bad answers of an upstream whose version is on trial."""
+    """Numbers of good and bad responses of an upstream whose version is on trial."""
 
     good: int = 0
     bad: int = 0
