Give one name to the local upstream, the averages and the evacuation

ProxyProcess and UpstreamGate called their LocalUpstream "local"; a RouteAverages was called stats in the proxy; the gate's flag for an evacuated data centre was called out_of_service, while the runner, the reason EVACUATED and the operator's order say evacuated; the gate's flag _suspect read as a verb beside Balancer.suspect. The coordinator's tests had show and shown. Names, and the same words in the docstring of HopRequest; the wire keeps "usual", and behaviour is the same.

--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -74,7 +74,7 @@
     def __init__(
         self,
         address: str,
-        local: LocalUpstream,
+        local_upstream: LocalUpstream,
         cold_limiter: ColdRateLimiter,
         client: HttpClient,
         names: HeaderNames,
@@ -86,19 +86,19 @@
         self.counts: Counter[str] = Counter()
         self.slots = SlotQueue(1, cold_limiter, clock)
         self.health_path = "/health"
-        self.out_of_service = False
+        self.data_centre_evacuated = False
         self.is_version_allowed: Callable[[str], bool] = lambda version: True
         self.on_upstream_response: UpstreamResponseListener = (
             lambda request, failed, latency_ms: None
         )
         self.cold_limiter = cold_limiter
         self._address = address
-        self._local = local
+        self._local_upstream = local_upstream
         self._client = client
         self._names = names
         self._clock = clock
         self._times = ServiceTimes()
-        self._suspect = False
+        self._suspected = False
         self._check_running = False
         self._check_done = Event()
 
@@ -124,7 +124,7 @@
 
     def resize(self) -> None:
         """Applies the number of slots of the current upstream."""
-        current = self._local.current
+        current = self._local_upstream.current
         if current is not None and current.slots != self.slots.limit:
             self.slots.limit = max(1, current.slots)
             self.slots.grant_free_slots()
@@ -133,7 +133,7 @@
         """Discards connections and service times of the previous incarnation."""
         self._client.forget(self._address)
         self._times = ServiceTimes()
-        self._suspect = False
+        self._suspected = False
         self.resize()
 
     def run(self, request: ForwardedRequest) -> AttemptOutcome:
@@ -163,9 +163,9 @@
         return outcome
 
     def _refusal(self, request: ForwardedRequest) -> str | None:
-        current = self._local.usable
+        current = self._local_upstream.usable
         if current is None:
-            left = self._local.current is not None
+            left = self._local_upstream.current is not None
             return reasons.LEAVING if left else reasons.NO_UPSTREAM
         if current.service != request.service:
             return reasons.OTHER_UPSTREAM
@@ -173,9 +173,9 @@
             return reasons.OTHER_UPSTREAM
         if not self.is_version_allowed(current.version):
             return reasons.WITHDRAWN
-        if self.out_of_service:
+        if self.data_centre_evacuated:
             return reasons.EVACUATED
-        if self._suspect:
+        if self._suspected:
             return reasons.HEALTH_CHECK_FAILING
         if request.time_to_deadline_ms(self._clock) < MIN_TIME_LEFT_MS:
             return reasons.DEADLINE_TOO_NEAR
@@ -197,7 +197,7 @@
         refusal = self._refusal(request)
         if refusal is not None:
             return self._refuse(request, refusal)
-        current = self._local.usable
+        current = self._local_upstream.usable
         assert current is not None
         return self._send(request, current)
 
@@ -374,7 +374,7 @@
         A broken connection may indicate a new incarnation, which is cold.
         """
         self._client.forget(self._address)
-        self._suspect = True
+        self._suspected = True
         logger.warning("upstream suspected", extra={"reason": reason})
         if not self._check_running:
             self._check_running = True
@@ -383,13 +383,13 @@
 
     def _check_health(self) -> None:
         try:
-            while self._suspect and self._local.usable is not None:
+            while self._suspected and self._local_upstream.usable is not None:
                 if self._is_healthy():
-                    self._suspect = False
+                    self._suspected = False
                     logger.info("upstream answers again")
                     return
                 self._clock.sleep_ms(HEALTH_RETRY_MS)
-            self._suspect = False
+            self._suspected = False
         finally:
             self._check_running = False
             self._check_done.send(None)
@@ -408,7 +408,7 @@
         with the expected upstream id confirms it.
         """
         exchange = self._request_health()
-        current = self._local.current
+        current = self._local_upstream.current
         if exchange is None or current is None or exchange.status != STATUS_OK:
             return False
         return find_header(exchange.headers, self._names.upstream_id) == current.id
@@ -418,7 +418,7 @@
         exchange = self._request_health()
         if exchange is None:
             return False
-        current = self._local.current
+        current = self._local_upstream.current
         upstream_id = find_header(exchange.headers, self._names.upstream_id)
         # A rejection without an upstream id still shows that the upstream runs.
         return upstream_id is None or current is None or upstream_id == current.id
--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -107,7 +107,7 @@
         self._balancer = balancer
         self._budget_settings = budget_settings
         self._retry_budget_by_service: dict[str, SlidingWindowRetryBudget] = {}
-        self._proved_stats_by_route: dict[str, RouteAverages] = {}
+        self._proved_averages_by_route: dict[str, RouteAverages] = {}
         self._clock = clock
         self._random = rng
 
@@ -115,7 +115,7 @@
         """Runs a request; returns NotRun only if no upstream has run it."""
         request.service = route.choose_service(self._random)
         request.route = route.name
-        request.proved_stats = self._proved_stats_by_route.get(
+        request.proved_averages = self._proved_averages_by_route.get(
             route.name, RouteAverages()
         )
         budget = self._retry_budget(request.service)
@@ -263,8 +263,10 @@
         else:
             return
         elapsed_ms = self._clock.now_ms() - started_ms
-        proved_stats = self._proved_stats_by_route.get(request.route, RouteAverages())
-        self._proved_stats_by_route[request.route] = proved_stats.updated(
+        proved_averages = self._proved_averages_by_route.get(
+            request.route, RouteAverages()
+        )
+        self._proved_averages_by_route[request.route] = proved_averages.updated(
             failed, elapsed_ms
         )
 
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -51,7 +51,7 @@
     """Routing decisions of the sending proxy, sent in a header of the request.
 
     objective_ms is the remaining time; known holds the newest store revisions that
-    the sender has seen; usual holds the proved version's statistics for the route.
+    the sender has seen; usual holds the proved version's averages on the route.
     """
 
     service: str
@@ -100,7 +100,7 @@
         route=request.route,
         sender=request.origin_vm,
         known=known,
-        usual=request.proved_stats,
+        usual=request.proved_averages,
         objective_ms=round(request.objective_ms - now_ms),
         rank=request.rank,
         repeatable=request.repeatable,
@@ -141,7 +141,7 @@
     request.repeatable = hop.repeatable
     request.rank = hop.rank
     request.route = hop.route
-    request.proved_stats = hop.usual
+    request.proved_averages = hop.usual
     request.origin_vm = hop.sender
     request.objective_ms = now_ms + hop.objective_ms
     request.deadline_ms = now_ms + _parse_int_header(headers, names.time_left_ms)
--- a/src/jayswitch/proxy/outcome.py
+++ b/src/jayswitch/proxy/outcome.py
@@ -54,7 +54,7 @@
         "route",
         "service",
         "target",
-        "proved_stats",
+        "proved_averages",
         "version",
     )
 
@@ -77,7 +77,7 @@
         self.service = ""
         self.version = ""
         self.route = ""
-        self.proved_stats = RouteAverages()
+        self.proved_averages = RouteAverages()
         self.caller_service = ""
         self.origin_vm = ""
         self.last_vm = ""
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -134,13 +134,13 @@
     def _build_gate(self, names: HeaderNames) -> None:
         settings, clock = self.settings, self._clock
         self.cold_limiter = ColdRateLimiter(clock)
-        self.local = LocalUpstream(
+        self.local_upstream = LocalUpstream(
             settings.service, settings.heartbeat_ms, clock, self.cold_limiter.set_cold
         )
         self.upstream_client = HttpClient(clock, UPSTREAM_CONNECT_TIMEOUT_MS)
         self.gate = UpstreamGate(
             settings.upstream_address,
-            self.local,
+            self.local_upstream,
             self.cold_limiter,
             self.upstream_client,
             names,
@@ -296,7 +296,7 @@
         """
         if not self.directory.at_least_half_accept_callers(self.settings.data_centre):
             return True
-        current = self.local.current
+        current = self.local_upstream.current
         return current is not None and current.state is not UpstreamState.READY
 
     @property
@@ -310,10 +310,10 @@
         """Applies a heartbeat; returns whether it may be acknowledged."""
         if not self.publisher.restored:
             return False
-        previous = self.local.current
-        result = self.local.handle_heartbeat(heartbeat)
+        previous = self.local_upstream.current
+        result = self.local_upstream.handle_heartbeat(heartbeat)
         if result is HeartbeatResult.CHANGED:
-            current = self.local.current
+            current = self.local_upstream.current
             assert current is not None
             if previous is None or not previous.same_incarnation(current):
                 self.gate.restart()
@@ -328,10 +328,10 @@
         """Applies a deregistration; returns whether it may be acknowledged."""
         if not self.publisher.restored:
             return False
-        current = self.local.current
+        current = self.local_upstream.current
         if current is not None and started_ms and started_ms < current.started_ms:
             return True
-        if self.local.deregister(upstream_id):
+        if self.local_upstream.deregister(upstream_id):
             self.publisher.publish()
         return self._wait_until_stored(upstream_id)
 
@@ -351,7 +351,7 @@
     def _restore(self, upstream: Upstream | None) -> None:
         if upstream is None:
             return
-        self.local.restore(upstream)
+        self.local_upstream.restore(upstream)
         self.cold_limiter.reserve_window()
         logger.info(
             "stored upstream state restored",
@@ -361,15 +361,15 @@
             eventlet.spawn_n(self._confirm_restored)
 
     def _confirm_restored(self) -> None:
-        if self.gate.confirm_restored() and self.local.usable is None:
-            self.local.confirm()
+        if self.gate.confirm_restored() and self.local_upstream.usable is None:
+            self.local_upstream.confirm()
             self.gate.resize()
             logger.info("restored upstream confirmed by its health check")
             self.publisher.publish()
 
     def _build_record(self) -> NodeRecord:
         settings = self.settings
-        current = self.local.current
+        current = self.local_upstream.current
         published_upstream = None
         ready = current is not None and current.state is UpstreamState.READY
         if current is not None:
@@ -391,7 +391,7 @@
         )
 
     def _current_upstream(self) -> Upstream | None:
-        return self.local.current
+        return self.local_upstream.current
 
     # Fleet records
 
@@ -404,7 +404,7 @@
     # Rollout
 
     def _is_on_trial(self) -> bool:
-        current = self.local.current
+        current = self.local_upstream.current
         service = self.settings.service
         return current is not None and self.rules.is_on_trial(service, current.version)
 
@@ -419,14 +419,14 @@
     ) -> None:
         """Records a response of the upstream, and evaluates its version if on trial."""
         self.latency.observe_upstream(latency_ms)
-        current = self.local.current
+        current = self.local_upstream.current
         if current is None or not self._is_on_trial():
             return
-        proved_stats = request.proved_stats
+        proved_averages = request.proved_averages
         if self.cold_limiter.is_cold:
             # A cold upstream is slow whatever its version, so latency is not compared.
-            proved_stats = RouteAverages(0.0, proved_stats.failures)
-        self.trial.observe(request.route, failed, latency_ms, proved_stats)
+            proved_averages = RouteAverages(0.0, proved_averages.failures)
+        self.trial.observe(request.route, failed, latency_ms, proved_averages)
         service = self.settings.service
         if self.trial.is_bad and self.rules.withdraw(service, current.version):
             self.coordinator.roll_back(service, self.trial.reason)
@@ -442,7 +442,7 @@
         catalog = self.orders.catalog
         self.outbound.catalog = catalog
         data_centre_evacuated = self.settings.data_centre in self.orders.evacuated
-        self.gate.out_of_service = data_centre_evacuated
+        self.gate.data_centre_evacuated = data_centre_evacuated
         if catalog is not None:
             service = catalog.service_by_name.get(self.settings.service)
             if service is not None:
@@ -481,7 +481,7 @@
                 "ready": self.ready,
                 "draining": self.draining,
                 "config": catalog.version if catalog else 0,
-                "upstream": self.local.current,
+                "upstream": self.local_upstream.current,
                 "load": self.gate.load,
                 "evacuated": sorted(self.orders.evacuated),
                 "fleet": list(self.directory.record_by_vm.values()),
--- a/tests/loopback/test_upstreams.py
+++ b/tests/loopback/test_upstreams.py
@@ -59,7 +59,7 @@
         loopback.add("vm-1", upstream)
         wait_until(lambda: loopback.store.read("jayswitch-last/vm-1") is not None)
         again = loopback.start_proxy("vm-1", upstream)
-        wait_until(lambda: again.local.usable is not None)
+        wait_until(lambda: again.local_upstream.usable is not None)
         assert exchange(again.settings.callers_address, request()).status == 200
 
     def test_another_upstream_at_the_address_is_not(self) -> None:
@@ -70,7 +70,7 @@
         again = loopback.start_proxy("vm-1", upstream)
         wait_until(lambda: again.gate.counts["health_checks"] == 1)
         eventlet.sleep(0.1)
-        assert again.local.usable is None
+        assert again.local_upstream.usable is None
 
 
 class TestHeartbeats:
--- a/tests/proxy/test_hop.py
+++ b/tests/proxy/test_hop.py
@@ -41,7 +41,7 @@
     request = ForwardedRequest("id-1", "GET", "/a", [("Host", "h")], b"", None)
     request.service, request.version, request.route = "herdview", "v1", "read"
     request.repeatable, request.rank = True, 2
-    request.proved_stats = RouteAverages(120.0, 0.1)
+    request.proved_averages = RouteAverages(120.0, 0.1)
     request.deadline_ms, request.objective_ms = 2000.0, 500.0
     request.caller_service = "robotdesk"
     return request
@@ -104,7 +104,7 @@
             "route",
             "repeatable",
             "rank",
-            "proved_stats",
+            "proved_averages",
         ):
             assert getattr(received, name) == getattr(_request(), name)
         assert (received.deadline_ms, received.objective_ms) == (2000.0, 500.0)
--- a/tests/rollout/test_coordinator.py
+++ b/tests/rollout/test_coordinator.py
@@ -41,7 +41,7 @@
         self.rules = [VersionRules(random.Random(n)) for n in range(size)]
         self.directory = Directory()
         self.coordinators = [self._start(number) for number in range(size)]
-        self.show("vm-0", "v1", 0)
+        self.publish_upstream("vm-0", "v1", 0)
         self.clock.sleep_ms(5000)
 
     def _start(self, number: int) -> MoveCoordinator:
@@ -62,7 +62,7 @@
         coordinator.start()
         return coordinator
 
-    def show(self, vm: str, version: str, good: int) -> None:
+    def publish_upstream(self, vm: str, version: str, good: int) -> None:
         """Publishes an upstream with its number of good answers."""
         upstream = Upstream("i", 1, SERVICE, version, 6, UpstreamState.READY)
         record = NodeRecord(
@@ -77,7 +77,7 @@
             now_ms = self.clock.now_ms()
             orders.put_move(MoveOrder(SERVICE, "v2", DURATION_MS, revision, now_ms))
 
-    def shown(self) -> str:
+    def status(self) -> str:
         """Returns the state that operators read."""
         stored = self.store._values_by_key.get(f"shown/{SERVICE}")
         return stored.value.decode() if stored else ""
@@ -93,38 +93,38 @@
 
     def test_good_version_is_completed_in_time_and_proved(self) -> None:
         fleet = Fleet(3)
-        fleet.show("vm-1", "v2", 100)
+        fleet.publish_upstream("vm-1", "v2", 100)
         fleet.order()
         fleet.clock.sleep_ms(1000)
-        assert fleet.shown() == RUNNING
+        assert fleet.status() == RUNNING
         fleet.clock.sleep_ms(DURATION_MS - 1000)
-        assert fleet.shown() == COMPLETED
+        assert fleet.status() == COMPLETED
         assert fleet.rules[2].proved_version_by_service[SERVICE] == "v2"
 
     def test_share_stays_small_without_good_answers(self) -> None:
         fleet = Fleet(3)
-        fleet.show("vm-1", "v2", 0)
+        fleet.publish_upstream("vm-1", "v2", 0)
         fleet.order()
         fleet.clock.sleep_ms(DURATION_MS - 500)
         assert fleet.move().share <= 0.05
         fleet.clock.sleep_ms(3000)
-        assert fleet.shown() == ROLLED_BACK
+        assert fleet.status() == ROLLED_BACK
 
     def test_rollback_ends_the_move_permanently(self) -> None:
         fleet = Fleet(3)
-        fleet.show("vm-1", "v2", 100)
+        fleet.publish_upstream("vm-1", "v2", 100)
         fleet.order()
         fleet.clock.sleep_ms(2000)
         fleet.rules[1].withdraw(SERVICE, "v2")
         fleet.coordinators[1].roll_back(SERVICE, "it failed")
         fleet.clock.sleep_ms(1000)
-        assert fleet.shown() == ROLLED_BACK
+        assert fleet.status() == ROLLED_BACK
         fleet.clock.sleep_ms(DURATION_MS)
-        assert fleet.shown() == ROLLED_BACK
+        assert fleet.status() == ROLLED_BACK
 
     def test_rollback_is_stored_after_a_store_outage(self) -> None:
         fleet = Fleet(2)
-        fleet.show("vm-1", "v2", 100)
+        fleet.publish_upstream("vm-1", "v2", 100)
         fleet.order()
         fleet.clock.sleep_ms(2000)
         fleet.store.faults.down = True
@@ -132,21 +132,21 @@
         fleet.clock.sleep_ms(3000)
         fleet.store.faults.down = False
         fleet.clock.sleep_ms(2000)
-        assert fleet.shown() == ROLLED_BACK
+        assert fleet.status() == ROLLED_BACK
 
     def test_next_proxy_takes_over_from_one_that_cannot_write(self) -> None:
         fleet = Fleet(3)
         fleet.coordinators[0]._store = MemoryStore(fleet.clock)
         fleet.coordinators[0]._store.faults.down = True  # type: ignore[attr-defined]
-        fleet.show("vm-1", "v2", 100)
-        fleet.show("vm-2", "v1", 0)
+        fleet.publish_upstream("vm-1", "v2", 100)
+        fleet.publish_upstream("vm-2", "v1", 0)
         fleet.order()
         fleet.clock.sleep_ms(DURATION_MS)
-        assert fleet.shown() == COMPLETED
+        assert fleet.status() == COMPLETED
 
     def test_later_order_replaces_an_earlier_one(self) -> None:
         fleet = Fleet(2)
-        fleet.show("vm-1", "v2", 100)
+        fleet.publish_upstream("vm-1", "v2", 100)
         fleet.order(50)
         fleet.clock.sleep_ms(2000)
         fleet.rules[0].withdraw(SERVICE, "v2")
