Correct a test's comment on the retry budget and call slow calls calls

A comment in the runner's tests said that a proxy gets a third of the slack and the ratio of its requests. That is the bound which the test checks; a proxy spends half of it (SHARE_OF_SLACK, SHARE_OF_RATIO). The version comparison counts calls, but named one of its tests after slow answers. Two docstrings and a test name in the gate's and the fleet's tests were figurative. Names, comments and docstrings only; assertions and behaviour are the same.

--- a/src/jayswitch/rollout/version_comparison.py
+++ b/src/jayswitch/rollout/version_comparison.py
@@ -79,8 +79,8 @@
         )
 
     @classmethod
-    def for_slow_answers(cls, delay: int) -> RateCusum:
-        """Returns a test for the rate of slow answers."""
+    def for_slow_calls(cls, delay: int) -> RateCusum:
+        """Returns a test for the rate of slow calls."""
         return cls(SLOW_RATE_FLOOR, SLOW_RATE_RAISED_FACTOR, SLOW_RATE_RAISED_BY, delay)
 
     def observe(
@@ -143,7 +143,7 @@
         """Starts without observations; the delay is in intervals."""
         self._bad_score = bad_score
         self.errors = RateCusum.for_errors(delay)
-        self.slow = RateCusum.for_slow_answers(delay)
+        self.slow = RateCusum.for_slow_calls(delay)
         self.new_calls = 0
         self.old_calls = 0
         self._old = RouteOutcomes()
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -24,7 +24,7 @@
 
 
 class TestDirectory:
-    """An expired lease alone does not remove a proxy; an unreachable one goes."""
+    """A serving proxy with an expired lease is removed once it is unreachable."""
 
     def test_only_ready_upstreams_are_members(self) -> None:
         directory = Directory()
@@ -68,7 +68,7 @@
         directory.report_unreachable("a")
         assert _names(directory) == ["a"]
 
-    def test_callers_are_sent_elsewhere_while_half_of_the_proxies_take_them(
+    def test_callers_are_sent_elsewhere_while_half_of_the_proxies_accept_them(
         self,
     ) -> None:
         directory = Directory()
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -60,7 +60,7 @@
     """Upstream client with a configurable outcome that counts executions."""
 
     def __init__(self, clock: VirtualClock) -> None:
-        """Answers after 20 ms."""
+        """Takes the clock; each run takes 20 ms."""
         self.runs_by_attempt: Counter[str] = Counter()
         self.runs_by_request: Counter[str] = Counter()
         self.outcome = "answer"
--- a/tests/proxy/test_attempts.py
+++ b/tests/proxy/test_attempts.py
@@ -155,7 +155,8 @@
         for _ in range(100):
             fixture.run()
         retries = len(fixture.hops.addresses) - 100
-        # One of three proxies gets a third of the slack plus the ratio of its requests.
+        # A third of the slack plus the ratio of the proxy's requests is the upper bound
+        # for one of three proxies; a proxy spends only half of that.
         assert retries <= 0.2 * 100 + 60 / 3
 
     def test_refusals_do_not_consume_budget(self) -> None:
