--- a/src/jayswitch/gate/exceptions.py
+++ b/src/jayswitch/gate/exceptions.py
@@ -6,7 +6,7 @@
 
 
 class UpstreamFailure(JayswitchError):
-    """The upstream did not return a complete answer."""
+    """The upstream did not return a complete response."""
 
     code = "upstream-failure"
     status = 502
@@ -39,8 +39,8 @@
         )
 
 
-class IncompleteUpstreamAnswer(UpstreamFailure):
-    """The request was sent, but no complete answer was received."""
+class IncompleteUpstreamResponse(UpstreamFailure):
+    """The request was sent, but no complete response was received."""
 
     code = "upstream-broke"
 
--- a/src/jayswitch/gate/upstream.py
+++ b/src/jayswitch/gate/upstream.py
@@ -29,10 +29,10 @@
     leaving: bool = False
 
 
-class UpstreamAnswer:
-    """Head and first part of an answer, and an iterator over a longer body.
+class UpstreamResponse:
+    """Head and first part of a response, and an iterator over the rest of the body.
 
-    Reading rest raises IncompleteUpstreamAnswer if the body is truncated.
+    Reading rest raises IncompleteUpstreamResponse if the body is truncated.
     """
 
     __slots__ = ("body", "headers", "rest", "status")
@@ -56,8 +56,8 @@
 
     def run(
         self, address: str, call: Call, remaining_ms: float
-    ) -> Result[UpstreamAnswer, UpstreamFailure]:
-        """Sends the call once and waits for the head of the answer."""
+    ) -> Result[UpstreamResponse, UpstreamFailure]:
+        """Sends the call once and waits for the head of the response."""
 
     def cancel(self, address: str, call: Call) -> None:
-        """Tells the upstream that the answer to the call is no longer needed."""
+        """Tells the upstream that the response to the call is no longer needed."""
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -28,8 +28,9 @@
     from jayswitch.proxy.http_client import Exchange, HttpClient
     from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
 
-# Delay before a retry, about the time in which one running call ends.
-LEAVING_RETRY_MS = 200.0
+# Delay before a retry where a refusal states none: about the time in which one of the
+# running calls ends.
+DEFAULT_RETRY_MS = 200.0
 HEALTH_TIMEOUT_MS = 300.0
 # Bodies of rejections and health checks have a few bytes; longer ones are truncated.
 MAX_DISCARD_BYTES = 64 * 1024
@@ -37,14 +38,14 @@
 # Share of the slack that is used. The rest covers varying network delay and requests
 # that are in flight when the upstream becomes cold, which count too.
 COLD_SLACK_SHARE = 0.5
-# With less time left the request would be cancelled before the upstream has answered.
+# With less time left the request would be cancelled before the upstream has responded.
 MIN_TIME_LEFT_MS = 10.0
 MOST_URGENT_RANK = 0
 STATUS_OK = 200
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 
-AnswerListener = Callable[["ForwardedRequest", bool, float], None]
+UpstreamResponseListener = Callable[["ForwardedRequest", bool, float], None]
 
 logger = logging.getLogger(__name__)
 
@@ -73,7 +74,7 @@
     def __init__(
         self,
         address: str,
-        local: LocalUpstream,
+        local_upstream: LocalUpstream,
         cold_limiter: ColdRateLimiter,
         client: HttpClient,
         names: HeaderNames,
@@ -85,17 +86,19 @@
         self.counts: Counter[str] = Counter()
         self.slots = SlotQueue(1, cold_limiter, clock)
         self.health_path = "/health"
-        self.out_of_service = False
+        self.data_centre_evacuated = False
         self.is_version_allowed: Callable[[str], bool] = lambda version: True
-        self.on_answer: AnswerListener = lambda request, failed, latency_ms: None
+        self.on_upstream_response: UpstreamResponseListener = (
+            lambda request, failed, latency_ms: None
+        )
         self.cold_limiter = cold_limiter
         self._address = address
-        self._local = local
+        self._local_upstream = local_upstream
         self._client = client
         self._names = names
         self._clock = clock
         self._times = ServiceTimes()
-        self._suspect = False
+        self._suspected = False
         self._check_running = False
         self._check_done = Event()
 
@@ -121,7 +124,7 @@
 
     def resize(self) -> None:
         """Applies the number of slots of the current upstream."""
-        current = self._local.current
+        current = self._local_upstream.current
         if current is not None and current.slots != self.slots.limit:
             self.slots.limit = max(1, current.slots)
             self.slots.grant_free_slots()
@@ -130,7 +133,7 @@
         """Discards connections and service times of the previous incarnation."""
         self._client.forget(self._address)
         self._times = ServiceTimes()
-        self._suspect = False
+        self._suspected = False
         self.resize()
 
     def run(self, request: ForwardedRequest) -> AttemptOutcome:
@@ -160,9 +163,9 @@
         return outcome
 
     def _refusal(self, request: ForwardedRequest) -> str | None:
-        current = self._local.usable
+        current = self._local_upstream.usable
         if current is None:
-            left = self._local.current is not None
+            left = self._local_upstream.current is not None
             return reasons.LEAVING if left else reasons.NO_UPSTREAM
         if current.service != request.service:
             return reasons.OTHER_UPSTREAM
@@ -170,9 +173,9 @@
             return reasons.OTHER_UPSTREAM
         if not self.is_version_allowed(current.version):
             return reasons.WITHDRAWN
-        if self.out_of_service:
+        if self.data_centre_evacuated:
             return reasons.EVACUATED
-        if self._suspect:
+        if self._suspected:
             return reasons.HEALTH_CHECK_FAILING
         if request.time_to_deadline_ms(self._clock) < MIN_TIME_LEFT_MS:
             return reasons.DEADLINE_TOO_NEAR
@@ -194,7 +197,7 @@
         refusal = self._refusal(request)
         if refusal is not None:
             return self._refuse(request, refusal)
-        current = self._local.usable
+        current = self._local_upstream.usable
         assert current is not None
         return self._send(request, current)
 
@@ -212,10 +215,10 @@
                 self._headers(request, current, left_ms),
                 request.body or None,
             )
-            return self._process_answer(request, exchange, started_ms)
+            return self._process_response(request, exchange, started_ms)
         except RequestNotSent as error:
             self._suspect_upstream(error.cause)
-            return self._refuse(request, reasons.CONNECTION_REFUSED, LEAVING_RETRY_MS)
+            return self._refuse(request, reasons.CONNECTION_REFUSED, DEFAULT_RETRY_MS)
         except ExchangeFailed as error:
             self._suspect_upstream(error.cause)
             return self._outcome_unknown(request, error.cause, started_ms)
@@ -242,13 +245,13 @@
             headers.append(("Content-Length", str(request.body_length)))
         return headers
 
-    def _process_answer(
+    def _process_response(
         self, request: ForwardedRequest, exchange: Exchange, started_ms: float
     ) -> AttemptOutcome:
         names = self._names
         echoed = find_header(exchange.headers, names.request_id)
         if echoed not in (None, request.request_id):
-            # A late answer to an earlier request, whatever its outcome.
+            # A late response to an earlier request; it is rejected whatever its status.
             exchange.close()
             return self._outcome_unknown(
                 request, "the answer is another request's", started_ms
@@ -268,7 +271,7 @@
             exchange.close()
             reason = "the answer has no signature or no id"
             return self._outcome_unknown(request, reason, started_ms)
-        self._record_answer(request, exchange.status, started_ms)
+        self._record_response(request, exchange.status, started_ms)
         body = self._read(request, exchange)
         return Answered(
             exchange.status,
@@ -306,7 +309,7 @@
         finally:
             exchange.close()
 
-    def _record_answer(
+    def _record_response(
         self, request: ForwardedRequest, status: int, started_ms: float
     ) -> None:
         latency_ms = self._clock.now_ms() - started_ms
@@ -314,7 +317,7 @@
         self.counts["upstream_errors" if failed else "answered"] += 1
         if not failed:
             self._times.record(request.route, latency_ms)
-        self.on_answer(request, failed, latency_ms)
+        self.on_upstream_response(request, failed, latency_ms)
 
     def _outcome_unknown(
         self,
@@ -326,8 +329,8 @@
         latency_ms = self._clock.now_ms() - started_ms
         self.counts["timed_out" if timed_out else "broken"] += 1
         if timed_out:
-            # A late answer counts against the version; a lost one does not.
-            self.on_answer(request, True, latency_ms)
+            # A timeout counts against the version; a broken connection does not.
+            self.on_upstream_response(request, True, latency_ms)
             self._times.record(request.route, latency_ms)
         logger.warning(
             "upstream gave no whole answer",
@@ -343,7 +346,7 @@
         self,
         request: ForwardedRequest,
         reason: str,
-        retry_after_ms: float = LEAVING_RETRY_MS,
+        retry_after_ms: float = DEFAULT_RETRY_MS,
         reached_upstream: bool = False,
     ) -> NotRun:
         self.counts[f"refused: {reason}"] += 1
@@ -371,7 +374,7 @@
         A broken connection may indicate a new incarnation, which is cold.
         """
         self._client.forget(self._address)
-        self._suspect = True
+        self._suspected = True
         logger.warning("upstream suspected", extra={"reason": reason})
         if not self._check_running:
             self._check_running = True
@@ -380,13 +383,13 @@
 
     def _check_health(self) -> None:
         try:
-            while self._suspect and self._local.usable is not None:
+            while self._suspected and self._local_upstream.usable is not None:
                 if self._is_healthy():
-                    self._suspect = False
+                    self._suspected = False
                     logger.info("upstream answers again")
                     return
                 self._clock.sleep_ms(HEALTH_RETRY_MS)
-            self._suspect = False
+            self._suspected = False
         finally:
             self._check_running = False
             self._check_done.send(None)
@@ -401,26 +404,26 @@
     def confirm_restored(self) -> bool:
         """Checks whether the upstream restored from the stored state still runs.
 
-        This avoids waiting for the next heartbeat. Only a successful answer with
-        the expected upstream id confirms it.
+        This avoids waiting for the next heartbeat. Only a successful response
+        with the expected upstream id confirms it.
         """
-        exchange = self._ask_health()
-        current = self._local.current
+        exchange = self._request_health()
+        current = self._local_upstream.current
         if exchange is None or current is None or exchange.status != STATUS_OK:
             return False
         return find_header(exchange.headers, self._names.upstream_id) == current.id
 
     def _is_healthy(self) -> bool:
-        """Checks whether the expected upstream answers; updates its cold time."""
-        exchange = self._ask_health()
+        """Checks whether the expected upstream responds; updates its cold time."""
+        exchange = self._request_health()
         if exchange is None:
             return False
-        current = self._local.current
+        current = self._local_upstream.current
         upstream_id = find_header(exchange.headers, self._names.upstream_id)
         # A rejection without an upstream id still shows that the upstream runs.
         return upstream_id is None or current is None or upstream_id == current.id
 
-    def _ask_health(self) -> Exchange | None:
+    def _request_health(self) -> Exchange | None:
         self.counts["health_checks"] += 1
         exchange = None
         headers = [("Host", self._address)]
--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -41,7 +41,7 @@
 
 logger = logging.getLogger(__name__)
 
-VersionChooser = Callable[[str, "list[Member]"], "list[Member]"]
+MemberSelector = Callable[[str, "list[Member]"], "list[Member]"]
 
 
 class RetryBudgetSettings:
@@ -93,8 +93,10 @@
     ) -> None:
         """Takes the local gate, which serves attempts on this VM without a hop."""
         self.counts: Counter[str] = Counter()
-        self.choose_versions: VersionChooser = lambda service, members: members
-        self.only_proved: VersionChooser = lambda service, members: members
+        self.choose_members: MemberSelector = lambda service, members: members
+        self.members_of_proved_version: MemberSelector = (
+            lambda service, members: members
+        )
         self.on_withdrawn: Callable[[str, str], object] = lambda service, version: None
         self.is_on_trial: Callable[[str, str], bool] = lambda service, version: False
         self.is_evacuated: Callable[[str], bool] = lambda data_centre: False
@@ -105,7 +107,7 @@
         self._balancer = balancer
         self._budget_settings = budget_settings
         self._retry_budget_by_service: dict[str, SlidingWindowRetryBudget] = {}
-        self._proved_stats_by_route: dict[str, RouteAverages] = {}
+        self._proved_averages_by_route: dict[str, RouteAverages] = {}
         self._clock = clock
         self._random = rng
 
@@ -113,13 +115,13 @@
         """Runs a request; returns NotRun only if no upstream has run it."""
         request.service = route.choose_service(self._random)
         request.route = route.name
-        request.proved_stats = self._proved_stats_by_route.get(
+        request.proved_averages = self._proved_averages_by_route.get(
             route.name, RouteAverages()
         )
         budget = self._retry_budget(request.service)
         budget.record_request()
         history = _AttemptHistory()
-        members = self._members(request.service, self.choose_versions)
+        members = self._members(request.service, self.choose_members)
         while len(history.tried_nodes) < MAX_NODES_TRIED:
             if request.time_to_deadline_ms(self._clock) <= RESPONSE_RESERVE_MS:
                 history.timed_out = True
@@ -133,7 +135,7 @@
             outcome = self._run_attempt(request, member, history)
             if self.is_on_trial(request.service, member.version):
                 # Retries after a trial attempt go to the proved version only.
-                members = self._members(request.service, self.only_proved)
+                members = self._members(request.service, self.members_of_proved_version)
             if isinstance(outcome, Answered):
                 if not self._should_retry_failed_response(
                     request, route, history, outcome
@@ -146,13 +148,13 @@
                 break
         return self._final_outcome(history)
 
-    def _members(self, service: str, choose: VersionChooser) -> list[Member]:
+    def _members(self, service: str, select: MemberSelector) -> list[Member]:
         members = [
             member
             for member in self._directory.members(service)
             if not self.is_evacuated(member.data_centre)
         ]
-        return choose(service, members)
+        return select(service, members)
 
     def _retry_budget(self, service: str) -> SlidingWindowRetryBudget:
         budget = self._retry_budget_by_service.get(service)
@@ -181,6 +183,7 @@
         self._update_routing(member, outcome)
         self._update_version_stats(request, member, outcome, started_ms)
         request.last_vm = member.node
+        # If the first attempt succeeds, the log line of the request covers it as well.
         if history.tried_nodes != {member.node} or not _is_success(outcome):
             self._log_attempt(request, member, outcome, started_ms)
         if not isinstance(outcome, NotRun) or outcome.reached_upstream:
@@ -260,8 +263,10 @@
         else:
             return
         elapsed_ms = self._clock.now_ms() - started_ms
-        proved_stats = self._proved_stats_by_route.get(request.route, RouteAverages())
-        self._proved_stats_by_route[request.route] = proved_stats.updated(
+        proved_averages = self._proved_averages_by_route.get(
+            request.route, RouteAverages()
+        )
+        self._proved_averages_by_route[request.route] = proved_averages.updated(
             failed, elapsed_ms
         )
 
@@ -300,7 +305,7 @@
         failed = response.status >= STATUS_SERVER_ERROR
         if not failed or not self._is_retry_allowed(request, route, history):
             return False
-        members = self._members(request.service, self.only_proved)
+        members = self._members(request.service, self.members_of_proved_version)
         others = [
             member for member in members if member.node not in history.tried_nodes
         ]
@@ -359,7 +364,6 @@
 
 
 def _is_success(outcome: AttemptOutcome) -> bool:
-    """Returns whether the log line of the request covers the attempt as well."""
     return isinstance(outcome, Answered) and outcome.status < STATUS_SERVER_ERROR
 
 
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -51,7 +51,7 @@
     """Routing decisions of the sending proxy, sent in a header of the request.
 
     objective_ms is the remaining time; known holds the newest store revisions that
-    the sender has seen; usual holds the proved version's statistics for the route.
+    the sender has seen; usual holds the proved version's averages on the route.
     """
 
     service: str
@@ -100,7 +100,7 @@
         route=request.route,
         sender=request.origin_vm,
         known=known,
-        usual=request.proved_stats,
+        usual=request.proved_averages,
         objective_ms=round(request.objective_ms - now_ms),
         rank=request.rank,
         repeatable=request.repeatable,
@@ -141,7 +141,7 @@
     request.repeatable = hop.repeatable
     request.rank = hop.rank
     request.route = hop.route
-    request.proved_stats = hop.usual
+    request.proved_averages = hop.usual
     request.origin_vm = hop.sender
     request.objective_ms = now_ms + hop.objective_ms
     request.deadline_ms = now_ms + _parse_int_header(headers, names.time_left_ms)
@@ -171,13 +171,13 @@
     def __init__(
         self,
         client: HttpClient,
-        knowledge: RevisionExchange,
+        revision_exchange: RevisionExchange,
         names: HeaderNames,
         clock: Clock,
     ) -> None:
         """Takes the HTTP client that pools the connections to other proxies."""
         self._client = client
-        self._knowledge = knowledge
+        self._revision_exchange = revision_exchange
         self._names = names
         self._clock = clock
 
@@ -193,7 +193,10 @@
                 request.method,
                 request.target,
                 hop_headers(
-                    request, self._knowledge.header_value(), self._names, self._clock
+                    request,
+                    self._revision_exchange.header_value(),
+                    self._names,
+                    self._clock,
                 ),
                 request.body or None,
             )
@@ -220,7 +223,7 @@
         except msgspec.MsgspecError:
             exchange.close()
             return OutcomeUnknown(f"the proxy answered {exchange.status} by itself")
-        self._knowledge.compare(hop_outcome.known, address)
+        self._revision_exchange.compare(hop_outcome.known, address)
         if hop_outcome.kind is HopOutcomeKind.ANSWERED:
             return self._accept_response(request, exchange, hop_outcome.load)
         try:
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -57,9 +57,9 @@
 
 UPSTREAM_CONNECT_TIMEOUT_MS = 300.0
 # The latency between data centres is 1.4 ms, and a lost SYN is retransmitted only
-# after 1 s, so that a longer timeout would not help.
+# after 1 s, so a longer timeout would not help.
 HOP_CONNECT_TIMEOUT_MS = 250.0
-# A heartbeat must be answered within 1 s.
+# The response to a heartbeat has to be sent within 1 s.
 ACKNOWLEDGE_TIMEOUT_MS = 800.0
 MAINTENANCE_INTERVAL_MS = 500.0
 # Minimum interval between publications of the trial counts.
@@ -73,16 +73,16 @@
 # Part of the grace period reserved for closing the process.
 EXIT_MARGIN_MS = 350.0
 DRAIN_POLL_MS = 50.0
-# A record that cannot be withdrawn in this time expires with its lease.
-WITHDRAW_TIMEOUT_MS = 250.0
+# A lease that cannot be revoked in this time expires, and the record with it.
+REVOKE_TIMEOUT_MS = 250.0
 # Callers are taken to have switched to other proxies after this long without requests.
 DRAIN_IDLE_MS = 1000.0
 # A configuration must be in force within 2 s; up to 0.5 s of that is spent on
 # batching changes in quick succession, which saves calls to the store.
-ORDERS_PAUSE = BatchDelay(250.0, 500.0)
-# Gates enforce the state in their records immediately, so that other proxies may
-# learn of it later.
-FLEET_PAUSE = BatchDelay(300.0, 900.0)
+ORDERS_BATCH_DELAY = BatchDelay(250.0, 500.0)
+# Gates enforce the state in their records immediately, so other proxies may learn
+# of it later.
+FLEET_BATCH_DELAY = BatchDelay(300.0, 900.0)
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
 
@@ -116,12 +116,12 @@
             store, settings.vm, self._build_record, self._current_upstream, clock
         )
         self.orders_follower = PrefixFollower(
-            store, operator_prefix, apply_order, clock, ORDERS_PAUSE
+            store, operator_prefix, apply_order, clock, ORDERS_BATCH_DELAY
         )
         self.fleet_follower = PrefixFollower(
-            store, SHARED_PREFIX, self._apply_shared, clock, FLEET_PAUSE
+            store, SHARED_PREFIX, self._apply_shared, clock, FLEET_BATCH_DELAY
         )
-        self.knowledge = RevisionExchange(
+        self.revision_exchange = RevisionExchange(
             [self.orders_follower, self.fleet_follower], self.directory.address_of
         )
         self._build_forwarding(names)
@@ -133,15 +133,15 @@
 
     def _build_gate(self, names: HeaderNames) -> None:
         settings, clock = self.settings, self._clock
-        self.rate = ColdRateLimiter(clock)
-        self.local = LocalUpstream(
-            settings.service, settings.heartbeat_ms, clock, self.rate.set_cold
+        self.cold_limiter = ColdRateLimiter(clock)
+        self.local_upstream = LocalUpstream(
+            settings.service, settings.heartbeat_ms, clock, self.cold_limiter.set_cold
         )
         self.upstream_client = HttpClient(clock, UPSTREAM_CONNECT_TIMEOUT_MS)
         self.gate = UpstreamGate(
             settings.upstream_address,
-            self.local,
-            self.rate,
+            self.local_upstream,
+            self.cold_limiter,
             self.upstream_client,
             names,
             clock,
@@ -155,23 +155,23 @@
             settings.data_centre, settings.region, clock, self._rng, settings.vm
         )
         self.directory.is_suspected = self.balancer.is_suspected
-        terms = RetryBudgetSettings(
+        budget_settings = RetryBudgetSettings(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
         self.runner = AttemptRunner(
             settings.vm,
             self.gate,
-            HopClient(self.hop_client, self.knowledge, names, clock),
+            HopClient(self.hop_client, self.revision_exchange, names, clock),
             self.directory,
             self.balancer,
-            terms,
+            budget_settings,
             clock,
             self._rng,
         )
         self.runner.is_evacuated = self.orders.evacuated.__contains__
         self.feed_server = FeedServer()
         self.inbound = InboundApplication(
-            self.gate, self.feed_server, self.knowledge, names, clock
+            self.gate, self.feed_server, self.revision_exchange, names, clock
         )
         self.outbound = OutboundApplication(
             settings.vm, settings.service, self.runner, names, clock
@@ -184,7 +184,7 @@
         self.feed_server.serve(operator_prefix, self.orders_follower.state)
         if settings.link_mbit_per_s:
             self.orders_follower.slow_value_bytes = max_value_bytes(
-                settings.link_mbit_per_s, ORDERS_PAUSE.shortest_ms
+                settings.link_mbit_per_s, ORDERS_BATCH_DELAY.shortest_ms
             )
         relays = RelaySelector(settings.vm, settings.data_centre, self.directory, clock)
         relays.is_suspected = self.balancer.is_suspected
@@ -209,12 +209,12 @@
             status,
             self._clock,
         )
-        self.runner.choose_versions = self.rules.choose_members
-        self.runner.only_proved = self.rules.members_of_proved_version
+        self.runner.choose_members = self.rules.choose_members
+        self.runner.members_of_proved_version = self.rules.members_of_proved_version
         self.runner.on_withdrawn = self.rules.withdraw
         self.runner.is_on_trial = self.rules.is_on_trial
-        self.gate.is_version_allowed = self._may_run
-        self.gate.on_answer = self._record_trial_response
+        self.gate.is_version_allowed = self._is_version_allowed
+        self.gate.on_upstream_response = self._record_trial_response
 
     def start(
         self,
@@ -271,7 +271,7 @@
         self.outbound.refusing = True
         for server in self._servers:
             server.stop_accepting()
-        with eventlet.Timeout(WITHDRAW_TIMEOUT_MS / MS_PER_S, False):
+        with eventlet.Timeout(REVOKE_TIMEOUT_MS / MS_PER_S, False):
             self.publisher.revoke_lease()
         self._wait_while(lambda: bool(self.in_flight), latest_deadline_ms)
         drained = not self.in_flight
@@ -296,7 +296,7 @@
         """
         if not self.directory.at_least_half_accept_callers(self.settings.data_centre):
             return True
-        current = self.local.current
+        current = self.local_upstream.current
         return current is not None and current.state is not UpstreamState.READY
 
     @property
@@ -310,10 +310,10 @@
         """Applies a heartbeat; returns whether it may be acknowledged."""
         if not self.publisher.restored:
             return False
-        previous = self.local.current
-        verdict = self.local.handle_heartbeat(heartbeat)
-        if verdict is HeartbeatResult.CHANGED:
-            current = self.local.current
+        previous = self.local_upstream.current
+        result = self.local_upstream.handle_heartbeat(heartbeat)
+        if result is HeartbeatResult.CHANGED:
+            current = self.local_upstream.current
             assert current is not None
             if previous is None or not previous.same_incarnation(current):
                 self.gate.restart()
@@ -321,17 +321,17 @@
             self.publisher.publish()
         self.gate.resize()
         if heartbeat.upstream.state is UpstreamState.READY:
-            return verdict is not HeartbeatResult.FOREIGN
+            return result is not HeartbeatResult.FOREIGN
         return self._wait_until_stored(heartbeat.upstream.id)
 
     def handle_deregistration(self, upstream_id: str, started_ms: int) -> bool:
         """Applies a deregistration; returns whether it may be acknowledged."""
         if not self.publisher.restored:
             return False
-        current = self.local.current
+        current = self.local_upstream.current
         if current is not None and started_ms and started_ms < current.started_ms:
             return True
-        if self.local.deregister(upstream_id):
+        if self.local_upstream.deregister(upstream_id):
             self.publisher.publish()
         return self._wait_until_stored(upstream_id)
 
@@ -351,8 +351,8 @@
     def _restore(self, upstream: Upstream | None) -> None:
         if upstream is None:
             return
-        self.local.restore(upstream)
-        self.rate.reserve_window()
+        self.local_upstream.restore(upstream)
+        self.cold_limiter.reserve_window()
         logger.info(
             "stored upstream state restored",
             extra={"upstream": upstream.id, "state": upstream.state.value},
@@ -361,15 +361,15 @@
             eventlet.spawn_n(self._confirm_restored)
 
     def _confirm_restored(self) -> None:
-        if self.gate.confirm_restored() and self.local.usable is None:
-            self.local.confirm()
+        if self.gate.confirm_restored() and self.local_upstream.usable is None:
+            self.local_upstream.confirm()
             self.gate.resize()
             logger.info("restored upstream confirmed by its health check")
             self.publisher.publish()
 
     def _build_record(self) -> NodeRecord:
         settings = self.settings
-        current = self.local.current
+        current = self.local_upstream.current
         published_upstream = None
         ready = current is not None and current.state is UpstreamState.READY
         if current is not None:
@@ -391,7 +391,7 @@
         )
 
     def _current_upstream(self) -> Upstream | None:
-        return self.local.current
+        return self.local_upstream.current
 
     # Fleet records
 
@@ -404,11 +404,11 @@
     # Rollout
 
     def _is_on_trial(self) -> bool:
-        current = self.local.current
+        current = self.local_upstream.current
         service = self.settings.service
         return current is not None and self.rules.is_on_trial(service, current.version)
 
-    def _may_run(self, version: str) -> bool:
+    def _is_version_allowed(self, version: str) -> bool:
         service = self.settings.service
         return self.rules.may_receive_requests(
             service, version, self.directory.members(service)
@@ -419,14 +419,14 @@
     ) -> None:
         """Records a response of the upstream, and evaluates its version if on trial."""
         self.latency.observe_upstream(latency_ms)
-        current = self.local.current
+        current = self.local_upstream.current
         if current is None or not self._is_on_trial():
             return
-        proved_stats = request.proved_stats
-        if self.rate.is_cold:
+        proved_averages = request.proved_averages
+        if self.cold_limiter.is_cold:
             # A cold upstream is slow whatever its version, so latency is not compared.
-            proved_stats = RouteAverages(0.0, proved_stats.failures)
-        self.trial.observe(request.route, failed, latency_ms, proved_stats)
+            proved_averages = RouteAverages(0.0, proved_averages.failures)
+        self.trial.observe(request.route, failed, latency_ms, proved_averages)
         service = self.settings.service
         if self.trial.is_bad and self.rules.withdraw(service, current.version):
             self.coordinator.roll_back(service, self.trial.reason)
@@ -442,7 +442,7 @@
         catalog = self.orders.catalog
         self.outbound.catalog = catalog
         data_centre_evacuated = self.settings.data_centre in self.orders.evacuated
-        self.gate.out_of_service = data_centre_evacuated
+        self.gate.data_centre_evacuated = data_centre_evacuated
         if catalog is not None:
             service = catalog.service_by_name.get(self.settings.service)
             if service is not None:
@@ -481,7 +481,7 @@
                 "ready": self.ready,
                 "draining": self.draining,
                 "config": catalog.version if catalog else 0,
-                "upstream": self.local.current,
+                "upstream": self.local_upstream.current,
                 "load": self.gate.load,
                 "evacuated": sorted(self.orders.evacuated),
                 "fleet": list(self.directory.record_by_vm.values()),
--- a/tests/loopback/test_upstreams.py
+++ b/tests/loopback/test_upstreams.py
@@ -60,7 +60,7 @@
         loopback.add_vm("vm-1", upstream)
         wait_until(lambda: loopback.store.read("jayswitch-last/vm-1") is not None)
         restarted = loopback.start_proxy("vm-1", upstream)
-        wait_until(lambda: restarted.local.usable is not None)
+        wait_until(lambda: restarted.local_upstream.usable is not None)
         assert exchange(restarted.settings.callers_address, request()).status == 200
 
     def test_another_upstream_at_the_address_is_not_served(self) -> None:
@@ -71,7 +71,7 @@
         restarted = loopback.start_proxy("vm-1", upstream)
         wait_until(lambda: restarted.gate.counts["health_checks"] == 1)
         eventlet.sleep(0.1)
-        assert restarted.local.usable is None
+        assert restarted.local_upstream.usable is None
 
 
 class TestHeartbeats:
@@ -149,5 +149,5 @@
         wait_until(lambda: follower.is_synced)
         loopback.store.put("op/evacuate/elsewhere", {})
         eventlet.sleep(0)
-        proxy.knowledge.compare("999,0", "")
+        proxy.revision_exchange.compare("999,0", "")
         wait_until(lambda: "elsewhere" in proxy.orders.evacuated)
