Name the fixture of the deployment tests a cluster

The fixture was still called rig although it yields a LocalCluster, and LocalCluster._is_up told whether a node has joined the distribution tree, while "up" in the same file is the state of an upstream.

rig is now cluster, and _is_up is _is_attached. Behaviour is the same; every assertion is kept.

--- a/bench/local_cluster.py
+++ b/bench/local_cluster.py
@@ -78,7 +78,7 @@
                 self.add_upstream(service, "v1")
         for _ in range(extra_nodes):
             self.add_node()
-        self.wait_for(lambda: self._is_up(self.vms[0]), "the first node")
+        self.wait_for(lambda: self._is_attached(self.vms[0]), "the first node")
         self.configure()
         self.wait_for(self.is_converged, "every node")
 
@@ -261,5 +261,5 @@
             process.kill()
             return process.wait()
 
-    def _is_up(self, vm: Vm) -> bool:
+    def _is_attached(self, vm: Vm) -> bool:
         return self.dump(vm)["hops"] < DETACHED_HOPS
--- a/tests/deployment/test_processes.py
+++ b/tests/deployment/test_processes.py
@@ -27,7 +27,7 @@
 
 
 @pytest.fixture(scope="module")
-def rig(virtual_time: None) -> Iterator[LocalCluster]:
+def cluster(virtual_time: None) -> Iterator[LocalCluster]:
     """Returns a running deployment; every daemon must stop cleanly."""
     started = LocalCluster(SMALL_DEPLOYMENT)
     try:
@@ -38,10 +38,12 @@
     assert unclean == 0
 
 
-def run_jayswitchctl(rig: LocalCluster, *arguments: str) -> subprocess.CompletedProcess:
+def run_jayswitchctl(
+    cluster: LocalCluster, *arguments: str
+) -> subprocess.CompletedProcess:
     """Runs jayswitchctl against the first node."""
     command = [sys.executable, "-m", "jayswitch.console.application"]
-    flags = [f"--node={rig.vms[0].admin_url}"]
+    flags = [f"--node={cluster.vms[0].admin_url}"]
     environment = {**os.environ, "JAYSWITCH_TOKEN": ADMIN_TOKEN}
     return subprocess.run(
         [*command, *flags, *arguments],
@@ -52,56 +54,60 @@
     )
 
 
-def set_upstream_behaviour(rig: LocalCluster, **behaviour: object) -> None:
+def set_upstream_behaviour(cluster: LocalCluster, **behaviour: object) -> None:
     """Sets the behaviour of every running upstream."""
-    for vm in rig.vms:
+    for vm in cluster.vms:
         if vm.upstream is not None and vm.upstream.poll() is None:
-            rig.control_upstream(vm, "behaviour", json.dumps(behaviour).encode())
+            cluster.control_upstream(vm, "behaviour", json.dumps(behaviour).encode())
 
 
 class TestCalls:
     """Calls through two nodes over real sockets."""
 
     def test_call_reaches_an_upstream_behind_another_node(
-        self, rig: LocalCluster
+        self, cluster: LocalCluster
     ) -> None:
         pool = urllib3.PoolManager(retries=False, timeout=20)
         seen = set()
         for number in range(20):
-            response = pool.request("GET", f"{rig.vms[0].caller_url}/herd/{number}")
+            response = pool.request("GET", f"{cluster.vms[0].caller_url}/herd/{number}")
             assert response.status == 200
             request_id = response.headers["X-Request-Id"]
             assert request_id.encode() in response.data
             seen.add(response.headers["X-Jayswitch-Upstream"])
-        rig.call_admin_api("POST", "data-centres/bunbury/out")
-        rig.wait_for(lambda: rig.is_converged(), "the change")
-        response = pool.request("GET", f"{rig.vms[0].caller_url}/herd/1")
+        cluster.call_admin_api("POST", "data-centres/bunbury/out")
+        cluster.wait_for(lambda: cluster.is_converged(), "the change")
+        response = pool.request("GET", f"{cluster.vms[0].caller_url}/herd/1")
         assert response.headers["X-Jayswitch-Upstream"] in ("vm-1", "vm-2")
-        rig.call_admin_api("POST", "data-centres/bunbury/in")
-        rig.wait_for(lambda: rig.is_converged(), "the change")
+        cluster.call_admin_api("POST", "data-centres/bunbury/in")
+        cluster.wait_for(lambda: cluster.is_converged(), "the change")
 
-    def test_large_answer_is_complete(self, rig: LocalCluster) -> None:
-        set_upstream_behaviour(rig, body_bytes=LARGE_BYTES)
+    def test_large_answer_is_complete(self, cluster: LocalCluster) -> None:
+        set_upstream_behaviour(cluster, body_bytes=LARGE_BYTES)
         pool = urllib3.PoolManager(retries=False, timeout=20)
-        for vm in rig.vms[:3]:
+        for vm in cluster.vms[:3]:
             response = pool.request("GET", f"{vm.caller_url}/herd/season")
             assert len(response.data) == LARGE_BYTES
-        set_upstream_behaviour(rig)
+        set_upstream_behaviour(cluster)
 
     @pytest.mark.parametrize("size", [1000, LARGE_BYTES])
-    def test_truncated_answer_is_a_failure(self, rig: LocalCluster, size: int) -> None:
-        set_upstream_behaviour(rig, body_bytes=size, cut_fraction=1.0)
-        connection = http.client.HTTPConnection(rig.vms[0].ip, 7100, timeout=20)
+    def test_truncated_answer_is_a_failure(
+        self, cluster: LocalCluster, size: int
+    ) -> None:
+        set_upstream_behaviour(cluster, body_bytes=size, cut_fraction=1.0)
+        connection = http.client.HTTPConnection(cluster.vms[0].ip, 7100, timeout=20)
         connection.request("POST", "/treatments/1")
         with pytest.raises((http.client.IncompleteRead, AssertionError)):
             response = connection.getresponse()
             body = response.read()
             assert response.status == 200 and len(body) == size
-        set_upstream_behaviour(rig)
+        set_upstream_behaviour(cluster)
 
-    def test_unknown_path_and_bad_headers_are_refused(self, rig: LocalCluster) -> None:
+    def test_unknown_path_and_bad_headers_are_refused(
+        self, cluster: LocalCluster
+    ) -> None:
         pool = urllib3.PoolManager(retries=False, timeout=20)
-        address = rig.vms[0].caller_url
+        address = cluster.vms[0].caller_url
         response = pool.request("GET", f"{address}/nothing")
         assert response.status == 404
         assert response.headers["X-Jayswitch-Outcome"] == "not-run"
@@ -117,46 +123,47 @@
 class TestCommandLine:
     """The command-line tool against real nodes."""
 
-    def test_apply_and_history(self, rig: LocalCluster, tmp_path: Path) -> None:
-        text = run_jayswitchctl(rig, "profiles", "get", PROFILE).stdout
+    def test_apply_and_history(self, cluster: LocalCluster, tmp_path: Path) -> None:
+        text = run_jayswitchctl(cluster, "profiles", "get", PROFILE).stdout
         path = tmp_path / "everyday.yaml"
         path.write_text(text.replace("timeout_ms: 2000", "timeout_ms: 2500"))
-        assert run_jayswitchctl(rig, "profiles", "diff", str(path)).returncode == 1
-        applied = run_jayswitchctl(rig, "profiles", "apply", str(path))
+        assert run_jayswitchctl(cluster, "profiles", "diff", str(path)).returncode == 1
+        applied = run_jayswitchctl(cluster, "profiles", "apply", str(path))
         assert applied.returncode == 0, applied.stderr
         assert "accepted as version" in applied.stdout
         assert (
             "herdview=v1"
-            in run_jayswitchctl(rig, "profiles", "history", PROFILE).stdout
+            in run_jayswitchctl(cluster, "profiles", "history", PROFILE).stdout
         )
-        rig.wait_for(rig.is_converged, "the change")
+        cluster.wait_for(cluster.is_converged, "the change")
 
     def test_second_apply_with_the_same_expected_version_is_rejected(
-        self, rig: LocalCluster, tmp_path: Path
+        self, cluster: LocalCluster, tmp_path: Path
     ) -> None:
         path = tmp_path / "everyday.yaml"
-        path.write_text(run_jayswitchctl(rig, "profiles", "get", PROFILE).stdout)
-        seen = json.loads(run_jayswitchctl(rig, "profiles", "list", "--json").stdout)[
-            0
-        ]["version"]
+        path.write_text(run_jayswitchctl(cluster, "profiles", "get", PROFILE).stdout)
+        seen = json.loads(
+            run_jayswitchctl(cluster, "profiles", "list", "--json").stdout
+        )[0]["version"]
         flag = f"--expected_version={seen}"
         assert (
-            run_jayswitchctl(rig, "profiles", "apply", str(path), flag).returncode == 0
+            run_jayswitchctl(cluster, "profiles", "apply", str(path), flag).returncode
+            == 0
         )
-        second = run_jayswitchctl(rig, "profiles", "apply", str(path), flag)
+        second = run_jayswitchctl(cluster, "profiles", "apply", str(path), flag)
         assert second.returncode == 1
         assert "another operator changed it first" in second.stderr
         assert "apply it once more" in second.stderr
 
-    def test_wrong_token_and_unreachable_node(self, rig: LocalCluster) -> None:
-        refused = run_jayswitchctl(rig, "services", "list", "--token=wrong")
+    def test_wrong_token_and_unreachable_node(self, cluster: LocalCluster) -> None:
+        refused = run_jayswitchctl(cluster, "services", "list", "--token=wrong")
         assert refused.returncode == 1 and "admin_token" in refused.stderr
         unreachable = run_jayswitchctl(
-            rig, "services", "list", "--node=http://127.30.254.254:1"
+            cluster, "services", "list", "--node=http://127.30.254.254:1"
         )
         assert unreachable.returncode == 4
 
-    def test_list_commands(self, rig: LocalCluster) -> None:
+    def test_list_commands(self, cluster: LocalCluster) -> None:
         for arguments in (
             ["services", "list"],
             ["data-centres", "list"],
@@ -165,7 +172,7 @@
             ["upstreams", "list"],
             ["node", "dump"],
         ):
-            listed = run_jayswitchctl(rig, *arguments)
+            listed = run_jayswitchctl(cluster, *arguments)
             assert listed.returncode == 0, listed.stderr
             assert listed.stdout.strip()
 
@@ -173,12 +180,12 @@
 class TestPlannedStop:
     """SIGTERM interrupts no request."""
 
-    def test_calls_go_on_while_a_daemon_stops(self, rig: LocalCluster) -> None:
-        set_upstream_behaviour(rig, latency_ms=50.0)
-        stopping_vm = rig.add_upstream(
+    def test_calls_go_on_while_a_daemon_stops(self, cluster: LocalCluster) -> None:
+        set_upstream_behaviour(cluster, latency_ms=50.0)
+        stopping_vm = cluster.add_upstream(
             SMALL_DEPLOYMENT.services[0], "v1", latency_ms=50.0
         )
-        rig.wait_for(rig.is_converged, "the new node")
+        cluster.wait_for(cluster.is_converged, "the new node")
         failures: list[str] = []
         stop_calls = threading.Event()
         callers = [
@@ -186,7 +193,7 @@
                 target=self.call_until_stopped,
                 args=(vm, stopping_vm, stop_calls, failures),
             )
-            for vm in [*rig.vms[:3], stopping_vm]
+            for vm in [*cluster.vms[:3], stopping_vm]
             for _ in range(3)
         ]
         for caller in callers:
@@ -197,7 +204,7 @@
         stop_calls.set()
         for caller in callers:
             caller.join()
-        rig.vms.remove(stopping_vm)
+        cluster.vms.remove(stopping_vm)
         stopping_vm.upstream.terminate()
         stopping_vm.upstream.wait(10)
         assert code == 0
@@ -246,7 +253,7 @@
         assert finished.returncode == 2
         assert "node.yaml" in finished.stderr
 
-    def test_port_in_use(self, rig: LocalCluster) -> None:
-        finished = self.run(rig._folder / "vm-0.yaml")
+    def test_port_in_use(self, cluster: LocalCluster) -> None:
+        finished = self.run(cluster._folder / "vm-0.yaml")
         assert finished.returncode == 3
         assert "cannot listen on 127.30.0.1" in finished.stderr
