Name locals of the model and the store client after their contents

In load_scenario the parameter of the lambda had the name of the parameter of _check_kinds; it is now decoded. EXIT_SETTINGS was also returned for wrong arguments, and the model reads no settings; it is now EXIT_INVALID_INPUT, with the same value. Behaviour is the same.

--- a/src/jayswitch/model/experiment.py
+++ b/src/jayswitch/model/experiment.py
@@ -66,8 +66,8 @@
     def outcome_share(self, kind: str, outcome: str) -> float:
         """Returns the share of an outcome in a kind's requests; 0 without requests."""
         of_kind = [sample for sample in self.samples if sample.kind == kind]
-        found = sum(sample.outcome == outcome for sample in of_kind)
-        return found / len(of_kind) if of_kind else 0.0
+        matching = sum(sample.outcome == outcome for sample in of_kind)
+        return matching / len(of_kind) if of_kind else 0.0
 
     def _generate_arrivals(self, kind: RequestKind) -> None:
         vms = list(self.fleet.vm_by_name.values())
--- a/src/jayswitch/model/loader.py
+++ b/src/jayswitch/model/loader.py
@@ -12,7 +12,7 @@
 def load_scenario(path: str) -> Result[Scenario, InvalidSettings]:
     """Returns the validated scenario, or the first error found in the file."""
     return read_settings(path, Scenario).bind(
-        lambda scenario: _check_kinds(path, scenario)
+        lambda decoded: _check_kinds(path, decoded)
     )
 
 
--- a/src/jayswitch/model/main.py
+++ b/src/jayswitch/model/main.py
@@ -22,7 +22,7 @@
 from jayswitch.platform.headers import platform_headers  # noqa: E402
 from jayswitch.virtual_hub import use_virtual_time  # noqa: E402
 
-EXIT_SETTINGS = 2
+EXIT_INVALID_INPUT = 2
 
 FLAGS = flags.FLAGS
 
@@ -34,11 +34,11 @@
     """Simulates the scenario in the given file and prints the results."""
     if len(argv) != 2:
         print("usage: jayswitch-model SCENARIO [--seed=N] [--plot=FILE]")
-        return EXIT_SETTINGS
+        return EXIT_INVALID_INPUT
     match load_scenario(argv[1]):
         case Failure(error):
             print(f"jayswitch-model: {error}", file=sys.stderr)
-            return EXIT_SETTINGS
+            return EXIT_INVALID_INPUT
         case Success(scenario):
             pass
     logging.getLogger("jayswitch").setLevel(logging.ERROR)
--- a/src/jayswitch/platform/store.py
+++ b/src/jayswitch/platform/store.py
@@ -116,7 +116,9 @@
         self, prefix: str, after: str = "", limit: int = 1000
     ) -> Result[list[StoredValue], StoreError]:
         """Returns the values below a prefix, ordered by key, after the given key."""
-        return self._read_pages(prefix, after, limit).map(lambda found: found.values)
+        return self._read_pages(prefix, after, limit).map(
+            lambda snapshot: snapshot.values
+        )
 
     def read(self, prefix: str) -> Result[Snapshot, StoreError]:
         """Returns every value below a prefix, with the revision of the first page."""
