--- a/tests/harness/limited_links.py
+++ b/tests/harness/limited_links.py
@@ -62,7 +62,7 @@
         """Returns a method of the store whose answer is delayed by both links."""
         call = getattr(self._store, name)
 
-        def answer(*arguments: Any) -> Result[Any, Any]:
+        def delayed_call(*arguments: Any) -> Result[Any, Any]:
             result = call(*arguments)
             if self._is_unavailable():
                 eventlet.sleep(NO_ANSWER_DELAY_S)
@@ -73,7 +73,7 @@
                     link.transmit(size)
             return result
 
-        return answer
+        return delayed_call
 
 
 class RemoteFeeds:
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -55,7 +55,7 @@
     def __init__(self) -> None:
         """Starts without orders."""
         self.orders = Orders()
-        self.keys = OperatorKeyHandler(self.orders, VirtualClock())
+        self.handler = OperatorKeyHandler(self.orders, VirtualClock())
 
 
 class TestConfiguration:
@@ -63,7 +63,7 @@
 
     def test_config_fields_are_translated(self) -> None:
         decoded = DecodedOrders()
-        decoded.keys.apply(_event("op/config", CONFIG))
+        decoded.handler.apply(_event("op/config", CONFIG))
         catalog = decoded.orders.catalog
         assert catalog is not None and catalog.version == 7
         route = catalog.route_for("herd.example", "/a/1")
@@ -75,7 +75,7 @@
 
     def test_longest_prefix_of_the_host_wins(self) -> None:
         decoded = DecodedOrders()
-        decoded.keys.apply(_event("op/config", CONFIG))
+        decoded.handler.apply(_event("op/config", CONFIG))
         catalog = decoded.orders.catalog
         assert catalog is not None
         found = catalog.route_for("herd.example", "/a/b/1")
@@ -86,13 +86,13 @@
     def test_versions_compare_as_numbers_and_never_decrease(self) -> None:
         decoded = DecodedOrders()
         for version in ("r9", "r10", "r2"):
-            decoded.keys.apply(_event("op/config", {**CONFIG, "version": version}))
+            decoded.handler.apply(_event("op/config", {**CONFIG, "version": version}))
         catalog = decoded.orders.catalog
         assert catalog is not None and catalog.version == 10
 
     def test_invalid_config_changes_nothing(self) -> None:
         decoded = DecodedOrders()
-        decoded.keys.apply(_event("op/config", CONFIG))
+        decoded.handler.apply(_event("op/config", CONFIG))
         route = CONFIG["routes"][0]  # type: ignore[index]
         for broken in (
             b"{",
@@ -107,8 +107,8 @@
             {**CONFIG, "version": "r8", "routes": [route, route]},
             msgspec.json.encode({**CONFIG, "version": "r8"})[:-40],
         ):
-            decoded.keys.apply(_event("op/config", broken))
-        decoded.keys.apply(WatchEvent("op/config", None, 9))
+            decoded.handler.apply(_event("op/config", broken))
+        decoded.handler.apply(WatchEvent("op/config", None, 9))
         catalog = decoded.orders.catalog
         assert catalog is not None and catalog.version == 7
 
@@ -119,18 +119,18 @@
     def test_move_has_the_revision_of_its_key(self) -> None:
         decoded = DecodedOrders()
         body = {"service": "herdview", "to_version": "v2", "duration_s": 12}
-        decoded.keys.apply(_event("op/rollout/herdview", body, 31))
+        decoded.handler.apply(_event("op/rollout/herdview", body, 31))
         order = decoded.orders.move_by_service["herdview"]
         assert (order.to_version, order.duration_ms) == ("v2", 12_000)
         assert order.revision == 31
-        decoded.keys.apply(WatchEvent("op/rollout/herdview", None, 40))
+        decoded.handler.apply(WatchEvent("op/rollout/herdview", None, 40))
         assert decoded.orders.move_by_service == {}
 
     def test_evacuation_lasts_until_its_key_is_removed(self) -> None:
         decoded = DecodedOrders()
-        decoded.keys.apply(_event("op/evacuate/bunbury", {}))
+        decoded.handler.apply(_event("op/evacuate/bunbury", {}))
         assert decoded.orders.evacuated == {"bunbury"}
-        decoded.keys.apply(WatchEvent("op/evacuate/bunbury", None, 6))
+        decoded.handler.apply(WatchEvent("op/evacuate/bunbury", None, 6))
         assert decoded.orders.evacuated == set()
 
     def test_status_is_encoded_for_the_operator(self) -> None:
