--- a/bench/measures.py
+++ b/bench/measures.py
@@ -17,7 +17,7 @@
 CHANGE_TIMEOUT_S = 20.0
 CALLS_PER_S_PER_NODE = 70.0
 LATENCY_SECONDS = 10.0
-IDLE_SECONDS = 10.0
+CONTROL_SECONDS = 10.0
 MOVE_WITHIN_MS = 24_000
 MOVE_RATE = 150.0
 SEQUENTIAL_CALLS = 600
@@ -74,7 +74,7 @@
     cpu_before = cpu_seconds(processes)
     started = time.monotonic()
     number = 0
-    while time.monotonic() - started < IDLE_SECONDS:
+    while time.monotonic() - started < CONTROL_SECONDS:
         cluster.apply_profile("v1", 70_000 + number)
         number += 1
         time.sleep(1 / changes_per_s)
--- a/src/jayswitch/node/factory.py
+++ b/src/jayswitch/node/factory.py
@@ -143,9 +143,9 @@
 
     def _add_moves(self, parts: NodeParts) -> None:
         parts.gate_outcomes = OutcomeCounter()
-        parts.entry_outcomes = OutcomeCounter()
+        parts.router_outcomes = OutcomeCounter()
         parts.watcher = MoveWatcher(
-            self._settings.vm, parts.table, parts.entry_outcomes
+            self._settings.vm, parts.table, parts.router_outcomes
         )
         parts.driver = MoveDriver(
             node=self._settings.vm,
--- a/src/jayswitch/node/node.py
+++ b/src/jayswitch/node/node.py
@@ -360,4 +360,4 @@
 
     def _on_router_outcome(self, call: Call, failed: bool) -> None:
         key = OutcomeKey(call.profile, call.service, call.version, call.route)
-        self.parts.entry_outcomes.record(key, failed, None)
+        self.parts.router_outcomes.record(key, failed, None)
--- a/src/jayswitch/node/parts.py
+++ b/src/jayswitch/node/parts.py
@@ -32,7 +32,7 @@
         "data",
         "directory",
         "driver",
-        "entry_outcomes",
+        "router_outcomes",
         "gate",
         "gate_outcomes",
         "log",
@@ -59,6 +59,6 @@
     gate: Gate
     router: Router
     gate_outcomes: OutcomeCounter
-    entry_outcomes: OutcomeCounter
+    router_outcomes: OutcomeCounter
     watcher: MoveWatcher
     driver: MoveDriver
