Say what the platform adapters' one-second rule and status 404 mean

The time that an upstream waits for the response to a heartbeat was explained above the limit on the body size; it is now in the application's docstring. Nothing said why reading a key handles an expired lease. Behaviour is the same.

--- a/src/jayswitch/platform/heartbeats.py
+++ b/src/jayswitch/platform/heartbeats.py
@@ -20,7 +20,6 @@
 DEREGISTER_CALL = "instances.deregister"
 # A draining upstream finishes its requests but accepts no new ones.
 STATE_BY_NAME = {"ready": UpstreamState.READY, "draining": UpstreamState.LEAVING}
-# An upstream waits one second for the response, then calls the next proxy.
 MAX_BODY_BYTES = 64 * 1024
 
 logger = logging.getLogger(__name__)
@@ -51,7 +50,10 @@
 
 
 class HeartbeatApplication:
-    """Responds 200 once a call has been processed and, if necessary, persisted."""
+    """Responds 200 once a call has been processed and, if necessary, persisted.
+
+    An upstream waits one second for the response, then calls the next proxy.
+    """
 
     def __init__(
         self,
--- a/src/jayswitch/platform/store.py
+++ b/src/jayswitch/platform/store.py
@@ -108,6 +108,7 @@
         """Returns the key's value, or None if the key does not exist."""
         result = self._call("GET", "/kv-key?" + urlencode({"key": key}), ItemBody)
         match result:
+            # Status 404; in response to a read, it means that the key does not exist.
             case Failure(LeaseExpired()):
                 return Success(None)
         return result.bind(_decode_item)
@@ -285,7 +286,7 @@
     code = "history-gone"
 
     def __init__(self) -> None:
-        """Needs no arguments."""
+        """Sets the cause and the remedy."""
         super().__init__(
             "the store has compacted its change history", "read the prefix again"
         )
