Describe the model's constructors as the other packages do

Constructors "take" their arguments in most packages and "expected" them here. Behaviour is the same but for the help text of the flag.

--- a/src/jayswitch/model/experiment.py
+++ b/src/jayswitch/model/experiment.py
@@ -32,7 +32,7 @@
     def __init__(
         self, kind: str, arrived_ms: float, elapsed_ms: float, outcome: str
     ) -> None:
-        """Expects the name of the request kind and one of OUTCOMES."""
+        """Takes the name of the request kind and one of OUTCOMES."""
         self.kind = kind
         self.arrived_ms = arrived_ms
         self.elapsed_ms = elapsed_ms
--- a/src/jayswitch/model/fleet.py
+++ b/src/jayswitch/model/fleet.py
@@ -35,7 +35,7 @@
 REGION = "model"
 VERSION = "v1"
 BUDGET_WINDOW_S = 10.0
-# Simulated upstreams send no further heartbeats, so theirs must not expire.
+# Simulated upstreams send only one heartbeat, which must not expire.
 HEARTBEAT_MS = 1e9
 
 
@@ -63,7 +63,7 @@
     """Sends requests to the gates of other VMs, delayed by the network latency."""
 
     def __init__(self, fleet: SimulatedFleet, origin: SimulatedVm) -> None:
-        """Expects the VM that sends the requests."""
+        """Takes the VM that sends the requests."""
         self._fleet = fleet
         self._origin = origin
 
--- a/src/jayswitch/model/main.py
+++ b/src/jayswitch/model/main.py
@@ -26,7 +26,7 @@
 
 FLAGS = flags.FLAGS
 
-flags.DEFINE_integer("seed", 1, "Seed of arrivals, work and choices.")
+flags.DEFINE_integer("seed", 1, "Seed of the random number generator.")
 flags.DEFINE_string("plot", "", "Image file for the outcomes of each second.")
 
 
--- a/src/jayswitch/model/upstream.py
+++ b/src/jayswitch/model/upstream.py
@@ -30,7 +30,7 @@
     __slots__ = ("headers", "status")
 
     def __init__(self, status: int, headers: Headers) -> None:
-        """Expects the status and headers of the response."""
+        """Takes the status and headers of the response."""
         self.status = status
         self.headers = headers
 
@@ -56,7 +56,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Expects the group that sets the speed and the cold time."""
+        """Takes the group that sets the speed and the cold time."""
         self.runs = 0
         self.call: NestedCall = lambda kind, remaining_ms: True
         self._group = group
