Describe the settings' and top-level constructors as the others

Constructors "take" their arguments in most packages and "expected" them here. The reason for the poll hub left out what it is compared with: epoll, which needs a system call to register a descriptor. Behaviour is the same.

--- a/src/jayswitch/clock.py
+++ b/src/jayswitch/clock.py
@@ -41,7 +41,7 @@
     __slots__ = ("_epoch_ms",)
 
     def __init__(self, epoch_ms: int = 1_800_000_000_000) -> None:
-        """Expects the wall time that corresponds to time zero of the event loop."""
+        """Takes the wall time that corresponds to time zero of the event loop."""
         self._epoch_ms = epoch_ms
 
     def min_process_age_ms(self) -> float:
--- a/src/jayswitch/exceptions.py
+++ b/src/jayswitch/exceptions.py
@@ -14,7 +14,7 @@
     status = 500
 
     def __init__(self, cause: str, remedy: str) -> None:
-        """Expects the cause and the remedy, each as one sentence."""
+        """Takes the cause and the remedy, each as one sentence."""
         super().__init__(f"{cause}; {remedy}")
         self.cause = cause
         self.remedy = remedy
--- a/src/jayswitch/logs.py
+++ b/src/jayswitch/logs.py
@@ -60,7 +60,7 @@
     """
 
     def __init__(self, descriptor: int, clock: Clock) -> None:
-        """Expects a descriptor in non-blocking mode."""
+        """Takes a descriptor in non-blocking mode."""
         super().__init__()
         self.counts: Counter[str] = Counter()
         self._descriptor = descriptor
--- a/src/jayswitch/metrics.py
+++ b/src/jayswitch/metrics.py
@@ -17,7 +17,7 @@
     """Prometheus collector for one node."""
 
     def __init__(self, node: Node) -> None:
-        """Expects the node whose counters are exported."""
+        """Takes the node whose counters are exported."""
         self._node = node
 
     def collect(self) -> Iterable[Metric]:
--- a/src/jayswitch/runtime.py
+++ b/src/jayswitch/runtime.py
@@ -1,4 +1,4 @@
-"""Set-up of eventlet and nng; must run before any socket is created."""
+"""Sets up eventlet and nng; must run before any socket is created."""
 
 from __future__ import annotations
 
@@ -44,8 +44,8 @@
     eventlet.monkey_patch(
         socket=True, select=True, time=True, os=False, thread=False, psycopg=False
     )
-    # Registering a descriptor with poll needs no system call, and a proxy has few of
-    # them.
+    # Registering a descriptor with poll needs no system call, unlike with epoll, and a
+    # proxy has few descriptors to poll.
     from jayswitch.hub import LowWakeupHub
 
     eventlet.hubs.use_hub(LowWakeupHub)
--- a/src/jayswitch/settings/exceptions.py
+++ b/src/jayswitch/settings/exceptions.py
@@ -11,7 +11,7 @@
     code = "invalid-settings"
 
     def __init__(self, path: str, reason: str) -> None:
-        """Expects the file's path and the first error in it."""
+        """Takes the file's path and the first error in it."""
         super().__init__(
             f"settings file {path}: {reason}",
             "correct the key named here; docs/OPERATIONS.md lists every key",
