Correct what two negative controls disable

One named a slow store, which its scenario does not have, and left out that the driver ignores marks too. The other named cancelled calls only, but every failed call is reported as not run. Only docstrings change.

--- a/tests/scenarios/test_controls.py
+++ b/tests/scenarios/test_controls.py
@@ -201,7 +201,7 @@
 
 
 def report_cancelled_calls_as_not_run(patch: pytest.MonkeyPatch) -> None:
-    """The router reports cancelled calls as not run, although they may have run."""
+    """The router reports all failed calls as not run, although they may have run."""
     original = RequestAttempts.record_failure
 
     def record_failure(self: RequestAttempts, node: str, outcome: object) -> None:
@@ -233,7 +233,7 @@
 
 
 def ignore_bad_version_marks(patch: pytest.MonkeyPatch) -> None:
-    """Routers ignore marks and wait for the log, which the slow store delays."""
+    """Routers and the driver ignore marks and use the version until the move ends."""
     patch.setattr(MoveWatcher, "is_marked_bad", lambda self, move_id: False)
     patch.setattr(MoveWatcher, "mark", lambda self, move_id: None)
 
