--- a/tests/loopback/test_upstreams.py
+++ b/tests/loopback/test_upstreams.py
@@ -19,7 +19,7 @@
 
 
 class TestLeaving:
-    """No proxy uses an upstream whose leaving was acknowledged, even once restarted."""
+    """Once leaving is acknowledged, no proxy uses the upstream, even if restarted."""
 
     def test_leaving_upstream_gets_no_new_requests(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
