--- a/tests/load/test_config_update_burst.py
+++ b/tests/load/test_config_update_burst.py
@@ -20,7 +20,7 @@
 from jayswitch.store.interface import WatchEvent, Write
 from tests.harness.limited_links import LimitedLink, RemoteFeeds, RemoteStore
 
-# The users' deployments after their growth: at least 65 VMs, links of 5.5 to
+# The deployments at the size that they will grow to: at least 65 VMs, links of 5.5 to
 # 100 Mbit/s and a configuration of 800 routes plus 1,400 new ones, which must be in
 # force within 2.5 s.
 ROUTES = 2200
