Describe the bench without terms of its own

A plain node was one without an upstream in one file and one that is no relay in another; "the users' libraries" are eventlet and urllib3; the ablation prints two rows for each control, not for each scenario; and DETACHED_HOPS did not say that it equals MAX_HOPS. Only comments and docstrings change.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -62,7 +62,7 @@
 
 
 def main() -> None:
-    """Prints two rows per scenario: with its mechanism and without."""
+    """Prints two rows per negative control: with the mechanism and without."""
     logging.disable(logging.CRITICAL)
     rows = []
     for patch, scenario in controls.CONTROLS:
--- a/bench/background_load.py
+++ b/bench/background_load.py
@@ -21,7 +21,7 @@
     """Merged counts and latencies of several load generators."""
 
     def __init__(self, reports: list[dict]) -> None:
-        """Expects the reports that the processes printed."""
+        """Takes the reports that the processes printed."""
         self.calls = sum(report["calls"] for report in reports)
         self.outcomes: Counter[str] = Counter()
         self.histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
--- a/bench/load.py
+++ b/bench/load.py
@@ -31,7 +31,7 @@
     """Poisson arrivals of calls at a mean rate, spread over addresses and paths."""
 
     def __init__(self, plan: dict) -> None:
-        """Expects a plan with addresses, paths, rate, seconds, write_share and seed."""
+        """Takes a plan with addresses, paths, rate, seconds, write_share and seed."""
         self.histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
         self.outcomes: Counter[str] = Counter()
         self.wrong: list[str] = []
--- a/bench/local_cluster.py
+++ b/bench/local_cluster.py
@@ -26,11 +26,12 @@
 PROFILE = "everyday"
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 30.0
+# Hops that a node without a parent reports: MAX_HOPS in membership/tree.py.
 DETACHED_HOPS = 16
 
 
 class Vm:
-    """A VM with a daemon and, unless it is a plain node, an upstream."""
+    """A VM with a daemon and, if it runs a service, an upstream."""
 
     def __init__(self, name: str, ip: str, data_centre: str) -> None:
         """Creates a VM without processes; LocalCluster starts and assigns them."""
@@ -62,7 +63,7 @@
     """The processes of one deployment; stop() ends all of them."""
 
     def __init__(self, deployment: Deployment) -> None:
-        """Expects the deployment; start() starts its processes."""
+        """Takes the deployment; start() starts its processes."""
         self.deployment = deployment
         self.vms: list[Vm] = []
         self._folder = Path(tempfile.mkdtemp(prefix="jayswitch-bench-"))
@@ -204,7 +205,7 @@
         return json.loads(self._http.request("GET", url, timeout=5.0).data)
 
     def is_converged(self) -> bool:
-        """Whether all nodes route by the newest version and know the upstreams."""
+        """Returns whether all nodes use the newest version and know the upstreams."""
         newest = self.dump(self.vms[0])["config_version"]
         up = {vm.name for vm in self.vms if vm.upstream is not None}
         for vm in self.vms:
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -67,7 +67,7 @@
 
 
 def measure_control(cluster: LocalCluster, changes_per_s: float = 0.25) -> dict:
-    """Measures the cost of control at the target rate of changes, without calls."""
+    """Measures the control plane at the target rate of changes, without calls."""
     processes = cluster.processes()
     bytes_before = _control_bytes(cluster)
     calls_before = cluster.store_calls()
@@ -135,7 +135,7 @@
     """Measures sequential calls through nodes, through the plain proxy and direct.
 
     The plain proxy consists of eventlet's WSGI server and urllib3 only, so that it
-    shows the cost of the users' libraries for a single hop.
+    shows what these libraries cost for a single hop.
     """
     vm = cluster.vms[0]
     path = f"{cluster.deployment.services[0].read_prefix}/1"
--- a/bench/plain_proxy.py
+++ b/bench/plain_proxy.py
@@ -16,7 +16,7 @@
 
 
 def main() -> None:
-    """Expects the IP address and port to listen on and the upstream's base URL."""
+    """Takes the IP address and port to listen on and the upstream's base URL."""
     ip, port, upstream = sys.argv[1:4]
     pool = urllib3.connectionpool.connection_from_url(upstream, maxsize=64)
 
