--- a/tests/loopback/test_upstreams.py
+++ b/tests/loopback/test_upstreams.py
@@ -19,7 +19,7 @@
 
 
 class TestLeaving:
-    """Once leaving is acknowledged, no proxy uses the upstream, even if restarted."""
+    """Once leaving is acknowledged, even a restarted proxy never uses the upstream."""
 
     def test_leaving_upstream_gets_no_new_requests(self) -> None:
         loopback, upstream = LoopbackDeployment(), RawUpstream("i-1")
