--- a/bench/measures.py
+++ b/bench/measures.py
@@ -17,7 +17,7 @@
 CHANGE_TIMEOUT_S = 20.0
 CALLS_PER_S_PER_NODE = 70.0
 LATENCY_SECONDS = 10.0
-IDLE_SECONDS = 10.0
+CONTROL_SECONDS = 10.0
 MOVE_WITHIN_MS = 24_000
 MOVE_RATE = 150.0
 SEQUENTIAL_CALLS = 600
@@ -67,14 +67,14 @@
 
 
 def measure_control(cluster: LocalCluster, changes_per_s: float = 0.25) -> dict:
-    """Measures the cost of control at the target rate of changes, without calls."""
+    """Measures the control plane at the target rate of changes, without calls."""
     processes = cluster.processes()
     bytes_before = _control_bytes(cluster)
     calls_before = cluster.store_calls()
     cpu_before = cpu_seconds(processes)
     started = time.monotonic()
     number = 0
-    while time.monotonic() - started < IDLE_SECONDS:
+    while time.monotonic() - started < CONTROL_SECONDS:
         cluster.apply_profile("v1", 70_000 + number)
         number += 1
         time.sleep(1 / changes_per_s)
@@ -135,7 +135,7 @@
     """Measures sequential calls through nodes, through the plain proxy and direct.
 
     The plain proxy consists of eventlet's WSGI server and urllib3 only, so that it
-    shows the cost of the users' libraries for a single hop.
+    shows what these libraries cost for a single hop.
     """
     vm = cluster.vms[0]
     path = f"{cluster.deployment.services[0].read_prefix}/1"
--- a/src/jayswitch/model/main.py
+++ b/src/jayswitch/model/main.py
@@ -22,11 +22,11 @@
 from jayswitch.platform.headers import platform_headers  # noqa: E402
 from jayswitch.virtual_hub import use_virtual_time  # noqa: E402
 
-EXIT_SETTINGS = 2
+EXIT_INVALID_INPUT = 2
 
 FLAGS = flags.FLAGS
 
-flags.DEFINE_integer("seed", 1, "Seed of arrivals, work and choices.")
+flags.DEFINE_integer("seed", 1, "Seed of the random number generator.")
 flags.DEFINE_string("plot", "", "Image file for the outcomes of each second.")
 
 
@@ -34,11 +34,11 @@
     """Simulates the scenario in the given file and prints the results."""
     if len(argv) != 2:
         print("usage: jayswitch-model SCENARIO [--seed=N] [--plot=FILE]")
-        return EXIT_SETTINGS
+        return EXIT_INVALID_INPUT
     match load_scenario(argv[1]):
         case Failure(error):
             print(f"jayswitch-model: {error}", file=sys.stderr)
-            return EXIT_SETTINGS
+            return EXIT_INVALID_INPUT
         case Success(scenario):
             pass
     logging.getLogger("jayswitch").setLevel(logging.ERROR)
