Separate five pairs of names that had become one

In five files, two things that once had different names shared one. The callback AttemptRunner.choose_members holds rules.choose_members, a local was named like the attribute that it is assigned to, a follower's property like that of its state, a local like the field that it fills, and the local with the expected Authorization header like the one with the expected version.

- AttemptRunner.choose_members is select_members.
- The local data_centre_evacuated is is_local_data_centre_evacuated.
It isn't is_evacuated, since process.py sets runner.is_evacuated, a callback.
- PrefixFollower.is_synced is has_synced; PrefixState.is_synced stays.
- The local from_version is initial_version; the field from_version stays.
- The local expected in AdminApplication._authorize is expected_authorization.

Names alone; behaviour is the same.

--- a/src/jayswitch/config/changes.py
+++ b/src/jayswitch/config/changes.py
@@ -327,19 +327,19 @@
     state: ConfigState,
     entry: Entry,
 ) -> None:
-    from_version = before.version
+    initial_version = before.version
     current = state.active_move(profile, before.service)
     if current is not None:
-        from_version = current.from_version
+        initial_version = current.from_version
         _end_move(current, state, entry.at_ms, False, REASON_REPLACED)
-    if target is None or target.version == from_version:
+    if target is None or target.version == initial_version:
         return
     move_id = f"{profile}.{before.service}.{entry.index}"
     state.moves_by_id[move_id] = Move(
         id=move_id,
         profile=profile,
         service=before.service,
-        from_version=from_version,
+        from_version=initial_version,
         to_version=target.version,
         started_ms=entry.at_ms,
         deadline_ms=entry.at_ms + target.move_within_ms,
--- a/src/jayswitch/http/admin_app.py
+++ b/src/jayswitch/http/admin_app.py
@@ -106,8 +106,8 @@
         from_upstream = environ["PATH_INFO"] == "/v1/announce"
         token = settings.upstream_token if from_upstream else settings.admin_token
         given = environ.get("HTTP_AUTHORIZATION", "")
-        expected = f"Bearer {token}"
-        if not hmac.compare_digest(given.encode(), expected.encode()):
+        expected_authorization = f"Bearer {token}"
+        if not hmac.compare_digest(given.encode(), expected_authorization.encode()):
             key = "upstream_token" if from_upstream else "admin_token"
             return Failure(NotAuthorized(key))
         return Success(AdminRequest(environ))
--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -93,7 +93,7 @@
     ) -> None:
         """Takes the local gate, which serves attempts on this VM without a hop."""
         self.counts: Counter[str] = Counter()
-        self.choose_members: MemberSelector = lambda service, members: members
+        self.select_members: MemberSelector = lambda service, members: members
         self.members_of_proved_version: MemberSelector = (
             lambda service, members: members
         )
@@ -121,7 +121,7 @@
         budget = self._retry_budget(request.service)
         budget.record_request()
         history = _AttemptHistory()
-        members = self._members(request.service, self.choose_members)
+        members = self._members(request.service, self.select_members)
         while len(history.tried_nodes) < MAX_NODES_TRIED:
             if request.time_to_deadline_ms(self._clock) <= RESPONSE_RESERVE_MS:
                 history.timed_out = True
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -209,7 +209,7 @@
             status,
             self._clock,
         )
-        self.runner.choose_members = self.rules.choose_members
+        self.runner.select_members = self.rules.choose_members
         self.runner.members_of_proved_version = self.rules.members_of_proved_version
         self.runner.on_withdrawn = self.rules.withdraw
         self.runner.is_on_trial = self.rules.is_on_trial
@@ -244,7 +244,7 @@
         return (
             not self.draining
             and self.orders.catalog is not None
-            and self.fleet_follower.is_synced
+            and self.fleet_follower.has_synced
             and self.publisher.restored
         )
 
@@ -441,8 +441,10 @@
     def _apply_orders(self) -> None:
         catalog = self.orders.catalog
         self.outbound.catalog = catalog
-        data_centre_evacuated = self.settings.data_centre in self.orders.evacuated
-        self.gate.data_centre_evacuated = data_centre_evacuated
+        is_local_data_centre_evacuated = (
+            self.settings.data_centre in self.orders.evacuated
+        )
+        self.gate.data_centre_evacuated = is_local_data_centre_evacuated
         if catalog is not None:
             service = catalog.service_by_name.get(self.settings.service)
             if service is not None:
--- a/src/jayswitch/store/follower.py
+++ b/src/jayswitch/store/follower.py
@@ -102,7 +102,7 @@
         self._stopped = False
 
     @property
-    def is_synced(self) -> bool:
+    def has_synced(self) -> bool:
         """Whether the prefix has been read completely at least once."""
         return self.state.is_synced
 
@@ -125,7 +125,7 @@
         If the change does not arrive soon, it is fetched from that proxy, and from the
         store if that fails.
         """
-        if revision > self.state.revision and self.is_synced and not self._catching_up:
+        if revision > self.state.revision and self.has_synced and not self._catching_up:
             self._catching_up = True
             eventlet.spawn_n(self._catch_up, revision, address)
 
@@ -159,7 +159,7 @@
         needs_read = True
         while not self._stopped:
             wait_ms = self.store_watch_timeout_ms()
-            if self.is_synced and not wait_ms:
+            if self.has_synced and not wait_ms:
                 self._clock.sleep_ms(STORE_NEED_CHECK_MS)
                 needs_read = False
             elif needs_read:
@@ -185,7 +185,7 @@
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Applies a full read of the prefix, including the removals it implies."""
-        is_first = not self.is_synced
+        is_first = not self.has_synced
         for event in self.state.removals_implied_by(snapshot):
             self._apply(event)
         for value in snapshot.values:
@@ -261,7 +261,7 @@
         self.connected = self.state.is_current = True
 
     def _record_failure(self, error: StoreError) -> None:
-        if self.connected or not self.is_synced:
+        if self.connected or not self.has_synced:
             logger.warning(
                 "store lost", extra={"prefix": self._prefix, "reason": error.cause}
             )
--- a/tests/loopback/test_upstreams.py
+++ b/tests/loopback/test_upstreams.py
@@ -146,7 +146,7 @@
         follower = proxy.orders_follower
         stalled_watch = lambda wait_ms: eventlet.sleep(60) or False  # noqa: E731
         follower._watch_once = stalled_watch  # type: ignore[method-assign]
-        wait_until(lambda: follower.is_synced)
+        wait_until(lambda: follower.has_synced)
         loopback.store.put("op/evacuate/elsewhere", {})
         eventlet.sleep(0)
         proxy.revision_exchange.compare("999,0", "")
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -111,7 +111,7 @@
     def test_first_read_transfers_each_value_once(self) -> None:
         setup = FollowerSetup()
         assert setup.store.calls_by_kind["scan"] == 1
-        assert setup.follower.is_synced
+        assert setup.follower.has_synced
 
 
 class TestBatchDelay:
