State the fairness rule of the slot queue as a ratio of shares

"Each kind of request must be served at least a quarter as often as all of them" reads as if it compared counts. The rule compares shares: what is served of each kind of request against what is served of all requests. The comment of MAX_CONSECUTIVE_URGENT_GRANTS says so now.

A comment alone; behaviour is the same.

Checks: make lint passes; the tests in tests/gate pass (40).

--- a/src/jayswitch/gate/slots.py
+++ b/src/jayswitch/gate/slots.py
@@ -16,8 +16,9 @@
 
 # Calls that may wait per slot; the responses to further ones would be late.
 MAX_WAITING_PER_SLOT = 4
-# Calls granted ahead of a waiting less urgent one before that one gets a turn. Each
-# kind of request must be served at least a quarter as often as all of them.
+# Calls granted ahead of a waiting less urgent one before that one gets a turn. Of
+# each kind of request, the share that is served must be at least a quarter of the
+# share that is served of all requests.
 MAX_CONSECUTIVE_URGENT_GRANTS = 8
 
 
