Say that comments mean the reference deployments

"Either deployment" and "both deployments" left open which two were meant. They are the two reference deployments of embedded/deployments.py, and the six comments now call them so.

Comments alone; behaviour is the same.

--- a/src/jayswitch/gate/service_times.py
+++ b/src/jayswitch/gate/service_times.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-# Assumed until the first response; the service time in both deployments is 100 ms.
+# Assumed until the first response; the service time in both reference deployments is
+# 100 ms.
 INITIAL_SERVICE_MS = 100.0
 # Weight of one response in the moving averages, which span about ten responses.
 SMOOTHING_FACTOR = 0.1
--- a/src/jayswitch/logs.py
+++ b/src/jayswitch/logs.py
@@ -19,7 +19,7 @@
 
 ROOT_LOGGER = "jayswitch"
 # Rate limit on lines with a request id: about twice the rate of a node at the highest
-# load of either deployment. Lines above the limit are dropped and counted.
+# load of either reference deployment. Lines above the limit are dropped and counted.
 REQUEST_LOG_LINES_PER_S = 400.0
 REQUEST_LOG_LINES_BURST = 800.0
 # Buffer for a slow reader of the log; lines that do not fit are dropped and counted.
--- a/src/jayswitch/model/upstream.py
+++ b/src/jayswitch/model/upstream.py
@@ -16,7 +16,8 @@
 
 STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
-# In both deployments, a cold upstream takes about twice as long for a request.
+# In both reference deployments, a cold upstream takes about twice as long for a
+# request.
 COLD_SLOWNESS = 2.0
 
 # Sends a nested request of a kind with a timeout in ms and returns whether an
--- a/src/jayswitch/proxy/sockets.py
+++ b/src/jayswitch/proxy/sockets.py
@@ -8,7 +8,7 @@
 from eventlet.greenio import GreenSocket
 
 # A connection is closed if sent data stays unacknowledged for this long, which is
-# less than the shortest caller deadline in either deployment (1000 ms).
+# less than the shortest caller deadline in either reference deployment (1000 ms).
 UNACKNOWLEDGED_TIMEOUT_MS = 900
 # Keepalive probes detect within 3 s a peer that lost power before responding.
 KEEPALIVE_IDLE_S = 1
--- a/src/jayswitch/proxy/status.py
+++ b/src/jayswitch/proxy/status.py
@@ -18,7 +18,7 @@
     from jayswitch.proxy.wsgi_request import StartResponse
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-# From a cached read to the longest deadline of either deployment, in seconds.
+# From a cached read to the longest deadline of either reference deployment, in seconds.
 LATENCY_BUCKETS_S = (
     0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0,
 )  # fmt: skip
--- a/src/jayswitch/rollout/trial.py
+++ b/src/jayswitch/rollout/trial.py
@@ -14,7 +14,7 @@
 # A version is bad from this many failures, if they are also at least this share of
 # the window. Both limits are raised by the failures of the proved version, for
 # example when calls that both versions make are refused. A sound upstream of either
-# deployment fails at most 4 in 1000 requests.
+# reference deployment fails at most 4 in 1000 requests.
 MIN_BAD_RESPONSES = 3
 MIN_BAD_SHARE = 0.2
 # A response is slow above this multiple of the proved version's average latency, plus
