Call a response a response in the HTTP interface for callers

http/caller_app.py called a CallerResponse an answer in its locals and parameters, though its type and its error bodies speak of responses. They are response now; the name was free in the file, and no call passes the parameter by keyword. OUTCOME_ANSWERED and what goes on the wire stay.

Names alone; behaviour is the same.

--- a/src/jayswitch/http/caller_app.py
+++ b/src/jayswitch/http/caller_app.py
@@ -62,8 +62,8 @@
         except JayswitchError as error:
             return self._respond_with_error(error, OUTCOME_NOT_RUN, [], start_response)
         match self._router.call(request):
-            case Success(answer):
-                return self._respond(request.method, answer, start_response)
+            case Success(response):
+                return self._respond(request.method, response, start_response)
             case Failure(error):
                 return self._respond_with_failure(error, start_response)
         raise AssertionError("a result is a success or a failure")
@@ -111,17 +111,17 @@
         return body
 
     def _respond(
-        self, method: str, answer: CallerResponse, start_response: StartResponse
+        self, method: str, response: CallerResponse, start_response: StartResponse
     ) -> Iterator[bytes]:
-        headers = [(header.name, header.value) for header in answer.headers]
-        headers.append((REQUEST_ID_HEADER, answer.request_id))
-        headers.append((UPSTREAM_HEADER, answer.upstream))
+        headers = [(header.name, header.value) for header in response.headers]
+        headers.append((REQUEST_ID_HEADER, response.request_id))
+        headers.append((UPSTREAM_HEADER, response.upstream))
         headers.append((OUTCOME_HEADER, OUTCOME_ANSWERED))
         self._add_connection(headers)
-        start_response(status_line(answer.status), headers)
-        if method == "HEAD" or answer.status in BODYLESS_STATUSES:
-            return answer.body
-        return stream_checked_body(answer)
+        start_response(status_line(response.status), headers)
+        if method == "HEAD" or response.status in BODYLESS_STATUSES:
+            return response.body
+        return stream_checked_body(response)
 
     def _respond_with_failure(
         self, error: CallFailure, start_response: StartResponse
@@ -152,14 +152,14 @@
             headers.append(("Connection", "close"))
 
 
-def stream_checked_body(answer: CallerResponse) -> Iterator[bytes]:
+def stream_checked_body(response: CallerResponse) -> Iterator[bytes]:
     """Yields the body; raises BodyTruncated if its length is not the Content-Length.
 
     The server then closes the connection, so that the caller detects the failure.
     """
-    declared = [h.value for h in answer.headers if h.name.lower() == "content-length"]
+    declared = [h.value for h in response.headers if h.name.lower() == "content-length"]
     length = 0
-    for part in answer.body:
+    for part in response.body:
         length += len(part)
         yield part
     if declared and int(declared[0]) != length:
