Give a local function in the controls a name of its own

The patched method's name stays.

In config/test_log.py, the simulated StoreUnavailable read "the response was lost", where the stand-in for the store says "the answer was lost".

No check changes, and behaviour is the same.

Checks: pytest on tests/scenarios/test_controls.py, tests/config, tests/gate and tests/routing passes (99); make lint passes. No other tests were run.

--- a/tests/config/test_log.py
+++ b/tests/config/test_log.py
@@ -146,7 +146,7 @@
     def _unavailable(self) -> Exception:
         from jayswitch.store.exceptions import StoreUnavailable
 
-        return StoreUnavailable("the response was lost")
+        return StoreUnavailable("the answer was lost")
 
 
 class TestDelayedWrite:
--- a/tests/scenarios/test_controls.py
+++ b/tests/scenarios/test_controls.py
@@ -256,11 +256,11 @@
     """A replica installs any snapshot, whatever its version."""
     from jayswitch.config.codec import decode_state
 
-    def apply_snapshot(self: ConfigReplica, data: bytes) -> bool:
+    def apply_any_snapshot(self: ConfigReplica, data: bytes) -> bool:
         self._install(decode_state(data).unwrap())
         return True
 
-    patch.setattr(ConfigReplica, "apply_snapshot", apply_snapshot)
+    patch.setattr(ConfigReplica, "apply_snapshot", apply_any_snapshot)
 
 
 def ignore_reply_ids(patch: pytest.MonkeyPatch) -> None:
