Say "Takes" and "reference deployments" as elsewhere in src

The docstrings of constructors in gate and routing began with "Expects", where the other folders say "Takes"; 21 of them say "Takes" now. The docstring of embedded/deployments.py spoke of "the two deployments", where other comments call the same two the reference deployments; it now uses their name.

Docstrings alone; behaviour is the same. The syntax trees of the 14 files are equal to those before, apart from docstrings.

Checks: pytest on tests/scenarios/test_controls.py, tests/config, tests/gate and tests/routing passes (99); make lint passes. No other tests were run.

--- a/src/jayswitch/embedded/deployments.py
+++ b/src/jayswitch/embedded/deployments.py
@@ -1,4 +1,4 @@
-"""The two deployments that the embedded mode and the benchmarks model."""
+"""The two reference deployments that the embedded mode and the benchmarks model."""
 
 from __future__ import annotations
 
--- a/src/jayswitch/gate/admission.py
+++ b/src/jayswitch/gate/admission.py
@@ -28,7 +28,7 @@
     """
 
     def __init__(self, limit: Callable[[], int]) -> None:
-        """Expects a function that returns the current concurrency limit."""
+        """Takes a function that returns the current concurrency limit."""
         self.in_flight = 0
         self.bulk_in_flight = 0
         self._limit = limit
--- a/src/jayswitch/gate/exceptions.py
+++ b/src/jayswitch/gate/exceptions.py
@@ -18,7 +18,7 @@
     code = "upstream-not-reached"
 
     def __init__(self, address: str, reason: str) -> None:
-        """Expects the upstream's address and the connection error."""
+        """Takes the upstream's address and the connection error."""
         super().__init__(
             f"upstream {address} could not be reached: {reason}",
             "check that the upstream listens on the address it announced",
@@ -45,7 +45,7 @@
     code = "upstream-broke"
 
     def __init__(self, reason: str) -> None:
-        """Expects the connection error."""
+        """Takes the connection error."""
         super().__init__(
             f"the upstream gave no complete answer: {reason}",
             "check at the upstream whether the request ran before repeating it",
--- a/src/jayswitch/gate/local_upstream.py
+++ b/src/jayswitch/gate/local_upstream.py
@@ -46,7 +46,7 @@
         clock: Clock,
         on_cold: Callable[[float], None],
     ) -> None:
-        """Expects this VM's service and a callback for the remaining cold time."""
+        """Takes this VM's service and a callback for the remaining cold time."""
         self.current: Upstream | None = None
         self._service = service
         self._heartbeat_timeout_ms = MISSED_HEARTBEATS * heartbeat_ms
--- a/src/jayswitch/gate/request_states.py
+++ b/src/jayswitch/gate/request_states.py
@@ -30,7 +30,7 @@
     __slots__ = ("state", "recorded_ms")
 
     def __init__(self, state: RequestState, recorded_ms: float) -> None:
-        """Expects the state and the time at which it was recorded."""
+        """Takes the state and the time at which it was recorded."""
         self.state = state
         self.recorded_ms = recorded_ms
 
--- a/src/jayswitch/gate/slots.py
+++ b/src/jayswitch/gate/slots.py
@@ -40,7 +40,7 @@
     """
 
     def __init__(self, limit: int, cold_limiter: ColdRateLimiter, clock: Clock) -> None:
-        """Expects the maximum of concurrent calls and the cold rate limiter."""
+        """Takes the maximum of concurrent calls and the cold rate limiter."""
         self.limit = limit
         self.cold_limiter = cold_limiter
         self._grant_scheduled = False
--- a/src/jayswitch/gate/upstream.py
+++ b/src/jayswitch/gate/upstream.py
@@ -44,7 +44,7 @@
         body: bytes,
         rest: Iterator[bytes] | None = None,
     ) -> None:
-        """Expects the first part of the body and an iterator over later parts."""
+        """Takes the first part of the body and an iterator over later parts."""
         self.status = status
         self.headers = headers
         self.body = body
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -56,7 +56,7 @@
     __slots__ = ("_factor", "_slack")
 
     def __init__(self, factor: float = 1.0, slack: float = 0.0) -> None:
-        """Expects a factor on the rate and additional calls per second."""
+        """Takes a factor on the rate and additional calls per second."""
         self._factor = factor
         self._slack = slack
 
@@ -81,7 +81,7 @@
         clock: Clock,
         cold_rate_allowance: ColdRateAllowance | None = None,
     ) -> None:
-        """Expects the upstream's address and its state from heartbeats."""
+        """Takes the upstream's address and its state from heartbeats."""
         self._cold_rate_allowance = cold_rate_allowance or ColdRateAllowance()
         self.counts: Counter[str] = Counter()
         self.slots = SlotQueue(1, cold_limiter, clock)
--- a/src/jayswitch/routing/balancer.py
+++ b/src/jayswitch/routing/balancer.py
@@ -58,7 +58,7 @@
         rng: random.Random,
         local_node: str = "",
     ) -> None:
-        """Expects this node's location; local_node makes it prefer its own upstream."""
+        """Takes this node's location; local_node makes it prefer its own upstream."""
         self._local_node = local_node
         self.load_by_node: dict[str, UpstreamLoad] = {}
         self._data_centre = data_centre
--- a/src/jayswitch/routing/exceptions.py
+++ b/src/jayswitch/routing/exceptions.py
@@ -12,7 +12,7 @@
     not_run = False
 
     def __init__(self, cause: str, remedy: str, retry_after_ms: int = 0) -> None:
-        """Expects the cause, the remedy and the delay before a retry."""
+        """Takes the cause, the remedy and the delay before a retry."""
         super().__init__(cause, remedy)
         self.retry_after_ms = retry_after_ms
 
@@ -25,7 +25,7 @@
     not_run = True
 
     def __init__(self, path: str, profile: str) -> None:
-        """Expects the path and the profile's name, empty if there is no profile."""
+        """Takes the path and the profile's name, empty if there is no profile."""
         where = f"profile {profile!r}" if profile else "the empty configuration"
         super().__init__(
             f"{where} has no route for {path!r}",
@@ -41,7 +41,7 @@
     not_run = True
 
     def __init__(self, reason: str, retry_after_ms: int) -> None:
-        """Expects the last reason and the delay before a retry."""
+        """Takes the last reason and the delay before a retry."""
         super().__init__(
             f"the call was not run: {reason}",
             "repeat it after the time in Retry-After",
@@ -56,7 +56,7 @@
     status = 504
 
     def __init__(self, reason: str) -> None:
-        """Expects the reason why the outcome is unknown."""
+        """Takes the reason why the outcome is unknown."""
         super().__init__(
             f"it is not known whether the call ran: {reason}",
             "check its effect before repeating it, unless it is idempotent",
@@ -71,7 +71,7 @@
     not_run = True
 
     def __init__(self, depth: int) -> None:
-        """Expects the depth of the call."""
+        """Takes the depth of the call."""
         super().__init__(
             f"the call is nested {depth} levels deep",
             "look for services that call each other in a cycle",
--- a/src/jayswitch/routing/request.py
+++ b/src/jayswitch/routing/request.py
@@ -30,7 +30,7 @@
         depth: int = 0,
         key: str = "",
     ) -> None:
-        """Expects the path including the query string."""
+        """Takes the path including the query string."""
         self.method = method
         self.path = path
         self.headers = headers
@@ -53,7 +53,7 @@
         headers: list[Header],
         body: Iterator[bytes],
     ) -> None:
-        """Expects the upstream's response and the name of its node."""
+        """Takes the upstream's response and the name of its node."""
         self.request_id = request_id
         self.upstream = upstream
         self.status = status
--- a/src/jayswitch/routing/router.py
+++ b/src/jayswitch/routing/router.py
@@ -81,7 +81,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Expects the local gate, which is called without the transport."""
+        """Takes the local gate, which is called without the transport."""
         self.table = table
         self.counts: Counter[str] = Counter()
         self.in_flight = 0
--- a/src/jayswitch/routing/sliding_window_budget.py
+++ b/src/jayswitch/routing/sliding_window_budget.py
@@ -29,7 +29,7 @@
     def __init__(
         self, ratio: float, slack: float, window_s: float, clock: Clock
     ) -> None:
-        """Expects the limits of the whole fleet; the window is in seconds."""
+        """Takes the limits of the whole fleet; the window is in seconds."""
         self._ratio = ratio * SHARE_OF_RATIO
         self._slack = slack * SHARE_OF_SLACK
         self._window_ms = window_s * MS_PER_S
--- a/src/jayswitch/routing/table.py
+++ b/src/jayswitch/routing/table.py
@@ -24,7 +24,7 @@
     __slots__ = ("move", "proved_version")
 
     def __init__(self, proved_version: str, move: Move | None) -> None:
-        """Expects the version that gets the calls not covered by the move."""
+        """Takes the version that gets the calls not covered by the move."""
         self.proved_version = proved_version
         self.move = move
 
@@ -41,7 +41,7 @@
     __slots__ = ("config", "profile", "routes", "_split_by_service")
 
     def __init__(self, config: ConfigState, profile: Profile | None) -> None:
-        """Expects the configuration and this node's profile."""
+        """Takes the configuration and this node's profile."""
         self.config = config
         self.profile = profile
         self.routes: list[Route] = []
