Say in the gate which gate, limit and id is meant

Read oddly: two gates without a word on which serves nodes and which proxies; a limit of the whole cache that sounded like one of a single answer; is_slow, which records; a ramp "from the lowest limit" that starts at a tenth of the slots; states kept "by request id" that are kept by call id too; "no priority starves", where high goes before normal; a test of a restored state named after what the next test checks.

Renamed: MAX_CALLS_IN_WINDOW to RESERVED_CALLS, COLD_SHARE to INITIAL_LIMIT_SHARE, ERROR_SHARE to MAX_ERROR_SHARE, SLOW_SAMPLES to MIN_CONSECUTIVE_SLOW, RouteLatency.is_slow to observe, MAX_CACHED_ANSWER_BYTES to MAX_CACHE_BYTES, and one test. The rest are comments and docstrings.

Apart from docstrings, comments and the renames the syntax trees are the same as before, so the behaviour is.

--- a/src/jayswitch/gate/admission.py
+++ b/src/jayswitch/gate/admission.py
@@ -23,8 +23,9 @@
 class AdmissionQueue:
     """Limits concurrent calls and queues a bounded number of further ones.
 
-    Bulk calls occupy at most half of the slots. After a fixed number of grants to
-    other priorities a waiting bulk call is served, so neither starves the other.
+    Bulk calls occupy at most half of the slots, or the only one. After a fixed number
+    of grants to other priorities a waiting bulk call is served, so that bulk calls do
+    not starve. Waiting calls of high priority always go before normal ones.
     """
 
     def __init__(self, limit: Callable[[], int]) -> None:
--- a/src/jayswitch/gate/cold_rate_limiter.py
+++ b/src/jayswitch/gate/cold_rate_limiter.py
@@ -10,14 +10,16 @@
 
 # Slightly more than a second, because network delay varies between requests.
 WINDOW_MS = 1050.0
-# More than any service's cold rate; stands for the calls of an earlier process.
-MAX_CALLS_IN_WINDOW = 1000
+# Calls that an earlier process is assumed to have sent; more than any service's cold
+# rate, so that they exhaust the window.
+RESERVED_CALLS = 1000
 
 
 class ColdRateLimiter:
     """Sliding-window rate limit for calls to one upstream while it is cold.
 
-    per_s is the number of calls that may be sent to a cold upstream per second.
+    per_s is the number of calls that may be sent to a cold upstream per second; it is
+    rounded down, but to 1 at least.
 
     Calls are recorded while the upstream is warm too, so that those of the last
     second count when it becomes cold.
@@ -69,4 +71,4 @@
         latest time at which it can have ended.
         """
         ended_ms = self._clock.now_ms() - self._clock.min_process_age_ms()
-        self._started_ms.extend([ended_ms] * MAX_CALLS_IN_WINDOW)
+        self._started_ms.extend([ended_ms] * RESERVED_CALLS)
--- a/src/jayswitch/gate/concurrency_limiter.py
+++ b/src/jayswitch/gate/concurrency_limiter.py
@@ -7,15 +7,18 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
 
-COLD_SHARE = 0.1
+# Share of the slots with which a ramp starts.
+INITIAL_LIMIT_SHARE = 0.1
 GROWTH_PER_SUCCESS = 1.0
 DECREASE_FACTOR = 0.6
 MIN_DECREASE_INTERVAL_MS = 200.0
+# Weight of one response in the moving average of the share of errors.
 ERROR_WEIGHT = 0.1
-ERROR_SHARE = 0.3
+MAX_ERROR_SHARE = 0.3
+# A response is slow above this multiple of its route's baseline.
 SLOW_RATIO = 2.0
 SLOW_FLOOR_MS = 2.0
-SLOW_SAMPLES = 6
+MIN_CONSECUTIVE_SLOW = 6
 BASELINE_WEIGHT = 0.02
 BASELINE_MIN_SAMPLES = 30
 
@@ -31,13 +34,16 @@
         self.samples = 0
         self.slow_in_row = 0
 
-    def is_slow(self, latency_ms: float) -> bool:
-        """Adds a sample; returns whether enough consecutive responses were slow."""
+    def observe(self, latency_ms: float) -> bool:
+        """Records a response; returns whether enough consecutive ones were slow.
+
+        Slow responses do not change the baseline.
+        """
         known = self.samples >= BASELINE_MIN_SAMPLES
         bound_ms = max(self.baseline_ms * SLOW_RATIO, SLOW_FLOOR_MS)
         if known and latency_ms > bound_ms:
             self.slow_in_row += 1
-            return self.slow_in_row >= SLOW_SAMPLES
+            return self.slow_in_row >= MIN_CONSECUTIVE_SLOW
         self.slow_in_row = 0
         self.samples += 1
         weight = max(BASELINE_WEIGHT, 1.0 / self.samples)
@@ -49,8 +55,9 @@
     """Concurrency limit that ramps up a cold upstream and backs off on overload.
 
     The limit grows only on success and no faster than the warm-up time allows.
-    Shed requests and failures reduce it. Consecutive slow responses at full
-    limit indicate that the upstream has become cold again and restart the ramp.
+    Shed requests and failures reduce it, and so do consecutive slow responses
+    during a ramp. At full limit these indicate that the upstream has become cold
+    again and restart the ramp.
     """
 
     __slots__ = (
@@ -93,16 +100,16 @@
         return self.limit < self._slots
 
     def restart_ramp(self) -> None:
-        """Restarts the ramp from the lowest limit."""
+        """Restarts the ramp from the limit for a cold upstream."""
         self.cold_starts += 1
-        self._limit = max(1.0, COLD_SHARE * self._slots)
+        self._limit = max(1.0, INITIAL_LIMIT_SHARE * self._slots)
         self._ramp_from = self._limit
         self._ramp_started_ms = self._clock.now_ms()
 
     def on_success(self, route: str, latency_ms: float, in_flight: int) -> None:
         """Updates the limit after a complete response; in_flight includes the call."""
         latency = self._latency_by_route.setdefault(route, RouteLatency())
-        if latency.is_slow(latency_ms):
+        if latency.observe(latency_ms):
             latency.slow_in_row = 0
             if not self.is_ramping:
                 self.restart_ramp()
@@ -116,11 +123,14 @@
     def on_status(self, failed: bool) -> None:
         """Updates the error share and reduces the limit if it is too high."""
         self._error_share += (float(failed) - self._error_share) * ERROR_WEIGHT
-        if failed and self._error_share > ERROR_SHARE:
+        if failed and self._error_share > MAX_ERROR_SHARE:
             self.on_overload()
 
     def on_overload(self) -> None:
-        """Reduces the limit after a shed request, a failure or a timeout."""
+        """Reduces the limit after a shed, failed or slow call; ramps up from there.
+
+        Has no effect within MIN_DECREASE_INTERVAL_MS of the last reduction.
+        """
         now_ms = self._clock.now_ms()
         if now_ms - self._last_decrease_ms < MIN_DECREASE_INTERVAL_MS:
             return
--- a/src/jayswitch/gate/gate.py
+++ b/src/jayswitch/gate/gate.py
@@ -1,4 +1,8 @@
-"""Gate in front of one upstream; the only component that sends calls to it."""
+"""Gate of a node, which gets calls as messages from routers.
+
+Only the gate sends calls to the node's upstream. The gate of a proxy, which forwards
+HTTP requests, is in upstream_gate.py.
+"""
 
 from __future__ import annotations
 
@@ -69,7 +73,7 @@
     __slots__ = ("credit_limit", "changed", "cancelled")
 
     def __init__(self) -> None:
-        """Grants credit for the initial window."""
+        """Grants credit for the initial window, counted in chunks."""
         self.credit_limit = CHUNK_WINDOW
         self.cancelled = False
         self.changed = Event()
@@ -146,7 +150,7 @@
         """Runs or refuses a call; sends exactly one outcome and then any chunks.
 
         A duplicate message is dropped without an outcome, unless the call was
-        refused; then the refusal is sent again.
+        refused; then it is refused again.
         """
         state = self.request_states.state_of(call.id)
         if state is RequestState.REFUSED:
@@ -181,7 +185,7 @@
         send(Refusal(id=message.id, reason=REASON_CANCELLED))
 
     def credit(self, call_id: str, up_to: int) -> None:
-        """Raises the credit of an answer's stream to a sequence number."""
+        """Allows an answer's chunks with sequence numbers below up_to to be sent."""
         stream = self._stream_by_id.get(call_id)
         if stream is not None and up_to > stream.credit_limit:
             stream.credit_limit = up_to
--- a/src/jayswitch/gate/local_upstream.py
+++ b/src/jayswitch/gate/local_upstream.py
@@ -28,7 +28,11 @@
 
 
 class HeartbeatResult(Enum):
-    """Result of processing a heartbeat."""
+    """Result of processing a heartbeat.
+
+    STALE heartbeats are late, repeated or of an old incarnation; FOREIGN ones are of
+    another service.
+    """
 
     CHANGED = "changed"
     KNOWN = "known"
@@ -46,7 +50,7 @@
         clock: Clock,
         on_cold: Callable[[float], None],
     ) -> None:
-        """Takes this VM's service and a callback for the remaining cold time."""
+        """Takes this VM's service and a callback for the remaining cold time in ms."""
         self.current: Upstream | None = None
         self._service = service
         self._heartbeat_timeout_ms = MISSED_HEARTBEATS * heartbeat_ms
@@ -117,7 +121,8 @@
     ) -> HeartbeatResult:
         reported = heartbeat.upstream
         if reported.sequence <= current.sequence:
-            # A heartbeat that is sent again gets the same reply as the first one.
+            # A stale heartbeat is acknowledged like any other, so one that is sent
+            # again gets the same reply as the first one.
             return HeartbeatResult.STALE
         first = self._last_heartbeat_ms == float("-inf")
         self._record_heartbeat(heartbeat)
--- a/src/jayswitch/gate/reasons.py
+++ b/src/jayswitch/gate/reasons.py
@@ -14,4 +14,6 @@
 REASON_REFUSED_BEFORE = "refused before"
 REASON_CANCELLED = "cancelled"
 
+# Reasons that lie in the load of a gate. Routers take a refusal for any other reason as
+# a sign of stale membership data.
 LOAD_REASONS = frozenset((REASON_FULL, REASON_DEADLINE, REASON_SHED))
--- a/src/jayswitch/gate/request_states.py
+++ b/src/jayswitch/gate/request_states.py
@@ -13,11 +13,12 @@
     from jayswitch.messages.generated import Answer
 
 RETENTION_MS = 120_000.0
-MAX_CACHED_ANSWER_BYTES = 4 * 1024 * 1024
+# Limit on the sum of all cached bodies; the oldest are evicted first.
+MAX_CACHE_BYTES = 4 * 1024 * 1024
 
 
 class RequestState(Enum):
-    """State of a request at this gate."""
+    """State of a request, or of one attempt at it, at this gate."""
 
     WAITING = "waiting"
     HANDED_OVER = "handed-over"
@@ -25,7 +26,7 @@
 
 
 class RequestStateEntry:
-    """State of one request; once refused it is never handed to the upstream."""
+    """State and its time; what was refused is never handed to the upstream."""
 
     __slots__ = ("state", "recorded_ms")
 
@@ -36,7 +37,10 @@
 
 
 class RequestStateStore:
-    """Keeps the state of each request for two minutes, by request id."""
+    """Keeps the states of requests and of their attempts for two minutes.
+
+    Requests are stored by request id and attempts by call id.
+    """
 
     def __init__(self, clock: Clock) -> None:
         """Starts empty."""
@@ -44,12 +48,12 @@
         self._entry_by_id: OrderedDict[str, RequestStateEntry] = OrderedDict()
 
     def state_of(self, request_id: str) -> RequestState | None:
-        """Returns the state of a request, or None if the request is not known."""
+        """Returns the state of a request or attempt, or None if it is not known."""
         item = self._entry_by_id.get(request_id)
         return item.state if item is not None else None
 
     def record(self, request_id: str, state: RequestState) -> None:
-        """Records the state and removes expired requests."""
+        """Records the state and removes expired entries."""
         now_ms = self._clock.now_ms()
         self._entry_by_id.pop(request_id, None)
         self._entry_by_id[request_id] = RequestStateEntry(state, now_ms)
@@ -60,7 +64,7 @@
             del self._entry_by_id[oldest_id]
 
     def __len__(self) -> int:
-        """Returns the number of requests stored."""
+        """Returns the number of requests and attempts stored."""
         return len(self._entry_by_id)
 
 
@@ -119,7 +123,7 @@
             self._evict_answer(item)
             del self._item_by_key[key]
         for item in self._item_by_key.values():
-            if self._bytes <= MAX_CACHED_ANSWER_BYTES:
+            if self._bytes <= MAX_CACHE_BYTES:
                 return
             self._evict_answer(item)
 
--- a/src/jayswitch/gate/slots.py
+++ b/src/jayswitch/gate/slots.py
@@ -16,9 +16,9 @@
 
 # Calls that may wait per slot; the responses to further ones would be late.
 MAX_WAITING_PER_SLOT = 4
-# Calls granted ahead of a waiting less urgent one before that one gets a turn. Of
-# each kind of request, the share that is served must be at least a quarter of the
-# share that is served of all requests.
+# Calls granted ahead of a waiting less urgent one before that one gets a turn. The
+# share of served requests of each kind must be at least a quarter of the share of
+# served requests overall.
 MAX_CONSECUTIVE_URGENT_GRANTS = 8
 
 
@@ -34,9 +34,9 @@
 class SlotQueue:
     """Limits concurrent calls and queues further ones by rank.
 
-    Urgent calls go first, but every ninth grant goes to a less urgent one. Calls to
-    a cold upstream are also rate limited; they wait for that in the same queue,
-    the most urgent first.
+    A lower rank is more urgent. Urgent calls go first, but every ninth grant goes to
+    a less urgent one. Calls to a cold upstream are also rate limited; they wait for
+    that in the same queue, the most urgent first.
     """
 
     def __init__(self, limit: int, cold_limiter: ColdRateLimiter, clock: Clock) -> None:
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -1,4 +1,7 @@
-"""Admission control for the upstream on this VM and forwarding to it."""
+"""Gate of a proxy: admits HTTP requests to the upstream on its VM.
+
+The gate of a node, which gets calls as messages, is in gate.py.
+"""
 
 from __future__ import annotations
 
@@ -32,11 +35,12 @@
 # running calls ends.
 DEFAULT_RETRY_MS = 200.0
 HEALTH_TIMEOUT_MS = 300.0
-# Bodies of rejections and health checks have a few bytes; longer ones are truncated.
+# Bodies of rejections and health checks have a few bytes. They are read up to this
+# length, so that the connection can be reused; with a longer body it is closed.
 MAX_DISCARD_BYTES = 64 * 1024
 HEALTH_RETRY_MS = 150.0
-# Share of the slack that is used. The rest covers varying network delay and requests
-# that are in flight when the upstream becomes cold, which count too.
+# Share of the setting cold_slack that is used. The rest covers varying network delay
+# and requests that are in flight when the upstream becomes cold, which count too.
 COLD_SLACK_SHARE = 0.5
 # With less time left the request would be cancelled before the upstream has responded.
 MIN_TIME_LEFT_MS = 10.0
--- a/tests/gate/test_admission.py
+++ b/tests/gate/test_admission.py
@@ -10,7 +10,7 @@
 
 
 class TestAdmissionQueue:
-    """Running calls stay within the limit and no priority starves."""
+    """Running calls stay within the limit and bulk calls do not starve."""
 
     def test_bulk_calls_leave_slots_to_other_priorities(self) -> None:
         admission = AdmissionQueue(lambda: 6)
--- a/tests/gate/test_local_upstream.py
+++ b/tests/gate/test_local_upstream.py
@@ -76,7 +76,7 @@
         assert local.usable is None
         assert not local.deregister("i-9")
 
-    def test_restored_state_needs_a_heartbeat_and_guards_against_old_ones(self) -> None:
+    def test_restored_leaving_state_is_not_undone_by_a_heartbeat(self) -> None:
         local = _local(VirtualClock())
         local.restore(_upstream(7, state=UpstreamState.LEAVING))
         local.handle_heartbeat(Heartbeat(_upstream(8), 0))
