Match docstrings in the proxy to what it does

Read oddly: a body length that is "None if not declared", though a short chunked body has one; "every response carries the outcome", though two kinds do not; "few other proxies" for fewer than half of them; a rank without a word on which end is urgent; a connect timeout whose reason held only below 1 s. Only comments and docstrings change.

--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -33,7 +33,8 @@
 NO_AVAILABLE_UPSTREAM_RETRY_MS = 400.0
 # An upstream that refused a request is avoided for this long if others are available.
 REFUSAL_PENALTY_MS = 100.0
-# Responses up to this size are buffered before the status line is sent to the caller.
+# Responses with a Content-Length up to this are buffered before the status line is sent
+# to the caller.
 MAX_BUFFERED_RESPONSE_BYTES = 1024 * 1024
 # Part of the deadline reserved for returning the response to the caller in time.
 RESPONSE_RESERVE_MS = 5.0
@@ -50,7 +51,7 @@
     __slots__ = ("ratio", "slack", "window_s")
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
-        """Takes retries per request, additional retries, and the window in seconds."""
+        """Takes retries per request and additional ones in window_s seconds."""
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
--- a/src/jayswitch/proxy/hop.py
+++ b/src/jayswitch/proxy/hop.py
@@ -50,8 +50,9 @@
 class HopRequest(msgspec.Struct, omit_defaults=True):
     """Routing decisions of the sending proxy, sent in a header of the request.
 
-    objective_ms is the remaining time; known holds the newest store revisions that
-    the sender has seen; usual holds the proved version's averages on the route.
+    objective_ms is the time left until the target latency is exceeded; known holds the
+    newest store revisions that the sender has seen; usual holds the proved version's
+    averages on the route.
     """
 
     service: str
--- a/src/jayswitch/proxy/inbound.py
+++ b/src/jayswitch/proxy/inbound.py
@@ -53,7 +53,10 @@
 
 
 class InboundApplication:
-    """Passes requests to the gate; every response carries the request's outcome."""
+    """Passes requests to the gate; responses carry the outcome in a header.
+
+    Responses to malformed requests and to senders that disconnected carry none.
+    """
 
     def __init__(
         self,
--- a/src/jayswitch/proxy/outcome.py
+++ b/src/jayswitch/proxy/outcome.py
@@ -34,8 +34,9 @@
 class ForwardedRequest:
     """A request with its routing decisions.
 
-    deadline_ms and objective_ms are timestamps of the local clock. The body is
-    either complete bytes or an iterator, which can be read only once.
+    deadline_ms and objective_ms are timestamps of the local clock; the route's target
+    latency ends at the latter. A lower rank is more urgent. The body is either complete
+    bytes or an iterator, which can be read only once.
     """
 
     __slots__ = (
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -57,7 +57,7 @@
 
 UPSTREAM_CONNECT_TIMEOUT_MS = 300.0
 # The latency between data centres is 1.4 ms, and a lost SYN is retransmitted only
-# after 1 s, so a longer timeout would not help.
+# after 1 s, so waiting longer, but less than that, would not help.
 HOP_CONNECT_TIMEOUT_MS = 250.0
 # The response to a heartbeat has to be sent within 1 s.
 ACKNOWLEDGE_TIMEOUT_MS = 800.0
@@ -291,8 +291,9 @@
     def _callers_may_return(self) -> bool:
         """Returns whether callers may still be sent to this VM after an idle period.
 
-        This is the case while few other proxies of the data centre are ready. A VM
-        that stops together with its upstream gains nothing by exiting sooner.
+        This is the case while fewer than half of the data centre's proxies accept
+        callers. It is also true if the upstream is stopping, because a VM that stops
+        together with its upstream gains nothing by exiting sooner.
         """
         if not self.directory.at_least_half_accept_callers(self.settings.data_centre):
             return True
--- a/src/jayswitch/proxy/wsgi_request.py
+++ b/src/jayswitch/proxy/wsgi_request.py
@@ -42,10 +42,11 @@
 def read_body(
     environ: dict[str, Any], max_bytes: int
 ) -> tuple[bytes | Iterator[bytes], int | None]:
-    """Returns the body and its length, which is None if it is not declared.
+    """Returns the body and its length.
 
-    Long bodies are returned as an iterator that raises MalformedRequest if the
-    body is cut short.
+    The length is None if there is no body, or if a chunked one is too long to be
+    buffered. Long bodies are returned as an iterator that raises MalformedRequest if
+    the body is cut short or, when chunked, longer than max_bytes.
     """
     length = declared_length(environ)
     stream = environ["wsgi.input"]
