Name the units of the rollout's constants

Read oddly: shares, decays and delays without what they are shares of or counted in; a score called a logarithm of odds that is one of a likelihood ratio; two modules that both advance moves, without a word on which is for nodes and which for proxies.

Renamed: _stage_ms_by_service to _stage_start_by_service, as it holds a share and a time. The rest are comments and docstrings.

Apart from docstrings, comments and the renames the syntax trees are the same as before, so the behaviour is.

--- a/src/jayswitch/rollout/coordinator.py
+++ b/src/jayswitch/rollout/coordinator.py
@@ -1,6 +1,7 @@
 """Advances the moves of services.
 
-Every proxy may write a step; the store accepts only the first one.
+Every proxy may write a step; the store accepts only the first one. The moves of nodes
+are advanced in driver.py.
 """
 
 from __future__ import annotations
@@ -71,7 +72,8 @@
         self._status = status
         self._clock = clock
         self._due_ms_by_topic: dict[str, float] = {}
-        self._stage_ms_by_service: dict[str, tuple[float, float]] = {}
+        # Share of the stage, and the time at which this proxy first saw it.
+        self._stage_start_by_service: dict[str, tuple[float, float]] = {}
 
     def start(self) -> None:
         """Starts the background task that reviews moves."""
@@ -113,10 +115,12 @@
 
     def _build_view(self, order: MoveOrder, move: Move) -> MoveView:
         now_ms = self._clock.now_ms()
-        share, since_ms = self._stage_ms_by_service.get(order.service, (-1.0, now_ms))
+        share, since_ms = self._stage_start_by_service.get(
+            order.service, (-1.0, now_ms)
+        )
         if share != move.share:
             since_ms = now_ms
-            self._stage_ms_by_service[order.service] = (move.share, now_ms)
+            self._stage_start_by_service[order.service] = (move.share, now_ms)
         good = 0
         upstreams = 0
         for record in self._directory.record_by_vm.values():
--- a/src/jayswitch/rollout/driver.py
+++ b/src/jayswitch/rollout/driver.py
@@ -1,6 +1,7 @@
 """Advances moves from their trial step to completion or reversal.
 
-One node at a time does so, under a lease.
+One node at a time does so, under a lease. The moves of proxies are advanced in
+coordinator.py.
 """
 
 from __future__ import annotations
@@ -33,6 +34,9 @@
 LEASE_ATTEMPT_INTERVAL_MS = 2500.0
 DRIVE_INTERVAL_MS = 400.0
 STEP_PERCENTS = (25, 50, 90)
+# Shares of the time from a move's start to its deadline: the planned time at each
+# percentage, the time by which all of these end, and the time after which a move that
+# is not completed is reversed.
 HOLD_SHARE = 0.15
 TRIAL_HOLD_SHARE = 0.3
 MIN_HOLD_MS = 300.0
--- a/src/jayswitch/rollout/stages.py
+++ b/src/jayswitch/rollout/stages.py
@@ -1,4 +1,7 @@
-"""Schedule of the stages in which a service's traffic moves to another version."""
+"""Schedule of the stages in which a service's traffic moves to another version.
+
+Proxies use it; the moves of nodes are scheduled in driver.py.
+"""
 
 from __future__ import annotations
 
@@ -28,6 +31,7 @@
     Stage(0.6, 0.52),
     Stage(1.0, 0.62),
 )
+# Fraction of the move's duration before which it is not completed.
 MIN_COMPLETE_PART = 0.74
 # Requests already sent to upstreams of the old version end within this time.
 MIN_LAST_STAGE_MS = 2000.0
@@ -39,7 +43,8 @@
 class MoveView(msgspec.Struct, frozen=True):
     """The inputs for the decision on a move's next step.
 
-    elapsed_ms counts from the order, stage_ms from the last step.
+    elapsed_ms counts from the order, stage_ms from the last step. good_answers and
+    upstreams are those of the new version in the whole fleet.
     """
 
     share: float
--- a/src/jayswitch/rollout/version_comparison.py
+++ b/src/jayswitch/rollout/version_comparison.py
@@ -7,6 +7,7 @@
 
 from jayswitch.rollout.outcomes import LATENCY_BUCKETS, RouteOutcomes
 
+# Natural logarithm of a likelihood ratio of about 1000 to 1.
 BAD_SCORE = 6.9
 ERROR_RATE_FLOOR = 0.005
 ERROR_RATE_RAISED_FACTOR = 3.0
@@ -18,11 +19,13 @@
 SLOW_QUANTILE = 0.95
 SLOW_EXTRA_BUCKETS = 1
 MIN_OLD_LATENCY_SAMPLES = 20
+# Weight of the long-term rate in the estimate of the recent one, in calls.
 PRIOR_CALLS = 1.0
 MIN_RECENT_OLD_CALLS = 3.0
 MIN_STEP_CALLS = 40
 MIN_STEP_ROUTE_CALLS = 5
 BUSY_ROUTE_CALLS = 20
+# Factors by which older counts are reduced at each interval.
 HISTORY_DECAY = 0.98
 RECENT_DECAY = 0.8
 DEVIATIONS_WITH_RECENT_HITS = 2.0
@@ -204,8 +207,8 @@
     def __init__(self, delay: int, bad_score: float = BAD_SCORE) -> None:
         """Starts without observations.
 
-        The delay is in intervals. bad_score is the score, a logarithm of odds, from
-        which a version counts as bad.
+        The delay is in intervals. bad_score is the score, the natural logarithm of a
+        likelihood ratio, from which a version counts as bad.
         """
         self._delay = delay
         self._bad_score = bad_score
--- a/src/jayswitch/rollout/versions.py
+++ b/src/jayswitch/rollout/versions.py
@@ -87,7 +87,7 @@
         return move is not None and move.to_version == version
 
     def choose_members(self, service: str, members: list[Member]) -> list[Member]:
-        """Returns the upstreams that one request may be sent to."""
+        """Draws a version for one request at random; returns its upstreams."""
         move = self._running_move(service)
         if move is not None and self._random.random() < move.share:
             chosen = [m for m in members if m.version == move.to_version]
--- a/src/jayswitch/rollout/watcher.py
+++ b/src/jayswitch/rollout/watcher.py
@@ -25,6 +25,7 @@
     from jayswitch.rollout.outcomes import OutcomeCounter
 
 LOCAL = "local"
+# Delays of the new version's counts, in intervals between two reviews.
 LOCAL_DELAY_INTERVALS = 3
 LOCAL_BAD_SCORE = 10.0
 REPORTED_DELAY_INTERVALS = 5
--- a/tests/rollout/test_version_comparison.py
+++ b/tests/rollout/test_version_comparison.py
@@ -11,6 +11,7 @@
 from jayswitch.rollout.outcomes import RouteOutcomes
 from jayswitch.rollout.version_comparison import MoveComparison
 
+# A node compares the versions every 500 ms, so this is two minutes.
 INTERVALS = 240
 
 
