State what the limits in routing apply to

Read oddly: MAX_DOUBLINGS of 5, which allowed four doublings; two limits under one comment that called each "this"; a move that gets no calls "past its deadline", but only after a grace; NotRun as "not sent to any upstream", though one may have rejected it.

Renamed: MAX_DOUBLINGS to MAX_COUNTED_FAILURES. The rest are comments and docstrings.

Apart from docstrings, comments and the renames the syntax trees are the same as before, so the behaviour is.

--- a/src/jayswitch/routing/balancer.py
+++ b/src/jayswitch/routing/balancer.py
@@ -15,10 +15,12 @@
 
 LOAD_REPORT_TTL_MS = 2000.0
 FAILURE_PENALTY_MS = 1000.0
-MAX_DOUBLINGS = 5
+# The penalty doubles with each consecutive failure up to this one, to 16 s.
+MAX_COUNTED_FAILURES = 5
 SATURATED = 1.0
-# The upstream on this VM saves a hop. It is preferred up to this load, unless its
-# service time exceeds that of the fastest in its data centre by this factor.
+# The upstream on this VM saves a hop. It is preferred while its score is below the
+# first value and its service time is at most the second value times that of the
+# fastest upstream in its data centre.
 MAX_LOCAL_SCORE = 0.6
 MAX_LOCAL_SLOWDOWN = 1.6
 
@@ -103,7 +105,11 @@
         return None if fastest_ms > 0 and slow else local
 
     def score(self, member: Member) -> float:
-        """Returns the estimated utilisation of an upstream's limit."""
+        """Returns the estimated utilisation of an upstream's limit.
+
+        While the upstream is penalised, the score is above SATURATED and grows with
+        the rest of the penalty.
+        """
         load = self._load(member.node)
         now_ms = self._clock.now_ms()
         if now_ms < load.penalty_until_ms:
@@ -143,7 +149,7 @@
         """Avoids an upstream that did not respond, with exponential backoff."""
         load = self._load(node)
         load.failures_in_row += 1
-        doublings = min(load.failures_in_row, MAX_DOUBLINGS) - 1
+        doublings = min(load.failures_in_row, MAX_COUNTED_FAILURES) - 1
         self.penalize(node, FAILURE_PENALTY_MS * 2**doublings)
 
     def is_suspected(self, node: str) -> bool:
--- a/src/jayswitch/routing/exceptions.py
+++ b/src/jayswitch/routing/exceptions.py
@@ -34,7 +34,7 @@
 
 
 class NotRun(CallFailure):
-    """The call was not sent to any upstream."""
+    """No upstream has run the call; any that it was sent to has rejected it."""
 
     code = "not-run"
     status = 503
--- a/src/jayswitch/routing/request.py
+++ b/src/jayswitch/routing/request.py
@@ -16,7 +16,11 @@
 
 
 class CallerRequest:
-    """A request as received from a caller; timeout_ms is 0 if none was given."""
+    """A request as received from a caller; timeout_ms is 0 if none was given.
+
+    key is its idempotency key, empty if there is none. depth is the number of calls
+    that it is nested in.
+    """
 
     __slots__ = ("body", "depth", "headers", "key", "method", "path", "timeout_ms")
 
--- a/src/jayswitch/routing/router.py
+++ b/src/jayswitch/routing/router.py
@@ -57,7 +57,10 @@
 CHUNK_TIMEOUT_MS = 30_000.0
 CREDIT_EVERY_CHUNKS = 4
 CREDIT_WINDOW = 8
+# Part of the time left after which a first attempt is cancelled if it may be retried.
 EARLY_CANCEL_SHARE = 0.5
+# If one of the first attempts, up to this number, is refused because of stale
+# membership data, the retry does not count against the budget.
 FREE_ATTEMPTS = 3
 STARTING_RETRY_MS = 1000
 REASON_STARTING = "this node has not received the configuration yet"
--- a/src/jayswitch/routing/table.py
+++ b/src/jayswitch/routing/table.py
@@ -18,7 +18,7 @@
 class VersionSplit:
     """Traffic split between the versions of a service.
 
-    move is None unless a new version is on trial.
+    move is None unless a move to a new version is in progress.
     """
 
     __slots__ = ("move", "proved_version")
@@ -72,7 +72,8 @@
     def split_for(self, service: str, wall_ms: int) -> VersionSplit:
         """Returns the traffic split of a service.
 
-        A move past its deadline gets no calls, even if no node can end it.
+        A move gets no calls once its deadline has passed by DEADLINE_GRACE_MS, even if
+        no node can end it.
         """
         split = self._split_by_service[service]
         move = split.move
