Explain unlisted proxies and the retry interval

Read oddly: a set of unlisted VMs without what that means; a comment that began without its subject; two directories without a word on which is the proxies'. Only comments and docstrings change.

--- a/src/jayswitch/fleet/directory.py
+++ b/src/jayswitch/fleet/directory.py
@@ -1,4 +1,7 @@
-"""Directory of the fleet's proxies and of the upstreams that accept new requests."""
+"""Directory of the fleet's proxies and of the upstreams that accept new requests.
+
+The directory of a node is in routing/table.py.
+"""
 
 from __future__ import annotations
 
@@ -28,6 +31,7 @@
         """Takes the local VM, whose upstream stays a member while its proxy drains."""
         self._vm = vm
         self.record_by_vm: dict[str, NodeRecord] = {}
+        # VMs whose record has been removed from the store but is kept here.
         self.unlisted: set[str] = set()
         self.is_suspected: Callable[[str], bool] = lambda vm: False
         self._members_by_service: dict[str, list[Member]] | None = None
--- a/src/jayswitch/fleet/publisher.py
+++ b/src/jayswitch/fleet/publisher.py
@@ -24,8 +24,8 @@
 # The record of a VM that lost power expires after this time.
 LEASE_TTL_MS = 5000
 RENEW_INTERVAL_MS = 1500.0
-# While the store is unavailable; short, because an expired record must be
-# restored soon after the store returns.
+# Interval between attempts while the store is unavailable. It is short, because an
+# expired record must be restored soon after the store returns.
 RETRY_INTERVAL_MS = 250.0
 
 logger = logging.getLogger(__name__)
