--- a/tests/load/test_config_update_burst.py
+++ b/tests/load/test_config_update_burst.py
@@ -31,7 +31,8 @@
 STORE_MBIT_PER_S = 1000.0
 PROPAGATION_LIMIT_MS = 2500.0
 CONFIG_KEY = "op/config"
-# Mean interval per proxy; the deployments have far more requests than that.
+# Mean time between two requests of one proxy; the deployments have far more requests
+# than that.
 REQUEST_INTERVAL_MS = 500.0
 
 
