Say what limits watches and values in store

max_value_bytes looked like the store's limit MAX_VALUE_BYTES; it is what a link can transfer in a given time and is now transferable_value_bytes. The comment on the watch time-out left open why it is long. The docstrings now say why only the first full read sets removals_known_after, and which of the two HTTP clients proxies use.

--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -44,7 +44,11 @@
 from jayswitch.rollout.trial import RouteAverages, TrialEvaluator
 from jayswitch.rollout.versions import VersionRules
 from jayswitch.routing.balancer import Balancer
-from jayswitch.store.follower import BatchDelay, PrefixFollower, max_value_bytes
+from jayswitch.store.follower import (
+    BatchDelay,
+    PrefixFollower,
+    transferable_value_bytes,
+)
 
 if TYPE_CHECKING:
     from jayswitch.logs import BoundedLogHandler
@@ -183,7 +187,7 @@
         settings, clock = self.settings, self._clock
         self.feed_server.serve(operator_prefix, self.orders_follower.state)
         if settings.link_mbit_per_s:
-            self.orders_follower.slow_value_bytes = max_value_bytes(
+            self.orders_follower.slow_value_bytes = transferable_value_bytes(
                 settings.link_mbit_per_s, ORDERS_BATCH_DELAY.shortest_ms
             )
         relays = RelaySelector(settings.vm, settings.data_centre, self.directory, clock)
--- a/src/jayswitch/store/follower.py
+++ b/src/jayswitch/store/follower.py
@@ -19,8 +19,9 @@
     from jayswitch.store.exceptions import StoreError
     from jayswitch.store.interface import Store
 
-# The platform ends a long-poll watch after 30 s at most. Each watch is a billed call;
-# a lost response is detected through the revisions that other proxies report.
+# The platform ends a long poll after 30 s at most. Each watch is billed as one call, so
+# short time-outs cost more. A watch whose response is lost need not time out first: the
+# revisions that other proxies report reveal the missing change.
 WATCH_TIMEOUT_MS = 20_000
 RETRY_MIN_MS = 100.0
 RETRY_MAX_MS = 1000.0
@@ -42,8 +43,11 @@
 logger = logging.getLogger(__name__)
 
 
-def max_value_bytes(link_mbit_per_s: float, duration_ms: float) -> float:
-    """Returns the size of the largest value that a link transfers in a given time."""
+def transferable_value_bytes(link_mbit_per_s: float, duration_ms: float) -> float:
+    """Returns the size of the largest value that a link transfers in a given time.
+
+    This is the size before base64 encoding, without the store's limit on values.
+    """
     return link_mbit_per_s * 1e6 / 8 * duration_ms / MS_PER_S / BASE64_BYTES_PER_BYTE
 
 
@@ -88,7 +92,8 @@
         self.store_watch_timeout_ms: Callable[[], int] = lambda: WATCH_TIMEOUT_MS
         # Fetches changes from the proxy at an address; False if that failed.
         self.fetch_from: Callable[[str], bool] = lambda address: False
-        # Values of this size or more take longer to transfer than the shortest delay.
+        # Values of this size or more take longer to transfer than the shortest batch
+        # delay.
         self.slow_value_bytes = float("inf")
         self._store = store
         self._prefix = prefix
--- a/src/jayswitch/store/http.py
+++ b/src/jayswitch/store/http.py
@@ -1,4 +1,4 @@
-"""HTTP client for the key-value store."""
+"""HTTP client for the key-value store, used by nodes; proxies use platform.store."""
 
 from __future__ import annotations
 
--- a/src/jayswitch/store/prefix_state.py
+++ b/src/jayswitch/store/prefix_state.py
@@ -64,7 +64,8 @@
     def advance(self, revision: int, removals_known_after: int | None = None) -> None:
         """Records that every change up to a revision is known, and wakes waiters.
 
-        After a full read, removals_known_after is its revision; only the first counts.
+        After a full read, removals_known_after is its revision; only that of the first
+        full read is kept, as every later removal is known from then on.
         """
         self.revision = max(self.revision, revision)
         if removals_known_after is not None and self.removals_known_after < 0:
--- a/tests/load/test_config_update_burst.py
+++ b/tests/load/test_config_update_burst.py
@@ -16,7 +16,7 @@
 from jayswitch.fleet.revision_exchange import RevisionExchange
 from jayswitch.proxy.process import ORDERS_BATCH_DELAY
 from jayswitch.standins.memory_store import MemoryStore
-from jayswitch.store.follower import PrefixFollower, max_value_bytes
+from jayswitch.store.follower import PrefixFollower, transferable_value_bytes
 from jayswitch.store.interface import WatchEvent, Write
 from tests.harness.limited_links import LimitedLink, RemoteFeeds, RemoteStore
 
@@ -83,7 +83,7 @@
         follower = PrefixFollower(
             store, "op/", record_in_force, self.clock, ORDERS_BATCH_DELAY
         )
-        follower.slow_value_bytes = max_value_bytes(
+        follower.slow_value_bytes = transferable_value_bytes(
             mbit_per_s, ORDERS_BATCH_DELAY.shortest_ms
         )
         server = FeedServer()
