Say whose value a feed's delta is based on

held and base were explained neither in pack nor in unpack, FeedRequest said only that held maps long values to revisions, and the reason for the second fetch was implied.

--- a/src/jayswitch/feed/client.py
+++ b/src/jayswitch/feed/client.py
@@ -22,7 +22,8 @@
     from jayswitch.proxy.http_client import HttpClient
 
 STATUS_OK = 200
-# Even on a slow link, a compressed configuration of the maximum size takes less time.
+# Even on a slow link, transferring a compressed configuration of the maximum size takes
+# less time than this.
 RESPONSE_MARGIN_MS = 1000.0
 # The store limits the size of a value, and a prefix holds few values of that size.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
--- a/src/jayswitch/feed/follower.py
+++ b/src/jayswitch/feed/follower.py
@@ -103,7 +103,9 @@
     def _fetch(self, address: str, wait_ms: float) -> bool:
         """Fetches and applies a proxy's changes; returns whether its feed is usable."""
         state = self._follower.state
-        # Another feed may replace the base of a delta; full values always apply.
+        # The other feed may replace the base of a delta before the response arrives.
+        # The second attempt names no held values, so it gets full values, which always
+        # apply.
         for held in (state.revision_by_long_key(), {}):
             after = state.revision if state.is_synced else -1
             response = self._request(
--- a/src/jayswitch/feed/messages.py
+++ b/src/jayswitch/feed/messages.py
@@ -18,7 +18,10 @@
 
 
 class FeedRequest(msgspec.Struct, omit_defaults=True):
-    """Requests the changes after a revision; held maps long values to revisions."""
+    """Requests the changes after a revision.
+
+    held maps the key of each long value that the requester has to its revision.
+    """
 
     prefix: str
     after: int
@@ -61,7 +64,10 @@
 def pack(
     key: str, revision: int, value: bytes | None, base: int, held: bytes | None
 ) -> FeedChange:
-    """Returns a change in its smallest encoding, given the requester's held value."""
+    """Returns a change in its smallest encoding.
+
+    held is the value that the requester has, None if unknown; base is its revision.
+    """
     if value is None:
         return FeedChange(key, revision, ValueEncoding.REMOVED)
     if len(value) < LONG_VALUE_BYTES:
@@ -80,6 +86,7 @@
 def unpack(change: FeedChange, base: int, held: bytes | None) -> bytes | None:
     """Returns the value of a change, or None for a removal.
 
+    held is the local value of the key, None if it has none; base is its revision.
     Raises DeltaMismatch if the value cannot be restored.
     """
     if change.form is ValueEncoding.REMOVED:
