Give the units of the heartbeat limits and say what a mark is

The limits that end in _HEARTBEATS had no unit, a mark was described only by how it spreads, and a lagging peer by how long reading the log takes, which is not measured. The docstrings of RelayRole, Backoff and is_settled now state their reasons and cases.

--- a/src/jayswitch/membership/link.py
+++ b/src/jayswitch/membership/link.py
@@ -19,6 +19,7 @@
 # ignored when received and never sent.
 ALL_SERVICES = "*"
 NO_INTEREST = "-"
+# In multiples of the heartbeat interval.
 MISSED_HEARTBEATS = 3.5
 
 
--- a/src/jayswitch/membership/member.py
+++ b/src/jayswitch/membership/member.py
@@ -10,8 +10,9 @@
 from jayswitch.models import Model
 
 KIND_MEMBER = "member"
-# A mark is sent to every node, kept when its link is lost, and not replaced by another
-# node's.
+# A mark records that the new version of a move is bad. It is sent to every node and
+# kept when the link that delivered it is lost. The first mark of a move that a node
+# receives is not replaced by another node's.
 KIND_MARK = "mark"
 KIND_OUTCOMES = "outcomes"
 KIND_STATUS = "status"
--- a/src/jayswitch/membership/relay.py
+++ b/src/jayswitch/membership/relay.py
@@ -47,7 +47,7 @@
 class Backoff:
     """Exponential backoff with jitter, from RETRY_MIN_MS to RETRY_MAX_MS.
 
-    Each delay is drawn from the upper half of the current bound.
+    Each delay is drawn between half the bound and the bound, which then doubles.
     """
 
     __slots__ = ("_bound_ms", "_random")
@@ -72,8 +72,9 @@
     """Joins the tree as an ordinary node, or as a relay while it holds a slot's lease.
 
     A relay watches the log. It is linked to the other relays of its data centre and
-    to the relays with the same slot in other data centres. Slots are not exclusive:
-    two nodes may act as relay for the same slot, which is harmless.
+    to the relays with the same slot in other data centres. Slots are not exclusive: a
+    relay that cannot reach the store does not learn that its lease has expired, so two
+    nodes may act as relay for the same slot, which is harmless.
     """
 
     def __init__(
@@ -87,7 +88,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Initializes the role with this node's slot; claiming one sets its number."""
+        """Initializes the role; slot describes this node, a claim sets its number."""
         self.slots_by_key: dict[str, RelaySlot] = {}
         self.lease = ""
         self._own_slot = slot
--- a/src/jayswitch/membership/sync_builder.py
+++ b/src/jayswitch/membership/sync_builder.py
@@ -13,6 +13,7 @@
     from jayswitch.membership.tree import Tree
     from jayswitch.messages.generated import Record
 
+# In multiples of the heartbeat interval.
 LAGGING_HEARTBEATS = 1.5
 RECORDS_PER_MESSAGE = 400
 
@@ -127,7 +128,10 @@
             self._tree.counts["snapshots_sent"] += 1
 
     def _is_lagging(self, link: Link) -> bool:
-        """Returns whether a peer has lagged for longer than reading the log takes."""
+        """Returns whether a peer has lagged for over LAGGING_HEARTBEATS intervals.
+
+        A relay that can reach the store has normally read the log by then.
+        """
         now_ms = self._tree.clock.now_ms()
         if link.behind_since_ms is None:
             link.behind_since_ms = now_ms
--- a/src/jayswitch/membership/tree.py
+++ b/src/jayswitch/membership/tree.py
@@ -29,7 +29,9 @@
     from jayswitch.messages.codec import AnyMessage
     from jayswitch.transport.interface import Transport
 
+# Delay of a triggered Sync, so that one message carries several changes.
 COALESCE_MS = 15.0
+# Constants that end in _HEARTBEATS are multiples of the heartbeat interval.
 RESEND_HEARTBEATS = 0.9
 ORPHAN_HEARTBEATS = 5.0
 PAUSE_HEARTBEATS = 2.0
@@ -159,7 +161,10 @@
             self.trigger_sync()
 
     def is_settled(self, services: Iterable[str]) -> bool:
-        """Returns whether all known members of the services have been received."""
+        """Returns whether every member of the services known to the parent has arrived.
+
+        Always true for a relay, which has no parent.
+        """
         if self.is_relay:
             return True
         parent = self.parent
