Say when an append is retried, and what a page counts

READ_PAGE had no unit and is now READ_PAGE_ENTRIES. The docstring on reading a write back spoke of a refused write that is a retry; it now says how an earlier attempt comes to be in the log and why a retry makes no duplicate.

--- a/src/jayswitch/config/log.py
+++ b/src/jayswitch/config/log.py
@@ -31,7 +31,7 @@
 SNAPSHOT_KEY = "snapshot"
 SNAPSHOT_EVERY_ENTRIES = 200
 RETAINED_ENTRIES = 400
-READ_PAGE = 256
+READ_PAGE_ENTRIES = 256
 APPEND_ATTEMPTS = 40
 APPEND_RETRY_MS = 50
 CONFIRM_ATTEMPTS = 6
@@ -64,7 +64,7 @@
         """
         while True:
             before = self._replica.version
-            page = self._store.scan(LOG_PREFIX, log_key(before), READ_PAGE)
+            page = self._store.scan(LOG_PREFIX, log_key(before), READ_PAGE_ENTRIES)
             if isinstance(page, Failure):
                 return page
             values = page.unwrap()
@@ -89,7 +89,7 @@
         """Appends a change after validating it against the newest version.
 
         If the response to the write is lost, the entry is read back. Success means
-        that the change is in the log; LogUnavailable means that this is unknown.
+        that the change is in the log; LogUnavailable means that it may or may not be.
         """
         change_id = uuid.uuid4().hex
         last_error: JayswitchError | None = None
@@ -141,9 +141,10 @@
     ) -> Result[Entry, JayswitchError] | None:
         """Reads the entry back to find out whether a failed write took effect.
 
-        A write that the store refused may be a retry of one whose response was lost.
-        Returns None if the change is not in the log and may be retried: a write that
-        is still in flight can only create the same key.
+        Also needed if the store rejected the write: an earlier attempt, whose response
+        was lost, may have created the key. Returns None if the change is not in the
+        log. It may then be retried without a duplicate, because an attempt that is
+        still in flight can only create the same key.
         """
         for _ in range(CONFIRM_ATTEMPTS):
             match self._store.get(log_key(entry.index)):
@@ -186,7 +187,7 @@
         return self._delete_entries(state.version - RETAINED_ENTRIES)
 
     def _covers_version(self, data: bytes, version: int) -> bool:
-        """Returns whether a snapshot has a version or a later one.
+        """Returns whether a snapshot is of the given version or a later one.
 
         True if this release cannot decode the snapshot, which must not be replaced.
         """
--- a/src/jayswitch/config/state.py
+++ b/src/jayswitch/config/state.py
@@ -66,7 +66,7 @@
 
 
 class ServiceState(Model):
-    """A declared service and the name of the profile it uses; may be empty."""
+    """A declared service and the profile it uses; an empty profile means none."""
 
     service: str
     profile: str
