Say what bounds a cold upstream and a move order

Service said that the cold rate holds for the warm-up time after the start; it holds while the upstream reports that it is cold, and neither warm_up_ms nor max_connections is read. MoveOrder did not say what happens after duration_ms.

--- a/src/jayswitch/catalog/model.py
+++ b/src/jayswitch/catalog/model.py
@@ -58,7 +58,8 @@
 class Service(msgspec.Struct, frozen=True):
     """A service and the load limits of its upstreams.
 
-    A cold upstream accepts cold_calls_per_s for the warm-up time after its start.
+    cold_calls_per_s limits the calls to an upstream that reports that it is cold.
+    max_connections and warm_up_ms are decoded but not enforced.
     """
 
     name: str
--- a/src/jayswitch/catalog/orders.py
+++ b/src/jayswitch/catalog/orders.py
@@ -18,7 +18,7 @@
     """An order to move a service's traffic to upstreams of another version.
 
     The revision identifies the order; heard_ms is its time of arrival on the local
-    clock.
+    clock. The move is rolled back unless all traffic has moved within duration_ms.
     """
 
     service: str
