Describe four fields of the messages between nodes

Credit said up to a sequence number, although chunks below up_to are permitted. failed is a text rather than a flag, and gone and bye had no description. generated.py is written from the schema.

--- a/src/jayswitch/messages/generated.py
+++ b/src/jayswitch/messages/generated.py
@@ -70,12 +70,14 @@
     seq: int
     data: bytes
     last: bool = False
-    failed: str = ""
+    failed: Annotated[
+        str, Meta(description="Why the body ends incomplete; empty if it does not.")
+    ] = ""
 
 
 class Credit(Message, kw_only=True):
     """
-    Flow control: permits sending chunks up to a sequence number.
+    Flow control: permits sending chunks with sequence numbers below up_to.
     """
 
     id: str
@@ -124,7 +126,12 @@
     counter: int
     payload: bytes
     service: str = ""
-    gone: bool = False
+    gone: Annotated[
+        bool,
+        Meta(
+            description="Whether the record has been removed; such a record is a tombstone."
+        ),
+    ] = False
 
 
 class SubtreeStatus(Message, kw_only=True):
@@ -203,7 +210,12 @@
             description="Relay slot that the receiver is asked to claim; -1 for none."
         ),
     ] = -1
-    bye: bool = False
+    bye: Annotated[
+        bool,
+        Meta(
+            description="Whether the sender closes the link or has none to the receiver."
+        ),
+    ] = False
     resend: Annotated[
         bool, Meta(description="Asks the receiver to send every record again.")
     ] = False
