Explain the two versions and the marks in a node's dump

The difference between config_version and routing_version, and what the marks are, could not be told from the dump.

--- a/src/jayswitch/node/dump.py
+++ b/src/jayswitch/node/dump.py
@@ -78,7 +78,12 @@
 
 
 class NodeDump(msgspec.Struct):
-    """Complete state of a node, except for the contents of the configuration."""
+    """Complete state of a node, except for the contents of the configuration.
+
+    config_version is the newest version that the node has applied, routing_version the
+    one that it routes by; the latter follows once the required upstreams are known.
+    marks are the findings that the new version of a move is bad.
+    """
 
     node: str
     data_centre: str
