Name the store, callers and settings variable as elsewhere

The key-value store was called the metadata store here, callers were clients, and the comment on the settings variable described the file. Why get matches LeaseExpired, and what duration_s limits, is said too.

--- a/src/jayswitch/platform/operator.py
+++ b/src/jayswitch/platform/operator.py
@@ -74,7 +74,7 @@
 
 
 class LimitsBody(msgspec.Struct):
-    """Limits on the requests of a client."""
+    """Limits on callers' requests, and time-outs of their connections."""
 
     max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 64 * 1024 * 1024
@@ -92,7 +92,7 @@
 
 
 class RolloutBody(msgspec.Struct):
-    """An order to move a service to upstreams of another version."""
+    """An order to move a service to another version within duration_s."""
 
     service: str
     to_version: str
--- a/src/jayswitch/platform/settings.py
+++ b/src/jayswitch/platform/settings.py
@@ -4,7 +4,8 @@
 
 import os
 
-# Path of the file that the platform renders from the template deploy/settings.yaml.
+# Environment variable with the path of the settings file, which the platform renders
+# from the template deploy/settings.yaml.
 SETTINGS_VARIABLE = "JAYSWITCH_SETTINGS"
 
 
--- a/src/jayswitch/platform/store.py
+++ b/src/jayswitch/platform/store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's metadata store that implements the store interface."""
+"""Client of the platform's key-value store that implements the store interface."""
 
 from __future__ import annotations
 
@@ -108,7 +108,8 @@
         """Returns the key's value, or None if the key does not exist."""
         result = self._call("GET", "/kv-key?" + urlencode({"key": key}), ItemBody)
         match result:
-            # Status 404; in response to a read, it means that the key does not exist.
+            # _decode_response returns LeaseExpired for every status 404; in response to
+            # a read, it means that the key does not exist.
             case Failure(LeaseExpired()):
                 return Success(None)
         return result.bind(_decode_item)
