--- a/tests/loopback/test_stop.py
+++ b/tests/loopback/test_stop.py
@@ -101,7 +101,7 @@
         stopping = StoppingProxy()
         wait_until(lambda: "vm-1" in stopping.proxy.directory.record_by_vm)
         stop = eventlet.spawn(stopping.proxy.stop)
-        # Longer than the stop of a proxy that leaves its callers to other proxies.
+        # A proxy whose callers can use other proxies would have stopped by now.
         eventlet.sleep(3.5)
         assert exchange(stopping.address, request()).status == 200
         assert stop.wait() is True
