Log what an upstream announces about its rate and its departure

Nothing acts on it yet.

A response without a limit lifts it only if its request was sent after the limit was received, as responses overtake each other; rejections and health checks lift nothing.

--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -20,6 +20,7 @@
 from jayswitch.gate.slots import SlotQueue
 from jayswitch.gate.slowness import SlownessDetector
 from jayswitch.gate.upstream_health import UpstreamHealth
+from jayswitch.gate.upstream_notices import UpstreamNotices
 from jayswitch.proxy import reasons
 from jayswitch.proxy.exceptions import ExchangeFailed, RequestNotSent, ResponseTruncated
 from jayswitch.proxy.headers import find_header
@@ -92,6 +93,8 @@
         self._breaker = CircuitBreaker(clock)
         self._slowness = SlownessDetector(clock)
         self._was_slow = False
+        self.notices = UpstreamNotices(names, clock)
+        self._logged_sent = 0
         self.health = UpstreamHealth(
             address, local_upstream, cold_limiter, client, names, self.counts, clock
         )
@@ -132,6 +135,7 @@
         self._times = ServiceTimes()
         self._breaker = CircuitBreaker(self._clock)
         self._slowness = SlownessDetector(self._clock)
+        self.notices = UpstreamNotices(self._names, self._clock)
         self.health.is_suspected = False
         self.resize()
 
@@ -229,6 +233,17 @@
             extra={"latency_ratio": round(self._slowness.latency_ratio, 1)},
         )
 
+    def log_rate(self) -> None:
+        """Logs the requests sent since the last call while the upstream limits them."""
+        sent = self.counts["sent"] - self._logged_sent
+        self._logged_sent += sent
+        limit_per_s = self.notices.rate_limit_per_s
+        if limit_per_s is not None:
+            logger.info(
+                "requests sent to a limited upstream",
+                extra={"sent": sent, "limit_per_s": limit_per_s},
+            )
+
     def _retry_after_ms(self, refusal: str) -> float:
         if refusal == reasons.BREAKING_OFF:
             return max(DEFAULT_RETRY_MS, self._breaker.retry_after_ms)
@@ -327,6 +342,8 @@
             )
         if misdirected or not_run:
             self.health.discard(exchange)
+            if not misdirected:
+                self.notices.read(exchange.headers)
             reason = reasons.MISDIRECTED if misdirected else reasons.REJECTED
             if misdirected:
                 self.health.suspect(reason)
@@ -338,6 +355,7 @@
             exchange.close()
             reason = "the answer has no signature or no id"
             return self._outcome_unknown(request, reason, started_ms)
+        self.notices.read_answer(exchange.headers, started_ms)
         self._record_response(request, exchange.status, started_ms)
         body = self._read(request, exchange)
         return Answered(
--- a/src/jayswitch/platform/headers.py
+++ b/src/jayswitch/platform/headers.py
@@ -22,4 +22,8 @@
         cold_left_ms="Cold-Ms",
         # Comma-separated counts: running requests, queued requests, slots.
         load="Server-Load",
+        # Requests per second that the upstream takes from all proxies together.
+        rate_limit="Server-Limit",
+        # "1" in the responses of an upstream that is about to stop.
+        leaving="Server-Leaving",
     )
--- a/src/jayswitch/proxy/headers.py
+++ b/src/jayswitch/proxy/headers.py
@@ -24,6 +24,8 @@
     not_run: str
     cold_left_ms: str
     load: str
+    rate_limit: str
+    leaving: str
 
     def set_by_proxies(self) -> frozenset[str]:
         """Returns the lower-case names of headers that callers cannot set."""
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -62,7 +62,7 @@
 # The response to a heartbeat has to be sent within 1 s.
 ACKNOWLEDGE_TIMEOUT_MS = 800.0
 MAINTENANCE_INTERVAL_MS = 500.0
-STORE_CALLS_LOG_INTERVAL_MS = 5000.0
+COUNTS_LOG_INTERVAL_MS = 5000.0
 # Minimum interval between publications of the trial counts.
 TRIAL_PUBLISH_INTERVAL_MS = 1500.0
 STATUS_OK = 200
@@ -414,14 +414,15 @@
         return [b""]
 
     def _run_maintenance(self) -> None:
-        calls_logged_ms = self.clock.now_ms()
+        counts_logged_ms = self.clock.now_ms()
         while True:
             self.clock.sleep_ms(MAINTENANCE_INTERVAL_MS)
             self.upstream_client.close_expired()
             self.hop_client.close_expired()
-            if self.clock.now_ms() - calls_logged_ms >= STORE_CALLS_LOG_INTERVAL_MS:
-                calls_logged_ms = self.clock.now_ms()
+            if self.clock.now_ms() - counts_logged_ms >= COUNTS_LOG_INTERVAL_MS:
+                counts_logged_ms = self.clock.now_ms()
                 self.log_store_calls()
+                self.gate.log_rate()
 
     def log_store_calls(self) -> None:
         """Logs the calls to the store since the previous line, by kind."""
