--- a/src/jayswitch/model/experiment.py
+++ b/src/jayswitch/model/experiment.py
@@ -52,7 +52,7 @@
         self._clock = VirtualClock()
         self._random = random.Random(seed)
         self.fleet = SimulatedFleet(scenario, names, self._clock, self._random)
-        self._start_ms = self._clock.now_ms()
+        self.start_ms = self._clock.now_ms()
 
     def simulate(self) -> None:
         """Generates requests at random intervals and waits until all have finished."""
@@ -71,7 +71,7 @@
 
     def _generate_arrivals(self, kind: RequestKind) -> None:
         vms = list(self.fleet.vm_by_name.values())
-        until_ms = self._start_ms + self.scenario.duration_s * MS_PER_S
+        until_ms = self.start_ms + self.scenario.duration_s * MS_PER_S
         while True:
             self._clock.sleep_ms(self._random.expovariate(kind.per_s) * MS_PER_S)
             if self._clock.now_ms() >= until_ms:
@@ -90,5 +90,5 @@
             name = FAILED
         else:
             name = IN_TIME if elapsed_ms <= kind.objective_ms else LATE
-        since_ms = arrived_ms - self._start_ms
+        since_ms = arrived_ms - self.start_ms
         self.samples.append(Sample(kind.name, since_ms, elapsed_ms, name))
--- a/src/jayswitch/model/generated.py
+++ b/src/jayswitch/model/generated.py
@@ -30,6 +30,21 @@
             description="Time during which the factor applies; 0 for the whole simulation."
         ),
     ] = 0.0
+    rate_limit_per_s: Annotated[
+        float,
+        Meta(
+            description="Requests per second that an upstream announces that it takes; negative for no limit."
+        ),
+    ] = -1.0
+    limited_from_s: Annotated[
+        float, Meta(description="Time from which the upstreams announce their limit.")
+    ] = 0.0
+    limited_for_s: Annotated[
+        float,
+        Meta(
+            description="Time during which they announce it; 0 for the whole simulation."
+        ),
+    ] = 0.0
     cold_s: Annotated[
         float,
         Meta(description="Time after the start during which the upstreams are cold."),
--- a/src/jayswitch/model/upstream.py
+++ b/src/jayswitch/model/upstream.py
@@ -60,8 +60,9 @@
     ) -> None:
         """Takes the group that sets the speed and the cold time."""
         self.runs = 0
+        self.arrivals_ms: list[float] = []
         self.call: NestedCall = lambda kind, remaining_ms: True
-        self._group = group
+        self.group = group
         self._kind_by_name = kind_by_name
         self._names = names
         self._clock = clock
@@ -78,6 +79,7 @@
     ) -> SimulatedExchange:
         """Runs a request, including its nested requests, and returns the response."""
         self.runs += 1
+        self.arrivals_ms.append(self._clock.now_ms())
         kind = self._kind_by_name[target.removeprefix("/")]
         remaining_ms = float(find_header(headers, self._names.time_left_ms) or 0)
         until_ms = self._clock.now_ms() + remaining_ms
@@ -90,6 +92,9 @@
             (self._names.request_id, request_id),
             (self._names.signature, "model"),
         ]
+        if self.is_limited:
+            limit = str(self.group.rate_limit_per_s)
+            response_headers.append((self._names.rate_limit, limit))
         return SimulatedExchange(status, response_headers)
 
     def forget(self, address: str) -> None:
@@ -106,16 +111,25 @@
     def _work_ms(self, kind: RequestKind) -> float:
         # The mean of a log-normal distribution is exp(mu + sigma^2 / 2).
         factor = self._random.lognormvariate(-(kind.spread**2) / 2, kind.spread)
-        cold_until_ms = self._started_ms + self._group.cold_s * MS_PER_S
+        cold_until_ms = self._started_ms + self.group.cold_s * MS_PER_S
         if self._clock.now_ms() < cold_until_ms:
             factor *= COLD_SLOWNESS
         return kind.work_ms * self._slowness() * factor
 
+    @property
+    def is_limited(self) -> bool:
+        """Returns whether the upstream announces a rate limit at this moment."""
+        group = self.group
+        is_in_phase = self._is_in_phase(group.limited_from_s, group.limited_for_s)
+        return group.rate_limit_per_s >= 0 and is_in_phase
+
     def _slowness(self) -> float:
         """Returns the factor on the processing time at this moment."""
-        group = self._group
-        if not group.slow_for_s:
-            return group.slowness
-        since_s = (self._clock.now_ms() - self._started_ms) / MS_PER_S
-        is_slow = 0 <= since_s - group.slow_from_s < group.slow_for_s
+        group = self.group
+        is_slow = self._is_in_phase(group.slow_from_s, group.slow_for_s)
         return group.slowness if is_slow else 1.0
+
+    def _is_in_phase(self, from_s: float, for_s: float) -> bool:
+        """Returns whether a phase lasts at this moment; 0 s stand for no end."""
+        since_s = (self._clock.now_ms() - self._started_ms) / MS_PER_S
+        return not for_s or 0 <= since_s - from_s < for_s
