Hold the rate that an upstream announces at its gate

Cause: the gate took an announcement for one more header to pass on. It bounds concurrency, so the rate of an upstream follows from slots and service time.

Ruled out: restarts (broken before the first one) and shares of senders that do not sum up (the one gate that reaches the upstream sees the excess itself).

Change: a token bucket at the gate, which holds the limit for the whole fleet, since only the gate reaches the upstream. It begins empty; health checks count; a limit of 0 leaves one request in 4 s, as only a response lifts it. Requests wait for it in the queue for slots, by rank, or are refused at once with the time to return; load reports follow the rate. A restarted gate does not know the limit: it sends one request at a time until its upstream has responded to one.

Why it works: a bucket of a quarter of a second lets 4.25 times the limit through in 4 s, whoever sends; what an earlier process sent is covered by the empty bucket.

--- a/src/jayswitch/gate/slots.py
+++ b/src/jayswitch/gate/slots.py
@@ -1,4 +1,4 @@
-"""Queue for an upstream's slots, rate limited while the upstream is cold."""
+"""Queue for an upstream's slots, rate limited if the upstream needs it."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
     from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
+    from jayswitch.gate.rate_limiter import RateLimiter
 
 # Calls that may wait per slot; the responses to further ones would be late.
 MAX_WAITING_PER_SLOT = 4
@@ -35,14 +36,24 @@
     """Limits concurrent calls and queues further ones by rank.
 
     A lower rank is more urgent. Urgent calls go first, but every ninth grant goes to
-    a less urgent one. Calls to a cold upstream are also rate limited; they wait for
-    that in the same queue, the most urgent first.
+    a less urgent one. Calls to an upstream that is cold, or that announces a rate, are
+    also rate limited; they wait for that in the same queue, the most urgent first.
     """
 
-    def __init__(self, limit: int, cold_limiter: ColdRateLimiter, clock: Clock) -> None:
-        """Takes the maximum of concurrent calls and the cold rate limiter."""
+    def __init__(
+        self,
+        limit: int,
+        cold_limiter: ColdRateLimiter,
+        rate_limiter: RateLimiter,
+        clock: Clock,
+    ) -> None:
+        """Takes the maximum of concurrent calls and the rate limiters."""
         self.limit = limit
         self.cold_limiter = cold_limiter
+        self.rate_limiter = rate_limiter
+        # Whether calls run one at a time, because it is not known yet whether the
+        # upstream announces a rate.
+        self.is_probing = False
         self._grant_scheduled = False
         self.running = 0
         self._clock = clock
@@ -55,20 +66,28 @@
         """Returns the number of queued calls."""
         return len(self._waiting)
 
+    @property
+    def _has_free_slot(self) -> bool:
+        return self.running < (1 if self.is_probing else self.limit)
+
     def expected_wait_ms(self, rank: int, service_ms: float) -> float:
         """Estimates how long a call of the given rank would wait for a slot."""
         ahead = sum(1 for waiter in self._waiting if waiter.sort_key[0] <= rank)
+        rate_delay_ms = self.rate_limiter.delay_ms(ahead)
+        return max(rate_delay_ms, self._expected_slot_wait_ms(ahead, service_ms))
+
+    def _expected_slot_wait_ms(self, ahead: int, service_ms: float) -> float:
         if self.cold_limiter.is_cold:
             return self.cold_limiter.delay_ms() + ahead * MS_PER_S / max(
                 1.0, self.cold_limiter.per_s
             )
-        if self.running < self.limit and not self._waiting:
+        if self._has_free_slot and not self._waiting:
             return 0.0
         return (ahead + 0.5) * service_ms / max(1, self.limit)
 
     def acquire(self, rank: int, wait_ms: float) -> bool:
         """Acquires a slot within the given time; False on timeout or a full queue."""
-        if self.running < self.limit and not self._waiting and self._try_start():
+        if self._has_free_slot and not self._waiting and self._try_start():
             return True
         if wait_ms <= 0 or len(self._waiting) >= self.limit * MAX_WAITING_PER_SLOT:
             return False
@@ -92,7 +111,7 @@
 
     def grant_free_slots(self) -> None:
         """Grants free slots to waiting calls, also after the limit was raised."""
-        while self._waiting and self.running < self.limit:
+        while self._waiting and self._has_free_slot:
             if not self._try_start():
                 return
             waiter = self._pop_next()
@@ -114,9 +133,11 @@
         return self._waiting.pop(0)
 
     def _try_start(self) -> bool:
-        """Occupies a slot unless the rate limit of a cold upstream is exhausted."""
-        delay_ms = self.cold_limiter.take()
+        """Occupies a slot unless a rate limit of the upstream is exhausted."""
+        delay_ms = max(self.cold_limiter.delay_ms(), self.rate_limiter.delay_ms())
         if delay_ms <= 0:
+            self.cold_limiter.take()
+            self.rate_limiter.record()
             self.running += 1
             return True
         if not self._grant_scheduled:
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -15,6 +15,7 @@
 from jayswitch.clock import MS_PER_S
 from jayswitch.gate.circuit_breaker import CircuitBreaker
 from jayswitch.gate.cold_rate_limiter import ColdRateAllowance, ColdRateLimiter
+from jayswitch.gate.rate_limiter import RateLimiter
 from jayswitch.gate.response_buffer import ResponseBuffer
 from jayswitch.gate.service_times import ServiceTimes
 from jayswitch.gate.slots import SlotQueue
@@ -38,7 +39,7 @@
     from jayswitch.gate.local_upstream import LocalUpstream
     from jayswitch.proxy.headers import HeaderNames
     from jayswitch.proxy.http_client import Exchange, HttpClient
-    from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
+    from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest, Headers
 
 # Delay before a retry where a refusal states none: about the time in which one of the
 # running calls ends.
@@ -73,7 +74,8 @@
         """Takes the upstream's address and its state from heartbeats."""
         self._cold_rate_allowance = cold_rate_allowance or ColdRateAllowance()
         self.counts: Counter[str] = Counter()
-        self.slots = SlotQueue(1, cold_limiter, clock)
+        self.rate_limiter = RateLimiter(clock)
+        self.slots = SlotQueue(1, cold_limiter, self.rate_limiter, clock)
         self.data_centre_evacuated = False
         # Until the configuration and the moves are known, the upstream's version may be
         # withdrawn or its data centre evacuated.
@@ -96,21 +98,30 @@
         self.notices = UpstreamNotices(names, clock)
         self._logged_sent = 0
         self.health = UpstreamHealth(
-            address, local_upstream, cold_limiter, client, names, self.counts, clock
+            address,
+            local_upstream,
+            cold_limiter,
+            self.rate_limiter,
+            client,
+            names,
+            self.counts,
+            clock,
         )
+        self.health.on_response = self._apply_notices
 
     @property
     def load(self) -> LoadReport:
-        """Returns the current load; the limit of a cold upstream follows its rate.
+        """Returns the current load; the limit follows the rate if that is limited.
 
         Responses on their way count as waiting: their slots are free, but the VM's link
         delays further responses until these have been sent.
         """
         limit = self.slots.limit
+        per_s = self.rate_limiter.per_s
         if self.cold_limiter.is_cold:
-            sustainable = int(
-                self.cold_limiter.per_s * self._times.overall_ms / MS_PER_S
-            )
+            per_s = min(per_s, self.cold_limiter.per_s)
+        if per_s < float("inf"):
+            sustainable = int(per_s * self._times.overall_ms / MS_PER_S)
             limit = max(1, min(limit, sustainable))
         waiting = self.slots.waiting + self.buffer.responses_held
         return LoadReport(self.slots.running, waiting, limit, self._times.overall_ms)
@@ -129,6 +140,13 @@
             self.slots.limit = max(1, current.slots)
             self.slots.grant_free_slots()
 
+    def probe(self) -> None:
+        """Sends one request at a time until the upstream has responded to one.
+
+        An earlier process may have known a rate limit, which responses will tell.
+        """
+        self.slots.is_probing = True
+
     def restart(self) -> None:
         """Discards connections and service times of the previous incarnation."""
         self._client.forget(self._address)
@@ -136,6 +154,8 @@
         self._breaker = CircuitBreaker(self._clock)
         self._slowness = SlownessDetector(self._clock)
         self.notices = UpstreamNotices(self._names, self._clock)
+        self.slots.is_probing = False
+        self._set_rate_limit(None)
         self.health.is_suspected = False
         self.resize()
 
@@ -150,12 +170,7 @@
         wait_ms = self._max_wait_ms(request)
         expected_ms = self.slots.expected_wait_ms(request.rank, self._times.overall_ms)
         if expected_ms > wait_ms or not self.slots.acquire(request.rank, wait_ms):
-            reason = (
-                reasons.COLD_LIMIT_REACHED
-                if self.cold_limiter.is_cold
-                else reasons.LIMIT_REACHED
-            )
-            return self._refuse(request, reason, self._times.overall_ms / 2)
+            return self._refuse_at_limit(request)
         try:
             outcome = self._run_in_slot(request)
         except BaseException:
@@ -166,6 +181,17 @@
             return outcome
         return self._read_at_once(request, outcome)
 
+    def _refuse_at_limit(self, request: ForwardedRequest) -> NotRun:
+        reason = reasons.LIMIT_REACHED
+        retry_after_ms = self._times.overall_ms / 2
+        if self.rate_limiter.is_limited:
+            reason = reasons.RATE_LIMIT_REACHED
+            rate_delay_ms = self.rate_limiter.delay_ms(self.slots.waiting)
+            retry_after_ms = max(retry_after_ms, rate_delay_ms)
+        elif self.cold_limiter.is_cold:
+            reason = reasons.COLD_LIMIT_REACHED
+        return self._refuse(request, reason, retry_after_ms)
+
     def _read_at_once(
         self, request: ForwardedRequest, response: Answered
     ) -> Answered | OutcomeUnknown:
@@ -286,7 +312,7 @@
                 self._headers(request, current, left_ms),
                 request.body or None,
             )
-            outcome = self._process_response(request, exchange, started_ms)
+            outcome = self._process_response(request, current, exchange, started_ms)
             completed = isinstance(outcome, Answered)
             return outcome
         except RequestNotSent as error:
@@ -322,7 +348,11 @@
         return headers
 
     def _process_response(
-        self, request: ForwardedRequest, exchange: Exchange, started_ms: float
+        self,
+        request: ForwardedRequest,
+        current: Upstream,
+        exchange: Exchange,
+        started_ms: float,
     ) -> AttemptOutcome:
         names = self._names
         echoed = find_header(exchange.headers, names.request_id)
@@ -343,7 +373,8 @@
         if misdirected or not_run:
             self.health.discard(exchange)
             if not misdirected:
-                self.notices.read(exchange.headers)
+                self._apply_notices(current, exchange.headers)
+                self._end_probe()
             reason = reasons.MISDIRECTED if misdirected else reasons.REJECTED
             if misdirected:
                 self.health.suspect(reason)
@@ -355,7 +386,8 @@
             exchange.close()
             reason = "the answer has no signature or no id"
             return self._outcome_unknown(request, reason, started_ms)
-        self.notices.read_answer(exchange.headers, started_ms)
+        self._apply_notices(current, exchange.headers, started_ms)
+        self._end_probe()
         self._record_response(request, exchange.status, started_ms)
         body = self._read(request, exchange)
         return Answered(
@@ -366,6 +398,27 @@
             self.load,
         )
 
+    def _apply_notices(
+        self, sender: Upstream, headers: Headers, sent_ms: float | None = None
+    ) -> None:
+        """Applies what an upstream announces; sent_ms is set if it ran a request."""
+        current = self._local_upstream.current
+        if current is None or not current.same_incarnation(sender):
+            return
+        if sent_ms is None:
+            self.notices.read(headers)
+        else:
+            self.notices.read_answer(headers, sent_ms)
+        self._set_rate_limit(self.notices.rate_limit_per_s)
+
+    def _end_probe(self) -> None:
+        self.slots.is_probing = False
+        self.slots.grant_free_slots()
+
+    def _set_rate_limit(self, per_s: float | None) -> None:
+        self.rate_limiter.set_limit(per_s)
+        self.slots.grant_free_slots()
+
     def _read(self, request: ForwardedRequest, exchange: Exchange) -> Iterator[bytes]:
         left_ms = max(1.0, request.time_to_deadline_ms(self._clock))
         timeout = eventlet.Timeout(
--- a/src/jayswitch/gate/upstream_health.py
+++ b/src/jayswitch/gate/upstream_health.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import eventlet
@@ -15,10 +16,13 @@
 
 if TYPE_CHECKING:
     from jayswitch.clock import Clock
+    from jayswitch.fleet.records import Upstream
     from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
     from jayswitch.gate.local_upstream import LocalUpstream
+    from jayswitch.gate.rate_limiter import RateLimiter
     from jayswitch.proxy.headers import HeaderNames
     from jayswitch.proxy.http_client import Exchange, HttpClient
+    from jayswitch.proxy.outcome import Headers
 
 HEALTH_TIMEOUT_MS = 300.0
 HEALTH_RETRY_MS = 150.0
@@ -41,6 +45,7 @@
         address: str,
         local_upstream: LocalUpstream,
         cold_limiter: ColdRateLimiter,
+        rate_limiter: RateLimiter,
         client: HttpClient,
         names: HeaderNames,
         counts: Counter[str],
@@ -49,9 +54,13 @@
         """Takes the upstream's address and state, and the counters of its gate."""
         self.path = "/health"
         self.is_suspected = False
+        self.on_response: Callable[[Upstream, Headers], None] = (
+            lambda upstream, headers: None
+        )
         self._address = address
         self._local_upstream = local_upstream
         self._cold_limiter = cold_limiter
+        self._rate_limiter = rate_limiter
         self._client = client
         self._names = names
         self._counts = counts
@@ -104,7 +113,8 @@
                     self.is_suspected = False
                     logger.info("upstream answers again")
                     return
-                self._clock.sleep_ms(HEALTH_RETRY_MS)
+                delay_ms = max(HEALTH_RETRY_MS, self._rate_limiter.delay_ms())
+                self._clock.sleep_ms(delay_ms)
             self.is_suspected = False
         finally:
             self._check_running = False
@@ -122,6 +132,8 @@
 
     def _request(self) -> Exchange | None:
         self._counts["health_checks"] += 1
+        # A health check takes a slot like any request.
+        self._rate_limiter.record()
         exchange = None
         headers = [("Host", self._address)]
         try:
@@ -139,4 +151,8 @@
         cold = find_header(exchange.headers, self._names.cold_left_ms)
         if cold is not None and cold.isdigit():
             self._cold_limiter.set_cold(float(cold))
+        current = self._local_upstream.current
+        upstream_id = find_header(exchange.headers, self._names.upstream_id)
+        if current is not None and upstream_id == current.id:
+            self.on_response(current, exchange.headers)
         return exchange
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -296,6 +296,7 @@
             return
         self.local_upstream.restore(upstream)
         self.cold_limiter.reserve_window()
+        self.gate.probe()
         logger.info(
             "stored upstream state restored",
             extra={"upstream": upstream.id, "state": upstream.state.value},
--- a/tests/gate/test_slots.py
+++ b/tests/gate/test_slots.py
@@ -6,13 +6,14 @@
 
 from jayswitch.clock import VirtualClock
 from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
+from jayswitch.gate.rate_limiter import RateLimiter
 from jayswitch.gate.slots import MAX_WAITING_PER_SLOT, SlotQueue
 from jayswitch.proxy.exceptions import CallerDisconnected
 
 
 def _slots(limit: int) -> SlotQueue:
     clock = VirtualClock()
-    return SlotQueue(limit, ColdRateLimiter(clock), clock)
+    return SlotQueue(limit, ColdRateLimiter(clock), RateLimiter(clock), clock)
 
 
 def _acquire_until_caller_is_gone(slots: SlotQueue, seen: list[str]) -> None:
@@ -97,7 +98,7 @@
         clock = VirtualClock()
         limiter = ColdRateLimiter(clock, per_s=4)
         limiter.set_cold(60_000)
-        slots = SlotQueue(6, limiter, clock)
+        slots = SlotQueue(6, limiter, RateLimiter(clock), clock)
         started: list[tuple[float, int]] = []
 
         def run(rank: int) -> None:
@@ -120,7 +121,7 @@
         clock = VirtualClock()
         limiter = ColdRateLimiter(clock, per_s=4)
         limiter.set_cold(60_000)
-        slots = SlotQueue(6, limiter, clock)
+        slots = SlotQueue(6, limiter, RateLimiter(clock), clock)
         assert slots.expected_wait_ms(1, 100) == 0
         for _ in range(4):
             assert slots.acquire(1, 0)
--- a/tests/load/test_priority_starvation.py
+++ b/tests/load/test_priority_starvation.py
@@ -10,6 +10,7 @@
 
 from jayswitch.clock import VirtualClock
 from jayswitch.gate.cold_rate_limiter import ColdRateLimiter
+from jayswitch.gate.rate_limiter import RateLimiter
 from jayswitch.gate.slots import SlotQueue
 
 SLOTS = 6
@@ -23,7 +24,9 @@
     def __init__(self) -> None:
         """Creates the queue; generate_calls() adds the load."""
         self.clock = VirtualClock()
-        self.queue = SlotQueue(SLOTS, ColdRateLimiter(self.clock), self.clock)
+        self.queue = SlotQueue(
+            SLOTS, ColdRateLimiter(self.clock), RateLimiter(self.clock), self.clock
+        )
         self.attempted = {URGENT_RANK: 0, NORMAL_RANK: 0}
         self.served = {URGENT_RANK: 0, NORMAL_RANK: 0}
 
