Obey an upstream's announced departure at its gate and at the proxy that passed it on

What callers saw: nothing yet; a request that follows a response with the announcement went to the leaving upstream until its heartbeat said the same, or for good where the proxy beside it restarted without having stored that.

Cause: as with the rate limit, the announcement was passed on and not read. Besides, what a sender has seen was held by the gate alone, whose process may be replaced.

Change: the gate marks its upstream as leaving, publishes and stores it; its load reports name the departing incarnation, and a proxy that gets one excludes that incarnation whatever records say later. An announcement with 421 is another upstream's.

Why it works: the proxy at which the request begins keeps what it has passed on in its own memory, so neither the store nor a restart elsewhere can take it back; a later incarnation has another start time.

--- a/src/jayswitch/fleet/directory.py
+++ b/src/jayswitch/fleet/directory.py
@@ -11,12 +11,20 @@
 
 import msgspec
 
-from jayswitch.fleet.records import NODE_PREFIX, NodeRecord, UpstreamState
+from jayswitch.fleet.records import (
+    NODE_PREFIX,
+    Incarnation,
+    NodeRecord,
+    UpstreamState,
+)
 from jayswitch.membership.member import Member
 
 if TYPE_CHECKING:
     from jayswitch.store.interface import WatchEvent
 
+# Departures that are kept; more than a fleet has VMs.
+MAX_DEPARTURES = 4096
+
 logger = logging.getLogger(__name__)
 
 
@@ -36,6 +44,9 @@
         self.is_suspected: Callable[[str], bool] = lambda vm: False
         # Increases with each change of the records.
         self.generation = 0
+        # Upstreams whose responses have announced that they are leaving. A record can
+        # be older than that, also if it is published later, by a restarted proxy.
+        self._departing_by_vm: dict[str, Incarnation] = {}
         self._members_by_service: dict[str, list[Member]] | None = None
 
     def apply(self, event: WatchEvent) -> None:
@@ -92,9 +103,25 @@
                 continue
             if upstream.state is not UpstreamState.READY:
                 continue
+            if upstream.incarnation == self._departing_by_vm.get(record.vm):
+                continue
             grouped.setdefault(upstream.service, []).append(_member(record))
         return grouped
 
+    def report_departure(self, vm: str, incarnation: Incarnation) -> None:
+        """Excludes an upstream that has announced that it is leaving, for good."""
+        known = self._departing_by_vm.get(vm)
+        if known is not None and known.started_ms >= incarnation.started_ms:
+            return
+        self._departing_by_vm[vm] = incarnation
+        if len(self._departing_by_vm) > MAX_DEPARTURES:
+            del self._departing_by_vm[next(iter(self._departing_by_vm))]
+        self._members_by_service = None
+        logger.info(
+            "upstream announces its departure",
+            extra={"proxy": vm, "upstream": incarnation.id},
+        )
+
     def report_unreachable(self, vm: str) -> None:
         """Reports a failed attempt to reach a proxy; removes it if it is unlisted."""
         if vm in self.unlisted:
--- a/src/jayswitch/fleet/records.py
+++ b/src/jayswitch/fleet/records.py
@@ -21,6 +21,13 @@
     GONE = "gone"
 
 
+class Incarnation(msgspec.Struct, frozen=True):
+    """Identity of one run of an upstream; ids may be used again after a restart."""
+
+    id: str
+    started_ms: int
+
+
 class Upstream(msgspec.Struct):
     """One incarnation of an upstream, as reported by its heartbeats.
 
@@ -35,9 +42,14 @@
     state: UpstreamState
     sequence: int = 0
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Returns the id and the start time."""
+        return Incarnation(self.id, self.started_ms)
+
     def same_incarnation(self, other: Upstream) -> bool:
         """Returns whether both have the same id and start time."""
-        return self.id == other.id and self.started_ms == other.started_ms
+        return self.incarnation == other.incarnation
 
 
 class VersionCounts(msgspec.Struct):
--- a/src/jayswitch/gate/local_upstream.py
+++ b/src/jayswitch/gate/local_upstream.py
@@ -106,6 +106,18 @@
         )
         return HeartbeatResult.CHANGED
 
+    def announce_departure(self) -> bool:
+        """Marks the current upstream as leaving; returns whether that is news."""
+        current = self.current
+        if current is None or current.state is not UpstreamState.READY:
+            return False
+        self.current = msgspec.structs.replace(current, state=UpstreamState.LEAVING)
+        logger.info(
+            "upstream leaves as its response announces",
+            extra={"upstream": current.id, "started_ms": current.started_ms},
+        )
+        return True
+
     def deregister(self, upstream_id: str) -> bool:
         """Marks an upstream as gone; returns whether it is the current one."""
         current = self.current
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -35,7 +35,7 @@
 if TYPE_CHECKING:
     from jayswitch.catalog.model import Service
     from jayswitch.clock import Clock
-    from jayswitch.fleet.records import Upstream
+    from jayswitch.fleet.records import Incarnation, Upstream
     from jayswitch.gate.local_upstream import LocalUpstream
     from jayswitch.proxy.headers import HeaderNames
     from jayswitch.proxy.http_client import Exchange, HttpClient
@@ -84,6 +84,7 @@
         self.on_upstream_response: UpstreamResponseListener = (
             lambda request, failed, latency_ms: None
         )
+        self.on_departure: Callable[[], None] = lambda: None
         self.cold_limiter = cold_limiter
         self._address = address
         self._local_upstream = local_upstream
@@ -124,7 +125,20 @@
             sustainable = int(per_s * self._times.overall_ms / MS_PER_S)
             limit = max(1, min(limit, sustainable))
         waiting = self.slots.waiting + self.buffer.responses_held
-        return LoadReport(self.slots.running, waiting, limit, self._times.overall_ms)
+        return LoadReport(
+            self.slots.running,
+            waiting,
+            limit,
+            self._times.overall_ms,
+            self._departing,
+        )
+
+    @property
+    def _departing(self) -> Incarnation | None:
+        current = self._local_upstream.current
+        if current is None or not self.notices.is_leaving:
+            return None
+        return current.incarnation
 
     def set_service(self, service: Service) -> None:
         """Applies the configuration of the upstream's service."""
@@ -410,6 +424,8 @@
         else:
             self.notices.read_answer(headers, sent_ms)
         self._set_rate_limit(self.notices.rate_limit_per_s)
+        if self.notices.is_leaving and self._local_upstream.announce_departure():
+            self.on_departure()
 
     def _end_probe(self) -> None:
         self.slots.is_probing = False
--- a/src/jayswitch/gate/upstream_notices.py
+++ b/src/jayswitch/gate/upstream_notices.py
@@ -51,7 +51,6 @@
             self._set_limit(limit_per_s)
         if find_header(headers, self._names.leaving) == "1" and not self.is_leaving:
             self.is_leaving = True
-            logger.info("upstream announces that it is leaving")
 
     def read_answer(self, headers: Headers, sent_ms: float) -> None:
         """Reads the response to a request that the upstream has run.
--- a/src/jayswitch/proxy/attempts.py
+++ b/src/jayswitch/proxy/attempts.py
@@ -268,6 +268,8 @@
         if load is not None:
             in_flight = load.running + load.waiting
             self._balancer.report(member.node, in_flight, load.limit, load.service_ms)
+            if load.departing is not None:
+                self._directory.report_departure(member.node, load.departing)
         unreachable = isinstance(outcome, NotRun) and (
             outcome.reason == reasons.PROXY_UNREACHABLE
         )
--- a/src/jayswitch/proxy/outcome.py
+++ b/src/jayswitch/proxy/outcome.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from jayswitch.fleet.records import Incarnation
 from jayswitch.rollout.trial import RouteAverages
 
 if TYPE_CHECKING:
@@ -20,16 +21,18 @@
 MAX_BUFFERED_RESPONSE_BYTES = 1024 * 1024
 
 
-class LoadReport(msgspec.Struct, frozen=True):
-    """Load of an upstream as measured by its local proxy.
+class LoadReport(msgspec.Struct, frozen=True, omit_defaults=True):
+    """State of an upstream as its local proxy knows it.
 
-    service_ms is a moving average of the upstream's response time.
+    service_ms is a moving average of the upstream's response time; departing is set
+    once the upstream has announced that it is leaving.
     """
 
     running: int
     waiting: int
     limit: int
     service_ms: float
+    departing: Incarnation | None = None
 
     def encode(self) -> str:
         """Returns the report as text for log fields."""
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -117,6 +117,7 @@
         self.publisher.known_record_revision = partial(
             self.followers.record_revision, settings.vm
         )
+        self.gate.on_departure = self.publisher.publish
         self.gate.is_informed = lambda: self.followers.have_synced
         self._build_forwarding(names)
         self._build_rollout(status)
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -5,7 +5,13 @@
 import msgspec
 
 from jayswitch.fleet.directory import Directory
-from jayswitch.fleet.records import NodeRecord, Upstream, UpstreamState
+from jayswitch.fleet.records import (
+    Incarnation,
+    NodeRecord,
+    Upstream,
+    UpstreamState,
+    node_key,
+)
 from jayswitch.store.interface import WatchEvent
 
 SERVICE = "herdview"
@@ -90,3 +96,46 @@
         directory.apply(_event("a"))
         directory.apply(WatchEvent("jayswitch/nodes/b", b"{", 2))
         assert _names(directory) == ["a"]
+
+
+class TestDeparture:
+    """An announced departure excludes an incarnation, whatever its record says."""
+
+    def test_record_published_again_does_not_bring_it_back(self) -> None:
+        directory = _directory_with("vm-1", started_ms=1000)
+        directory.report_departure("vm-1", Incarnation("i-1", 1000))
+        assert directory.members("herdview") == []
+        _publish(directory, "vm-1", started_ms=1000)
+        assert directory.members("herdview") == []
+
+    def test_removed_record_does_not_bring_it_back(self) -> None:
+        directory = _directory_with("vm-1", started_ms=1000)
+        directory.report_departure("vm-1", Incarnation("i-1", 1000))
+        directory.apply(WatchEvent(node_key("vm-1"), None, 2))
+        _publish(directory, "vm-1", started_ms=1000)
+        assert directory.members("herdview") == []
+
+    def test_later_incarnation_is_a_member(self) -> None:
+        directory = _directory_with("vm-1", started_ms=1000)
+        directory.report_departure("vm-1", Incarnation("i-1", 1000))
+        _publish(directory, "vm-1", started_ms=2000)
+        assert len(directory.members("herdview")) == 1
+
+    def test_late_report_of_an_earlier_incarnation_changes_nothing(self) -> None:
+        directory = _directory_with("vm-1", started_ms=2000)
+        directory.report_departure("vm-1", Incarnation("i-1", 2000))
+        directory.report_departure("vm-1", Incarnation("i-1", 1000))
+        assert directory.members("herdview") == []
+
+
+def _directory_with(vm: str, started_ms: int) -> Directory:
+    directory = Directory()
+    _publish(directory, vm, started_ms)
+    return directory
+
+
+def _publish(directory: Directory, vm: str, started_ms: int) -> None:
+    upstream = Upstream("i-1", started_ms, "herdview", "v1", 4, UpstreamState.READY)
+    record = NodeRecord(vm, "bunbury", "swwa", "127.0.0.1:1", 0, upstream)
+    value = msgspec.json.encode(record)
+    directory.apply(WatchEvent(node_key(vm), value, 1))
