Reject odd documents of other writers instead of failing on them

What callers would have seen: one heartbeat with a number of 300 digits was accepted and then could not be stored, which ended the task that publishes the proxy's record; a deeply nested last state kept a starting proxy from ever becoming ready; a record whose address has a port out of range ended each request that was sent there without a response.

Cause: decoders were guarded against msgspec's own errors only. Skipping what stands below an unknown key recurses (RecursionError), integers had no bounds although they are encoded again, and the HTTP client took any text for an address.

Change: one decode_document for all JSON of other writers, with one typed error; integers of records and heartbeats are bounded; a record that names another proxy is dropped; an address without a valid port counts as unreachable.

The processes did not end by themselves in any case: such errors end the task, not the process.

--- a/src/jayswitch/fleet/directory.py
+++ b/src/jayswitch/fleet/directory.py
@@ -9,8 +9,6 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from jayswitch.fleet.records import (
     NODE_PREFIX,
     Incarnation,
@@ -18,6 +16,7 @@
     UpstreamState,
 )
 from jayswitch.membership.member import Member
+from jayswitch.store.documents import InvalidDocument, decode_document
 
 if TYPE_CHECKING:
     from jayswitch.store.interface import WatchEvent
@@ -56,12 +55,18 @@
             self._handle_removal(vm)
             return
         try:
-            record = msgspec.json.decode(event.value, type=NodeRecord)
-        except msgspec.MsgspecError as error:
+            record = decode_document(event.value, NodeRecord)
+        except InvalidDocument as error:
             logger.warning(
                 "cannot decode proxy record", extra={"proxy": vm, "reason": str(error)}
             )
             return
+        if record.vm != vm:
+            logger.warning(
+                "proxy record is of another proxy",
+                extra={"proxy": vm, "reason": f"it names {record.vm[:80]}"},
+            )
+            return
         self.unlisted.discard(vm)
         self._log_record(vm, record)
         self.record_by_vm[vm] = record
--- a/src/jayswitch/fleet/publisher.py
+++ b/src/jayswitch/fleet/publisher.py
@@ -19,6 +19,7 @@
     last_state_key,
     node_key,
 )
+from jayswitch.store.documents import InvalidDocument, decode_document
 from jayswitch.store.exceptions import CasConflict, LeaseExpired
 from jayswitch.store.interface import Write
 
@@ -175,8 +176,8 @@
 
     def _decode_last_state(self, data: bytes) -> Upstream | None:
         try:
-            return msgspec.json.decode(data, type=Upstream)
-        except msgspec.MsgspecError as error:
+            return decode_document(data, Upstream)
+        except InvalidDocument as error:
             logger.warning(
                 "cannot decode stored upstream state", extra={"reason": str(error)}
             )
--- a/src/jayswitch/fleet/records.py
+++ b/src/jayswitch/fleet/records.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
+from jayswitch.store.documents import MAX_JSON_INTEGER
+
 NODE_PREFIX = "jayswitch/nodes/"
 MOVE_PREFIX = "jayswitch/moves/"
 BASELINE_PREFIX = "jayswitch/baselines/"
@@ -13,6 +16,10 @@
 LAST_STATE_PREFIX = "jayswitch-last/"
 
 
+# Numbers that do not fit cannot be stored again with the record that holds them.
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_JSON_INTEGER)]
+
+
 class UpstreamState(Enum):
     """Whether an upstream accepts new requests."""
 
@@ -35,12 +42,12 @@
     """
 
     id: str
-    started_ms: int
+    started_ms: Count
     service: str
     version: str
-    slots: int
+    slots: Count
     state: UpstreamState
-    sequence: int = 0
+    sequence: Count = 0
 
     @property
     def incarnation(self) -> Incarnation:
@@ -55,8 +62,8 @@
 class VersionCounts(msgspec.Struct):
     """Numbers of good and bad responses of an upstream whose version is on trial."""
 
-    good: int = 0
-    bad: int = 0
+    good: Count = 0
+    bad: Count = 0
 
 
 class NodeRecord(msgspec.Struct):
@@ -66,7 +73,7 @@
     data_centre: str
     region: str
     address: str
-    started_ms: int = 0
+    started_ms: Count = 0
     upstream: Upstream | None = None
     draining: bool = False
     trial: VersionCounts | None = None
@@ -83,7 +90,7 @@
 
     service: str
     to_version: str
-    order: int
+    order: Count
     share: float
     state: str
 
--- a/src/jayswitch/http/admin_app.py
+++ b/src/jayswitch/http/admin_app.py
@@ -35,6 +35,7 @@
 from jayswitch.metrics import NodeCollector
 from jayswitch.node.dump import dump_node
 from jayswitch.profiles.loader import load_profile
+from jayswitch.store.documents import InvalidDocument, decode_document
 
 if TYPE_CHECKING:
     from jayswitch.config.state import AnyChange
@@ -240,8 +241,8 @@
 
     def _announce(self, request: AdminRequest) -> ApiResult:
         try:
-            announcement = msgspec.json.decode(request.body, type=Announcement)
-        except msgspec.DecodeError as error:
+            announcement = decode_document(request.body, Announcement)
+        except InvalidDocument as error:
             return Failure(BadAnnouncement(str(error)))
         self._node.announce(announcement)
         return Success({"accepted": True})
--- a/src/jayswitch/platform/heartbeats.py
+++ b/src/jayswitch/platform/heartbeats.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 from urllib.parse import parse_qs
 
 import msgspec
@@ -12,6 +12,11 @@
 from jayswitch.fleet.records import Upstream, UpstreamState
 from jayswitch.gate.local_upstream import Heartbeat
 from jayswitch.http.status_lines import status_line
+from jayswitch.store.documents import (
+    MAX_JSON_INTEGER,
+    InvalidDocument,
+    decode_document,
+)
 
 if TYPE_CHECKING:
     from jayswitch.proxy.wsgi_request import StartResponse
@@ -21,6 +26,11 @@
 # A draining upstream finishes its requests but accepts no new ones.
 STATE_BY_NAME = {"ready": UpstreamState.READY, "draining": UpstreamState.LEAVING}
 MAX_BODY_BYTES = 64 * 1024
+# Far above what any upstream has; larger values are mistakes of their writer.
+MAX_SLOTS = 100_000
+MAX_COLD_MS = 3_600_000
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_JSON_INTEGER)]
 
 logger = logging.getLogger(__name__)
 
@@ -36,17 +46,17 @@
     address: str
     zone: str
     version: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
-    seq: int
-    warmup_left_ms: float = 0.0
-    born: int = 0
+    seq: Count
+    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)] = 0.0
+    born: Count = 0
 
 
 class DeregistrationBody(msgspec.Struct):
     """Optional body of a deregistration."""
 
-    born: int = 0
+    born: Count = 0
 
 
 class HeartbeatApplication:
@@ -82,12 +92,12 @@
             return 404
         try:
             if call == DEREGISTER_CALL:
-                decoded = msgspec.json.decode(body or b"{}", type=DeregistrationBody)
+                decoded = decode_document(body or b"{}", DeregistrationBody)
                 return (
                     200 if self._on_deregistration(upstream_id, decoded.born) else 503
                 )
             heartbeat = decode_heartbeat(upstream_id, body)
-        except (msgspec.MsgspecError, KeyError) as error:
+        except (InvalidDocument, KeyError) as error:
             logger.warning(
                 "invalid heartbeat or deregistration",
                 extra={"upstream": upstream_id, "reason": str(error)},
@@ -99,9 +109,9 @@
 def decode_heartbeat(upstream_id: str, body: bytes) -> Heartbeat:
     """Decodes a heartbeat into jayswitch's own type.
 
-    Raises MsgspecError or KeyError if a field is missing or invalid.
+    Raises InvalidDocument or KeyError if a field is missing or invalid.
     """
-    decoded = msgspec.json.decode(body, type=HeartbeatBody)
+    decoded = decode_document(body, HeartbeatBody)
     upstream = Upstream(
         id=upstream_id,
         started_ms=decoded.born,
--- a/src/jayswitch/platform/operator.py
+++ b/src/jayswitch/platform/operator.py
@@ -18,6 +18,7 @@
 )
 from jayswitch.catalog.orders import MoveOrder
 from jayswitch.clock import MS_PER_S
+from jayswitch.store.documents import InvalidDocument, decode_document
 
 if TYPE_CHECKING:
     from jayswitch.catalog.orders import Orders
@@ -125,7 +126,7 @@
             elif key.startswith(EVACUATE_PREFIX):
                 data_centre = key.removeprefix(EVACUATE_PREFIX)
                 self._orders.set_evacuated(data_centre, event.value is not None)
-        except (msgspec.MsgspecError, CatalogInvalid, ValueError, KeyError) as error:
+        except (InvalidDocument, CatalogInvalid, ValueError, KeyError) as error:
             logger.warning(
                 "operator's key unreadable",
                 extra={"key": key, "revision": event.revision, "reason": str(error)},
@@ -138,7 +139,7 @@
             )
             return
         started_ms = self._clock.now_ms()
-        body = msgspec.json.decode(event.value, type=ConfigBody)
+        body = decode_document(event.value, ConfigBody)
         catalog = decode_catalog(body)
         logger.info(
             "configuration decoded",
@@ -155,7 +156,7 @@
         if event.value is None:
             self._orders.remove_move(service)
             return
-        body = msgspec.json.decode(event.value, type=RolloutBody)
+        body = decode_document(event.value, RolloutBody)
         order = MoveOrder(
             service,
             body.to_version,
--- a/src/jayswitch/platform/store.py
+++ b/src/jayswitch/platform/store.py
@@ -14,6 +14,7 @@
 
 from jayswitch.clock import MS_PER_S
 from jayswitch.proxy.sockets import socket_options
+from jayswitch.store.documents import InvalidDocument, decode_document
 from jayswitch.store.exceptions import (
     CasConflict,
     LeaseExpired,
@@ -276,7 +277,7 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             self.calls_by_kind[f"{kind}: no response"] += 1
             return Failure(StoreUnavailable(str(error)))
-        except msgspec.MsgspecError as error:
+        except InvalidDocument as error:
             return Failure(StoreUnavailable(f"undecodable response: {error}"))
 
     def _read_body(self, response: urllib3.BaseHTTPResponse, path: str) -> bytes:
@@ -298,7 +299,7 @@
         self, status: int, data: bytes, path: str, response_type: Any
     ) -> Result[Any, StoreError]:
         if status == STATUS_OK:
-            return Success(msgspec.json.decode(data, type=response_type))
+            return Success(decode_document(data, response_type))
         if status == STATUS_PRECONDITION_FAILED:
             return Failure(CasConflict(path, _decode_revisions(data)))
         if status == STATUS_NOT_FOUND:
@@ -325,8 +326,8 @@
 def _decode_revisions(data: bytes) -> dict[str, int] | None:
     """Returns the current revisions in the response to a write that was rejected."""
     try:
-        body = msgspec.json.decode(data, type=ConflictBody)
-    except msgspec.MsgspecError as error:
+        body = decode_document(data, ConflictBody)
+    except InvalidDocument as error:
         logger.warning("undecodable conflict", extra={"reason": str(error)})
         return None
     return {item.key: item.revision for item in body.items}
--- a/src/jayswitch/proxy/http_client.py
+++ b/src/jayswitch/proxy/http_client.py
@@ -20,6 +20,7 @@
     from jayswitch.clock import Clock
     from jayswitch.proxy.outcome import Headers
 
+MAX_PORT = 65_535
 READ_BYTES = 64 * 1024
 # Connect timeout for an address to which the latest connect failed. It is above the
 # round-trip time between regions, and most such peers are still unreachable.
@@ -211,13 +212,13 @@
         return None
 
     def _connect(self, address: str) -> _Connection:
-        host, _, port = address.rpartition(":")
         timeout_ms = self._connect_timeout_ms
         if address in self._unreachable:
             timeout_ms = min(timeout_ms, RECONNECT_TIMEOUT_MS)
+        host, port = _split_address(address)
         connection = _Connection(
             host,
-            int(port),
+            port,
             timeout=timeout_ms / MS_PER_S,
             socket_options=socket_options(),
         )
@@ -236,6 +237,15 @@
         return connection
 
 
+def _split_address(address: str) -> tuple[str, int]:
+    """Returns IP and port; raises RequestNotSent if there are none."""
+    host, _, port = address.rpartition(":")
+    is_host = host.isprintable() and host != "" and " " not in host
+    if is_host and port.isdecimal() and 0 < int(port[:6]) <= MAX_PORT:
+        return host, int(port[:6])
+    raise RequestNotSent(address[:80], "the address is not an IP and a port")
+
+
 def _receive(connection: _Connection, parser: ResponseParser) -> None:
     sock: Any = connection.sock
     data = sock.recv(READ_BYTES)
--- a/src/jayswitch/rollout/versions.py
+++ b/src/jayswitch/rollout/versions.py
@@ -6,10 +6,9 @@
 import random
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from jayswitch.fleet.records import BASELINE_PREFIX, MOVE_PREFIX, Baseline, Move
 from jayswitch.rollout.stages import RUNNING
+from jayswitch.store.documents import InvalidDocument, decode_document
 
 if TYPE_CHECKING:
     from jayswitch.membership.member import Member
@@ -41,7 +40,7 @@
                 self._apply_move(event.key.removeprefix(MOVE_PREFIX), event)
             elif event.key.startswith(BASELINE_PREFIX):
                 self._apply_baseline(event.key.removeprefix(BASELINE_PREFIX), event)
-        except msgspec.MsgspecError as error:
+        except InvalidDocument as error:
             logger.warning(
                 "cannot decode shared record",
                 extra={"key": event.key, "reason": str(error)},
@@ -115,7 +114,7 @@
             self.move_by_service.pop(service, None)
             self.move_revision_by_service.pop(service, None)
             return
-        move = msgspec.json.decode(event.value, type=Move)
+        move = decode_document(event.value, Move)
         self.move_by_service[service] = move
         self.move_revision_by_service[service] = event.revision
         logger.info(
@@ -132,7 +131,7 @@
     def _apply_baseline(self, service: str, event: WatchEvent) -> None:
         if event.value is None:
             return
-        baseline = msgspec.json.decode(event.value, type=Baseline)
+        baseline = decode_document(event.value, Baseline)
         self.proved_version_by_service[service] = baseline.version
         self.baseline_revision_by_service[service] = event.revision
         logger.info(
--- a/src/jayswitch/store/http.py
+++ b/src/jayswitch/store/http.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from jayswitch.clock import MS_PER_S
+from jayswitch.store.documents import InvalidDocument, decode_document
 from jayswitch.store.exceptions import (
     CasConflict,
     LeaseExpired,
@@ -146,15 +147,15 @@
             return self._parse(response, path, response_type)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Failure(StoreUnavailable(str(error)))
-        except msgspec.MsgspecError as error:
+        except InvalidDocument as error:
             return Failure(StoreUnavailable(f"invalid response: {error}"))
 
     def _parse(
         self, response: urllib3.BaseHTTPResponse, path: str, response_type: Any
     ) -> Result[Any, StoreError]:
         if response.status == 200:
-            return Success(msgspec.json.decode(response.data, type=response_type))
-        error = msgspec.json.decode(response.data, type=ErrorBody)
+            return Success(decode_document(response.data, response_type))
+        error = decode_document(response.data, ErrorBody)
         return Failure(error_from_body(error, path))
 
 
