Refuse requests that outlast a stopping proxy from 2.5 s on, not from half of the grace

What callers would have seen: with a grace period of 10 s, requests that came 3 to 5 s after SIGTERM with 8 to 12 s to live were taken, passed on, and cut without a response when the process exited, those that may not be repeated too.

Cause: the time from which such requests are refused was half of the grace period, so it grew with that, though it only has to cover the time until callers know of the stop (two readiness polls, 2.3 s). With 6 s of grace the same gap was one poll wide, at 3 s.

Change: 2.5 s whatever the grace period. A refused caller is told that it has not run.

--- a/src/jayswitch/proxy/planned_stop.py
+++ b/src/jayswitch/proxy/planned_stop.py
@@ -15,9 +15,10 @@
 
 # Readiness is polled every second; after two failed polls no new requests are sent.
 READINESS_PROPAGATION_MS = 2300.0
-# Fractions of the grace period after which requests are refused: first those whose
-# deadline is later than the exit of this process, then all new requests.
-REFUSE_LONG_REQUESTS_FRACTION = 0.5
+# Requests that arrive this long after the start of the stop are refused if their
+# deadline is later than the exit of this process. Until then callers may not know of it.
+REFUSE_LONG_REQUESTS_MS = 2500.0
+# Fraction of the grace period after which all new requests are refused.
 REFUSE_ALL_FRACTION = 0.75
 # Part of the grace period reserved for closing the process.
 EXIT_MARGIN_MS = 350.0
@@ -53,9 +54,7 @@
             # Other proxies send nothing here, so the record is not needed any more.
             eventlet.spawn_n(process.publisher.revoke_lease)
         self._clock.sleep_ms(READINESS_PROPAGATION_MS)
-        self._wait_while(
-            self._is_in_use, self._grace_ms * REFUSE_LONG_REQUESTS_FRACTION
-        )
+        self._wait_while(self._is_in_use, REFUSE_LONG_REQUESTS_MS)
         latest_ms = self._grace_ms - EXIT_MARGIN_MS
         process.inbound.latest_deadline_ms = self._started_ms + latest_ms
         process.outbound.latest_deadline_ms = self._started_ms + latest_ms
