Add a fault soak of real proxies as separate processes

Change: tests/soak starts proxies as processes, with store and upstreams behind relays that reset, delay or silence connections, and signals that stop, kill, pause and restart, in series and overlapping, as a seed draws them. Callers use connections until the process is gone. Checked from what callers and upstreams see: TWICE, REFUSED, MIXED, LIMIT, DRAIN, RECOVER, and on even seeds, which have planned work only, LOST.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: run test lint format bench explore
+.PHONY: run test lint format bench explore soak
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -15,7 +15,7 @@
 
 test: $(STAMP)
 	$(VENV)/bin/python -m pytest $(ARGS)
-	$(VENV)/bin/python -m pytest -o addopts= tests/deployment tests/loopback $(ARGS)
+	$(VENV)/bin/python -m pytest -o addopts= tests/deployment tests/loopback tests/soak $(ARGS)
 
 lint: $(STAMP)
 	$(VENV)/bin/black --check --quiet src tests tools bench
@@ -33,3 +33,6 @@
 
 explore: $(STAMP)
 	$(VENV)/bin/python -m pytest --hypothesis-profile=explore $(ARGS)
+
+soak: $(STAMP)
+	$(VENV)/bin/python -W ignore -m tests.soak.soak $(ARGS)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak: real proxies as processes, faults from outside."""
