Split the notices and the classification of responses out of the gate

Change: NoticeHandler applies what the upstream announces, classify_response says what a response tells about its request, the slowness detector logs its own changes.

--- a/src/jayswitch/gate/slowness.py
+++ b/src/jayswitch/gate/slowness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -25,6 +26,9 @@
 UNSAFE_TRIAL_DELAY_MS = 2000.0
 
 
+logger = logging.getLogger(__name__)
+
+
 class RunningRequest:
     """A request at the upstream and the latency that its sender is used to."""
 
@@ -51,12 +55,14 @@
         "_ratio",
         "_running",
         "_trial_interval_ms",
+        "_was_slow",
     )
 
     def __init__(self, clock: Clock) -> None:
         """Starts with an upstream that is as fast as the others."""
         self._clock = clock
         self._ratio = 1.0
+        self._was_slow = False
         self._running: set[RunningRequest] = set()
         self._next_trial_ms = float("-inf")
         self._trial_interval_ms = MIN_TRIAL_INTERVAL_MS
@@ -82,6 +88,21 @@
         delay_ms = 0.0 if repeatable else UNSAFE_TRIAL_DELAY_MS
         return self._clock.now_ms() < self._next_trial_ms + delay_ms
 
+    def log_change(self) -> None:
+        """Logs when the upstream has become slow or has recovered."""
+        is_slow = self.is_slow
+        if is_slow == self._was_slow:
+            return
+        self._was_slow = is_slow
+        logger.info(
+            (
+                "upstream has become slower than others"
+                if is_slow
+                else "upstream is as fast as others again"
+            ),
+            extra={"latency_ratio": round(self.latency_ratio, 1)},
+        )
+
     def start(self, usual_ms: float) -> RunningRequest | None:
         """Records a request that is sent; None if its usual latency is unknown."""
         if usual_ms <= 0:
--- a/src/jayswitch/gate/upstream_gate.py
+++ b/src/jayswitch/gate/upstream_gate.py
@@ -15,16 +15,16 @@
 from jayswitch.clock import MS_PER_S
 from jayswitch.gate.circuit_breaker import CircuitBreaker
 from jayswitch.gate.cold_rate_limiter import ColdRateAllowance, ColdRateLimiter
+from jayswitch.gate.notice_handler import NoticeHandler
 from jayswitch.gate.rate_limiter import RateLimiter
 from jayswitch.gate.response_buffer import ResponseBuffer
 from jayswitch.gate.service_times import ServiceTimes
 from jayswitch.gate.slots import SlotQueue
 from jayswitch.gate.slowness import SlownessDetector
 from jayswitch.gate.upstream_health import UpstreamHealth
-from jayswitch.gate.upstream_notices import UpstreamNotices
+from jayswitch.gate.upstream_response import ResponseKind, classify_response
 from jayswitch.proxy import reasons
 from jayswitch.proxy.exceptions import ExchangeFailed, RequestNotSent, ResponseTruncated
-from jayswitch.proxy.headers import find_header
 from jayswitch.proxy.outcome import (
     Answered,
     LoadReport,
@@ -35,11 +35,11 @@
 if TYPE_CHECKING:
     from jayswitch.catalog.model import Service
     from jayswitch.clock import Clock
-    from jayswitch.fleet.records import Incarnation, Upstream
+    from jayswitch.fleet.records import Upstream
     from jayswitch.gate.local_upstream import LocalUpstream
     from jayswitch.proxy.headers import HeaderNames
     from jayswitch.proxy.http_client import Exchange, HttpClient
-    from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest, Headers
+    from jayswitch.proxy.outcome import AttemptOutcome, ForwardedRequest
 
 # Delay before a retry where a refusal states none: about the time in which one of the
 # running calls ends.
@@ -47,7 +47,6 @@
 # With less time left the request would be cancelled before the upstream has responded.
 MIN_TIME_LEFT_MS = 10.0
 MOST_URGENT_RANK = 0
-STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 
 UpstreamResponseListener = Callable[["ForwardedRequest", bool, float], None]
@@ -84,7 +83,6 @@
         self.on_upstream_response: UpstreamResponseListener = (
             lambda request, failed, latency_ms: None
         )
-        self.on_departure: Callable[[], None] = lambda: None
         self.cold_limiter = cold_limiter
         self._address = address
         self._local_upstream = local_upstream
@@ -95,9 +93,7 @@
         self.buffer = ResponseBuffer()
         self._breaker = CircuitBreaker(clock)
         self._slowness = SlownessDetector(clock)
-        self._was_slow = False
-        self.notices = UpstreamNotices(names, clock)
-        self._logged_sent = 0
+        self.notices = NoticeHandler(names, local_upstream, self.slots, clock)
         self.health = UpstreamHealth(
             address,
             local_upstream,
@@ -108,7 +104,7 @@
             self.counts,
             clock,
         )
-        self.health.on_response = self._apply_notices
+        self.health.on_response = self.notices.read_health
 
     @property
     def load(self) -> LoadReport:
@@ -130,16 +126,9 @@
             waiting,
             limit,
             self._times.overall_ms,
-            self._departing,
+            self.notices.departing,
         )
 
-    @property
-    def _departing(self) -> Incarnation | None:
-        current = self._local_upstream.current
-        if current is None or not self.notices.is_leaving:
-            return None
-        return current.incarnation
-
     def set_service(self, service: Service) -> None:
         """Applies the configuration of the upstream's service."""
         self.health.path = service.health_path
@@ -154,22 +143,13 @@
             self.slots.limit = max(1, current.slots)
             self.slots.grant_free_slots()
 
-    def probe(self) -> None:
-        """Sends one request at a time until the upstream has responded to one.
-
-        An earlier process may have known a rate limit, which responses will tell.
-        """
-        self.slots.is_probing = True
-
     def restart(self) -> None:
         """Discards connections and service times of the previous incarnation."""
         self._client.forget(self._address)
         self._times = ServiceTimes()
         self._breaker = CircuitBreaker(self._clock)
         self._slowness = SlownessDetector(self._clock)
-        self.notices = UpstreamNotices(self._names, self._clock)
-        self.slots.is_probing = False
-        self._set_rate_limit(None)
+        self.notices.restart()
         self.health.is_suspected = False
         self.resize()
 
@@ -250,7 +230,7 @@
     def _is_too_slow_for(self, request: ForwardedRequest) -> bool:
         # A cold upstream is slow for some seconds, and needs requests all the same.
         is_cold = self.cold_limiter.is_cold
-        self._log_slowness()
+        self._slowness.log_change()
         if is_cold or not self._slowness.rejects(request.repeatable):
             return False
         if request.has_alternatives:
@@ -258,32 +238,6 @@
         expected_ms = self._slowness.expected_ms(request.proved_averages.latency_ms)
         return expected_ms > request.time_to_deadline_ms(self._clock)
 
-    def _log_slowness(self) -> None:
-        """Logs when the upstream has become slow or has recovered."""
-        is_slow = self._slowness.is_slow
-        if is_slow == self._was_slow:
-            return
-        self._was_slow = is_slow
-        logger.info(
-            (
-                "upstream has become slower than others"
-                if is_slow
-                else "upstream is as fast as others again"
-            ),
-            extra={"latency_ratio": round(self._slowness.latency_ratio, 1)},
-        )
-
-    def log_rate(self) -> None:
-        """Logs the requests sent since the last call while the upstream limits them."""
-        sent = self.counts["sent"] - self._logged_sent
-        self._logged_sent += sent
-        limit_per_s = self.notices.rate_limit_per_s
-        if limit_per_s is not None:
-            logger.info(
-                "requests sent to a limited upstream",
-                extra={"sent": sent, "limit_per_s": limit_per_s},
-            )
-
     def _retry_after_ms(self, refusal: str) -> float:
         if refusal == reasons.BREAKING_OFF:
             return max(DEFAULT_RETRY_MS, self._breaker.retry_after_ms)
@@ -368,40 +322,13 @@
         exchange: Exchange,
         started_ms: float,
     ) -> AttemptOutcome:
-        names = self._names
-        echoed = find_header(exchange.headers, names.request_id)
-        if echoed not in (None, request.request_id):
-            # A late response to an earlier request; it is rejected whatever its status.
+        kind = classify_response(exchange, request.request_id, self._names)
+        if kind.is_not_run:
+            return self._process_rejection(request, current, exchange, kind)
+        if kind is not ResponseKind.ANSWERED:
             exchange.close()
-            return self._outcome_unknown(
-                request, "the answer is another request's", started_ms
-            )
-        not_run = find_header(exchange.headers, names.not_run) is not None
-        misdirected = exchange.status == STATUS_MISDIRECTED
-        if (misdirected or not_run) and echoed is None and exchange.is_reused:
-            # It may repeat the rejection of an earlier request on this connection.
-            exchange.close()
-            return self._outcome_unknown(
-                request, "the rejection has no id on a reused connection", started_ms
-            )
-        if misdirected or not_run:
-            self.health.discard(exchange)
-            if not misdirected:
-                self._apply_notices(current, exchange.headers)
-                self._end_probe()
-            reason = reasons.MISDIRECTED if misdirected else reasons.REJECTED
-            if misdirected:
-                self.health.suspect(reason)
-            return self._refuse(
-                request, reason, self._times.overall_ms / 2, not misdirected
-            )
-        signature = find_header(exchange.headers, names.signature)
-        if signature is None or echoed is None:
-            exchange.close()
-            reason = "the answer has no signature or no id"
-            return self._outcome_unknown(request, reason, started_ms)
-        self._apply_notices(current, exchange.headers, started_ms)
-        self._end_probe()
+            return self._outcome_unknown(request, kind.value, started_ms)
+        self.notices.read_answer(current, exchange.headers, started_ms)
         self._record_response(request, exchange.status, started_ms)
         body = self._read(request, exchange)
         return Answered(
@@ -412,28 +339,21 @@
             self.load,
         )
 
-    def _apply_notices(
-        self, sender: Upstream, headers: Headers, sent_ms: float | None = None
-    ) -> None:
-        """Applies what an upstream announces; sent_ms is set if it ran a request."""
-        current = self._local_upstream.current
-        if current is None or not current.same_incarnation(sender):
-            return
-        if sent_ms is None:
-            self.notices.read(headers)
-        else:
-            self.notices.read_answer(headers, sent_ms)
-        self._set_rate_limit(self.notices.rate_limit_per_s)
-        if self.notices.is_leaving and self._local_upstream.announce_departure():
-            self.on_departure()
-
-    def _end_probe(self) -> None:
-        self.slots.is_probing = False
-        self.slots.grant_free_slots()
-
-    def _set_rate_limit(self, per_s: float | None) -> None:
-        self.rate_limiter.set_limit(per_s)
-        self.slots.grant_free_slots()
+    def _process_rejection(
+        self,
+        request: ForwardedRequest,
+        current: Upstream,
+        exchange: Exchange,
+        kind: ResponseKind,
+    ) -> NotRun:
+        self.health.discard(exchange)
+        retry_after_ms = self._times.overall_ms / 2
+        if kind is ResponseKind.MISDIRECTED:
+            # The response is that of another upstream.
+            self.health.suspect(reasons.MISDIRECTED)
+            return self._refuse(request, reasons.MISDIRECTED, retry_after_ms)
+        self.notices.read_rejection(current, exchange.headers)
+        return self._refuse(request, reasons.REJECTED, retry_after_ms, True)
 
     def _read(self, request: ForwardedRequest, exchange: Exchange) -> Iterator[bytes]:
         left_ms = max(1.0, request.time_to_deadline_ms(self._clock))
--- a/src/jayswitch/proxy/http_client.py
+++ b/src/jayswitch/proxy/http_client.py
@@ -241,8 +241,9 @@
     """Returns IP and port; raises RequestNotSent if there are none."""
     host, _, port = address.rpartition(":")
     is_host = host.isprintable() and host != "" and " " not in host
-    if is_host and port.isdecimal() and 0 < int(port[:6]) <= MAX_PORT:
-        return host, int(port[:6])
+    is_port = port.isdecimal() and len(port) <= len(str(MAX_PORT))
+    if is_host and is_port and 0 < int(port) <= MAX_PORT:
+        return host, int(port)
     raise RequestNotSent(address[:80], "the address is not an IP and a port")
 
 
--- a/src/jayswitch/proxy/planned_stop.py
+++ b/src/jayswitch/proxy/planned_stop.py
@@ -16,7 +16,7 @@
 # Readiness is polled every second; after two failed polls no new requests are sent.
 READINESS_PROPAGATION_MS = 2300.0
 # Requests that arrive this long after the start of the stop are refused if their
-# deadline is later than the exit of this process. Until then callers may not know of it.
+# deadline is later than the exit of this process. Earlier callers may not know of it.
 REFUSE_LONG_REQUESTS_MS = 2500.0
 # Fraction of the grace period after which all new requests are refused.
 REFUSE_ALL_FRACTION = 0.75
--- a/src/jayswitch/proxy/process.py
+++ b/src/jayswitch/proxy/process.py
@@ -117,7 +117,7 @@
         self.publisher.known_record_revision = partial(
             self.followers.record_revision, settings.vm
         )
-        self.gate.on_departure = self.publisher.publish
+        self.gate.notices.on_departure = self.publisher.publish
         self.gate.is_informed = lambda: self.followers.have_synced
         self._build_forwarding(names)
         self._build_rollout(status)
@@ -297,7 +297,7 @@
             return
         self.local_upstream.restore(upstream)
         self.cold_limiter.reserve_window()
-        self.gate.probe()
+        self.gate.notices.probe()
         logger.info(
             "stored upstream state restored",
             extra={"upstream": upstream.id, "state": upstream.state.value},
@@ -424,7 +424,7 @@
             if self.clock.now_ms() - counts_logged_ms >= COUNTS_LOG_INTERVAL_MS:
                 counts_logged_ms = self.clock.now_ms()
                 self.log_store_calls()
-                self.gate.log_rate()
+                self.gate.notices.log_rate(self.gate.counts["sent"])
 
     def log_store_calls(self) -> None:
         """Logs the calls to the store since the previous line, by kind."""
--- a/src/jayswitch/proxy/status.py
+++ b/src/jayswitch/proxy/status.py
@@ -14,7 +14,6 @@
 from jayswitch.metrics import counter_family
 
 if TYPE_CHECKING:
-    from jayswitch.gate.upstream_notices import UpstreamNotices
     from jayswitch.logs import BoundedLogHandler
     from jayswitch.proxy.process import ProxyProcess
     from jayswitch.proxy.wsgi_request import StartResponse
@@ -93,7 +92,7 @@
             "gate_limit": load.limit,
             "gate_service_ms": load.service_ms,
             "gate_cold": int(process.cold_limiter.is_cold),
-            "gate_rate_limit_per_s": _gauge_of_limit(process.gate.notices),
+            "gate_rate_limit_per_s": process.gate.rate_limiter.per_s,
             "orders_connected": int(process.followers.orders.connected),
             "orders_feeds": len(process.followers.orders_feed.relay_by_feed),
             "fleet_connected": int(process.followers.fleet.connected),
@@ -105,12 +104,6 @@
             yield GaugeMetricFamily(f"jayswitch_{name}", text, value=value)
 
 
-def _gauge_of_limit(notices: UpstreamNotices) -> float:
-    """Returns the rate limit of the upstream; infinity if it announces none."""
-    limit_per_s = notices.rate_limit_per_s
-    return float("inf") if limit_per_s is None else limit_per_s
-
-
 class StatusApplication:
     """WSGI application for /metrics and /dump."""
 
--- a/tests/gate/test_rate_limiter.py
+++ b/tests/gate/test_rate_limiter.py
@@ -151,12 +151,12 @@
         self, rate_limit_per_s: float
     ) -> None:
         fixture = GateFixture(rate_limit_per_s)
-        fixture.gate.probe()
+        fixture.gate.notices.probe()
         fixture.load(60, 5)
         before = fixture.most_in_window()
         # The next process knows neither the limit nor what was sent.
         fixture.gate.restart()
-        fixture.gate.probe()
+        fixture.gate.notices.probe()
         fixture.load(60, 5)
         allowed = rate_limit_per_s * WINDOW_MS / MS_PER_S + 5
         assert before <= allowed
@@ -164,7 +164,7 @@
 
     def test_probe_ends_with_the_first_response(self) -> None:
         fixture = GateFixture(-1.0, slots=6)
-        fixture.gate.probe()
+        fixture.gate.notices.probe()
         fixture.load(20, 4)
         served = sum(isinstance(o, Answered) for o in fixture.outcomes)
         assert not fixture.gate.slots.is_probing
--- a/tests/loopback/test_announced_departure.py
+++ b/tests/loopback/test_announced_departure.py
@@ -78,7 +78,7 @@
     def test_announcement_binds_after_a_restart_of_the_gate(self) -> None:
         departure = Departure()
         # The state is not stored in time.
-        departure.remote.gate.on_departure = lambda: None
+        departure.remote.gate.notices.on_departure = lambda: None
         departure.announce()
         departure.restart_remote()
         for _ in range(5):
