--- a/tests/harness/loopback.py
+++ b/tests/harness/loopback.py
@@ -77,6 +77,27 @@
         return found[0] if found else ""
 
 
+def read_request(
+    connection: GreenSocket, buffer: bytes
+) -> tuple[ReceivedRequest | None, bytes]:
+    """Reads a request after the bytes in the buffer; None if the connection ends.
+
+    Returns also the bytes received after it.
+    """
+    while b"\r\n\r\n" not in buffer:
+        data = connection.recv(65536)
+        if not data:
+            return None, buffer
+        buffer += data
+    head, _, buffer = buffer.partition(b"\r\n\r\n")
+    received = ReceivedRequest(head.decode("latin-1"), b"")
+    length = int(received.header("Content-Length") or 0)
+    while len(buffer) < length:
+        buffer += connection.recv(65536)
+    received.body, buffer = buffer[:length], buffer[length:]
+    return received, buffer
+
+
 class RawUpstream:
     """An upstream that reads raw requests and answers through a replaceable handler."""
 
@@ -98,17 +119,9 @@
     def _serve(self, connection: GreenSocket) -> None:
         buffer = b""
         while True:
-            while b"\r\n\r\n" not in buffer:
-                data = connection.recv(65536)
-                if not data:
-                    return
-                buffer += data
-            head, _, buffer = buffer.partition(b"\r\n\r\n")
-            received = ReceivedRequest(head.decode("latin-1"), b"")
-            length = int(received.header("Content-Length") or 0)
-            while len(buffer) < length:
-                buffer += connection.recv(65536)
-            received.body, buffer = buffer[:length], buffer[length:]
+            received, buffer = read_request(connection, buffer)
+            if received is None:
+                return
             if received.request_line.startswith("GET /health "):
                 send_answer(connection, f"Instance-Id: {self.id}\r\n")
                 continue
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -10,7 +10,7 @@
 import msgspec
 from eventlet.greenio import GreenSocket
 
-from tests.harness.loopback import ReceivedRequest, exchange
+from tests.harness.loopback import ReceivedRequest, exchange, read_request
 
 SERVICE = "herdview"
 HEARTBEAT_S = 0.4
@@ -109,17 +109,9 @@
         buffer = b""
         try:
             while True:
-                while b"\r\n\r\n" not in buffer:
-                    data = connection.recv(65536)
-                    if not data:
-                        return
-                    buffer += data
-                head, _, buffer = buffer.partition(b"\r\n\r\n")
-                received = ReceivedRequest(head.decode("latin-1"), b"")
-                length = int(received.header("Content-Length") or 0)
-                while len(buffer) < length:
-                    buffer += connection.recv(65536)
-                buffer = buffer[length:]
+                received, buffer = read_request(connection, buffer)
+                if received is None:
+                    return
                 self._respond(connection, received)
         except OSError:
             return
