--- a/tests/loopback/test_upstreams.py
+++ b/tests/loopback/test_upstreams.py
@@ -174,3 +174,19 @@
         eventlet.sleep(0)
         proxy.followers.revision_exchange.compare("999,0", "")
         wait_until(lambda: "elsewhere" in proxy.orders.evacuated)
+
+
+class TestSilentUpstream:
+    """An upstream that sends no heartbeats any more is no destination elsewhere."""
+
+    # Guards against requests that go to a crashed upstream first, as it looks idle.
+    def test_silent_upstream_is_no_member_at_other_proxies(self) -> None:
+        loopback = LoopbackDeployment()
+        crashed = loopback.add_vm("vm-1", RawUpstream("i-1"))
+        other = loopback.add_vm("vm-2", RawUpstream("i-2"))
+        wait_until(lambda: len(other.directory.members("herdview")) == 2)
+        crashed.local_upstream._heartbeat_timeout_ms = 100.0
+        wait_until(lambda: crashed.local_upstream.usable is None)
+        eventlet.sleep(2.5)
+        members = [member.node for member in other.directory.members("herdview")]
+        assert members == ["vm-2"]
