--- a/src/jayswitch/gate/notice_handler.py
+++ b/src/jayswitch/gate/notice_handler.py
@@ -67,16 +67,14 @@
     def read_rejection(self, sender: Upstream, headers: Headers) -> None:
         """Applies the notices of a response to a request that was not run."""
         self.read_health(sender, headers)
-        self._slots.is_probing = False
-        self._slots.grant_free_slots()
+        self._end_probe()
 
     def read_answer(self, sender: Upstream, headers: Headers, sent_ms: float) -> None:
         """Applies the notices of a response to a request sent at a time."""
         if self._is_current(sender):
             self._notices.read_answer(headers, sent_ms)
             self._apply()
-        self._slots.is_probing = False
-        self._slots.grant_free_slots()
+        self._end_probe()
 
     def read_health(self, sender: Upstream, headers: Headers) -> None:
         """Applies the notices of the response to a health check."""
@@ -105,6 +103,10 @@
         if self._notices.is_leaving and self._local_upstream.announce_departure():
             self.on_departure()
 
+    def _end_probe(self) -> None:
+        self._slots.is_probing = False
+        self._slots.grant_free_slots()
+
     def _set_rate_limit(self, per_s: float | None) -> None:
         self._slots.rate_limiter.set_limit(per_s)
         self._slots.grant_free_slots()
--- a/src/jayswitch/gate/upstream_notices.py
+++ b/src/jayswitch/gate/upstream_notices.py
@@ -13,6 +13,9 @@
     from jayswitch.proxy.headers import HeaderNames
     from jayswitch.proxy.outcome import Headers
 
+# Value of the header of an upstream that is about to stop.
+LEAVING = "1"
+
 logger = logging.getLogger(__name__)
 
 
@@ -49,7 +52,7 @@
         if limit_per_s is not None:
             self._limited_ms = self._clock.now_ms()
             self._set_limit(limit_per_s)
-        if find_header(headers, self._names.leaving) == "1" and not self.is_leaving:
+        if find_header(headers, self._names.leaving) == LEAVING:
             self.is_leaving = True
 
     def read_answer(self, headers: Headers, sent_ms: float) -> None:
