--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -14,6 +14,7 @@
 import shutil
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -121,6 +122,13 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+def encode_chunked(status: int, headers: dict[str, Any]) -> bytes:
+    lines = [f"HTTP/1.1 {status} Status"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    lines.append("Transfer-Encoding: chunked")
+    return "\r\n".join([*lines, "", "6\r\nfailed", "0", "", ""]).encode()
+
+
 async def call(
     address: tuple[str, int], data: bytes, timeout_s: float
 ) -> Message | None:
@@ -324,16 +332,21 @@
         self.state = "ready"
         self.cold_until_s = 0.0
         self.runs: list[Run] = []
-        # Answers a request in place of the usual answer, if it returns one.
-        self.answer: Callable[[Message], Awaitable[bytes | None]] | None = None
+        # Share of the runs whose answer is lost with a reset of the connection.
+        self.lost_share = 0.0
+        # Share of the runs that fail with a status 500 sent in chunks.
+        self.failing_share = 0.0
         self.reports = True
+        self.server: asyncio.Server | None = None
         self._record = record
         self._slots = asyncio.Semaphore(slots)
         self._waiting = 0
         self._sequence = 0
 
     async def start(self) -> None:
-        await asyncio.start_server(self._serve, *self.vm.upstream, backlog=256)
+        self.server = await asyncio.start_server(
+            self._serve, *self.vm.upstream, backlog=256
+        )
         asyncio.create_task(self._report())
 
     @property
@@ -363,6 +376,24 @@
         answer = await call(self.vm.control, head.encode() + body, 1.0)
         return 0 if answer is None else answer.status
 
+    async def leave(self) -> bool:
+        """Reports that it drains, serves on, deregisters; returns the last answer."""
+        self.state = "draining"
+        if await self.beat() != 200:
+            return False
+        self.reports = False
+        await asyncio.sleep(BOUNDS["drain_ms"] / 1000 + 0.5)
+        head = (
+            f"POST /rpc?call=instances.deregister&of={self.id} HTTP/1.1\r\nHost: x\r\n"
+            "Content-Type: application/json\r\n"
+        )
+        body = json.dumps({"born": self.born}).encode()
+        head += f"Content-Length: {len(body)}\r\n\r\n"
+        answer = await call(self.vm.control, head.encode() + body, 1.0)
+        if self.server is not None:
+            self.server.close()
+        return answer is not None and answer.status == 200
+
     async def _report(self) -> None:
         while True:
             if self.reports:
@@ -377,6 +408,11 @@
                 task = asyncio.ensure_future(self._respond(request))
                 data = await task
                 if data is None:
+                    # The answer is lost and the connection is reset.
+                    linger = struct.pack("ii", 1, 0)
+                    sock = writer.get_extra_info("socket")
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    writer.transport.abort()
                     return
                 writer.write(data)
                 await writer.drain()
@@ -406,11 +442,12 @@
         try:
             self.runs.append(Run(request_id, self.id))
             self._record.line(f"{self.vm.name} {self.id} runs {request_id}")
-            if self.answer is not None:
-                data = await self.answer(request)
-                if data is not None:
-                    return data
             await asyncio.sleep(self.work_s)
+            if random.random() < self.lost_share:
+                self._record.line(f"{self.id} loses the answer to {request_id}")
+                return None
+            if random.random() < self.failing_share:
+                return encode_chunked(500, echo | {"Server-Signature": f"s-{self.id}"})
             signed = echo | {"Server-Signature": f"s-{self.id}"}
             body = f"whole answer to {request_id}".encode()
             return encode_response(200, signed, body)
@@ -635,6 +672,10 @@
 
     async def run() -> int:
         mesh = Mesh(record)
+        task = asyncio.current_task()
+        assert task is not None
+        # Ends the processes also if this one is told to stop.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(110):
                 return await case(mesh, Callers(record), trouble)
@@ -643,7 +684,7 @@
 
     try:
         code = asyncio.run(run())
-    except (CannotRun, OSError, TimeoutError) as error:
+    except (CannotRun, OSError, TimeoutError, asyncio.CancelledError) as error:
         record.line(f"could not run: {error!r}")
         code = CANNOT_RUN
     record.line(f"exit {code}")
