--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -467,11 +467,11 @@
         self.outbound, self.inbound, self.ready, self.control = addresses[:4]
         self.upstream = addresses[4]
         self._metrics_port = ports[5]
-        self._mesh = mesh
+        self.mesh = mesh
         self.process: asyncio.subprocess.Process | None = None
 
     async def start(self, first_start: bool) -> None:
-        mesh = self._mesh
+        mesh = self.mesh
         settings = {
             "vm": self.name,
             "data_centre": self.zone,
