--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -1,7 +1,7 @@
 """Stand-ins for a small deployment on loopback: store, upstreams, callers, processes.
 
-Standard library only. The store, the upstreams and the callers live in this process; the
-proxies are started with the command of deploy/system.toml as separate processes.
+Standard library only. The store, the upstreams and the callers live in this process;
+the proxies are started with the command of deploy/system.toml as separate processes.
 """
 
 from __future__ import annotations
@@ -275,7 +275,8 @@
             events = [
                 event
                 for event in self.events
-                if event["revision"] > after and event["key"].startswith(query["prefix"])
+                if event["revision"] > after
+                and event["key"].startswith(query["prefix"])
             ]
             left_s = until_s - time.monotonic()
             if events or left_s <= 0:
@@ -291,7 +292,9 @@
             current = self.items.get(row["key"], {"revision": 0})
             if current["revision"] != row["revision"]:
                 return 412, {"items": [self.items[k] for k in keys if k in self.items]}
-        if any(p["lease"] and p["lease"] not in self.lease_until_s for p in call["puts"]):
+        if any(
+            p["lease"] and p["lease"] not in self.lease_until_s for p in call["puts"]
+        ):
             return 404, {}
         for put in call["puts"]:
             self._put(put["key"], put["value"], put["lease"])
@@ -338,6 +341,7 @@
         self.failing_share = 0.0
         self.reports = True
         self.server: asyncio.Server | None = None
+        self._open: set[asyncio.StreamWriter] = set()
         self._record = record
         self._slots = asyncio.Semaphore(slots)
         self._waiting = 0
@@ -394,6 +398,14 @@
             self.server.close()
         return answer is not None and answer.status == 200
 
+    async def crash(self) -> None:
+        """Ends at once: breaks all connections, refuses new ones, reports nothing."""
+        self.reports = False
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self._open):
+            writer.transport.abort()
+
     async def _report(self) -> None:
         while True:
             if self.reports:
@@ -403,6 +415,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._open.add(writer)
         try:
             while (request := await read_message(reader)) is not None:
                 task = asyncio.ensure_future(self._respond(request))
@@ -419,6 +432,7 @@
         except ConnectionError:
             return
         finally:
+            self._open.discard(writer)
             writer.close()
 
     async def _respond(self, request: Message) -> bytes | None:
@@ -549,9 +563,11 @@
         await self.prepare(zones_and_services)
         await self.start_processes()
 
-    async def wait_until_ready(self, timeout_s: float = 30.0) -> None:
+    async def wait_until_ready(
+        self, timeout_s: float = 30.0, vms: list[Vm] | None = None
+    ) -> None:
         until_s = time.monotonic() + timeout_s
-        for vm in self.vms:
+        for vm in vms or self.vms:
             while not await vm.is_ready():
                 if time.monotonic() > until_s:
                     raise CannotRun(f"{vm.name} did not become ready")
@@ -613,7 +629,9 @@
         timeout_s = leave_after_s or deadline_ms / 1000
         attempt.answer = await call(vm.outbound, data, timeout_s)
         attempt.ended_s = time.monotonic()
-        reason = b"" if attempt.status == 200 else (attempt.answer or Message("", [])).body
+        reason = (
+            b"" if attempt.status == 200 else (attempt.answer or Message("", [])).body
+        )
         left = " (the client left)" if leave_after_s and not attempt.status else ""
         self._record.line(
             f"client at {vm.name} got {attempt.status or 'nothing'}{left} for "
@@ -628,7 +646,9 @@
         return probe.getsockname()[1]
 
 
-def route(name: str, service: str, kind: str, timeout_ms: int, slo_ms: int, **more: Any) -> dict[str, Any]:
+def route(
+    name: str, service: str, kind: str, timeout_ms: int, slo_ms: int, **more: Any
+) -> dict[str, Any]:
     return {
         "name": name,
         "host": "mesh.example",
@@ -642,7 +662,12 @@
     } | more
 
 
-def config(version: int, routes: list[dict[str, Any]], services: list[str], cold_per_s: float = 8.5) -> dict[str, Any]:
+def config(
+    version: int,
+    routes: list[dict[str, Any]],
+    services: list[str],
+    cold_per_s: float = 8.5,
+) -> dict[str, Any]:
     return {
         "version": f"r{version}",
         "routes": routes,
